--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,242 @@
+#include "config.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+
+#include "io.h"
+
+namespace pearreach {
+namespace {
+
+using marlquay::Conf;
+using marlquay::Malformed;
+using rapidjson::Value;
+
+// Iterative: a deeply nested text must not exhaust the stack.
+constexpr unsigned kFlags = rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag;
+
+std::string_view TextOf(const Value& v) { return {v.GetString(), v.GetStringLength()}; }
+
+const Value* Member(const Value& object, const char* name) {
+  const auto it = object.FindMember(name);
+  return it == object.MemberEnd() || it->value.IsNull() ? nullptr : &it->value;
+}
+
+std::string String(const Value& object, const char* name) {
+  const Value* v = Member(object, name);
+  return v != nullptr && v->IsString() ? std::string(TextOf(*v)) : std::string();
+}
+
+double Real(const Value& object, const char* name, double fallback) {
+  const Value* v = Member(object, name);
+  return v != nullptr && v->IsNumber() ? v->GetDouble() : fallback;
+}
+
+// The wire's paths: PATH.count and PATH.0 for lists of objects, commas for lists of plain values,
+// and '_' for a space or comma inside a value.
+std::string Plain(const Value& v) {
+  if (v.IsBool()) return v.GetBool() ? "true" : "false";
+  std::string text(TextOf(v));  // numbers are kept as they were written
+  std::replace_if(
+      text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  return text;
+}
+
+void Flatten(const Value& v, const std::string& path, int depth, Conf::Values* out) {
+  if (depth > 8) throw Malformed("settings: " + path + " is nested too deep");
+  const std::string prefix = path.empty() ? "" : path + ".";
+  if (v.IsObject()) {
+    for (const auto& m : v.GetObject())
+      Flatten(m.value, prefix + std::string(TextOf(m.name)), depth + 1, out);
+  } else if (v.IsArray()) {
+    const bool objects = !v.Empty() && v[0].IsObject();
+    if (objects) (*out)[prefix + "count"] = std::to_string(v.Size());
+    std::string joined;
+    for (rapidjson::SizeType i = 0; i < v.Size(); ++i) {
+      if (objects != v[i].IsObject() || v[i].IsArray())
+        throw Malformed("settings: " + path + " mixes values of several forms");
+      if (objects)
+        Flatten(v[i], prefix + std::to_string(i), depth + 1, out);
+      else
+        joined += (i > 0 ? "," : "") + Plain(v[i]);
+    }
+    if (!objects) (*out)[path] = joined;
+  } else if (!v.IsNull()) {
+    (*out)[path] = Plain(v);
+  }
+}
+
+std::optional<Listing> ListingOf(const Value& v) {
+  const Value *version = nullptr, *servers = nullptr;
+  if (v.IsObject()) {
+    version = Member(v, "version");
+    servers = Member(v, "servers");
+  }
+  if (version == nullptr || !version->IsUint64() || servers == nullptr || !servers->IsArray())
+    return std::nullopt;
+  Listing list;
+  list.version = version->GetUint64();
+  const Value* full = Member(v, "full");
+  list.full = full != nullptr && full->IsBool() && full->GetBool();
+  for (const Value& s : servers->GetArray()) {
+    ServerEntry e;
+    std::string state;
+    if (s.IsObject()) {
+      e.id = String(s, "id");
+      e.address = String(s, "addr");
+      e.zone = String(s, "zone");
+      e.kind = String(s, "kind");
+      e.cell = static_cast<int>(std::clamp(Real(s, "cell", 0), 0.0, 1e9));
+      e.weight = Real(s, "weight", 1);
+      e.started_ms = static_cast<std::int64_t>(std::clamp(Real(s, "started_ms", 0), 0.0, 9e15));
+      state = String(s, "state");
+    }
+    if (state == "draining")
+      e.health = marlquay::Health::kDraining;
+    else if (state == "removed")
+      e.health = marlquay::Health::kGone;
+    else if (state != "up")
+      e.id.clear();
+    if (e.id.empty() || (e.address.empty() && e.health != marlquay::Health::kGone)) {
+      CountFault("bad_list_entry", "'" + e.id + "' in state '" + state + "' is left out");
+      continue;
+    }
+    list.servers.push_back(std::move(e));
+  }
+  return list;
+}
+
+marlquay::LoadReport TakeLoad(const Value& load, const marlquay::Site& site) {
+  marlquay::LoadReport report;
+  if (!load.IsObject()) return report;
+  for (const auto& m : load.GetObject())
+    if (m.value.IsNumber())
+      marlquay::TakeLoad(site, TextOf(m.name), std::to_string(m.value.GetDouble()), &report);
+  return report;
+}
+
+}  // namespace
+
+std::optional<Listing> ReadListing(std::string_view json) {
+  rapidjson::Document d;
+  d.Parse<kFlags>(json.data(), json.size());
+  return d.HasParseError() ? std::nullopt : ListingOf(d);
+}
+
+std::optional<News> ReadNews(std::string_view json, const marlquay::Site& site) {
+  static constexpr std::pair<std::string_view, News::State> kStates[] = {
+      {"started", News::State::kStarted},   {"running", News::State::kRunning},
+      {"done", News::State::kDone},         {"failed", News::State::kFailed},
+      {"returned", News::State::kReturned}, {"lost", News::State::kLost}};
+  rapidjson::Document d;
+  d.Parse<kFlags>(json.data(), json.size());
+  if (d.HasParseError() || !d.IsObject()) return std::nullopt;
+  News news;
+  news.job = String(d, "id");
+  news.from = String(d, "from");
+  const std::string state = String(d, "state");
+  const auto* known = std::find_if(std::begin(kStates), std::end(kStates),
+                                   [&](const auto& s) { return s.first == state; });
+  if (news.job.empty() || news.from.empty() || known == std::end(kStates)) return std::nullopt;
+  news.state = known->second;
+  news.share = Real(d, "share", 0);
+  if (const Value* result = Member(d, "result")) {
+    if (result->IsString()) {
+      news.result = TextOf(*result);
+    } else {
+      rapidjson::StringBuffer text;
+      rapidjson::Writer<rapidjson::StringBuffer> writer(text);
+      result->Accept(writer);
+      news.result.assign(text.GetString(), text.GetSize());
+    }
+  }
+  if (const Value* load = Member(d, "load")) news.load = TakeLoad(*load, site);
+  return news;
+}
+
+marlquay::LoadReport ReadLoadHeader(std::string_view text, const marlquay::Site& site) {
+  marlquay::LoadReport report;
+  if (!text.starts_with("TEXT ")) return report;
+  for (std::string_view pair : marlquay::Split(text.substr(5), ',')) {
+    while (pair.starts_with(' ')) pair.remove_prefix(1);
+    const std::size_t eq = pair.find('=');
+    if (eq == std::string_view::npos) continue;
+    try {
+      marlquay::TakeLoad(site, pair.substr(0, eq), pair.substr(eq + 1), &report);
+    } catch (const Malformed& wrong) {
+      CountFault("bad_load_report", wrong.what());
+    }
+  }
+  return report;
+}
+
+Config ReadConfig(std::string_view json) {
+  rapidjson::Document d;
+  // Numbers stay text, so that the shared reader sees what the wire would have carried.
+  d.Parse<kFlags | rapidjson::kParseNumbersAsStringsFlag>(json.data(), json.size());
+  if (d.HasParseError())
+    throw Malformed("not JSON at byte " + std::to_string(d.GetErrorOffset()) + ": " +
+                    rapidjson::GetParseError_En(d.GetParseError()));
+  if (!d.IsObject()) throw Malformed("the configuration is no object");
+  Config c;
+  if (const std::string name = String(d, "name"); !name.empty()) c.name = name;
+  c.listen = String(d, "listen");
+  c.discovery = String(d, "discovery");
+  if (const std::string seed = String(d, "seed"); !seed.empty())
+    c.seed = marlquay::Number<std::uint64_t>(seed, "seed", 16);
+  if (const Value* limits = Member(d, "limits"); limits != nullptr && limits->IsObject())
+    if (const std::string sockets = String(*limits, "sockets"); !sockets.empty())
+      c.sockets = static_cast<int>(marlquay::Number<double>(sockets, "limits.sockets"));
+  if (c.sockets < 64) throw Malformed("limits.sockets: a node needs 64 descriptors at least");
+  const Value* settings = Member(d, "settings");
+  if (settings == nullptr || !settings->IsObject()) throw Malformed("no settings");
+  Conf::Values values;
+  Flatten(*settings, "", 0, &values);
+  c.site = marlquay::ReadSite(Conf(std::move(values)));
+  // The list is read a second time for its numbers.
+  rapidjson::Document again;
+  again.Parse<kFlags>(json.data(), json.size());
+  if (const Value* known = Member(again, "known")) {
+    c.known = ListingOf(*known);
+    if (!c.known) throw Malformed("known: not a list of servers");
+    c.known->full = true;
+  }
+  return c;
+}
+
+Config LoadConfig(const std::string& path) {
+  const auto env = [](const char* name) {
+    const char* value = std::getenv(name);
+    return std::string(value == nullptr ? "" : value);
+  };
+  const std::string file = path.empty() ? env("EDGE_CONFIG") : path;
+  if (file.empty()) throw Malformed("no configuration: set EDGE_CONFIG or give --config FILE");
+  std::ifstream in(file, std::ios::binary);
+  if (!in) throw Malformed(file + ": cannot be read");
+  const std::string json{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  try {
+    Config c = ReadConfig(json);
+    if (const std::string name = env("EDGE_NAME"); !name.empty()) c.name = name;
+    if (const std::string listen = env("EDGE_LISTEN"); !listen.empty()) c.listen = listen;
+    if (const std::string at = env("EDGE_DISCOVERY"); !at.empty()) c.discovery = at;
+    for (const auto& [what, address] :
+         {std::pair("listen", c.listen), std::pair("discovery", c.discovery)}) {
+      GSocketAddress* parsed = ParseAddress(address);
+      if (parsed == nullptr)
+        throw Malformed(std::string(what) + ": '" + address + "' is no ip:port");
+      g_object_unref(parsed);
+    }
+    return c;
+  } catch (const Malformed& wrong) {
+    throw Malformed(file + ": " + wrong.what());
+  }
+}
+
+}  // namespace pearreach
--- /dev/null
+++ b/src/net/config.h
@@ -0,0 +1,68 @@
+// What a node is told at its start: EDGE_CONFIG and the variables beside it. It owns the reading of
+// JSON into the types that the other files use; it must never listen, connect or carry on with half
+// a configuration: what is wrong is said in one line.
+#ifndef PEARREACH_SRC_NET_CONFIG_H_
+#define PEARREACH_SRC_NET_CONFIG_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "marlquay/dispatcher.h"
+#include "site.h"
+
+namespace pearreach {
+
+// One line of the worker list, in an inventory's own words.
+struct ServerEntry {
+  std::string id, address, zone, kind;
+  int cell = 0;
+  marlquay::Health health = marlquay::Health::kInService;
+  double weight = 1;
+  std::int64_t started_ms = 0;  // Unix time; 0: long ago
+};
+
+struct Listing {
+  std::uint64_t version = 0;
+  bool full = false;
+  std::vector<ServerEntry> servers;
+};
+
+// Discovery's form of a list. An entry that makes no sense is counted and left out; nothing is
+// returned where the whole makes none.
+std::optional<Listing> ReadListing(std::string_view json);
+
+// News of a job as a worker tells it.
+struct News {
+  enum class State { kStarted, kRunning, kDone, kFailed, kReturned, kLost };
+  std::string job, from;
+  State state = State::kStarted;
+  double share = 0;
+  std::string result;
+  marlquay::LoadReport load;
+};
+
+std::optional<News> ReadNews(std::string_view json, const marlquay::Site& site);
+
+// The header form of a load report: "TEXT name=value, name=value".
+marlquay::LoadReport ReadLoadHeader(std::string_view text, const marlquay::Site& site);
+
+struct Config {
+  std::string name = "pearreach", listen, discovery;
+  std::uint64_t seed = 0;
+  int sockets = 1024;
+  std::optional<Listing> known;
+  marlquay::Site site;
+};
+
+// Throws marlquay::Malformed. The settings' nested JSON is flattened to the wire's dotted paths and
+// read by the reader that the adapter uses.
+Config ReadConfig(std::string_view json);
+// The file named, or $EDGE_CONFIG if `path` is empty; the variables EDGE_* override what is in it.
+Config LoadConfig(const std::string& path);
+
+}  // namespace pearreach
+
+#endif  // PEARREACH_SRC_NET_CONFIG_H_
--- /dev/null
+++ b/src/net/core.h
@@ -0,0 +1,60 @@
+// The narrow interface between a front (a protocol that clients speak) and the node behind it. It
+// owns nothing. It must never name a protocol: another front goes through the same calls, and so
+// through the same decisions and rules.
+#ifndef PEARREACH_SRC_NET_CORE_H_
+#define PEARREACH_SRC_NET_CORE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "config.h"
+#include "io.h"
+
+namespace pearreach {
+
+using Ticket = marlquay::RequestId;  // of one taken job, never used twice
+
+// A job as a client submits it. `path`, `body` and both ids reach the worker unchanged.
+struct Job {
+  std::string id;
+  std::string path, body, idempotency_key, content_type;
+  int cls = 0;
+  int tenant = -1;
+  double slots = 1;
+  bool is_repeat = false;
+  std::optional<std::uint64_t> key;
+  Micros received = 0;  // when its last byte was seen, by Now()
+  Micros patience = 0;  // how long its client waits
+};
+
+struct Answer {
+  enum class Kind { kServed, kRefused, kFailed };
+  Kind kind = Kind::kFailed;
+  std::string result;      // kServed
+  Micros retry_after = 0;  // kRefused; 0: says nothing
+  bool overdue = false;    // kFailed: the time is up
+};
+
+class Client {
+ public:
+  virtual ~Client() = default;
+  // The one final answer. Not called from inside Submit, nor after Abandon.
+  virtual void OnAnswer(Ticket ticket, const Answer& answer) = 0;
+};
+
+class Core {
+ public:
+  virtual ~Core() = default;
+  virtual const marlquay::Site& site() const = 0;
+  virtual bool ready() const = 0;
+  virtual std::size_t open_jobs() const = 0;  // taken and not answered
+  // Nothing: a job of this id is open.
+  virtual std::optional<Ticket> Submit(Job job, Client* client) = 0;
+  virtual void Abandon(Ticket ticket) = 0;  // the client has gone away
+  virtual void Tell(const News& news) = 0;  // a worker's word of a job
+};
+
+}  // namespace pearreach
+
+#endif  // PEARREACH_SRC_NET_CORE_H_
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,92 @@
+#include "discovery.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pearreach {
+namespace {
+
+constexpr Micros kWatch = 5 * kSecond;   // asked of discovery: answer by then at the latest
+constexpr Micros kOverdue = 1500 * kMs;  // silence beyond it: the connection is given up
+constexpr Micros kFirstWait = 20 * kMs;  // before another try; doubles up to the last
+constexpr Micros kLastWait = 1000 * kMs;
+
+}  // namespace
+
+Discovery::Discovery(std::string address, std::function<void(const Listing&)> heard)
+    : address_(std::move(address)),
+      heard_(std::move(heard)),
+      next_([this] { Call(); }),
+      overdue_([this] { Again("no answer"); }) {}
+
+void Discovery::Start(std::optional<std::uint64_t> version) {
+  version_ = version;
+  Call();
+}
+
+void Discovery::Call() {
+  if (stream_ == nullptr || !stream_->Quiet()) {
+    if (stream_ != nullptr) stream_->Close();
+    parser_ = http::Parser(http::Parser::Kind::kResponse, {16 << 10, 100, 1 << 20});
+    stream_ = Stream::Connect(address_, {[] {}, [this](std::string_view bytes) { OnData(bytes); },
+                                         [this] {
+                                           if (parser_.End() == http::Parser::State::kMessage)
+                                             OnMessage(parser_.Take());
+                                           else
+                                             Again("the connection ended");
+                                         }});
+    if (stream_ == nullptr) return Again("no socket");
+  }
+  std::string target = "/v1/endpoints";
+  if (version_)
+    target += "?since=" + std::to_string(*version_) + "&timeout_ms=" + std::to_string(kWatch / kMs);
+  overdue_.Set(Now() + (version_ ? kWatch : 0) + kOverdue);
+  if (!stream_->Write(http::WriteRequest("GET", target, {{"Host", address_}}, "")))
+    Again("the connection broke");
+}
+
+void Discovery::OnData(std::string_view bytes) {
+  parser_.Feed(bytes);
+  switch (parser_.Next()) {
+    case http::Parser::State::kMore:
+      return;
+    case http::Parser::State::kMessage:
+      return OnMessage(parser_.Take());
+    case http::Parser::State::kBad:
+      CountFault("bad_discovery_answer", parser_.error());
+      return Again("bad answer");
+  }
+}
+
+void Discovery::OnMessage(const http::Message& message) {
+  const auto list = message.status == 200 ? ReadListing(message.body) : std::nullopt;
+  if (!list) {
+    CountFault("bad_discovery_answer", "status " + std::to_string(message.status));
+    version_.reset();  // what it says next must make sense by itself
+    return Again("bad answer");
+  }
+  // Changes to a list that is not held say too little.
+  if (!list->full && (!version_ || list->version < *version_)) {
+    CountFault("bad_discovery_answer", "changes to an unknown list");
+    version_.reset();
+    return Again("unknown list");
+  }
+  wait_ = 0;
+  const bool news = list->full || !list->servers.empty();
+  version_ = list->version;
+  if (!message.keep_alive) stream_->Close();
+  if (news) heard_(*list);
+  Call();
+}
+
+void Discovery::Again(const char* why) {
+  Count("discovery_retries");
+  if (wait_ == 0) Log(std::string("worker list: ") + why + ", trying again");
+  if (stream_ != nullptr) stream_->Close();
+  stream_ = nullptr;
+  overdue_.Clear();
+  wait_ = std::clamp(2 * wait_, kFirstWait, kLastWait);
+  next_.Set(Now() + wait_);
+}
+
+}  // namespace pearreach
--- /dev/null
+++ b/src/net/front.cpp
@@ -0,0 +1,305 @@
+#include "front.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace pearreach {
+namespace {
+
+using marlquay::Malformed;
+
+constexpr int kWorkerShare = 8;     // a part of so many of the descriptors is not the front's
+constexpr int kReserve = 32;        // descriptors for all else: log, discovery, the loop
+constexpr std::size_t kSpare = 16;  // connections beyond the budget, which are only refused
+constexpr Micros kQuietLimit = 60 * kSecond;  // a connection without an open request goes after it
+constexpr Micros kCloseLimit = 1 * kSecond;   // a peer has so long to close after its last answer
+constexpr Micros kAcceptFor = 600 * kMs;      // after SIGTERM new work is taken for so long
+constexpr Micros kDrainStep = 50 * kMs;
+constexpr Micros kDrainLeast = 1000 * kMs;
+constexpr Micros kLongestPatience = 3600 * kSecond;
+constexpr std::size_t kLongestId = 128;
+
+// "480m" or "1500u".
+Micros ReadTimeout(const std::string& text) {
+  if (text.size() < 2 || (text.back() != 'm' && text.back() != 'u'))
+    throw Malformed("bad X-Timeout " + marlquay::Quote(text));
+  const auto number = marlquay::Number<std::int64_t>(
+      std::string_view(text).substr(0, text.size() - 1), "X-Timeout");
+  const Micros unit = text.back() == 'm' ? kMs : 1;
+  if (number < 0) throw Malformed("bad X-Timeout " + marlquay::Quote(text));
+  return number > kLongestPatience / unit ? kLongestPatience : number * unit;
+}
+
+std::string SecondsOf(Micros t) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", static_cast<double>(t) / 1e6);
+  return text;
+}
+
+}  // namespace
+
+Front::Front(Core* core, int sockets)
+    : core_(core),
+      budget_(static_cast<std::size_t>(
+          std::max(sockets - sockets / kWorkerShare - kReserve - static_cast<int>(kSpare), 1))),
+      listener_([this](std::shared_ptr<Stream> stream) { OnAccepted(std::move(stream)); }),
+      sweep_([this] { Sweep(); }),
+      drain_([this] { DrainStep(); }) {}
+
+Front::~Front() {
+  for (auto& [c, owned] : connections_) c->stream->Close();
+}
+
+std::string Front::Open(const std::string& address) { return listener_.Open(address); }
+
+void Front::OnAccepted(std::shared_ptr<Stream> stream) {
+  auto owned = std::make_unique<Connection>();
+  Connection* c = owned.get();
+  c->over_budget = connections_.size() >= budget_ && !EvictQuiet();
+  if (c->over_budget) Count("over_budget");
+  c->stream = std::move(stream);
+  connections_[c] = std::move(owned);
+  MarkQuiet(c);
+  // Guards the descriptors: with the spare ones gone too, what comes waits in the backlog.
+  if (connections_.size() >= budget_ + kSpare) listener_.Pause();
+  c->stream->Listen({[] {},
+                     [this, c](std::string_view bytes) {
+                       c->parser.Feed(bytes);
+                       if (c->ticket == 0) return Read(c);
+                       // One request at a time: more than one whole head ahead is no client.
+                       if (c->parser.Buffered() > http::Limits().head + http::Limits().body)
+                         Destroy(c);
+                     },
+                     [this, c] { Destroy(c); }});
+}
+
+// Takes the requests that have come, until one of them has to wait.
+void Front::Read(Connection* c) {
+  while (connections_.contains(c) && c->ticket == 0 && !c->closing) {
+    switch (c->parser.Next()) {
+      case http::Parser::State::kMore:
+        if (c->parser.TakeContinue()) c->stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+        return;
+      case http::Parser::State::kBad:
+        Count("bad_requests");
+        return Respond(c, c->parser.error_status(), c->parser.error() + "\n", false);
+      case http::Parser::State::kMessage:
+        Handle(c, c->parser.Take());
+        break;
+    }
+  }
+}
+
+void Front::Handle(Connection* c, http::Message message) {
+  const std::string path = message.target.substr(0, message.target.find('?'));
+  const bool reads = message.method == "GET";
+  if (path == "/ready") {
+    if (!reads) return Respond(c, 405, "GET only\n", message.keep_alive, {{"Allow", "GET"}});
+    const bool ready = core_->ready() && !draining_;
+    return Respond(c, ready ? 200 : 503, ready ? "ready\n" : "not ready\n", message.keep_alive);
+  }
+  const std::string first =
+      path.starts_with('/') ? path.substr(1, path.find('/', 1) - 1) : std::string();
+  const bool is_class = marlquay::IndexOf(core_->site().classes, first) >= 0;
+  if (path != "/_jobs/news" && (first.empty() || !is_class)) {
+    Count("bad_requests");
+    return Respond(c, 404, "no such path\n", message.keep_alive);
+  }
+  if (message.method != "POST") {
+    Count("bad_requests");
+    return Respond(c, 405, "POST only\n", message.keep_alive, {{"Allow", "POST"}});
+  }
+  if (path == "/_jobs/news") return HandleNews(c, message);
+  HandleJob(c, std::move(message), first);
+}
+
+void Front::HandleNews(Connection* c, const http::Message& message) {
+  c->is_worker = true;
+  std::optional<News> news;
+  try {
+    news = ReadNews(message.body, core_->site());
+  } catch (const Malformed&) {
+  }
+  if (!news) {
+    CountFault("bad_news", message.body);
+    return Respond(c, 400, "not news of a job\n", message.keep_alive);
+  }
+  // Whatever it is about, it has been heard: any other answer makes the worker say it again.
+  Respond(c, 200, "", message.keep_alive);
+  core_->Tell(*news);
+}
+
+void Front::HandleJob(Connection* c, http::Message message, const std::string& cls) {
+  const marlquay::Site& site = core_->site();
+  const auto text = [&](const char* name) {
+    const std::string* value = message.Find(name);
+    return value == nullptr ? std::string() : *value;
+  };
+  if (c->over_budget || refusing_) {
+    Count("shed");
+    return Refuse(c, false, site.settings.max_retry_after);
+  }
+  Job job;
+  job.received = Now();
+  try {
+    job.id = text("X-Request-ID");
+    if (job.id.empty() || job.id.size() > kLongestId || job.id.find(' ') != std::string::npos ||
+        job.id.find('/') != std::string::npos)
+      throw Malformed("no or bad X-Request-ID");
+    if (const std::string named = text("X-Priority-Class"); named != cls)
+      throw Malformed("X-Priority-Class does not name the class of the path");
+    job.cls = marlquay::IndexOf(site.classes, cls);
+    const marlquay::ClassSettings& settings =
+        site.settings.classes[static_cast<std::size_t>(job.cls)];
+    const std::string timeout = text("X-Timeout");
+    job.patience = timeout.empty() ? settings.deadline : ReadTimeout(timeout);
+    job.idempotency_key = text("Idempotency-Key");
+    if (settings.effect == marlquay::Effect::kByKey && job.idempotency_key.empty())
+      throw Malformed("no Idempotency-Key");
+    job.tenant = marlquay::IndexOf(site.tenants, text("X-Tenant-Id"));
+    job.is_repeat = text("X-Retried") == "1";
+    if (const std::string key = text("X-Route-Key"); !key.empty())
+      job.key = marlquay::HashName(key);
+    for (const std::string_view pair : marlquay::Split(text("X-Attrs"), ',')) {
+      const std::size_t eq = pair.find('=');
+      if (eq == std::string_view::npos) throw Malformed("bad X-Attrs");
+      if (pair.substr(0, eq) == "slots")
+        job.slots = marlquay::Number<double>(pair.substr(eq + 1), "slots");
+    }
+    if (job.slots <= 0 || job.slots > 1e6) throw Malformed("bad number of slots");
+  } catch (const Malformed& wrong) {
+    Count("bad_requests");
+    return Respond(c, 400, std::string(wrong.what()) + "\n", message.keep_alive);
+  }
+  job.content_type = text("Content-Type");
+  job.path = std::move(message.target);
+  job.body = std::move(message.body);
+  const auto ticket = core_->Submit(std::move(job), this);
+  if (!ticket) {
+    Count("bad_requests");
+    return Respond(c, 409, "a request of this id is open\n", message.keep_alive);
+  }
+  c->ticket = *ticket;
+  c->keep_alive = message.keep_alive;
+  waiting_[*ticket] = c;
+  quiet_.erase(c->quiet);
+}
+
+void Front::OnAnswer(Ticket ticket, const Answer& answer) {
+  const auto it = waiting_.find(ticket);
+  if (!Must(it != waiting_.end(), "answer_without_request")) return;
+  Connection* c = it->second;
+  waiting_.erase(it);
+  c->ticket = 0;
+  MarkQuiet(c);
+  const bool keep_alive = c->keep_alive && !draining_;
+  switch (answer.kind) {
+    case Answer::Kind::kServed:
+      Respond(c, 200, answer.result, keep_alive);
+      break;
+    case Answer::Kind::kRefused:
+      Refuse(c, keep_alive, answer.retry_after);
+      break;
+    case Answer::Kind::kFailed:
+      Respond(c, answer.overdue ? 504 : 502, "failed\n", keep_alive);
+      break;
+  }
+  Read(c);  // a request may have come ahead of its turn
+}
+
+void Front::Refuse(Connection* c, bool keep_alive, Micros retry_after) {
+  std::vector<http::Header> headers;
+  if (retry_after > 0 && core_->site().settings.retry_after)
+    headers.push_back({"Retry-After", SecondsOf(retry_after)});
+  Respond(c, 503, "refused\n", keep_alive, std::move(headers));
+}
+
+void Front::Respond(Connection* c, int status, std::string_view body, bool keep_alive,
+                    std::vector<http::Header> headers) {
+  if (draining_ && !c->is_worker) keep_alive = false;
+  const bool written = c->stream->Write(http::WriteResponse(status, headers, body, keep_alive));
+  if (!written) return Destroy(c);
+  if (keep_alive) return;
+  c->closing = true;
+  c->stream->CloseAfterWrite();
+  sweep_.Set(Now() + kCloseLimit);
+}
+
+void Front::MarkQuiet(Connection* c) {
+  c->quiet_since = Now();
+  c->quiet = quiet_.insert(quiet_.end(), c);
+  if (quiet_.size() == 1) sweep_.Set(c->quiet_since + kQuietLimit);
+}
+
+void Front::Destroy(Connection* c) {
+  if (!connections_.contains(c)) return;
+  if (c->ticket != 0) {  // the client has gone away
+    waiting_.erase(c->ticket);
+    core_->Abandon(c->ticket);
+  } else {
+    quiet_.erase(c->quiet);
+  }
+  c->stream->Close();
+  connections_.erase(c);
+  if (connections_.size() < budget_ + kSpare) listener_.Resume();
+}
+
+// Closes the client's connection that has been between requests for longest.
+bool Front::EvictQuiet() {
+  for (Connection* c : quiet_) {
+    if (!c->closing && (c->is_worker || !c->parser.Between() || !c->stream->Quiet())) continue;
+    Count("evicted");
+    Destroy(c);
+    return true;
+  }
+  return false;
+}
+
+void Front::Sweep() {
+  const Micros now = Now();
+  Micros next = now + kQuietLimit;
+  for (auto it = quiet_.begin(); it != quiet_.end();) {
+    Connection* c = *it++;
+    const Micros limit = c->quiet_since + (c->closing ? kCloseLimit : kQuietLimit);
+    if (limit > now) {
+      next = std::min(next, limit);
+      continue;
+    }
+    if (c->closing || c->parser.Between()) {
+      Destroy(c);
+    } else {
+      Respond(c, 408, "the request did not come\n", false);
+      if (connections_.contains(c)) c->quiet_since = now;
+    }
+  }
+  if (!quiet_.empty()) sweep_.Set(next);
+}
+
+// ---------------------------------------------------------------- the end
+
+void Front::Drain(std::function<void()> done) {
+  if (draining_) return;
+  draining_ = true;
+  drain_began_ = Now();
+  drained_ = std::move(done);
+  drain_.Set(drain_began_ + kAcceptFor);
+}
+
+// The listener stays open to the end: the workers' call-backs come to it, and closing it would
+// reset what waits in its backlog.
+void Front::DrainStep() {
+  refusing_ = true;
+  for (auto it = quiet_.begin(); it != quiet_.end();) {
+    Connection* c = *it++;
+    if (!c->is_worker && !c->closing && c->parser.Between() && c->stream->Quiet()) Destroy(c);
+  }
+  const bool written =
+      std::none_of(connections_.begin(), connections_.end(),
+                   [](const auto& entry) { return entry.first->stream->unsent() > 0; });
+  if (core_->open_jobs() > 0 || !written || Now() < drain_began_ + kDrainLeast)
+    return drain_.Set(Now() + kDrainStep);
+  drained_();
+}
+
+}  // namespace pearreach
--- /dev/null
+++ b/src/net/front.h
@@ -0,0 +1,78 @@
+// The platform's HTTP front: the listener, the clients' requests, /ready and the workers'
+// call-backs at /_jobs/news, which come to the same address. It owns every accepted connection; it
+// decides nothing about a job, must never leave a request that was read without one whole answer,
+// and never ends a connection that still owes one.
+#ifndef PEARREACH_SRC_NET_FRONT_H_
+#define PEARREACH_SRC_NET_FRONT_H_
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "core.h"
+#include "http.h"
+#include "io.h"
+
+namespace pearreach {
+
+class Front : public Client {
+ public:
+  // `sockets`: the descriptors this process may hold, of which a share is the front's.
+  Front(Core* core, int sockets);
+  ~Front() override;
+
+  std::string Open(const std::string& address);  // empty, or what is wrong
+  int port() const { return listener_.port(); }
+  // Goes on accepting for a moment, then closes connections between requests; calls `done` when
+  // all that was taken is answered and written.
+  void Drain(std::function<void()> done);
+  std::size_t connections() const { return connections_.size(); }
+
+  void OnAnswer(Ticket ticket, const Answer& answer) override;
+
+ private:
+  struct Connection {
+    std::shared_ptr<Stream> stream;
+    http::Parser parser{http::Parser::Kind::kRequest};
+    Ticket ticket = 0;         // of the request that waits for its answer
+    bool keep_alive = true;    // after that answer
+    bool is_worker = false;    // has brought news: not closed while draining
+    bool over_budget = false;  // its first request is refused
+    bool closing = false;      // its last answer has been written
+    Micros quiet_since = 0;
+    std::list<Connection*>::iterator quiet;  // in quiet_, if it has no ticket
+  };
+
+  void OnAccepted(std::shared_ptr<Stream> stream);
+  void Read(Connection* c);
+  void Handle(Connection* c, http::Message message);
+  void HandleNews(Connection* c, const http::Message& message);
+  void HandleJob(Connection* c, http::Message message, const std::string& cls);
+  void Respond(Connection* c, int status, std::string_view body, bool keep_alive,
+               std::vector<http::Header> headers = {});
+  void Refuse(Connection* c, bool keep_alive, Micros retry_after);
+  void MarkQuiet(Connection* c);
+  void Destroy(Connection* c);
+  bool EvictQuiet();
+  void Sweep();
+  void DrainStep();
+
+  Core* core_;
+  std::size_t budget_;
+  std::map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::unordered_map<Ticket, Connection*> waiting_;
+  std::list<Connection*> quiet_;  // without an open request, the longest so first
+  Listener listener_;
+  Alarm sweep_, drain_;
+  bool draining_ = false, refusing_ = false;
+  Micros drain_began_ = 0;
+  std::function<void()> drained_;
+};
+
+}  // namespace pearreach
+
+#endif  // PEARREACH_SRC_NET_FRONT_H_
--- /dev/null
+++ b/src/net/io.cpp
@@ -0,0 +1,323 @@
+#include "io.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <utility>
+
+namespace pearreach {
+namespace {
+
+constexpr int kBacklog = 4096;      // the system cuts it to what it allows
+constexpr int kAcceptsAtOnce = 64;  // then the other sources get their turn
+constexpr std::size_t kReadSize = 64 << 10;
+
+struct Counter {
+  std::uint64_t count = 0, logged = 0;
+  Micros last_line = -kSecond;
+};
+
+std::map<std::string, Counter>& Counters() {
+  static std::map<std::string, Counter> counters;
+  return counters;
+}
+
+std::string& LogName() {
+  static std::string name = "pearreach";
+  return name;
+}
+
+bool IsBlocked(const GError* error) {
+  return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) ||
+         g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING);
+}
+
+}  // namespace
+
+void SetLogName(const std::string& name) { LogName() = name; }
+
+void Log(const std::string& line) {
+  const std::int64_t ms = g_get_real_time() / 1000;
+  std::fprintf(stderr, "%lld.%03d %s: %s\n", static_cast<long long>(ms / 1000),
+               static_cast<int>(ms % 1000), LogName().c_str(), line.c_str());
+}
+
+void Count(const char* name) { ++Counters()[name].count; }
+
+void CountFault(const char* name, const std::string& detail) {
+  Counter& c = Counters()[name];
+  ++c.count;
+  if (Now() - c.last_line < kSecond) return;
+  c.last_line = Now();
+  Log(std::string(name) + " (" + std::to_string(c.count) + "): " + detail.substr(0, 200));
+}
+
+std::uint64_t CountOf(const std::string& name) { return Counters()[name].count; }
+
+void LogCounts() {
+  std::string line;
+  for (auto& [name, c] : Counters()) {
+    if (c.count == c.logged) continue;
+    c.logged = c.count;
+    line += ' ' + name + '=' + std::to_string(c.count);
+  }
+  if (!line.empty()) Log("counts:" + line);
+}
+
+// ---------------------------------------------------------------- time
+
+Alarm::Alarm(std::function<void()> ring) : ring_(std::move(ring)) {
+  static GSourceFuncs funcs = {nullptr,
+                               nullptr,
+                               [](GSource* source, GSourceFunc, gpointer self) -> gboolean {
+                                 g_source_set_ready_time(source, -1);
+                                 static_cast<Alarm*>(self)->ring_();
+                                 return G_SOURCE_CONTINUE;
+                               },
+                               nullptr,
+                               nullptr,
+                               nullptr};
+  source_ = g_source_new(&funcs, sizeof(GSource));
+  g_source_set_callback(source_, nullptr, this, nullptr);
+  g_source_attach(source_, nullptr);
+}
+
+Alarm::~Alarm() {
+  g_source_destroy(source_);
+  g_source_unref(source_);
+}
+
+void Alarm::Set(Micros at) { g_source_set_ready_time(source_, std::max<Micros>(at, 0)); }
+void Alarm::Clear() { g_source_set_ready_time(source_, -1); }
+
+// ---------------------------------------------------------------- sockets
+
+GSocketAddress* ParseAddress(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0 || colon + 1 == text.size()) return nullptr;
+  const std::string port = text.substr(colon + 1);
+  if (port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos ||
+      std::stoi(port) > 65535)
+    return nullptr;
+  std::string host = text.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    host = host.substr(1, host.size() - 2);
+  return g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(std::stoi(port)));
+}
+
+std::shared_ptr<Stream> Stream::Connect(const std::string& address, Handlers handlers) {
+  GSocketAddress* to = ParseAddress(address);
+  if (to == nullptr) return nullptr;
+  GSocket* socket = g_socket_new(g_socket_address_get_family(to), G_SOCKET_TYPE_STREAM,
+                                 G_SOCKET_PROTOCOL_TCP, nullptr);
+  if (socket == nullptr) {
+    g_object_unref(to);
+    return nullptr;
+  }
+  const auto stream = Adopt(socket);
+  stream->handlers_ = std::move(handlers);
+  stream->connecting_ = true;
+  GError* error = nullptr;
+  const bool done = g_socket_connect(socket, to, nullptr, &error);
+  g_object_unref(to);
+  // A refusal known at once is told like any other: from the loop, by the socket's error.
+  stream->refused_ = !done && !IsBlocked(error);
+  g_clear_error(&error);
+  stream->Watch(&stream->out_ready_, G_IO_OUT, &Stream::OnWritable);
+  return stream;
+}
+
+std::shared_ptr<Stream> Stream::Adopt(GSocket* socket) {
+  std::shared_ptr<Stream> stream(new Stream);
+  stream->socket_ = socket;
+  g_socket_set_blocking(socket, FALSE);
+  g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  return stream;
+}
+
+Stream::~Stream() { Close(); }
+
+void Stream::Listen(Handlers handlers) {
+  handlers_ = std::move(handlers);
+  Watch(&in_, G_IO_IN, &Stream::OnReadable);
+}
+
+void Stream::Watch(GSource** source, GIOCondition condition, GSocketSourceFunc callback) {
+  if (*source != nullptr) return;
+  *source = g_socket_create_source(socket_, condition, nullptr);
+  g_source_set_callback(*source, G_SOURCE_FUNC(callback), this, nullptr);
+  g_source_attach(*source, nullptr);
+}
+
+void Stream::Drop(GSource** source) {
+  if (*source == nullptr) return;
+  g_source_destroy(*source);
+  g_source_unref(*source);
+  *source = nullptr;
+}
+
+void Stream::Close() {
+  if (socket_ == nullptr) return;
+  Drop(&in_);
+  Drop(&out_ready_);
+  g_socket_close(socket_, nullptr);
+  g_clear_object(&socket_);
+}
+
+void Stream::CloseAfterWrite() {
+  if (socket_ == nullptr) return;
+  closing_ = true;
+  // Guards the answer: closing over bytes not read resets the connection, and a reset throws away
+  // what the peer has not read yet. So only this side ends here, and the rest is read and dropped.
+  if (unsent() == 0) g_socket_shutdown(socket_, FALSE, TRUE, nullptr);
+}
+
+// The connection has ended other than by Close.
+void Stream::Break() {
+  if (socket_ == nullptr) return;
+  Close();
+  const auto closed = handlers_.closed;  // it may replace the handlers, or drop the last reference
+  if (closed) closed();
+}
+
+bool Stream::Quiet() const {
+  return socket_ != nullptr && !connecting_ &&
+         g_socket_condition_check(socket_,
+                                  static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR)) == 0;
+}
+
+bool Stream::Write(std::string_view bytes) {
+  if (socket_ == nullptr) return false;
+  out_.append(bytes);
+  if (connecting_ || out_ready_ != nullptr) return true;
+  if (Flush()) return true;
+  Close();
+  return false;
+}
+
+bool Stream::Flush() {
+  while (unsent() > 0) {
+    GError* error = nullptr;
+    const gssize n = g_socket_send(socket_, out_.data() + sent_, unsent(), nullptr, &error);
+    if (n >= 0) {
+      sent_ += static_cast<std::size_t>(n);
+      continue;
+    }
+    const bool blocked = IsBlocked(error);
+    g_clear_error(&error);
+    if (!blocked) return false;
+    Watch(&out_ready_, G_IO_OUT, &Stream::OnWritable);
+    return true;
+  }
+  out_.clear();
+  sent_ = 0;
+  Drop(&out_ready_);
+  return true;
+}
+
+gboolean Stream::OnWritable(GSocket*, GIOCondition, gpointer self) {
+  const auto stream = static_cast<Stream*>(self)->shared_from_this();
+  if (std::exchange(stream->connecting_, false)) {
+    if (stream->refused_ || !g_socket_check_connect_result(stream->socket_, nullptr)) {
+      stream->Break();
+      return G_SOURCE_REMOVE;
+    }
+    stream->Watch(&stream->in_, G_IO_IN, &Stream::OnReadable);
+    Drop(&stream->out_ready_);
+    const auto connected = stream->handlers_.connected;
+    if (connected) connected();
+    return G_SOURCE_REMOVE;
+  }
+  if (!stream->Flush())
+    stream->Break();
+  else if (stream->closing_)
+    stream->CloseAfterWrite();
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean Stream::OnReadable(GSocket* socket, GIOCondition, gpointer self) {
+  const auto stream = static_cast<Stream*>(self)->shared_from_this();
+  static char buffer[kReadSize];
+  GError* error = nullptr;
+  const gssize n = g_socket_receive(socket, buffer, sizeof buffer, nullptr, &error);
+  const bool blocked = n < 0 && IsBlocked(error);
+  g_clear_error(&error);
+  if (blocked) return G_SOURCE_CONTINUE;
+  if (n <= 0) {
+    stream->Break();
+    return G_SOURCE_REMOVE;
+  }
+  if (stream->closing_) return G_SOURCE_CONTINUE;  // nothing more is wanted of this peer
+  const auto data = stream->handlers_.data;
+  if (data) data(std::string_view(buffer, static_cast<std::size_t>(n)));
+  return G_SOURCE_CONTINUE;
+}
+
+Listener::Listener(std::function<void(std::shared_ptr<Stream>)> accepted)
+    : accepted_(std::move(accepted)) {}
+
+Listener::~Listener() {
+  Pause();
+  if (socket_ == nullptr) return;
+  g_socket_close(socket_, nullptr);
+  g_object_unref(socket_);
+}
+
+std::string Listener::Open(const std::string& address) {
+  GSocketAddress* at = ParseAddress(address);
+  if (at == nullptr) return "'" + address + "' is no address";
+  GError* error = nullptr;
+  socket_ = g_socket_new(g_socket_address_get_family(at), G_SOCKET_TYPE_STREAM,
+                         G_SOCKET_PROTOCOL_TCP, &error);
+  if (socket_ != nullptr) {
+    g_socket_set_blocking(socket_, FALSE);
+    g_socket_set_listen_backlog(socket_, kBacklog);
+    if (g_socket_bind(socket_, at, TRUE, &error)) g_socket_listen(socket_, &error);
+  }
+  g_object_unref(at);
+  const std::string wrong = error == nullptr ? "" : error->message;
+  g_clear_error(&error);
+  if (wrong.empty()) Resume();
+  return wrong;
+}
+
+int Listener::port() const {
+  GSocketAddress* at = g_socket_get_local_address(socket_, nullptr);
+  const int port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(at));
+  g_object_unref(at);
+  return port;
+}
+
+void Listener::Pause() {
+  if (source_ == nullptr) return;
+  g_source_destroy(source_);
+  g_source_unref(source_);
+  source_ = nullptr;
+}
+
+void Listener::Resume() {
+  if (source_ != nullptr || socket_ == nullptr) return;
+  source_ = g_socket_create_source(socket_, G_IO_IN, nullptr);
+  g_source_set_callback(source_, G_SOURCE_FUNC(&Listener::OnReady), this, nullptr);
+  g_source_attach(source_, nullptr);
+}
+
+gboolean Listener::OnReady(GSocket* socket, GIOCondition, gpointer self) {
+  auto* listener = static_cast<Listener*>(self);
+  for (int i = 0; i < kAcceptsAtOnce && listener->source_ != nullptr; ++i) {
+    GError* error = nullptr;
+    GSocket* accepted = g_socket_accept(socket, nullptr, &error);
+    if (accepted == nullptr) {
+      if (!IsBlocked(error)) CountFault("accept_failed", error->message);
+      g_clear_error(&error);
+      break;
+    }
+    listener->accepted_(Stream::Adopt(accepted));
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+}  // namespace pearreach
--- /dev/null
+++ b/src/net/io.h
@@ -0,0 +1,135 @@
+// What the node uses of GLib: a TCP stream, a listener and an alarm on the default main loop, and
+// the log with its counts. It owns descriptors and event sources; it must never block, never keep a
+// descriptor past Close, and knows nothing of HTTP or of jobs.
+#ifndef PEARREACH_SRC_NET_IO_H_
+#define PEARREACH_SRC_NET_IO_H_
+
+#include <gio/gio.h>
+
+#include <cassert>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "marlquay/dispatcher.h"
+
+namespace pearreach {
+
+using marlquay::Micros;
+
+constexpr Micros kMs = 1000;
+constexpr Micros kSecond = 1000 * kMs;
+
+// The module's clock: microseconds that never run backwards.
+inline Micros Now() { return g_get_monotonic_time(); }
+
+// ---------------------------------------------------------------- log and counts
+
+void SetLogName(const std::string& name);
+void Log(const std::string& line);
+
+// Counts by name, logged by LogCounts; a fault's text is logged at most once a second for each
+// name.
+void Count(const char* name);
+void CountFault(const char* name, const std::string& detail);
+std::uint64_t CountOf(const std::string& name);
+void LogCounts();
+
+// What must hold: asserted in debug builds, counted in release builds.
+inline bool Must(bool holds, const char* name) {
+  assert(holds);
+  if (!holds) CountFault(name, "must not happen");
+  return holds;
+}
+
+// ---------------------------------------------------------------- time
+
+// Calls back once at a time of Now(), until set again.
+class Alarm {
+ public:
+  explicit Alarm(std::function<void()> ring);
+  ~Alarm();
+  Alarm(const Alarm&) = delete;
+  Alarm& operator=(const Alarm&) = delete;
+
+  void Set(Micros at);  // replaces the time set before
+  void Clear();
+
+ private:
+  std::function<void()> ring_;
+  GSource* source_;
+};
+
+// ---------------------------------------------------------------- sockets
+
+GSocketAddress* ParseAddress(const std::string& text);  // "ip:port"; null: not one. Owned by caller
+
+// One non-blocking connection. No handler is called after Close, nor from inside Write.
+class Stream : public std::enable_shared_from_this<Stream> {
+ public:
+  struct Handlers {
+    std::function<void()> connected;
+    std::function<void(std::string_view)> data;
+    std::function<void()> closed;  // by the peer or a failure; the stream is closed already
+  };
+
+  // Null where no socket can be had or the address is not one.
+  static std::shared_ptr<Stream> Connect(const std::string& address, Handlers handlers);
+  static std::shared_ptr<Stream> Adopt(GSocket* socket);  // takes over the reference
+  ~Stream();
+
+  void Listen(Handlers handlers);  // for an adopted stream
+  // False: the connection is broken and closed; `unsent` tells whether all had gone out.
+  bool Write(std::string_view bytes);
+  std::size_t unsent() const { return out_.size() - sent_; }
+  bool open() const { return socket_ != nullptr; }
+  bool Quiet() const;  // open, and the peer has neither sent nor closed
+  void Close();
+  // Sends what is left and ends this side; what still comes is dropped until the peer closes too,
+  // which is told by `closed`. The owner bounds the wait.
+  void CloseAfterWrite();
+
+ private:
+  Stream() = default;
+  void Watch(GSource** source, GIOCondition condition, GSocketSourceFunc callback);
+  static void Drop(GSource** source);
+  bool Flush();
+  void Break();
+  static gboolean OnReadable(GSocket*, GIOCondition, gpointer self);
+  static gboolean OnWritable(GSocket*, GIOCondition, gpointer self);
+
+  GSocket* socket_ = nullptr;
+  GSource *in_ = nullptr, *out_ready_ = nullptr;
+  Handlers handlers_;
+  std::string out_;
+  std::size_t sent_ = 0;
+  bool connecting_ = false, refused_ = false, closing_ = false;
+};
+
+class Listener {
+ public:
+  // `accepted` is asked again and again while connections wait and it has not paused.
+  explicit Listener(std::function<void(std::shared_ptr<Stream>)> accepted);
+  ~Listener();
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  std::string Open(const std::string& address);  // empty, or what is wrong
+  int port() const;
+  void Pause();
+  void Resume();
+
+ private:
+  static gboolean OnReady(GSocket*, GIOCondition, gpointer self);
+
+  std::function<void(std::shared_ptr<Stream>)> accepted_;
+  GSocket* socket_ = nullptr;
+  GSource* source_ = nullptr;
+};
+
+}  // namespace pearreach
+
+#endif  // PEARREACH_SRC_NET_IO_H_
--- /dev/null
+++ b/src/net/node.cpp
@@ -0,0 +1,339 @@
+#include "node.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace pearreach {
+namespace {
+
+using marlquay::Outcome;
+
+// The deadline runs from when the client sent; the way here is not told, so it is allowed for.
+constexpr Micros kWayHere = 5 * kMs;
+// The module answers by the deadline. What is still unanswered so long after it is failed here.
+constexpr Micros kOverdue = 10 * kMs;
+constexpr int kWorkerShare = 8;  // a part of so many of the descriptors leads to workers
+
+}  // namespace
+
+Node::Node(const Config& config)
+    : site_(config.site),
+      clock_offset_(g_get_real_time() - Now()),
+      dispatcher_(site_.settings, config.seed, Now()),
+      workers_(site_, config.sockets / kWorkerShare,
+               {[this](AttemptKey key) {
+                  const auto it = records_.find(key.job);
+                  if (it == records_.end()) return;
+                  it->second.attempts[static_cast<std::size_t>(key.number)].taken = true;
+                },
+                [this](AttemptKey key, Outcome outcome, const marlquay::LoadReport& load) {
+                  End(key, outcome, load);
+                }}),
+      discovery_(config.discovery, [this](const Listing& list) { OnListing(list); }),
+      known_(config.known),
+      turn_([this] { Turn(); }) {}
+
+void Node::Start() {
+  if (known_) OnListing(*known_);
+  discovery_.Start(known_ ? std::optional(known_->version) : std::nullopt);
+  known_.reset();
+}
+
+// ---------------------------------------------------------------- the turn
+
+void Node::Post(marlquay::Event event) {
+  events_.push_back(std::move(event));
+  ArmTurn();
+}
+
+// The next turn: when something has come, a timer or a deadline is due, and no sooner than a round
+// after the last, so that the module is handed what is ready in one go and not in crumbs.
+void Node::ArmTurn() {
+  Micros at = std::numeric_limits<Micros>::max();
+  if (!events_.empty()) at = 0;
+  if (!timers_.empty()) at = std::min(at, timers_.top());
+  if (!deadlines_.empty()) at = std::min(at, deadlines_.begin()->first);
+  if (at == std::numeric_limits<Micros>::max()) return turn_.Clear();
+  turn_.Set(std::max(at, last_turn_ + site_.settings.round));
+}
+
+void Node::Turn() {
+  const Micros now = Now();
+  last_turn_ = now;
+  bool rang = false;
+  for (; !timers_.empty() && timers_.top() <= now; rang = true) timers_.pop();
+  if (rang) events_.push_back(marlquay::TimerFired{});
+  RunDeadlines(now);
+  const std::vector<marlquay::Event> events = std::exchange(events_, {});
+  actions_.clear();
+  dispatcher_.Handle(now, events, &actions_);
+  for (const marlquay::Action& action : std::exchange(actions_, {})) Carry(action);
+  ArmTurn();
+}
+
+// The node stops waiting for what is out at the deadline; the module, told so, gives the answer.
+void Node::RunDeadlines(Micros now) {
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    const Ticket ticket = deadlines_.begin()->second;
+    deadlines_.erase(deadlines_.begin());
+    const auto it = records_.find(ticket);
+    if (it == records_.end()) continue;
+    Record& r = it->second;
+    if (now < r.due + kOverdue) {
+      // Before this one is failed here, the module has a turn to answer it.
+      deadlines_.insert({r.due + kOverdue, ticket});
+      std::vector<std::pair<AttemptKey, Attempt>> out;  // End may take the record with it
+      for (std::size_t i = 0; i < r.attempts.size(); ++i)
+        if (r.attempts[i].out) out.push_back({{ticket, static_cast<int>(i)}, r.attempts[i]});
+      const std::string id = r.job.id;
+      for (const auto& [key, attempt] : out) {
+        if (!attempt.taken) workers_.GiveUp(key, attempt.worker, id);
+        End(key, Outcome::kTimeout, {});
+      }
+    } else if (!r.answered) {
+      Count("answered_overdue");
+      Reply(ticket, r, {Answer::Kind::kFailed, "", 0, true});
+      Post(marlquay::RequestLapsed{ticket});
+    } else {
+      Must(r.out == 0, "outcome_missing");
+      Forget(ticket);
+    }
+  }
+}
+
+void Node::Carry(const marlquay::Action& action) {
+  const auto answer = [this](Ticket ticket, const Answer& a) {
+    const auto it = records_.find(ticket);
+    if (it == records_.end() || it->second.answered) return Count("answers_passed_over");
+    Reply(ticket, it->second, a);
+    Forget(ticket);
+  };
+  if (const auto* send = std::get_if<marlquay::Send>(&action)) {
+    Send(*send);
+  } else if (const auto* refuse = std::get_if<marlquay::Refuse>(&action)) {
+    Count("refused");
+    const Micros wait = std::min(refuse->retry_after, site_.settings.max_retry_after);
+    answer(refuse->request, {Answer::Kind::kRefused, "", wait, false});
+  } else if (const auto* fail = std::get_if<marlquay::Fail>(&action)) {
+    Count("failed");
+    const auto it = records_.find(fail->request);
+    const bool overdue = it != records_.end() && Now() >= it->second.due;
+    answer(fail->request, {Answer::Kind::kFailed, "", 0, overdue});
+  } else if (const auto* cancel = std::get_if<marlquay::Cancel>(&action)) {
+    Cancel(*cancel);
+  } else if (const auto* timer = std::get_if<marlquay::SetTimer>(&action)) {
+    timers_.push(timer->at);
+  } else if (const auto* probe = std::get_if<marlquay::Probe>(&action)) {
+    // This platform's protocol has no probe; the module asks for none where the settings say so.
+    CountFault("probe_not_possible", NameOf(probe->worker));
+    Post(marlquay::ProbeEnded{probe->worker, false, {}});
+  } else if (const auto* line = std::get_if<marlquay::LogLine>(&action)) {
+    WriteLog(*line);
+  }
+  // Subscribe needs nothing: the watch runs from the start.
+}
+
+void Node::WriteLog(const marlquay::LogLine& line) {
+  using What = marlquay::LogLine::What;
+  switch (line.what) {
+    case What::kWorkerSilent:
+      return Log("worker silent: " + NameOf(line.worker));
+    case What::kWorkerBack:
+      return Log("worker back: " + NameOf(line.worker));
+    case What::kLimitCut:
+      return Log("limit cut: pool " + site_.kinds.at(static_cast<std::size_t>(line.pool)) + " to " +
+                 std::to_string(std::lround(line.value)) + " slots");
+    case What::kShedding:
+      return Log("shedding: " + std::to_string(std::lround(line.value)) + " requests refused");
+    case What::kListFailed:
+      return Log("worker list: call failed");
+  }
+}
+
+// ---------------------------------------------------------------- jobs
+
+std::optional<Ticket> Node::Submit(Job job, Client* client) {
+  const auto [slot, fresh] = by_id_.try_emplace(job.id, last_ticket_ + 1);
+  if (!fresh) return std::nullopt;
+  const Ticket ticket = ++last_ticket_;
+  Count("jobs");
+  marlquay::RequestArrived e;
+  e.request = ticket;
+  e.cls = job.cls;
+  e.tenant = job.tenant;
+  e.slots = job.slots;
+  e.is_repeat = job.is_repeat;
+  e.key = job.key;
+  e.due = job.received + job.patience - std::min(kWayHere, job.patience / 2);
+  Record& r = records_[ticket];
+  r.job = std::move(job);
+  r.client = client;
+  r.due = e.due;
+  ++open_;
+  deadlines_.insert({r.due, ticket});
+  Post(e);
+  return ticket;
+}
+
+void Node::Abandon(Ticket ticket) {
+  const auto it = records_.find(ticket);
+  if (it == records_.end() || it->second.answered) return;
+  Count("abandoned");
+  it->second.answered = true;
+  it->second.client = nullptr;
+  --open_;
+  Post(marlquay::RequestLapsed{ticket});
+  Forget(ticket);
+}
+
+void Node::Reply(Ticket ticket, Record& r, const Answer& answer) {
+  if (!Must(!r.answered, "second_answer")) return;
+  r.answered = true;
+  --open_;
+  r.client->OnAnswer(ticket, answer);
+}
+
+// A record goes when it is answered and none of its attempts is out.
+void Node::Forget(Ticket ticket) {
+  const auto it = records_.find(ticket);
+  if (it == records_.end() || !it->second.answered) return;
+  Record& r = it->second;
+  if (r.out > 0) {
+    r.job.body = std::string();  // large, and of no more use
+    return;
+  }
+  deadlines_.erase({r.due, ticket});
+  deadlines_.erase({r.due + kOverdue, ticket});
+  by_id_.erase(r.job.id);
+  records_.erase(it);
+}
+
+// ---------------------------------------------------------------- attempts
+
+void Node::Send(const marlquay::Send& action) {
+  const auto it = records_.find(action.request);
+  // An answer given since the module was handed its events: to send now would break rule 1.
+  if (it == records_.end() || it->second.answered) return Count("sends_passed_over");
+  Record& r = it->second;
+  const Micros now = Now();
+  const AttemptKey key{action.request, static_cast<int>(r.attempts.size())};
+  r.attempts.push_back({action.worker, now, true, false});
+  ++r.out;
+  Count("attempts");
+  workers_.Start(key, action.worker, r.job, r.due - now);
+}
+
+void Node::Cancel(const marlquay::Cancel& action) {
+  const auto it = records_.find(action.request);
+  if (it == records_.end()) return;
+  Record& r = it->second;
+  const auto at = static_cast<std::size_t>(action.attempt);
+  if (!Must(at < r.attempts.size(), "cancel_of_nothing") || !r.attempts[at].out) return;
+  const AttemptKey key{action.request, action.attempt};
+  workers_.GiveUp(key, r.attempts[at].worker, r.job.id);
+  End(key, Outcome::kCancelled, {});
+}
+
+void Node::End(AttemptKey key, Outcome outcome, const marlquay::LoadReport& load) {
+  static constexpr const char* kNames[] = {"good",          "error", "full",      "timeout",
+                                           "no_connection", "reset", "cancelled", "moot"};
+  const auto it = records_.find(key.job);
+  if (it == records_.end()) return;
+  Record& r = it->second;
+  Attempt& a = r.attempts[static_cast<std::size_t>(key.number)];
+  if (!a.out) return;
+  a.out = false;
+  --r.out;
+  Count((std::string("ended_") + kNames[static_cast<int>(outcome)]).c_str());
+  marlquay::AttemptEnded e;
+  e.request = key.job;
+  e.attempt = key.number;
+  e.worker = a.worker;
+  e.outcome = outcome;
+  e.latency = Now() - a.sent;
+  e.settled = r.answered;
+  e.load = load;
+  Post(e);
+  Forget(key.job);
+}
+
+// News may come before the 202, come again, or be of a job or an attempt that has ended: it counts
+// for an attempt that is out at the worker it comes from, and only once.
+void Node::Tell(const News& news) {
+  const auto id = by_id_.find(news.job);
+  const auto from = ids_.find(news.from);
+  if (id == by_id_.end() || from == ids_.end()) return Count("news_passed_over");
+  const Ticket ticket = id->second;
+  Record& r = records_.at(ticket);
+  int number = -1;
+  bool again = false;  // an earlier attempt went to the same worker
+  for (std::size_t i = 0; i < r.attempts.size(); ++i) {
+    if (r.attempts[i].worker != from->second) continue;
+    again = again || !r.attempts[i].out;
+    if (r.attempts[i].out) number = static_cast<int>(i);
+  }
+  if (number < 0) return Count("news_passed_over");
+  Attempt& a = r.attempts[static_cast<std::size_t>(number)];
+  const AttemptKey key{ticket, number};
+  // Guards rule 2: where this worker had an attempt before, its 'returned' said again must not be
+  // read as a word of the new one, which would then be sent elsewhere though it may run.
+  if (again && !a.taken && news.state == News::State::kReturned) return Count("news_passed_over");
+  switch (news.state) {
+    case News::State::kStarted:
+      return Post(marlquay::AttemptStarted{ticket, number, a.worker});
+    case News::State::kRunning:
+      return Post(marlquay::AttemptProgress{ticket, number, a.worker, news.share});
+    case News::State::kDone:
+      workers_.Detach(key);
+      if (!r.answered) {
+        Count("served");
+        Reply(ticket, r, {Answer::Kind::kServed, news.result, 0, false});
+      }
+      return End(key, Outcome::kGood, news.load);
+    case News::State::kFailed:
+    case News::State::kReturned:
+    case News::State::kLost:
+      workers_.Detach(key);
+      return End(key,
+                 news.state == News::State::kFailed     ? Outcome::kError
+                 : news.state == News::State::kReturned ? Outcome::kFull
+                                                        : Outcome::kReset,
+                 news.load);
+  }
+}
+
+// ---------------------------------------------------------------- the worker list
+
+void Node::OnListing(const Listing& list) {
+  marlquay::WorkerList news;
+  news.form =
+      list.full ? marlquay::WorkerList::Form::kComplete : marlquay::WorkerList::Form::kChanges;
+  for (const ServerEntry& s : list.servers) {
+    const auto [it, fresh] = ids_.try_emplace(s.id, static_cast<marlquay::WorkerId>(names_.size()));
+    if (fresh) names_.push_back(s.id);
+    marlquay::WorkerEntry e;
+    e.worker = it->second;
+    e.identity = marlquay::HashName(s.id);
+    e.zone = marlquay::IndexOf(site_.zones, s.zone);
+    e.kind = marlquay::IndexOf(site_.kinds, s.kind);
+    if (e.kind < 0 && s.health != marlquay::Health::kGone)
+      CountFault("bad_list_entry", s.id + " is of unknown kind '" + s.kind + "'");
+    e.cell = s.cell;
+    e.health = s.health;
+    e.weight = s.weight;
+    // Unix time, moved to the module's clock by the one offset: taken anew, it would differ by a
+    // little each time and make every list look like a restart.
+    if (s.started_ms > 0) e.ready_at = std::max<Micros>(1, s.started_ms * kMs - clock_offset_);
+    if (s.health == marlquay::Health::kGone)
+      workers_.Remove(e.worker);
+    else
+      workers_.SetAddress(e.worker, s.address);
+    news.entries.push_back(e);
+  }
+  Count("lists");
+  listed_ = true;
+  Post(std::move(news));
+}
+
+}  // namespace pearreach
--- /dev/null
+++ b/src/net/node.h
@@ -0,0 +1,97 @@
+// The node: the clock, the table of jobs, the Dispatcher and the only place where its actions turn
+// into I/O. It owns a job from Submit to its one answer and an attempt from Send to its one
+// outcome; it must never decide what the module decides, never answer a job twice, and never pass
+// on an outcome twice. It knows no protocol: fronts reach it through core.h.
+#ifndef PEARREACH_SRC_NET_NODE_H_
+#define PEARREACH_SRC_NET_NODE_H_
+
+#include <deque>
+#include <queue>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core.h"
+#include "discovery.h"
+#include "marlquay/dispatcher.h"
+#include "workers.h"
+
+namespace pearreach {
+
+class Node : public Core {
+ public:
+  explicit Node(const Config& config);
+
+  void Start();  // begins the watch of the worker list
+
+  const marlquay::Site& site() const override { return site_; }
+  bool ready() const override { return listed_; }
+  std::size_t open_jobs() const override { return open_; }
+  std::optional<Ticket> Submit(Job job, Client* client) override;
+  void Abandon(Ticket ticket) override;
+  void Tell(const News& news) override;
+
+  // Figures for tests and the log.
+  std::size_t records() const { return records_.size(); }
+  std::size_t links() const { return workers_.links(); }
+  // A list from another source than discovery, in its form.
+  void OnListing(const Listing& list);
+
+ private:
+  struct Attempt {
+    marlquay::WorkerId worker = 0;
+    Micros sent = 0;
+    bool out = true;     // its outcome has not been passed on
+    bool taken = false;  // the worker has answered 202
+  };
+  struct Record {
+    Job job;
+    Client* client = nullptr;
+    Micros due = 0;
+    bool answered = false;
+    std::vector<Attempt> attempts;
+    int out = 0;
+  };
+
+  void Post(marlquay::Event event);
+  void Turn();
+  void ArmTurn();
+  void Carry(const marlquay::Action& action);
+  void Send(const marlquay::Send& action);
+  void Cancel(const marlquay::Cancel& action);
+  void WriteLog(const marlquay::LogLine& line);
+  void Reply(Ticket ticket, Record& record, const Answer& answer);
+  // Passes an attempt's outcome on, once.
+  void End(AttemptKey key, marlquay::Outcome outcome, const marlquay::LoadReport& load);
+  void RunDeadlines(Micros now);
+  void Forget(Ticket ticket);
+  const std::string& NameOf(marlquay::WorkerId worker) const { return names_.at(worker); }
+
+  marlquay::Site site_;
+  Micros clock_offset_;  // of Unix time before Now(), taken once
+  marlquay::Dispatcher dispatcher_;
+  Workers workers_;
+  Discovery discovery_;
+  std::optional<Listing> known_;
+  bool listed_ = false;
+
+  std::unordered_map<std::string, marlquay::WorkerId> ids_;
+  std::vector<std::string> names_;
+
+  std::unordered_map<Ticket, Record> records_;
+  std::unordered_map<std::string, Ticket> by_id_;
+  Ticket last_ticket_ = 0;
+  std::size_t open_ = 0;
+  std::set<std::pair<Micros, Ticket>> deadlines_;
+
+  std::vector<marlquay::Event> events_;
+  std::vector<marlquay::Action> actions_;
+  std::priority_queue<Micros, std::vector<Micros>, std::greater<>> timers_;
+  Micros last_turn_ = 0;
+  Alarm turn_;
+};
+
+}  // namespace pearreach
+
+#endif  // PEARREACH_SRC_NET_NODE_H_
--- /dev/null
+++ b/src/net/workers.h
@@ -0,0 +1,97 @@
+// The connections to the match workers and the attempts on their way over them. It owns every
+// descriptor that leads to a worker, and an attempt from its start to the worker's first answer;
+// what becomes of a job after that is told to the node by call-back. It must never decide where a
+// job goes, never send one twice, and never call an attempt unrun unless PROTOCOL's table does.
+#ifndef PEARREACH_SRC_NET_WORKERS_H_
+#define PEARREACH_SRC_NET_WORKERS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core.h"
+#include "http.h"
+#include "io.h"
+
+namespace pearreach {
+
+struct AttemptKey {
+  Ticket job = 0;
+  int number = 0;
+  auto operator<=>(const AttemptKey&) const = default;
+};
+
+class Workers {
+ public:
+  // `ended` is told of every attempt that ends before or with the worker's first answer, `taken` of
+  // every one that a worker has taken on (202). Neither is called from inside Start.
+  struct Events {
+    std::function<void(AttemptKey)> taken;
+    std::function<void(AttemptKey, marlquay::Outcome, const marlquay::LoadReport&)> ended;
+  };
+
+  Workers(const marlquay::Site& site, int budget, Events events);
+  ~Workers();
+
+  void SetAddress(marlquay::WorkerId worker, const std::string& address);
+  void Remove(marlquay::WorkerId worker);  // its idle connections go
+
+  void Start(AttemptKey key, marlquay::WorkerId worker, const Job& job, Micros patience);
+  // Gives an attempt up: before the 202 by closing its connection, after it by DELETE.
+  void GiveUp(AttemptKey key, marlquay::WorkerId worker, const std::string& job_id);
+  // News has ended it before its 202: the connection waits for the answer, nobody is told.
+  void Detach(AttemptKey key);
+
+  std::size_t links() const { return links_.size(); }
+
+ private:
+  enum class State { kConnecting, kWaiting, kIdle };
+  struct Link {
+    std::shared_ptr<Stream> stream;
+    marlquay::WorkerId worker = 0;
+    State state = State::kConnecting;
+    AttemptKey key;
+    bool bound = false;  // an attempt's, which is told of its end
+    std::string request;
+    Micros expires = 0;  // 0: does not
+    http::Parser parser{http::Parser::Kind::kResponse};
+  };
+  struct Peer {
+    std::string address;
+    std::vector<Link*> idle;  // the last used at the back
+  };
+
+  void Send(AttemptKey key, bool bound, marlquay::WorkerId worker, std::string request);
+  bool WriteOn(Link* link);
+  void OnConnected(Link* link);
+  void OnData(Link* link, std::string_view bytes);
+  void OnClosed(Link* link);
+  void OnMessage(Link* link, const http::Message& message);
+  void MakeIdle(Link* link);
+  void Finish(Link* link, marlquay::Outcome outcome, const marlquay::LoadReport& load);
+  void Destroy(Link* link);
+  bool EvictIdle();
+  void SetExpiry(Link* link, Micros at);
+  void Expire();
+  // Tells of an end from the loop, as neither event may come from inside Start.
+  void FinishLater(AttemptKey key, marlquay::Outcome outcome);
+
+  const marlquay::Site& site_;
+  std::size_t budget_;
+  Micros retire_;  // an idle connection is closed after this
+  Events events_;
+  std::map<Link*, std::unique_ptr<Link>> links_;
+  std::map<AttemptKey, Link*> bound_;
+  std::map<marlquay::WorkerId, Peer> peers_;
+  std::set<std::pair<Micros, Link*>> expiries_;
+  std::vector<std::pair<AttemptKey, marlquay::Outcome>> later_;
+  Alarm expiry_, tell_;
+};
+
+}  // namespace pearreach
+
+#endif  // PEARREACH_SRC_NET_WORKERS_H_
--- /dev/null
+++ b/src/site.cpp
@@ -0,0 +1,171 @@
+#include "site.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace marlquay {
+
+std::string Quote(Text t) { return std::string(1, '\'').append(t).append(1, '\''); }
+
+Micros Millis(Text text, Text what) {
+  const double ms = Number<double>(text, what);
+  if (std::abs(ms) > 9e12) throw Malformed("bad " + std::string(what) + " " + Quote(text));
+  return std::llround(ms * 1000);
+}
+
+bool Bool(Text text, Text what) {
+  if (text == "1" || text == "true") return true;
+  if (text == "0" || text == "false") return false;
+  throw Malformed("bad " + std::string(what) + " " + Quote(text));
+}
+
+std::vector<Text> Split(Text text, char separator) {
+  std::vector<Text> parts;
+  if (text.empty()) return parts;
+  for (;;) {
+    const std::size_t end = text.find(separator);
+    parts.push_back(text.substr(0, end));
+    if (end == Text::npos) return parts;
+    text.remove_prefix(end + 1);
+  }
+}
+
+int IndexOf(const Names& names, Text name) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+std::uint64_t HashName(Text name) {  // FNV-1a
+  std::uint64_t h = 0xcbf29ce484222325u;
+  for (const unsigned char c : name) h = (h ^ c) * 0x100000001b3u;
+  return h;
+}
+
+Text Conf::Get(const std::string& path) const {
+  const auto it = values_.find(path);
+  return it == values_.end() ? Text() : it->second;
+}
+
+Micros Conf::Ms(const std::string& path, Micros fallback) const {
+  const Text text = Get(path);
+  return text.empty() ? fallback : Millis(text, path);
+}
+
+bool Conf::Flag(const std::string& path) const {
+  const Text text = Get(path);
+  return !text.empty() && Bool(text, path);
+}
+
+Names Conf::List(const std::string& path) const {
+  Names names;
+  for (const Text t : Split(Get(path), ',')) names.emplace_back(t);
+  return names;
+}
+
+int Conf::Count(const std::string& path) const {
+  const int n = Num<int>(path + ".count", 0);
+  if (n < 0 || n > 10000) throw Malformed("bad " + path + ".count");
+  return n;
+}
+
+Conf ReadPairs(Text text) {
+  Conf::Values values;
+  for (const Text pair : Split(text, ' ')) {
+    const std::size_t eq = pair.find('=');
+    if (eq == Text::npos || eq == 0) throw Malformed("bad setting " + Quote(pair));
+    values[std::string(pair.substr(0, eq))] = pair.substr(eq + 1);
+  }
+  return Conf(std::move(values));
+}
+
+namespace {
+
+ClassSettings ReadClass(const Conf& conf, int i) {
+  const std::string path = "RequestClasses." + std::to_string(i) + ".";
+  ClassSettings c;
+  const Text effect = conf.Get(path + "Effect");
+  if (effect == "repeatable")
+    c.effect = Effect::kRepeatable;
+  else if (effect == "by_key")
+    c.effect = Effect::kByKey;
+  else if (effect != "once")
+    throw Malformed("bad " + path + "Effect " + Quote(effect));
+  const Text scope = conf.Get(path + "KeyScope");
+  if (scope == "zone")
+    c.key_scope = KeyScope::kZone;
+  else if (scope == "cell")
+    c.key_scope = KeyScope::kCell;
+  else if (!scope.empty() && scope != "all")
+    throw Malformed("bad " + path + "KeyScope " + Quote(scope));
+  c.key_window = conf.Ms(path + "WindowMs");
+  c.aim = conf.Ms(path + "AimMs");
+  c.deadline = conf.Ms(path + "DeadlineMs");
+  c.worth = conf.Num<double>(path + "Credit", 1);
+  c.late_value = conf.Num<double>(path + "LateValue", 0);
+  const Names stretch = conf.List("FamilyInfo.ClassStretch");
+  const Names kind = conf.List("FamilyInfo.ClassKind");
+  const auto at = static_cast<std::size_t>(i);
+  if (at < stretch.size()) c.aim_stretch = Number<double>(stretch[at], "FamilyInfo.ClassStretch");
+  if (at < kind.size()) c.kind = Number<int>(kind[at], "FamilyInfo.ClassKind");
+  c.aim_stretch = conf.Num<double>(path + "AimStretch", c.aim_stretch);
+  return c;
+}
+
+}  // namespace
+
+Site ReadSite(const Conf& conf) {
+  Site site;
+  Settings& s = site.settings;
+  site.zones = conf.List("Zones");
+  site.kinds = conf.List("Models");
+  s.balancers = conf.Num<int>("Balancers", 1);
+  s.self = conf.Num<int>("Ordinal", 0);
+  s.zone = IndexOf(site.zones, conf.Get("Locality"));
+  s.kinds = static_cast<int>(site.kinds.size());
+  s.round = conf.Ms("RoundMs");
+  const int classes = conf.Count("RequestClasses");
+  for (int i = 0; i < classes; ++i) {
+    site.classes.emplace_back(conf.Get("RequestClasses." + std::to_string(i) + ".Name"));
+    s.classes.push_back(ReadClass(conf, i));
+  }
+  const int tenants = conf.Count("Accounts");
+  for (int i = 0; i < tenants; ++i) {
+    const std::string path = "Accounts." + std::to_string(i) + ".";
+    site.tenants.emplace_back(conf.Get(path + "Name"));
+    s.tenants.push_back({conf.Num<double>(path + "QuotaRps", 0)});
+  }
+  s.over_share_worth = conf.Num<double>("OverShareWorth", 1);
+  s.worth_by_work = conf.Get("WorthBy") == "work";
+  s.goal_whole = conf.Num<double>("ObjectiveMix.Whole", 1);
+  s.goal_worst_class = conf.Num<double>("ObjectiveMix.WorstClass", 0);
+  const Text weights = conf.Get("WeightSource");
+  s.weighted_workers = weights == "nominal" || weights == "rough" || weights == "live";
+  s.tells_start = conf.Flag("FamilyInfo.TellsStart");
+  s.progress_every = conf.Ms("FamilyInfo.ProgressMs");
+  s.must_subscribe = conf.Get("MembershipMode") == "subscribe";
+  s.may_cancel = conf.Flag("Limits.Cancel");
+  s.may_probe = conf.Flag("Limits.MayProbe");
+  s.may_duplicate = conf.Flag("Limits.MayDuplicate");
+  s.retry_after = conf.Flag("Limits.RetryAfter");
+  s.max_retry_after = conf.Ms("Limits.MaxRetryAfterMs");
+  s.try_limit = conf.Num<int>("Limits.TryLimit", 1);
+  s.connect_timeout = conf.Ms("Limits.ConnectTimeoutMs");
+  s.connect_price = conf.Num<double>("Prices.Handshake", 0);
+  s.connection_idle = conf.Ms("Limits.ConnIdleMs");
+  s.stop_sending_within = conf.Ms("Contract.StopSendingWithinMs");
+  s.cold_share = conf.Num<double>("Contract.ColdShare", 1);
+  s.cold_time = conf.Ms("Contract.ColdMs");
+  s.fall_multiple = conf.Num<double>("Contract.FallMultiple", 1);
+  s.fall_time = conf.Ms("Contract.FallMs");
+  site.x0_is_free_slots = conf.Get("FamilyInfo.ReportX0") == "free_slots";
+  if (const std::string wrong = ValidateSettings(s); !wrong.empty()) throw Malformed(wrong);
+  return site;
+}
+
+void TakeLoad(const Site& site, Text name, Text value, LoadReport* load) {
+  if (name == "x0" && site.x0_is_free_slots) load->free_slots = Number<double>(value, "x0");
+  if (name == "rif") load->in_flight = Number<double>(value, "rif");
+}
+
+}  // namespace marlquay
