Flush what was written before a connection was up, so the watch goes out

Seen: 'worker list: no answer' at every node 6.5 s after the start and again, with 5 s asked of discovery. Their requests are written by the connected handler; the watch is written right after Connect, and Stream::OnWritable (io.cpp) dropped its source without flushing.

--- a/src/net/io.cpp
+++ b/src/net/io.cpp
@@ -229,6 +229,8 @@
     Drop(&stream->out_ready_);
     const auto connected = stream->handlers_.connected;
     if (connected) connected();
+    // Guards what was written before the connection was up: nothing else would send it.
+    if (stream->socket_ != nullptr && !stream->Flush()) stream->Break();
     return G_SOURCE_REMOVE;
   }
   if (!stream->Flush())
