Tell a refused client when to come back, whether or not the settings expect it to heed

The one change: the figure that Refuse carries no longer hangs on Limits.RetryAfter, and the front writes it.

--- a/include/marlquay/dispatcher.h
+++ b/include/marlquay/dispatcher.h
@@ -65,7 +65,7 @@
   bool may_cancel = false;
   bool may_probe = false;
   bool may_duplicate = false;  // two attempts of one request may be out at once
-  bool retry_after = false;    // a refusal may carry a time for the client to stay away
+  bool retry_after = false;    // clients are known to heed a refusal's time to stay away
   Micros max_retry_after = 0;
   int try_limit = 1;  // attempts allowed for one request
   Micros connect_timeout = 200'000;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -211,8 +211,7 @@
 
 void Front::Refuse(Connection* c, bool keep_alive, Micros retry_after) {
   std::vector<http::Header> headers;
-  if (retry_after > 0 && core_->site().settings.retry_after)
-    headers.push_back({"Retry-After", SecondsOf(retry_after)});
+  if (retry_after > 0) headers.push_back({"Retry-After", SecondsOf(retry_after)});
   Respond(c, 503, "refused\n", keep_alive, std::move(headers));
 }
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -179,7 +179,7 @@
     End(r, false);
     if (p.refuse) {
       ++refused_;
-      Act(Refuse{r.id, s_.retry_after && hopeless ? s_.max_retry_after : 0});
+      Act(Refuse{r.id, hopeless ? s_.max_retry_after : 0});
     } else {
       Act(Fail{r.id});
     }
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -267,11 +267,17 @@
   EXPECT_EQ(CountOf("answered_overdue"), 0u);
 }
 
-TEST(Story, AJobNeverSentIsRefusedByItsDeadline) {
-  Rig rig;
+// A refusal says when to come back, in the module's figure, not above the settings' maximum.
+TEST(Story, AJobNeverSentIsRefusedByItsDeadlineAndToldWhenToComeBack) {
+  Config config = BaseConfig();
+  config.site.settings.max_retry_after = 1500 * kMs;
+  Rig rig(config);
   Caller client(rig.port());
   client.Ask("j", "commit", "200000u");
   EXPECT_EQ(client.Status(), 503);
+  const std::string* back = client.answers[0].Find("Retry-After");
+  ASSERT_NE(back, nullptr);
+  EXPECT_EQ(*back, "1.500");
   rig.ExpectClean();
 }
 
