--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -8,6 +8,7 @@
 
 constexpr Micros kWatch = 5 * kSecond;   // asked of discovery: answer by then at the latest
 constexpr Micros kOverdue = 1500 * kMs;  // silence beyond it: the connection is given up
+constexpr Micros kLeastGap = 50 * kMs;   // between two calls of which the first told nothing
 constexpr Micros kFirstWait = 20 * kMs;  // before another try; doubles up to the last
 constexpr Micros kLastWait = 1000 * kMs;
 
@@ -40,7 +41,8 @@
   std::string target = "/v1/endpoints";
   if (version_)
     target += "?since=" + std::to_string(*version_) + "&timeout_ms=" + std::to_string(kWatch / kMs);
-  overdue_.Set(Now() + (version_ ? kWatch : 0) + kOverdue);
+  called_ = Now();
+  overdue_.Set(called_ + (version_ ? kWatch : 0) + kOverdue);
   if (!stream_->Write(http::WriteRequest("GET", target, {{"Host", address_}}, "")))
     Again("the connection broke");
 }
@@ -72,10 +74,14 @@
     return Again("unknown list");
   }
   wait_ = 0;
+  overdue_.Clear();
   const bool news = list->full || !list->servers.empty();
   version_ = list->version;
   if (!message.keep_alive) stream_->Close();
   if (news) heard_(*list);
+  // Guards the loop against an agent that answers a watch at once with nothing; still well within
+  // the time after which a call would start a new watch.
+  if (!news && Now() - called_ < kLeastGap) return next_.Set(Now() + kLeastGap);
   Call();
 }
 
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -34,7 +34,7 @@
   std::shared_ptr<Stream> stream_;
   http::Parser parser_{http::Parser::Kind::kResponse, {16 << 10, 100, 1 << 20}};
   Alarm next_, overdue_;
-  Micros wait_ = 0;
+  Micros wait_ = 0, called_ = 0;
 };
 
 }  // namespace pearreach
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -218,6 +218,9 @@
 void Front::Respond(Connection* c, int status, std::string_view body, bool keep_alive,
                     std::vector<http::Header> headers) {
   if (draining_ && !c->is_worker) keep_alive = false;
+  c->quiet_since =
+      Now();  // an answer is a sign of life: call-backs come on one connection for long
+  quiet_.splice(quiet_.end(), quiet_, c->quiet);
   const bool written = c->stream->Write(http::WriteResponse(status, headers, body, keep_alive));
   if (!written) return Destroy(c);
   if (keep_alive) return;
