Never close a new connection to make room: its first request was lost at the budget

Faulty: Front::EvictQuiet took the first of quiet_ that had no request, and with 840 requests waiting those were connections just accepted, whose request was on its way; a client sends that again once only, and its new connection met the same. Now only what has carried a request and lain idle for 1 s makes room, and above three quarters of the budget an answer ends its connection. Draining spares new ones too.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t kSpare = 16;  // connections beyond the budget, which are only refused
 constexpr Micros kQuietLimit = 60 * kSecond;  // a connection without an open request goes after it
 constexpr Micros kCloseLimit = 1 * kSecond;   // a peer has so long to close after its last answer
+constexpr Micros kSafelyIdle = 1 * kSecond;   // unused for so long, a connection may make room
 constexpr Micros kAcceptFor = 600 * kMs;      // after SIGTERM new work is taken for so long
 constexpr Micros kDrainStep = 50 * kMs;
 constexpr Micros kDrainLeast = 1000 * kMs;
@@ -217,7 +218,9 @@
 
 void Front::Respond(Connection* c, int status, std::string_view body, bool keep_alive,
                     std::vector<http::Header> headers) {
-  if (draining_ && !c->is_worker) keep_alive = false;
+  // Near the budget a connection goes with its answer, which no request can cross.
+  if (!c->is_worker && (draining_ || connections_.size() > budget_ / 4 * 3)) keep_alive = false;
+  c->answered = true;
   c->quiet_since =
       Now();  // an answer is a sign of life: call-backs come on one connection for long
   quiet_.splice(quiet_.end(), quiet_, c->quiet);
@@ -248,10 +251,16 @@
   if (connections_.size() < budget_ + kSpare) listener_.Resume();
 }
 
-// Closes the client's connection that has been between requests for longest.
+// Closes the client's connection that has been between requests for longest. Guards rule 1: one
+// that is new is about to carry its first request, and one just answered its next; a client whose
+// request crosses the close sends it again once only, and must not meet the same on its new
+// connection.
 bool Front::EvictQuiet() {
+  const Micros now = Now();
   for (Connection* c : quiet_) {
-    if (!c->closing && (c->is_worker || !c->parser.Between() || !c->stream->Quiet())) continue;
+    if (now - c->quiet_since < kSafelyIdle) return false;  // so are all behind it
+    if (!c->answered || c->closing || c->is_worker || !c->parser.Between() || !c->stream->Quiet())
+      continue;
     Count("evicted");
     Destroy(c);
     return true;
@@ -295,7 +304,10 @@
   refusing_ = true;
   for (auto it = quiet_.begin(); it != quiet_.end();) {
     Connection* c = *it++;
-    if (!c->is_worker && !c->closing && c->parser.Between() && c->stream->Quiet()) Destroy(c);
+    // One just accepted is about to carry a request, which gets its answer and then its end.
+    const bool fresh = !c->answered && Now() - c->quiet_since < kSafelyIdle;
+    if (!c->is_worker && !c->closing && !fresh && c->parser.Between() && c->stream->Quiet())
+      Destroy(c);
   }
   const bool written =
       std::none_of(connections_.begin(), connections_.end(),
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -42,6 +42,7 @@
     bool keep_alive = true;    // after that answer
     bool is_worker = false;    // has brought news: not closed while draining
     bool over_budget = false;  // its first request is refused
+    bool answered = false;     // has carried a request
     bool closing = false;      // its last answer has been written
     Micros quiet_since = 0;
     std::list<Connection*>::iterator quiet;  // in quiet_, if it has no ticket
