--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -129,28 +129,11 @@
     CountFault("probe_not_possible", NameOf(probe->worker));
     Post(marlquay::ProbeEnded{probe->worker, false, {}});
   } else if (const auto* line = std::get_if<marlquay::LogLine>(&action)) {
-    WriteLog(*line);
+    Log(marlquay::Words(*line, site_, names_));
   }
   // Subscribe needs nothing: the watch runs from the start.
 }
 
-void Node::WriteLog(const marlquay::LogLine& line) {
-  using What = marlquay::LogLine::What;
-  switch (line.what) {
-    case What::kWorkerSilent:
-      return Log("worker silent: " + NameOf(line.worker));
-    case What::kWorkerBack:
-      return Log("worker back: " + NameOf(line.worker));
-    case What::kLimitCut:
-      return Log("limit cut: pool " + site_.kinds.at(static_cast<std::size_t>(line.pool)) + " to " +
-                 std::to_string(std::lround(line.value)) + " slots");
-    case What::kShedding:
-      return Log("shedding: " + std::to_string(std::lround(line.value)) + " requests refused");
-    case What::kListFailed:
-      return Log("worker list: call failed");
-  }
-}
-
 // ---------------------------------------------------------------- jobs
 
 std::optional<Ticket> Node::Submit(Job job, Client* client) {
@@ -246,6 +229,7 @@
   a.out = false;
   --r.out;
   Count((std::string("ended_") + kNames[static_cast<int>(outcome)]).c_str());
+  if (load.free_slots || load.in_flight) Count("load_reports");
   marlquay::AttemptEnded e;
   e.request = key.job;
   e.attempt = key.number;
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -63,7 +63,6 @@
   void Carry(const marlquay::Action& action);
   void Send(const marlquay::Send& action);
   void Cancel(const marlquay::Cancel& action);
-  void WriteLog(const marlquay::LogLine& line);
   void Reply(Ticket ticket, Record& record, const Answer& answer);
   // Passes an attempt's outcome on, once.
   void End(AttemptKey key, marlquay::Outcome outcome, const marlquay::LoadReport& load);
--- a/src/site.cpp
+++ b/src/site.cpp
@@ -163,6 +163,23 @@
   return site;
 }
 
+std::string Words(const LogLine& line, const Site& site, const Names& workers) {
+  switch (line.what) {
+    case LogLine::What::kWorkerSilent:
+      return "worker silent: " + workers.at(line.worker);
+    case LogLine::What::kWorkerBack:
+      return "worker back: " + workers.at(line.worker);
+    case LogLine::What::kLimitCut:
+      return "limit cut: pool " + site.kinds.at(static_cast<std::size_t>(line.pool)) + " to " +
+             std::to_string(std::lround(line.value)) + " slots";
+    case LogLine::What::kShedding:
+      return "shedding: " + std::to_string(std::lround(line.value)) + " requests refused";
+    case LogLine::What::kListFailed:
+      return "worker list: call failed";
+  }
+  return "";
+}
+
 void TakeLoad(const Site& site, Text name, Text value, LoadReport* load) {
   if (name == "x0" && site.x0_is_free_slots) load->free_slots = Number<double>(value, "x0");
   if (name == "rif") load->in_flight = Number<double>(value, "rif");
--- a/src/site.h
+++ b/src/site.h
@@ -82,6 +82,9 @@
 
 Site ReadSite(const Conf& conf);
 
+// A line for the log in words; `workers` by WorkerId.
+std::string Words(const LogLine& line, const Site& site, const Names& workers);
+
 // One value of a load report; those that the module does not use are passed over.
 void TakeLoad(const Site& site, Text name, Text value, LoadReport* load);
 
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -177,26 +177,8 @@
   }
   void operator()(const LogLine& a) {
     Begin("log");
-    switch (a.what) {
-      case LogLine::What::kWorkerSilent:
-        out_ += " worker silent:";
-        Name(a.worker);
-        break;
-      case LogLine::What::kWorkerBack:
-        out_ += " worker back:";
-        Name(a.worker);
-        break;
-      case LogLine::What::kLimitCut:
-        out_ += " limit cut: pool " + instance_.site.kinds.at(static_cast<std::size_t>(a.pool)) +
-                " to " + std::to_string(std::lround(a.value)) + " slots";
-        break;
-      case LogLine::What::kShedding:
-        out_ += " shedding: " + std::to_string(std::lround(a.value)) + " requests refused";
-        break;
-      case LogLine::What::kListFailed:
-        out_ += " worker list: call failed";
-        break;
-    }
+    out_ += ' ';
+    out_ += Words(a, instance_.site, instance_.names);
     out_ += '\n';
   }
 
