--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -14,6 +14,7 @@
 constexpr std::size_t kSpare = 16;  // connections beyond the budget, which are only refused
 constexpr Micros kQuietLimit = 60 * kSecond;  // a connection without an open request goes after it
 constexpr Micros kCloseLimit = 1 * kSecond;   // a peer has so long to close after its last answer
+constexpr Micros kSpareLimit = 2 * kSecond;   // a connection over the budget has so long to ask
 constexpr Micros kSafelyIdle = 1 * kSecond;   // unused for so long, a connection may make room
 constexpr Micros kAcceptFor = 600 * kMs;      // after SIGTERM new work is taken for so long
 constexpr Micros kDrainStep = 50 * kMs;
@@ -137,7 +138,7 @@
     const std::string* value = message.Find(name);
     return value == nullptr ? std::string() : *value;
   };
-  if (c->over_budget || refusing_) {
+  if ((c->over_budget && connections_.size() > budget_) || refusing_) {
     Count("shed");
     return Refuse(c, false, site.settings.max_retry_after);
   }
@@ -229,13 +230,27 @@
   if (keep_alive) return;
   c->closing = true;
   c->stream->CloseAfterWrite();
-  sweep_.Set(Now() + kCloseLimit);
+  SweepBy(Now() + kCloseLimit);
+}
+
+// Never later than already set: with answers going out all the time, the sweep would never come.
+void Front::SweepBy(Micros at) {
+  if (next_sweep_ != 0 && next_sweep_ <= at) return;
+  next_sweep_ = at;
+  sweep_.Set(at);
+}
+
+// How long a connection may stay without an open request. Guards the call-backs: at the budget the
+// spare connections must come free soon, or the workers' news waits in the backlog behind them.
+Micros Front::QuietLimit(const Connection& c) {
+  if (c.closing) return kCloseLimit;
+  return c.over_budget && !c.is_worker ? kSpareLimit : kQuietLimit;
 }
 
 void Front::MarkQuiet(Connection* c) {
   c->quiet_since = Now();
   c->quiet = quiet_.insert(quiet_.end(), c);
-  if (quiet_.size() == 1) sweep_.Set(c->quiet_since + kQuietLimit);
+  SweepBy(c->quiet_since + QuietLimit(*c));
 }
 
 void Front::Destroy(Connection* c) {
@@ -270,22 +285,20 @@
 
 void Front::Sweep() {
   const Micros now = Now();
-  Micros next = now + kQuietLimit;
+  next_sweep_ = 0;
   for (auto it = quiet_.begin(); it != quiet_.end();) {
     Connection* c = *it++;
-    const Micros limit = c->quiet_since + (c->closing ? kCloseLimit : kQuietLimit);
+    const Micros limit = c->quiet_since + QuietLimit(*c);
     if (limit > now) {
-      next = std::min(next, limit);
+      SweepBy(limit);
       continue;
     }
     if (c->closing || c->parser.Between()) {
       Destroy(c);
     } else {
       Respond(c, 408, "the request did not come\n", false);
-      if (connections_.contains(c)) c->quiet_since = now;
     }
   }
-  if (!quiet_.empty()) sweep_.Set(next);
 }
 
 // ---------------------------------------------------------------- the end
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -59,6 +59,8 @@
   void MarkQuiet(Connection* c);
   void Destroy(Connection* c);
   bool EvictQuiet();
+  static Micros QuietLimit(const Connection& c);
+  void SweepBy(Micros at);
   void Sweep();
   void DrainStep();
 
@@ -70,7 +72,7 @@
   Listener listener_;
   Alarm sweep_, drain_;
   bool draining_ = false, refusing_ = false;
-  Micros drain_began_ = 0;
+  Micros drain_began_ = 0, next_sweep_ = 0;  // 0: none is set
   std::function<void()> drained_;
 };
 
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -382,6 +382,34 @@
   EXPECT_FALSE(callers.back()->answers[0].keep_alive);
 }
 
+// Silent connections over the budget used to keep the workers' news in the backlog for a minute.
+TEST_F(Budget, SilentConnectionsDoNotKeepTheNewsOut) {
+  for (int i = 0; i < 24; ++i) Connect();  // 8, and 16 to spare
+  Caller agent(rig.port());
+  agent.News("j", "s-0", "done");
+  EXPECT_EQ(agent.Status(), 200);
+}
+
+// The sweep was put off by each answer that ended a connection, for as long as others came.
+TEST(Story, APeerThatNeverClosesIsLetGoWhileOthersComeAndGo) {
+  Rig rig;
+  GSocketAddress* at = ParseAddress("127.0.0.1:" + std::to_string(rig.port()));
+  GSocket* deaf =
+      g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr);
+  ASSERT_TRUE(g_socket_connect(deaf, at, nullptr, nullptr));
+  const std::string last = "GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n";
+  g_socket_send(deaf, last.data(), last.size(), nullptr, nullptr);
+  for (int i = 0; i < 8; ++i) {
+    Caller other(rig.port());
+    other.stream->Write(last);
+    EXPECT_EQ(other.Status(), 503);
+    RunFor(200 * kMs);
+  }
+  EXPECT_EQ(rig.front.connections(), 0u);
+  g_object_unref(deaf);
+  g_object_unref(at);
+}
+
 TEST(Story, DiscoveryIsWatchedThroughChangesNonsenseAndOutages) {
   std::vector<std::string> answers;  // to be given in turn; then silence
   Server discovery([&](const Message&) {
