Outlive SIGHUP: read the configuration again and move the watch to its discovery

Checked: 129 is 128 + SIGHUP; src/main.cpp set handlers for SIGTERM and SIGINT only, and nothing could move the watch: Discovery took its address at construction.

Now main rereads the file on SIGHUP (config judges it, a bad file is one line and changes nothing), and discovery goes on at the new address from its whole list on, as versions are each agent's own. Workers, jobs, ids, connections and the module's state are not touched until that list is in. EDGE_DISCOVERY names the place of the start, so the file counts from when it names another.

Tests: the file read again, the move with the old workers in use until the new list, and the program itself under SIGHUPs, good and bad, and a SIGTERM next to one.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <cxxopts.hpp>
+#include <functional>
 #include <iostream>
 
 #include "net/config.h"
@@ -32,9 +33,25 @@
     "\n"
     "The configuration is $EDGE_CONFIG unless --config names another; EDGE_NAME, EDGE_LISTEN and\n"
     "EDGE_DISCOVERY override what it says. SIGTERM and SIGINT end a node once all that it has\n"
-    "taken is answered.\n";
+    "taken is answered. SIGHUP makes it read the configuration again and move to the discovery\n"
+    "address named there; what else has changed waits for a restart.\n";
 
-int Serve(const Config& config) {
+// Guards the jobs at hand: whatever the file holds by now, the node goes on.
+void Reload(const std::string& path, Config* config, Node* node) {
+  try {
+    if (ReloadConfig(path, config)) {
+      node->MoveDiscovery(config->discovery);
+      Log("configuration read again: discovery is at " + config->discovery);
+    } else {
+      Log("configuration read again: discovery stays at " + config->discovery);
+    }
+  } catch (const marlquay::Malformed& wrong) {
+    Count("bad_configuration");
+    Log(std::string("configuration not taken over: ") + wrong.what());
+  }
+}
+
+int Serve(Config config, const std::string& path) {
   // The limit on descriptors is the system's to set; the budget keeps under whichever is less.
   rlimit limit{};
   int sockets = config.sockets;
@@ -47,6 +64,14 @@
   std::signal(SIGPIPE, SIG_IGN);
   SetLogName(config.name);
 
+  // Guards the start: until the loop runs, a SIGHUP waits instead of ending the program.
+  const auto hup = [](gpointer reload) -> gboolean {
+    (*static_cast<std::function<void()>*>(reload))();
+    return G_SOURCE_CONTINUE;
+  };
+  std::function<void()> reload;
+  g_unix_signal_add(SIGHUP, hup, &reload);
+
   GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
   Config bounded = config;
   bounded.sockets = sockets;
@@ -56,6 +81,7 @@
     std::cerr << "pearreach: " << config.listen << ": " << wrong << '\n';
     return 1;
   }
+  reload = [&] { Reload(path, &config, &node); };
   node.Start();
   Log("serving at " + config.listen + ", version " PEARREACH_VERSION);
 
@@ -104,8 +130,9 @@
     if (command == "help") return std::cout << kHelp, 0;
     if (command == "version") return std::cout << "pearreach " PEARREACH_VERSION "\n", 0;
     if (command == "serve" || command == "check") {
-      const Config config = LoadConfig(args["config"].as<std::string>());
-      if (command == "serve") return Serve(config);
+      const std::string path = args["config"].as<std::string>();
+      const Config config = LoadConfig(path);
+      if (command == "serve") return Serve(config, path);
       std::cout << "good: " << config.site.classes.size() << " classes, "
                 << config.site.kinds.size() << " kinds of workers, listening at " << config.listen
                 << '\n';
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -122,6 +122,12 @@
   return report;
 }
 
+void CheckAddress(const std::string& what, const std::string& address) {
+  GSocketAddress* parsed = ParseAddress(address);
+  if (parsed == nullptr) throw Malformed(what + ": '" + address + "' is no ip:port");
+  g_object_unref(parsed);
+}
+
 }  // namespace
 
 std::optional<Listing> ReadListing(std::string_view json) {
@@ -188,7 +194,7 @@
   Config c;
   if (const std::string name = String(d, "name"); !name.empty()) c.name = name;
   c.listen = String(d, "listen");
-  c.discovery = String(d, "discovery");
+  c.discovery = c.named_discovery = String(d, "discovery");
   if (const std::string seed = String(d, "seed"); !seed.empty())
     c.seed = marlquay::Number<std::uint64_t>(seed, "seed", 16);
   if (const Value* limits = Member(d, "limits"); limits != nullptr && limits->IsObject())
@@ -199,6 +205,7 @@
   if (settings == nullptr || !settings->IsObject()) throw Malformed("no settings");
   Conf::Values values;
   Flatten(*settings, "", 0, &values);
+  c.settings = values;
   c.site = marlquay::ReadSite(Conf(std::move(values)));
   // The list is read a second time for its numbers.
   rapidjson::Document again;
@@ -226,17 +233,33 @@
     if (const std::string name = env("EDGE_NAME"); !name.empty()) c.name = name;
     if (const std::string listen = env("EDGE_LISTEN"); !listen.empty()) c.listen = listen;
     if (const std::string at = env("EDGE_DISCOVERY"); !at.empty()) c.discovery = at;
-    for (const auto& [what, address] :
-         {std::pair("listen", c.listen), std::pair("discovery", c.discovery)}) {
-      GSocketAddress* parsed = ParseAddress(address);
-      if (parsed == nullptr)
-        throw Malformed(std::string(what) + ": '" + address + "' is no ip:port");
-      g_object_unref(parsed);
-    }
+    CheckAddress("listen", c.listen);
+    CheckAddress("discovery", c.discovery);
     return c;
   } catch (const Malformed& wrong) {
     throw Malformed(file + ": " + wrong.what());
   }
 }
 
+bool ReloadConfig(const std::string& path, Config* config) {
+  Config next = LoadConfig(path);
+  const auto waits = [](bool changed, const char* what) {
+    if (changed) Log(std::string("configuration: a new ") + what + " waits for a restart");
+  };
+  waits(next.name != config->name, "name");
+  waits(next.listen != config->listen, "listen");
+  waits(next.sockets != config->sockets, "limits.sockets");
+  waits(next.settings != config->settings, "settings");
+  // Guards a node whose address came from EDGE_DISCOVERY: the variable is of the start and still
+  // names the old place. The file counts from when it names another one than it did.
+  if (next.named_discovery == config->named_discovery) return false;
+  GSocketAddress* parsed = ParseAddress(next.named_discovery);
+  if (parsed == nullptr) throw Malformed("discovery: '" + next.named_discovery + "' is no ip:port");
+  g_object_unref(parsed);
+  config->named_discovery = next.named_discovery;
+  const bool moved = config->discovery != next.named_discovery;
+  config->discovery = next.named_discovery;
+  return moved;
+}
+
 }  // namespace pearreach
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -51,6 +51,8 @@
 
 struct Config {
   std::string name = "pearreach", listen, discovery;
+  std::string named_discovery;      // as the file has it: a variable may have overridden it
+  marlquay::Conf::Values settings;  // as the file has them, to see whether they have changed
   std::uint64_t seed = 0;
   int sockets = 1024;
   std::optional<Listing> known;
@@ -62,6 +64,10 @@
 Config ReadConfig(std::string_view json);
 // The file named, or $EDGE_CONFIG if `path` is empty; the variables EDGE_* override what is in it.
 Config LoadConfig(const std::string& path);
+// Reads the file again for a node that runs. What may change while it runs, which is the address of
+// discovery, is taken over into `config`; what else has changed is named in the log and waits for a
+// restart. True: discovery has moved. Throws marlquay::Malformed, and `config` stays as it was.
+bool ReloadConfig(const std::string& path, Config* config);
 
 }  // namespace pearreach
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -25,6 +25,17 @@
   Call();
 }
 
+void Discovery::MoveTo(const std::string& address) {
+  address_ = address;
+  version_.reset();
+  wait_ = 0;
+  next_.Clear();
+  // Guards the new watch against a late word of the old one.
+  if (stream_ != nullptr) stream_->Close();
+  stream_ = nullptr;
+  Call();
+}
+
 void Discovery::Call() {
   if (stream_ == nullptr || !stream_->Quiet()) {
     if (stream_ != nullptr) stream_->Close();
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -21,6 +21,8 @@
 
   // Begins the watch behind a list that is held already, if any.
   void Start(std::optional<std::uint64_t> version);
+  // Goes on at another address, from its whole list on: versions are each agent's own.
+  void MoveTo(const std::string& address);
 
  private:
   void Call();
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -24,6 +24,8 @@
   explicit Node(const Config& config);
 
   void Start();  // begins the watch of the worker list
+  // Goes on with the list at another address; until it is in, the workers held stay.
+  void MoveDiscovery(const std::string& address) { discovery_.MoveTo(address); }
 
   const marlquay::Site& site() const override { return site_; }
   bool ready() const override { return listed_; }
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -2,6 +2,11 @@
 #include "net/config.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
 
 namespace pearreach {
 namespace {
@@ -49,6 +54,41 @@
   EXPECT_THROW(LoadConfig("/does/not/exist"), Malformed);
 }
 
+// A node that runs takes over the address of discovery and nothing else; what is wrong changes
+// nothing, and a variable of the start does not hold against a file that has changed.
+TEST(Config, ReadAgainItMovesDiscoveryOnly) {
+  const std::string path = testing::TempDir() + "pearreach_reload_" + std::to_string(getpid());
+  const auto write = [&](const std::string& at, const std::string& round) {
+    std::ofstream(path) << R"({"listen":"127.0.0.1:0","discovery":")" + at +
+                               R"(","settings":{"RequestClasses":[{"Name":"c","Effect":"once"}],)" +
+                               R"("Models":["m"],"RoundMs":)" + round + "}}";
+  };
+  write("127.0.0.1:1", "2.0");
+  Config c = LoadConfig(path);
+  EXPECT_FALSE(ReloadConfig(path, &c)) << "nothing has changed";
+  for (const char* bad : {"", "nowhere"}) {
+    write(bad, "2.0");
+    EXPECT_THROW(ReloadConfig(path, &c), Malformed);
+  }
+  std::ofstream(path) << "{";
+  EXPECT_THROW(ReloadConfig(path, &c), Malformed);
+  EXPECT_EQ(c.discovery, "127.0.0.1:1");
+  write("127.0.0.1:2", "9.0");
+  EXPECT_TRUE(ReloadConfig(path, &c));
+  EXPECT_EQ(c.discovery, "127.0.0.1:2");
+  EXPECT_EQ(c.site.settings.round, 2000) << "waits for a restart";
+  EXPECT_FALSE(ReloadConfig(path, &c));
+  setenv("EDGE_DISCOVERY", "127.0.0.1:7", 1);
+  Config of_start = LoadConfig(path);
+  EXPECT_FALSE(ReloadConfig(path, &of_start));
+  EXPECT_EQ(of_start.discovery, "127.0.0.1:7");
+  write("127.0.0.1:3", "9.0");
+  EXPECT_TRUE(ReloadConfig(path, &of_start));
+  EXPECT_EQ(of_start.discovery, "127.0.0.1:3");
+  unsetenv("EDGE_DISCOVERY");
+  std::remove(path.c_str());
+}
+
 TEST(Listing, ABadEntryIsLeftOutAndTheRestKept) {
   const auto list = ReadListing(
       R"({"version":7,"full":true,"servers":[
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -1,7 +1,11 @@
 // Stories of the whole node over loopback sockets, against scripted clients, workers and discovery
 // that run on the same main loop. Each is about one failure that was met or is to be kept out.
 #include <gtest/gtest.h>
+#include <unistd.h>
 
+#include <csignal>
+#include <cstdio>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -455,6 +459,88 @@
   EXPECT_TRUE(first.got.empty()) << "it drains";
 }
 
+std::string ListOf(int version, const std::string& id, const std::string& at) {
+  return R"({"version":)" + std::to_string(version) + R"(,"full":true,"servers":[{"id":")" + id +
+         R"(","addr":")" + at + R"(","zone":"a","kind":"m","state":"up"}]})";
+}
+
+// The new agent numbers its lists anew; until it has told its own, the workers held are used.
+TEST(Story, DiscoveryMovesAndTheWorkersStayUntilTheNewListIsIn) {
+  Server worker(Accept), other(Accept);
+  Server before([&](const Message& m) {
+    const bool watch = m.target.find("since") != std::string::npos;
+    return watch ? "" : http::WriteResponse(200, {}, ListOf(90, "s-0", worker.address()), true);
+  });
+  Server after(Silent);
+  Config config = BaseConfig();
+  config.discovery = before.address();
+  Rig rig(config);
+  rig.node.Start();
+  RunUntil([&] { return before.got.size() == 2; });
+  Caller client(rig.port()), agent(rig.port());
+  client.Ask("j");
+  RunUntil([&] { return worker.got.size() == 1; });
+  for (int i = 0; i < 3; ++i) rig.node.MoveDiscovery(after.address());
+  RunUntil([&] { return !after.got.empty(); });
+  EXPECT_EQ(after.got[0].target, "/v1/endpoints") << "90 is no version of this one";
+  agent.News("j", "s-0", "done");
+  EXPECT_EQ(client.Status(0), 200);
+  client.Ask("k");
+  RunUntil([&] { return worker.got.size() == 2; });
+  EXPECT_EQ(worker.streams.size(), 1u) << "its connection is kept too";
+  after.streams.back()->Write(
+      http::WriteResponse(200, {}, ListOf(3, "s-1", other.address()), true));
+  RunUntil([&] { return after.got.back().target == "/v1/endpoints?since=3&timeout_ms=5000"; });
+  EXPECT_EQ(after.got.back().target, "/v1/endpoints?since=3&timeout_ms=5000");
+  agent.News("k", "s-0", "done");
+  EXPECT_EQ(client.Status(1), 200) << "a job at a worker that has left ends as it should";
+  client.Ask("l");
+  RunUntil([&] { return other.got.size() == 1; });
+  EXPECT_EQ(worker.got.size(), 2u);
+}
+
+// The program itself: SIGHUP used to end it, and with it all that it had taken.
+TEST(Story, TheProgramOutlivesSighupsAndEndsCleanlyAfterOne) {
+  Server worker(Accept);
+  const auto told = [&](const Message& m) {
+    return m.target == "/v1/endpoints"
+               ? http::WriteResponse(200, {}, ListOf(1, "s-0", worker.address()), true)
+               : std::string();
+  };
+  Server before(told), after(told);
+  const std::string path = testing::TempDir() + "pearreach_program_" + std::to_string(getpid());
+  const auto write = [&](const std::string& text) { std::ofstream(path) << text; };
+  const auto config = [](const std::string& discovery) {
+    return R"({"listen":"127.0.0.1:0","discovery":")" + discovery +
+           R"(","settings":{"RequestClasses":[{"Name":"c","Effect":"once"}],"Models":["m"],"RoundMs":2.0}})";
+  };
+  write(config(before.address()));
+  GSubprocess* program =
+      g_subprocess_new(G_SUBPROCESS_FLAGS_STDERR_SILENCE, nullptr, PEARREACH_PROGRAM, "serve",
+                       "--config", path.c_str(), nullptr);
+  ASSERT_NE(program, nullptr);
+  RunUntil([&] { return before.got.size() == 2; });
+  EXPECT_EQ(before.got.size(), 2u);
+  write("nonsense");
+  g_subprocess_send_signal(program, SIGHUP);
+  RunFor(100 * kMs);
+  write(config(after.address()));
+  for (int i = 0; i < 3; ++i) g_subprocess_send_signal(program, SIGHUP);
+  RunUntil([&] { return after.got.size() == 2; });
+  EXPECT_EQ(after.got.size(), 2u) << "the list and its watch, once";
+  g_subprocess_send_signal(program, SIGTERM);
+  g_subprocess_send_signal(program, SIGHUP);
+  bool ended = false;
+  g_subprocess_wait_async(
+      program, nullptr, [](GObject*, GAsyncResult*, gpointer e) { *static_cast<bool*>(e) = true; },
+      &ended);
+  RunUntil([&] { return ended; });
+  ASSERT_TRUE(ended);
+  EXPECT_TRUE(g_subprocess_get_if_exited(program) && g_subprocess_get_exit_status(program) == 0);
+  g_object_unref(program);
+  std::remove(path.c_str());
+}
+
 // Each list tells the same start again: by an offset taken anew it would look like a restart.
 TEST(Story, AStartToldTwiceIsOneStart) {
   Rig rig;
