Serve kept connections on after SIGTERM while there is time to answer

The second node got SIGTERM at 15.96 s, the first was back at 17.35 s; from 16.56 s on neither took work, as src/net/front.cpp ended every connection with its answer from the signal on (Respond) and closed and refused the rest after 0.6 s (DrainStep). Ruled out: the reloads themselves (no loss in the windows of the other three) and the workers (no error, full or reset in that window).

PROTOCOL keeps SIGKILL away for the longest deadline, counted as 3 s at most, and 0.7 s. Kept connections are now served until 1.5 s before the last 0.3 s of that; jobs taken in the drain get no deadline beyond it, so that SIGKILL finds none unanswered. Where no client is connected the node still ends after a second.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -16,7 +16,13 @@
 constexpr Micros kCloseLimit = 1 * kSecond;   // a peer has so long to close after its last answer
 constexpr Micros kSpareLimit = 2 * kSecond;   // a connection over the budget has so long to ask
 constexpr Micros kSafelyIdle = 1 * kSecond;   // unused for so long, a connection may make room
-constexpr Micros kAcceptFor = 600 * kMs;      // after SIGTERM new work is taken for so long
+// A planned restart: SIGKILL comes no sooner than the longest deadline, counted as no more than
+// kStopCounts, and kStopGrace after SIGTERM.
+constexpr Micros kStopCounts = 3 * kSecond;
+constexpr Micros kStopGrace = 700 * kMs;
+constexpr Micros kStopMargin = 300 * kMs;  // all is answered so long before
+constexpr Micros kWindUp = 1500 * kMs;     // new work ends so long before that: most jobs take less
+constexpr Micros kAcceptLeast = 600 * kMs;  // and not sooner after SIGTERM than this
 constexpr Micros kDrainStep = 50 * kMs;
 constexpr Micros kDrainLeast = 1000 * kMs;
 constexpr Micros kLongestPatience = 3600 * kSecond;
@@ -175,6 +181,8 @@
     Count("bad_requests");
     return Respond(c, 400, std::string(wrong.what()) + "\n", message.keep_alive);
   }
+  // Guards rule 1: SIGKILL finds no request unanswered that was taken in the drain.
+  if (draining_) job.patience = std::min(job.patience, std::max<Micros>(stop_by_ - Now(), kMs));
   job.content_type = text("Content-Type");
   job.path = std::move(message.target);
   job.body = std::move(message.body);
@@ -196,7 +204,7 @@
   waiting_.erase(it);
   c->ticket = 0;
   MarkQuiet(c);
-  const bool keep_alive = c->keep_alive && !draining_;
+  const bool keep_alive = c->keep_alive && !refusing_;
   switch (answer.kind) {
     case Answer::Kind::kServed:
       Respond(c, 200, answer.result, keep_alive);
@@ -220,7 +228,7 @@
 void Front::Respond(Connection* c, int status, std::string_view body, bool keep_alive,
                     std::vector<http::Header> headers) {
   // Near the budget a connection goes with its answer, which no request can cross.
-  if (!c->is_worker && (draining_ || connections_.size() > budget_ / 4 * 3)) keep_alive = false;
+  if (!c->is_worker && (refusing_ || connections_.size() > budget_ / 4 * 3)) keep_alive = false;
   c->answered = true;
   c->quiet_since =
       Now();  // an answer is a sign of life: call-backs come on one connection for long
@@ -303,29 +311,39 @@
 
 // ---------------------------------------------------------------- the end
 
+// Clients go on using the connections they have, and may have no other node to turn to: these are
+// served as ever until only the time to answer all that was taken is left.
 void Front::Drain(std::function<void()> done) {
   if (draining_) return;
   draining_ = true;
-  drain_began_ = Now();
   drained_ = std::move(done);
-  drain_.Set(drain_began_ + kAcceptFor);
+  Micros longest = 0;
+  for (const marlquay::ClassSettings& c : core_->site().settings.classes)
+    longest = std::max(longest, c.deadline);
+  drain_began_ = Now();
+  stop_by_ = drain_began_ + std::min(longest, kStopCounts) + kStopGrace - kStopMargin;
+  refuse_at_ = std::max(stop_by_ - kWindUp, drain_began_ + kAcceptLeast);
+  drain_.Set(drain_began_ + kAcceptLeast);
 }
 
 // The listener stays open to the end: the workers' call-backs come to it, and closing it would
 // reset what waits in its backlog.
 void Front::DrainStep() {
-  refusing_ = true;
-  for (auto it = quiet_.begin(); it != quiet_.end();) {
+  refusing_ = Now() >= refuse_at_;
+  bool clients = false, written = true;
+  for (const auto& [c, owned] : connections_) {
+    clients = clients || !c->is_worker;
+    written = written && c->stream->unsent() == 0;
+  }
+  for (auto it = quiet_.begin(); refusing_ && it != quiet_.end();) {
     Connection* c = *it++;
     // One just accepted is about to carry a request, which gets its answer and then its end.
     const bool fresh = !c->answered && Now() - c->quiet_since < kSafelyIdle;
     if (!c->is_worker && !c->closing && !fresh && c->parser.Between() && c->stream->Quiet())
       Destroy(c);
   }
-  const bool written =
-      std::none_of(connections_.begin(), connections_.end(),
-                   [](const auto& entry) { return entry.first->stream->unsent() > 0; });
-  if (core_->open_jobs() > 0 || !written || Now() < drain_began_ + kDrainLeast)
+  if (core_->open_jobs() > 0 || !written || (clients && !refusing_) ||
+      Now() < drain_began_ + kDrainLeast)
     return drain_.Set(Now() + kDrainStep);
   drained_();
 }
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -72,7 +72,8 @@
   Listener listener_;
   Alarm sweep_, drain_;
   bool draining_ = false, refusing_ = false;
-  Micros drain_began_ = 0, next_sweep_ = 0;  // 0: none is set
+  Micros next_sweep_ = 0;  // 0: none is set
+  Micros drain_began_ = 0, refuse_at_ = 0, stop_by_ = 0;
   std::function<void()> drained_;
 };
 
