Keep jobs in the node's own data centre while a worker there has room

At fault: src/policy.cpp, Sample, which looks at home workers first whatever their zone, and kRemoteCost, half a slot only.

Where crossing has a price (Prices.CrossZone, now read) workers of the own zone with room come first; room is this node's tally and what reports say that others have in use, fading within a second. Elsewhere nothing changes.

--- a/include/marlquay/dispatcher.h
+++ b/include/marlquay/dispatcher.h
@@ -69,8 +69,9 @@
   Micros max_retry_after = 0;
   int try_limit = 1;  // attempts allowed for one request
   Micros connect_timeout = 200'000;
-  double connect_price = 0;    // of the goal, for one new connection a request
-  Micros connection_idle = 0;  // an idle connection is closed after this
+  double connect_price = 0;     // of the goal, for one new connection a request
+  double cross_zone_price = 0;  // of an attempt sent to another zone, likewise
+  Micros connection_idle = 0;   // an idle connection is closed after this
 
   Micros stop_sending_within = 0;  // grace after a drain is heard (this module uses none of it)
   double cold_share = 1;           // a fresh worker has at least this share of its capacity
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,8 +31,12 @@
 constexpr Micros kHealthPeriod = 100 * kMs;  // the check while jobs only run
 
 // --- The pick.
-constexpr int kSample = 4;             // workers looked at for one job
-constexpr double kRemoteCost = 0.5;    // slots that another zone counts for
+constexpr int kSample = 4;                   // workers looked at for one job
+constexpr double kRemoteCost = 0.5;          // slots that another zone counts for
+constexpr double kPricedRemote = 2;          // the same where going there has a price
+constexpr std::size_t kLocalLooks = 32;      // workers of this zone looked at for room
+constexpr double kTakenLearn = 0.1;          // weight of a report of the slots in use at a worker
+constexpr Micros kTakenMemory = 1000 * kMs;  // what was told fades over this
 constexpr std::size_t kLookahead = 8;  // held jobs of one queue tried when its newest must wait
 constexpr double kKeyPlaces = 2;       // workers in a key's own order looked at first, and
 constexpr double kKeySpread = 4;       // times the key's part of the work, of all workers
@@ -222,7 +226,10 @@
     Pool& p = PoolOf(w);
     const bool member = known && w.entry.health == Health::kInService;
     p.changed = p.changed || member != w.member;
-    if (member != w.member) SetMember(p.members, {w.entry.identity, id}, member);
+    if (member != w.member) {
+      SetMember(p.members, {w.entry.identity, id}, member);
+      if (w.entry.zone == s_.zone) SetMember(p.local, {w.entry.identity, id}, member);
+    }
     w.known = known;
     w.member = member;
     p.shut_until = 0;
@@ -247,7 +254,7 @@
     if (e.kind < 0 || e.kind >= s_.kinds) return;
     if (e.worker >= workers_.size()) workers_.resize(e.worker + 1);
     Worker& w = workers_[e.worker];
-    if (e.kind != w.entry.kind || e.identity != w.entry.identity) {
+    if (e.kind != w.entry.kind || e.identity != w.entry.identity || e.zone != w.entry.zone) {
       Place(e.worker, false);
       SetUsed(PoolOf(w).used, w, e.worker, false);
     }
@@ -581,7 +588,12 @@
     Pool& p = PoolOf(w);
     if (load.free_slots) p.told = true;
     if (load.in_flight) w.others = std::max(0.0, *load.in_flight - w.busy);
-    if (load.free_slots) p.slots_seen = std::max(p.slots_seen, std::floor(*load.free_slots));
+    if (load.free_slots) {
+      p.slots_seen = std::max(p.slots_seen, std::floor(*load.free_slots));
+      const double taken = std::max(0.0, p.slots_seen - *load.free_slots - w.running);
+      const double before = w.taken.Now(now_, kTakenMemory);
+      w.taken = {before + kTakenLearn * (taken - before), now_};
+    }
   }
 
   void On(const ProbeEnded& e) {
@@ -650,14 +662,17 @@
     }
   }
 
-  // Home workers first, and open connections where a new one has a price. All others are looked at
-  // only when these yield nobody, and not again while nothing has changed: the ordinary send costs
-  // the same however many workers there are.
+  // Where crossing zones has a price, workers of this one that have room; then home workers, and
+  // open connections where a new one has a price. All others are looked at only when these yield
+  // nobody, and not again while nothing has changed: the ordinary send costs the same however many
+  // workers there are.
   void Sample(Request& r, const Permit& permit) {
     const auto any = [](const Worker&) { return true; };
     const auto linked = [&](const Worker& w) { return Connected(w); };
     const auto home = [&](Worker& w) { return HomeRoom(w, r); };
+    const auto room = [&](const Worker& w) { return HasRoom(w, r); };
     const bool priced = s_.connect_price > 0;
+    if (s_.cross_zone_price > 0 && Look(&Pool::local, r, permit, room, kLocalLooks)) return;
     if (priced && Look(&Pool::home, r, permit, [&](Worker& w) { return home(w) && linked(w); }))
       return;
     if (Look(&Pool::home, r, permit, home)) return;
@@ -675,10 +690,12 @@
   // Samples one set of the pools with room: from a random place by a random stride prime to their
   // number, so that each is met once at most, until there are enough that suit.
   template <class Good>
-  bool Look(Members Pool::*set, const Request& r, const Permit& permit, Good good) {
+  bool Look(Members Pool::*set, const Request& r, const Permit& permit, Good good,
+            std::size_t most = std::numeric_limits<std::size_t>::max()) {
     std::size_t n = 0;
     for (const Pool* p : open_) n += (p->*set).size();
-    for (RandomWalk walk(n, Mix(random_++)); sample_.size() < kSample && !walk.Done();) {
+    RandomWalk walk(n, Mix(random_++));
+    while (sample_.size() < kSample && !walk.Done() && most-- > 0) {
       std::size_t k = walk.Next(), pool = 0;
       while (k >= (open_[pool]->*set).size()) k -= (open_[pool++]->*set).size();
       const WorkerId id = (open_[pool]->*set)[k].id;
@@ -692,6 +709,13 @@
     return w.idle > 0 && now_ < w.idle_since + s_.connection_idle;
   }
 
+  // By this node's tally and what it told of others' jobs, the job there waits for less than going
+  // to another zone costs.
+  bool HasRoom(const Worker& w, const Request& r) const {
+    const double taken = w.taken.Now(now_, kTakenMemory);
+    return w.busy + taken + r.slots <= PoolOf(w).slots_seen + kPricedRemote;
+  }
+
   // Its slots that are this node's part are not all in use. On its own part a node's tally tells
   // most of the load, however many nodes there are. How many slots a worker has is asked now and
   // then.
@@ -787,7 +811,7 @@
                             : 1 / pools_[w.entry.kind].slowdown;
     const double others = now_ <= w.answered_at + 2 * kAskWait ? w.others : 0;
     double cost = (w.busy + others + r.slots) * w.slowness / std::max(size, 0.01);
-    if (w.entry.zone != s_.zone) cost += kRemoteCost;
+    if (w.entry.zone != s_.zone) cost += s_.cross_zone_price > 0 ? kPricedRemote : kRemoteCost;
     return cost;
   }
 
@@ -877,6 +901,7 @@
   void On(const TimerFired&) {}
 
   Pool& PoolOf(const Worker& w) { return pools_[w.entry.kind]; }
+  const Pool& PoolOf(const Worker& w) const { return pools_[w.entry.kind]; }
 
   // Frees an ended request once no attempt of it is out.
   void Forget(Request& r) {
--- a/src/site.cpp
+++ b/src/site.cpp
@@ -151,6 +151,7 @@
   s.max_retry_after = conf.Ms("Limits.MaxRetryAfterMs");
   s.try_limit = conf.Num<int>("Limits.TryLimit", 1);
   s.connect_timeout = conf.Ms("Limits.ConnectTimeoutMs");
+  s.cross_zone_price = conf.Num<double>("Prices.CrossZone", 0);
   s.connect_price = conf.Num<double>("Prices.Handshake", 0);
   s.connection_idle = conf.Ms("Limits.ConnIdleMs");
   s.stop_sending_within = conf.Ms("Contract.StopSendingWithinMs");
--- a/src/state.h
+++ b/src/state.h
@@ -105,6 +105,7 @@
   Micros idle_since = 0;                                // the last time a connection became idle
   Micros probed_at = kLongAgo, answered_at = kLongAgo;  // its last probe, the last answer to one
   double others = 0;                                    // jobs of other nodes it told last
+  FadingSum taken;     // slots that others have in use, by its reports
   double part = 0;     // this node's part of it in the common order
   double running = 0;  // slots of the attempts told to have started
   Micros heard = 0;
@@ -125,6 +126,7 @@
     cold_sends.Clear();
     cold_part = -1;
     waiting = 0;
+    taken = {};
   }
 };
 
@@ -189,6 +191,7 @@
 
 struct Pool {
   Members members;       // in service, in the order common to all nodes
+  Members local;         // those of them in this node's zone
   Members home;          // those of them that are in part this node's own
   Members used;          // those with attempts of this node out or connections open
   bool changed = false;  // members since they were last split over the nodes
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -426,6 +426,67 @@
   EXPECT_NE(d.last_worker[4], home);
 }
 
+// Six of ten jobs went to another data centre, each at a price, while workers of this one idled.
+struct Zones : ::testing::Test {
+  static Settings Priced() {
+    Settings s = BaseSettings();
+    s.zone = 1;
+    s.cross_zone_price = 0.1;
+    return s;
+  }
+  void List(int workers) {
+    std::vector<WorkerEntry> entries;
+    for (WorkerId id = 0; id < static_cast<WorkerId>(workers); ++id) {
+      entries.push_back(Driver::Entry(id));
+      entries.back().zone = id % 3;  // 1, 4, 7 ... are in this node's
+    }
+    d.List(entries);
+  }
+  // Serves a job whose worker then tells so many free slots; true: in the node's own zone.
+  bool Serve(RequestId id, double free) {
+    d.Ask(id);
+    d.Begin(id);
+    d.Run(10 * kMs);
+    AttemptEnded e{id, 0, d.last_worker[id], Outcome::kGood, 50 * kMs, true, {}};
+    e.load.free_slots = free;
+    d.Give({e});
+    return d.last_worker[id] % 3 == 1;
+  }
+  Driver d{Priced()};
+};
+
+TEST_F(Zones, AJobStaysInItsOwnWhileAWorkerThereHasRoom) {
+  List(9);
+  for (RequestId id = 1; id <= 50; ++id) EXPECT_TRUE(Serve(id, 8));
+}
+
+TEST_F(Zones, ReportsOfSlotsTakenByOthersSendItElsewhereUntilTheyAreOld) {
+  List(3);
+  RequestId id = 0;
+  while (id < 10) Serve(++id, 8);
+  while (id < 60) Serve(++id, 0);
+  // Of twenty jobs at once, those that stay in this zone.
+  const auto stay = [&] {
+    int own = 0;
+    for (const RequestId last = id + 20; id < last;) {
+      d.Ask(++id);
+      d.Begin(id);
+      own += d.last_worker[id] % 3 == 1 ? 1 : 0;
+    }
+    for (RequestId i = id - 19; i <= id; ++i) d.End(i, Outcome::kGood);
+    return own;
+  };
+  EXPECT_LE(stay(), 10) << "others have taken all slots here";
+  d.Run(5 * kSecond);
+  EXPECT_EQ(stay(), 20) << "what was told then says nothing of now";
+}
+
+TEST_F(Zones, LooksAreBoundedHoweverManyWorkersHaveNoRoom) {
+  List(3000);
+  for (RequestId id = 1; id <= 200; ++id) Serve(id, 8);
+  EXPECT_LE(d.dispatcher.Looks(), 200u * 40);
+}
+
 // With many workers and few jobs a node, nearly every send opened a connection.
 TEST(Connections, OpenOnesComeFirstWhereNewOnesHaveAPrice) {
   for (const double price : {0.0, 0.08}) {
