Bound first requests from accept; let no empty deadline through; a 4xx ends the job

Checked with probes that logged what workers turned away and what had come in for it: all had 'X-Timeout:' with nothing behind it, which Front::HandleJob took for an absent one. Ruled out: lengths, codings, classes and ids, which the parser and the front do refuse (counted by status).

- An X-Timeout that is there must be a number.
A worker's 4xx (Workers::OnMessage made it kError, which blocks the worker and is sent again) now ends the job with 400 and is no word against it.
- A sender of a long body has 4 s to read its 413 before its connection is cut off (1 s before).
- The parser lets go of the bytes of a bad message.

Each of the four has a story that fails without it.

--- a/src/net/core.h
+++ b/src/net/core.h
@@ -29,7 +29,7 @@
 };
 
 struct Answer {
-  enum class Kind { kServed, kRefused, kFailed };
+  enum class Kind { kServed, kRefused, kRejected, kFailed };  // kRejected: the job itself is bad
   Kind kind = Kind::kFailed;
   std::string result;      // kServed
   Micros retry_after = 0;  // kRefused; 0: says nothing
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -14,8 +14,14 @@
 constexpr std::size_t kSpare = 16;  // connections beyond the budget, which are only refused
 constexpr Micros kQuietLimit = 60 * kSecond;  // a connection without an open request goes after it
 constexpr Micros kCloseLimit = 1 * kSecond;   // a peer has so long to close after its last answer
-constexpr Micros kSpareLimit = 2 * kSecond;   // a connection over the budget has so long to ask
-constexpr Micros kSafelyIdle = 1 * kSecond;   // unused for so long, a connection may make room
+constexpr Micros kLongCloseLimit = 4 * kSecond;  // the same where it has a long body to send yet
+// A new connection has so long from its accept to send its first request, however it drips; so long
+// to say anything at all while half the budget is used; and so long when no more can be accepted.
+// Clients send as soon as they are up.
+constexpr Micros kFirstLimit = 2 * kSecond;
+constexpr Micros kFirstWordLimit = 1250 * kMs;
+constexpr Micros kFullWordLimit = 300 * kMs;
+constexpr Micros kSafelyIdle = 1 * kSecond;  // unused for so long, a connection may make room
 // A planned restart: SIGKILL comes no sooner than the longest deadline, counted as no more than
 // kStopCounts, and kStopGrace after SIGTERM.
 constexpr Micros kStopCounts = 3 * kSecond;
@@ -160,8 +166,9 @@
     job.cls = marlquay::IndexOf(site.classes, cls);
     const marlquay::ClassSettings& settings =
         site.settings.classes[static_cast<std::size_t>(job.cls)];
-    const std::string timeout = text("X-Timeout");
-    job.patience = timeout.empty() ? settings.deadline : ReadTimeout(timeout);
+    // One that is there and says nothing is no number either.
+    const std::string* timeout = message.Find("X-Timeout");
+    job.patience = timeout == nullptr ? settings.deadline : ReadTimeout(*timeout);
     job.idempotency_key = text("Idempotency-Key");
     if (settings.effect == marlquay::Effect::kByKey && job.idempotency_key.empty())
       throw Malformed("no Idempotency-Key");
@@ -212,6 +219,9 @@
     case Answer::Kind::kRefused:
       Refuse(c, keep_alive, answer.retry_after);
       break;
+    case Answer::Kind::kRejected:
+      Respond(c, 400, "no worker takes it\n", keep_alive);
+      break;
     case Answer::Kind::kFailed:
       Respond(c, answer.overdue ? 504 : 502, "failed\n", keep_alive);
       break;
@@ -237,8 +247,10 @@
   if (!written) return Destroy(c);
   if (keep_alive) return;
   c->closing = true;
+  // Guards the answer of one that goes on sending: cut off sooner it would read a reset.
+  c->long_close = status == 413;
   c->stream->CloseAfterWrite();
-  SweepBy(Now() + kCloseLimit);
+  SweepBy(Now() + QuietLimit(*c, connections_.size()));
 }
 
 // Never later than already set: with answers going out all the time, the sweep would never come.
@@ -248,17 +260,19 @@
   sweep_.Set(at);
 }
 
-// How long a connection may stay without an open request. Guards the call-backs: at the budget the
-// spare connections must come free soon, or the workers' news waits in the backlog behind them.
-Micros Front::QuietLimit(const Connection& c) {
-  if (c.closing) return kCloseLimit;
-  return c.over_budget && !c.is_worker ? kSpareLimit : kQuietLimit;
+// How long a connection may stay without an open request. Guards clients, call-backs and /ready:
+// those that connect and say nothing must not keep them in the backlog.
+Micros Front::QuietLimit(const Connection& c, std::size_t open) const {
+  if (c.closing) return c.long_close ? kLongCloseLimit : kCloseLimit;
+  if (c.answered) return kQuietLimit;
+  if (!c.parser.Between() || open <= budget_ / 2) return kFirstLimit;
+  return open < budget_ + kSpare ? kFirstWordLimit : kFullWordLimit;
 }
 
 void Front::MarkQuiet(Connection* c) {
   c->quiet_since = Now();
   c->quiet = quiet_.insert(quiet_.end(), c);
-  SweepBy(c->quiet_since + QuietLimit(*c));
+  SweepBy(c->quiet_since + QuietLimit(*c, connections_.size()));
 }
 
 void Front::Destroy(Connection* c) {
@@ -293,14 +307,19 @@
 
 void Front::Sweep() {
   const Micros now = Now();
+  const std::size_t open = connections_.size();  // one measure for all that this sweep meets
   next_sweep_ = 0;
   for (auto it = quiet_.begin(); it != quiet_.end();) {
     Connection* c = *it++;
-    const Micros limit = c->quiet_since + QuietLimit(*c);
+    const Micros limit = c->quiet_since + QuietLimit(*c, open);
     if (limit > now) {
       SweepBy(limit);
       continue;
     }
+    if (!c->closing && c->parser.Between() && !c->stream->Quiet()) {
+      SweepBy(now + kMs);  // it has spoken, and is read in this turn of the loop
+      continue;
+    }
     if (c->closing || c->parser.Between()) {
       Destroy(c);
     } else {
--- a/src/net/front.h
+++ b/src/net/front.h
@@ -44,6 +44,7 @@
     bool over_budget = false;  // its first request is refused
     bool answered = false;     // has carried a request
     bool closing = false;      // its last answer has been written
+    bool long_close = false;   // and what it still sends may be long
     Micros quiet_since = 0;
     std::list<Connection*>::iterator quiet;  // in quiet_, if it has no ticket
   };
@@ -59,7 +60,7 @@
   void MarkQuiet(Connection* c);
   void Destroy(Connection* c);
   bool EvictQuiet();
-  static Micros QuietLimit(const Connection& c);
+  Micros QuietLimit(const Connection& c, std::size_t open) const;  // of so many connections
   void SweepBy(Micros at);
   void Sweep();
   void DrainStep();
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -63,6 +63,7 @@
   bad_ = true;
   error_status_ = status;
   error_ = std::move(why);
+  buffer_ = std::string();  // of no more use, and there may be hundreds such
   return false;
 }
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -27,6 +27,7 @@
                   if (it == records_.end()) return;
                   it->second.attempts[static_cast<std::size_t>(key.number)].taken = true;
                 },
+                [this](AttemptKey key) { Reject(key); },
                 [this](AttemptKey key, Outcome outcome, const marlquay::LoadReport& load) {
                   End(key, outcome, load);
                 }}),
@@ -242,6 +243,16 @@
   Forget(key.job);
 }
 
+// A worker finds the job itself bad: no other would take it either, and it is no word against the
+// worker's health, which a bad client could otherwise spoil.
+void Node::Reject(AttemptKey key) {
+  const auto it = records_.find(key.job);
+  if (it == records_.end()) return;
+  CountFault("rejected_by_worker", it->second.job.id);
+  if (!it->second.answered) Reply(key.job, it->second, {Answer::Kind::kRejected, "", 0, false});
+  End(key, Outcome::kCancelled, {});
+}
+
 // News may come before the 202, come again, or be of a job or an attempt that has ended: it counts
 // for an attempt that is out at the worker it comes from, and only once.
 void Node::Tell(const News& news) {
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -68,6 +68,7 @@
   void Reply(Ticket ticket, Record& record, const Answer& answer);
   // Passes an attempt's outcome on, once.
   void End(AttemptKey key, marlquay::Outcome outcome, const marlquay::LoadReport& load);
+  void Reject(AttemptKey key);
   void RunDeadlines(Micros now);
   void Forget(Ticket ticket);
   const std::string& NameOf(marlquay::WorkerId worker) const { return names_.at(worker); }
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -188,6 +188,7 @@
     Destroy(link);
   if (!bound) return;
   if (message.status == 202) return events_.taken(key);
+  if (message.status >= 400 && message.status < 500) return events_.rejected(key);
   if (!never_ran && message.status != 500)
     CountFault("odd_worker_answer", "status " + std::to_string(message.status));
   events_.ended(key, never_ran ? Outcome::kFull : Outcome::kError, load);
--- a/src/net/workers.h
+++ b/src/net/workers.h
@@ -28,9 +28,10 @@
 class Workers {
  public:
   // `ended` is told of every attempt that ends before or with the worker's first answer, `taken` of
-  // every one that a worker has taken on (202). Neither is called from inside Start.
+  // every one that a worker has taken on (202), `rejected` of every one that it finds bad (4xx).
+  // None is called from inside Start.
   struct Events {
-    std::function<void(AttemptKey)> taken;
+    std::function<void(AttemptKey)> taken, rejected;
     std::function<void(AttemptKey, marlquay::Outcome, const marlquay::LoadReport&)> ended;
   };
 
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -11,7 +11,9 @@
 int StatusOf(const std::string& text, Limits limits = {}) {
   Parser p(Parser::Kind::kRequest, limits);
   p.Feed(text);
-  return p.Next() == State::kBad ? p.error_status() : 0;
+  const int status = p.Next() == State::kBad ? p.error_status() : 0;
+  EXPECT_TRUE(status == 0 || p.Buffered() == 0) << "what is bad is not kept";
+  return status;
 }
 
 TEST(Http, ARequestMayComeByteByByteAndTheNextBehindIt) {
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -314,7 +314,7 @@
   EXPECT_EQ(ask("/commit", ""), 400);
   EXPECT_EQ(ask("/commit", "X-Request-ID: a\r\nX-Priority-Class: sync\r\n"), 400);
   EXPECT_EQ(ask("/sync", "X-Request-ID: a\r\nX-Priority-Class: sync\r\n"), 400);  // no key
-  for (const char* timeout : {"5", "m", "-5m", "5s", "5.5m"})
+  for (const char* timeout : {"", "5", "m", "-5m", "5s", "5.5m"})
     EXPECT_EQ(ask("/commit", good + "X-Timeout: " + timeout + "\r\n"), 400) << timeout;
   EXPECT_EQ(ask("/commit", good + "X-Attrs: slots=x\r\n"), 400);
   client.stream->Write("GET /commit HTTP/1.1\r\n\r\n");
@@ -333,6 +333,66 @@
   EXPECT_EQ(client.answers.back().status, 413);
 }
 
+// Met with bad clients: what a worker turned away went to two more, and each lost standing by it.
+TEST(Story, AJobThatAWorkerFindsBadIsEndedAndSpoilsNothing) {
+  Rig rig;
+  Server worker([](const Message& m) {
+    return *m.Find("X-Request-ID") == "bad" ? http::WriteResponse(400, {}, "", true) : kAccepted;
+  });
+  rig.Workers({worker.address()});
+  Caller client(rig.port()), agent(rig.port());
+  for (int i = 0; i < 3; ++i) {
+    client.Ask("bad", "sync", "5000m", "Idempotency-Key: k\r\n");
+    EXPECT_EQ(client.Status(static_cast<std::size_t>(i)), 400);
+  }
+  EXPECT_EQ(worker.got.size(), 3u) << "each once";
+  client.Ask("j", "commit", "200m");  // would not be sent in time to a worker on trial
+  RunUntil([&] { return worker.got.size() == 4; });
+  agent.News("j", "s-0", "done");
+  EXPECT_EQ(client.Status(3), 200);
+  rig.ExpectClean();
+}
+
+// A silent or half-sent first request used to be let be for a minute.
+TEST(Story, AFirstRequestThatDoesNotComeEndsItsConnectionHoweverItDrips) {
+  Rig rig;
+  Caller silent(rig.port()), half(rig.port()), dripping(rig.port());
+  half.Ask("j");
+  half.stream->Write("POST /commit HTTP/1.1\r\nX-Req");  // its second: not the first
+  Caller first(rig.port());
+  first.stream->Write("POST /commit HTTP/1.1\r\nX-Req");
+  for (int i = 0; i < 25 && dripping.answers.empty(); ++i) {
+    dripping.stream->Write("P");
+    RunFor(200 * kMs);
+  }
+  ASSERT_EQ(dripping.answers.size(), 1u);
+  EXPECT_EQ(dripping.answers[0].status, 408);
+  EXPECT_EQ(first.Status(), 408);
+  RunUntil([&] { return silent.closed; });
+  EXPECT_TRUE(silent.closed && silent.answers.empty());
+  EXPECT_FALSE(half.closed);
+}
+
+// One that sends 60 MB reads its error when it is done, not a reset.
+TEST(Story, ASenderOfALongBodyReadsItsError) {
+  Rig rig;
+  GSocketAddress* at = ParseAddress("127.0.0.1:" + std::to_string(rig.port()));
+  GSocket* sender =
+      g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, nullptr);
+  ASSERT_TRUE(g_socket_connect(sender, at, nullptr, nullptr));
+  std::string bytes = "POST /commit HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n";
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_GT(g_socket_send(sender, bytes.data(), bytes.size(), nullptr, nullptr), 0);
+    RunFor(700 * kMs);
+    bytes.assign(10'000, 'x');
+  }
+  char answer[100] = {};
+  EXPECT_GT(g_socket_receive(sender, answer, sizeof answer - 1, nullptr, nullptr), 0);
+  EXPECT_EQ(std::string(answer).substr(0, 12), "HTTP/1.1 413");
+  g_object_unref(sender);
+  g_object_unref(at);
+}
+
 // The front's share of 64 descriptors is 8 connections.
 struct Budget : testing::Test {
   Budget()
@@ -394,6 +454,16 @@
   EXPECT_EQ(agent.Status(), 200);
 }
 
+// With accepting paused, hundreds of them are passed through in the time owed to each.
+TEST_F(Budget, HundredsOfSilentConnectionsAreLetGoInTurn) {
+  for (int i = 0; i < 150; ++i) callers.push_back(std::make_unique<Caller>(rig.port()));
+  const auto closed = [&] {
+    return std::all_of(callers.begin(), callers.end(), [](const auto& c) { return c->closed; });
+  };
+  RunUntil(closed, 6 * kSecond);
+  EXPECT_TRUE(closed());
+}
+
 // The sweep was put off by each answer that ended a connection, for as long as others came.
 TEST(Story, APeerThatNeverClosesIsLetGoWhileOthersComeAndGo) {
   Rig rig;
