Keep a worker that fails many of its jobs on trial until it serves several in turn

A probe that logged each outcome: 81 of 83 errors came from one worker, which failed 63% of its jobs within 20 ms of taking them; it left with the release at 12 s. Ruled out: reloads, drains, answers with odd status. At fault: src/policy.cpp, Hear, by which any start or success there clears the block that an error had set.

A fading share of failures now decides: above 0.3 the worker gets one job at a time and words of it clear nothing.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -62,6 +62,9 @@
 constexpr Micros kTrialFirst = 250 * kMs;      // first trial or probe of a worker out of the sample
 constexpr Micros kTrialLast = 4000 * kMs;      // the wait doubles up to this
 
+constexpr double kFailureLearn = 0.2;  // weight of one job that a worker served or failed
+constexpr double kSick = 0.3;          // a worker that fails more than this share is on trial
+
 constexpr Micros kFullFirst = 40 * kMs;  // a full worker's rest, for each balancer: the
 constexpr Micros kFullLast = 500 * kMs;  // nodes' trials add up; it doubles up to this
 
@@ -316,12 +319,14 @@
   void Hear(WorkerId id) {
     Worker& w = workers_[id];
     w.heard = now_;
-    w.blocked_until = 0;
-    w.trial_wait = 0;
+    if (!Sick(w)) w.blocked_until = w.trial_wait = 0;
     PoolOf(w).shut_until = 0;
     SetSilent(w, false);
   }
 
+  // It fails too many of its jobs, if not all: that some succeed there is no reason to send more.
+  bool Sick(const Worker& w) const { return w.failures > kSick; }
+
   // A worker found full is trusted with what it ran of ours then: each job of ours that ends there
   // makes room for one. More is tried after a rest.
   void MarkFull(Worker& w, double level) {
@@ -531,6 +536,10 @@
     const bool never_ran = e.outcome == Outcome::kFull || e.outcome == Outcome::kNoConnection ||
                            e.outcome == Outcome::kMoot;
     a->ran = never_ran ? Ran::kNo : Ran::kMaybe;
+    if (e.outcome == Outcome::kGood || e.outcome == Outcome::kError) {
+      w.failures += kFailureLearn * ((e.outcome == Outcome::kError ? 1 : 0) - w.failures);
+      if (Sick(w) && e.outcome == Outcome::kGood) w.blocked_until = 0;  // the next trial at once
+    }
     if (e.outcome == Outcome::kGood || e.outcome == Outcome::kFull) Hear(a->worker);
     if (e.outcome == Outcome::kFull) MarkFull(w, w.busy);
     if (e.outcome == Outcome::kFull || (e.outcome == Outcome::kTimeout && !a->late))
@@ -787,7 +796,8 @@
 
   // When it takes another job of so many slots if nothing is heard of it.
   Micros OpensAt(const Worker& w, double slots) const {
-    if (w.waiting > 0) return kNever;  // its slots are taken, or it is slow to say
+    if (Sick(w) && !w.out.empty()) return kNever;  // one trial at a time
+    if (w.waiting > 0) return kNever;              // its slots are taken, or it is slow to say
     Micros at = w.blocked_until;
     if (w.silent) at = std::max(at, w.next_trial);
     if (w.busy + slots > w.full_level) at = std::max(at, w.full_until);
--- a/src/state.h
+++ b/src/state.h
@@ -96,6 +96,7 @@
   double slowness = 1;      // running time over what its kind takes, fading mean
   int waiting = 0;          // attempts sent, not started, not written off
   int idle = 0;             // connections to it that no attempt uses
+  double failures = 0;      // share of its jobs that failed, a fading mean
   bool silent = false;      // owes a word for too long: out of the sample and of the pool's count
   bool member = false;      // in its pool's members: on the list and in service
   bool used = false;        // in its pool's used
@@ -126,6 +127,7 @@
     cold_sends.Clear();
     cold_part = -1;
     waiting = 0;
+    failures = 0;
     taken = {};
   }
 };
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -625,6 +625,36 @@
   EXPECT_LE(to_bad, 8);
 }
 
+// One that failed two jobs of three at once was trusted again after each that it served.
+TEST(Errors, AWorkerThatFailsManyIsOnTrialUntilItServesSeveralInTurn) {
+  Driver d(BaseSettings());
+  d.Workers(4);
+  RequestId id = 0;
+  // Of 50 times 8 jobs at once, those that come to worker 2.
+  const auto to_bad = [&](int fails_of_three) {
+    int count = 0;
+    for (int batch = 0; batch < 50; ++batch) {
+      const RequestId first = id + 1;
+      while (id < first + 7) {
+        d.Ask(++id, 1);
+        d.Begin(id);
+        const bool bad = d.attempts[id] > 0 && d.last_worker[id] == 2;
+        if (bad && ++count % 3 < fails_of_three) d.End(id, Outcome::kError);
+      }
+      d.Run(50 * kMs);
+      for (RequestId i = first; i <= id; ++i) d.End(i, Outcome::kGood);  // those that are out
+    }
+    return count;
+  };
+  while (id < 60) d.Serve(++id);  // the limit has room for eight
+  EXPECT_GE(to_bad(0), 80);
+  const int tried = to_bad(2);
+  EXPECT_GE(tried, 1);
+  EXPECT_LE(tried, 12);
+  d.Run(5 * kSecond);
+  EXPECT_GE(to_bad(0), 80) << "it is well again, and gets its part";
+}
+
 TEST(Kind, AJobGoesToNoKindTooSlowForIt) {
   Settings s = BaseSettings();
   s.kinds = 2;
