Give up jobs that no worker takes, and keep no live worker out for one silent connection

A probe of worker connections: 58 of 141 fell silent, after 1 to 79 uses and 2 to 489 ms of idleness, so that neither age nor idleness tells (ruled out: retiring them sooner); nothing ever came on them again, no 202 and no news. Every other 202 came within a few ms. Ruled out too: the limit (no cut), leaving clients (their cancels end at once).

At fault: src/policy.cpp, OpensAt, where an attempt that has not begun (w.waiting) keeps its worker out until the job's deadline, 5 s; and nothing told the module of the 202.

What is not taken after the grace for starts says nothing against a worker heard since, others get trials; it is cancelled and sent again where it may be, and failed after a second where it may not.

--- a/include/marlquay/dispatcher.h
+++ b/include/marlquay/dispatcher.h
@@ -60,8 +60,9 @@
 
   bool weighted_workers = false;  // WorkerEntry::weight tells sizes
   bool tells_start = false;       // workers note the start of each job
-  Micros progress_every = 0;      // and their progress this often; 0: never
-  bool must_subscribe = false;    // the worker list comes only when asked for
+  bool tells_taken = false;   // workers say at once that they have taken an attempt (AttemptTaken)
+  Micros progress_every = 0;  // and their progress this often; 0: never
+  bool must_subscribe = false;  // the worker list comes only when asked for
   bool may_cancel = false;
   bool may_probe = false;
   bool may_duplicate = false;  // two attempts of one request may be out at once
@@ -113,6 +114,12 @@
   std::optional<std::uint64_t> key;  // requests with one key profit from one worker
 };
 
+struct AttemptTaken {  // the worker has it; it may wait there. Only if Settings::tells_taken
+  RequestId request = 0;
+  int attempt = 0;
+  WorkerId worker = 0;
+};
+
 struct AttemptStarted {  // the worker began to run it
   RequestId request = 0;
   int attempt = 0;
@@ -163,8 +170,9 @@
   LoadReport load;
 };
 
-using Event = std::variant<WorkerList, RequestArrived, AttemptStarted, AttemptProgress, StreamBegan,
-                           AttemptEnded, RequestLapsed, TimerFired, ProbeEnded>;
+using Event =
+    std::variant<WorkerList, RequestArrived, AttemptTaken, AttemptStarted, AttemptProgress,
+                 StreamBegan, AttemptEnded, RequestLapsed, TimerFired, ProbeEnded>;
 
 // ---------------------------------------------------------------- actions
 
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -15,17 +15,25 @@
 constexpr Micros kOverdue = 10 * kMs;
 constexpr int kWorkerShare = 8;  // a part of so many of the descriptors leads to workers
 
+// The platform's workers answer 202 as soon as they have a job.
+marlquay::Settings WithTaken(marlquay::Settings settings) {
+  settings.tells_taken = true;
+  return settings;
+}
+
 }  // namespace
 
 Node::Node(const Config& config)
     : site_(config.site),
       clock_offset_(g_get_real_time() - Now()),
-      dispatcher_(site_.settings, config.seed, Now()),
+      dispatcher_(WithTaken(site_.settings), config.seed, Now()),
       workers_(site_, config.sockets / kWorkerShare,
                {[this](AttemptKey key) {
                   const auto it = records_.find(key.job);
                   if (it == records_.end()) return;
-                  it->second.attempts[static_cast<std::size_t>(key.number)].taken = true;
+                  Attempt& a = it->second.attempts[static_cast<std::size_t>(key.number)];
+                  a.taken = true;
+                  Post(marlquay::AttemptTaken{key.job, key.number, a.worker});
                 },
                 [this](AttemptKey key) { Reject(key); },
                 [this](AttemptKey key, Outcome outcome, const marlquay::LoadReport& load) {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -56,8 +56,9 @@
 constexpr double kPriceShare = 0.4;          // jobs worth less than this share of it are not sent
 
 // --- Evidence about workers.
-constexpr Micros kStartGrace = 100 * kMs;  // a start later than this (or a connect) is a refusal
-constexpr double kSilentPeriods = 2.5;     // progress periods without a word: silent
+constexpr Micros kStartGrace = 100 * kMs;   // a start later than this (or a connect) is a refusal
+constexpr Micros kMissedLast = 1000 * kMs;  // a job not taken by then never will be
+constexpr double kSilentPeriods = 2.5;      // progress periods without a word: silent
 constexpr Micros kSilentDefault = 5000 * kMs;  // the same where no progress is told
 constexpr Micros kTrialFirst = 250 * kMs;      // first trial or probe of a worker out of the sample
 constexpr Micros kTrialLast = 4000 * kMs;      // the wait doubles up to this
@@ -503,6 +504,10 @@
     Start(*r, *a);
     return r;
   }
+  void On(const AttemptTaken& e) {
+    Request* r;
+    if (Attempt* a = table_.FindOut(e.request, e.attempt, &r)) a->taken = true;
+  }
   void On(const AttemptStarted& e) { Heard(e); }
   void On(const AttemptProgress& e) { Heard(e); }
   void On(const StreamBegan& e) {
@@ -862,7 +867,12 @@
       Attempt& a = r->attempts[i];
       since = std::min(since, a.sent);
       awaited_ = awaited_ || w.silent || (a.started < 0 && !a.late);
-      if (a.started < 0 && !a.late && now_ - a.sent > start_grace_) {
+      if (a.started >= 0 || now_ - a.sent <= start_grace_) continue;
+      if (s_.tells_taken && !a.taken) {
+        Miss(w, *r, a, i);
+        continue;
+      }
+      if (!a.late) {
         a.late = true;
         CountRefusal(PoolOf(w), a.sent);
         MarkFull(w, w.busy - r->slots);
@@ -874,6 +884,21 @@
     BackOff(w);
   }
 
+  // The worker has not even taken the attempt. If it has been heard since, the attempt's way there
+  // is broken and not the worker, which takes others; else it is given trials. A job that may go
+  // out again does so now. One that may not is given a while, for a worker that only stood still.
+  void Miss(Worker& w, const Request& r, Attempt& a, int number) {
+    if (!a.late) {
+      a.late = true;
+      if (w.heard <= a.sent) w.blocked_until = now_ + 1, BackOff(w);
+    }
+    if (!a.written_off) a.written_off = true, --w.waiting;
+    const bool again = s_.classes[r.cls].effect != Effect::kOnce;
+    if (a.given_up || !s_.may_cancel || (!again && now_ - a.sent < kMissedLast)) return;
+    a.given_up = true;
+    Act(Cancel{r.id, number});
+  }
+
   // The goal's worst-class part as a lift of the class that is served worst: a unit of its worth
   // moves that part by more the rarer the class is.
   void WeighClasses() {
--- a/src/state.h
+++ b/src/state.h
@@ -25,6 +25,8 @@
   Micros sent = 0;
   Micros started = -1;  // -1: not told to have started
   Ran ran = Ran::kOut;
+  bool taken = false;        // the worker has said that it has it
+  bool given_up = false;     // nothing was heard of it, and it was cancelled
   bool late = false;         // its late start has been counted
   bool written_off = false;  // no longer keeps its worker out of the sample
   int zone = 0, cell = 0;
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -393,6 +393,33 @@
   g_object_unref(at);
 }
 
+// Met among the workers: a connection stays open and says nothing more, though its worker is well.
+TEST(Story, AJobOnASilentConnectionGoesOutOnAnotherOrFailsSoon) {
+  Config config = BaseConfig();
+  config.site.settings.connect_timeout = 200 * kMs;
+  Rig rig(config);
+  Server worker([](const Message& m) {
+    return m.target == "/commit/x?y=1" ? "" : m.method == "POST" ? kAccepted : "";
+  });
+  rig.Workers({worker.address()});
+  Caller client(rig.port());
+  client.Ask("j");
+  RunUntil([&] { return worker.got.size() == 1; });
+  const Micros sent = Now();
+  EXPECT_EQ(client.Status(0), 502);
+  EXPECT_LT(Now() - sent, 4 * kSecond) << "not at its deadline, when its slot is long needed";
+  int calls = 0;
+  Server again([&](const Message&) { return ++calls == 1 ? std::string() : kAccepted; });
+  rig.Workers({again.address()});
+  client.Ask("k", "sync", "5000m", "Idempotency-Key: k\r\n");
+  RunUntil([&] { return calls == 2; });
+  EXPECT_EQ(again.streams.size(), 2u);
+  Caller agent(rig.port());
+  agent.News("k", "s-0", "done");
+  EXPECT_EQ(client.Status(1), 200);
+  rig.ExpectClean();
+}
+
 // The front's share of 64 descriptors is 8 connections.
 struct Budget : testing::Test {
   Budget()
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -835,6 +835,60 @@
   EXPECT_EQ(d.attempts[3], 1);
 }
 
+// A connection that had fallen silent kept its worker out until the job's deadline.
+struct NeverTaken : ::testing::Test {
+  NeverTaken() {
+    Settings s = BaseSettings();
+    s.tells_taken = true;
+    d.emplace(s);
+    d->Workers(4);
+    for (RequestId id = 1; id <= 30; ++id) d->Serve(id);  // the limit has room for some jobs
+  }
+  void Take(RequestId id) { d->Give({AttemptTaken{id, d->attempts[id] - 1, d->last_worker[id]}}); }
+  std::optional<Driver> d;
+};
+
+TEST_F(NeverTaken, AJobThatMayRunAgainGoesOutAgainSoonAndOtherwiseEndsInASecond) {
+  d->Ask(100, 2);
+  d->Ask(101, 1);
+  d->Ask(102, 0);
+  Take(102);
+  const auto cancels = [&](RequestId id, int steps) {
+    int count = 0;
+    for (int i = 0; i < steps; ++i) {
+      d->cancelled.clear();
+      d->Run(10 * kMs);
+      for (const Cancel& c : d->cancelled) count += c.request == id ? 1 : 100;
+    }
+    return count;
+  };
+  EXPECT_EQ(cancels(100, 35), 1);
+  d->End(100, Outcome::kCancelled);
+  EXPECT_EQ(d->attempts[100], 2);
+  Take(100);
+  EXPECT_EQ(cancels(101, 200), 1) << "once, and none of those that were taken";
+  d->End(101, Outcome::kCancelled);
+  EXPECT_EQ(d->failed, std::vector<RequestId>{101});
+}
+
+TEST_F(NeverTaken, AWorkerHeardSinceTakesOtherJobsAnyOtherGetsTrials) {
+  d->Workers(1);
+  d->Ask(99, 1);
+  Take(99);
+  d->Begin(99);
+  d->Ask(100, 1);  // its connection is silent
+  d->Run(20 * kMs);
+  d->Progress(99);
+  d->Run(400 * kMs);
+  d->Ask(101, 1);
+  EXPECT_EQ(d->attempts[101], 1);
+  d->Run(400 * kMs);  // this one is not taken either, and nothing has been heard since
+  d->Ask(102, 1);
+  EXPECT_EQ(d->attempts[102], 0);
+  d->Progress(99);
+  EXPECT_EQ(d->attempts[102], 1);
+}
+
 TEST(Tenants, WorkBeyondAShareGoesLast) {
   Settings s = BaseSettings();
   s.tenants = {{1.0}, {1.0}};  // requests a second
