Learn how long an unused worker connection can be trusted, and use none beyond it

A probe of rest and outcome, 6,000 sends: 3% broke after rests under 130 ms, half beyond that, alike at all 18 workers; no end of the connection had come, so Stream::Quiet could not see it. At fault: src/net/workers.cpp, Send, which trusts any connection until retire_, half of ConnIdleMs. Ruled out: the 3%, which breaks new ones as well.

The tallies halve every 30 s.

--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -12,10 +12,37 @@
 
 constexpr int kRetireShare = 2;  // of ConnIdleMs a connection stays unused
 constexpr Micros kLongestIdle = 30 * kSecond;
+constexpr Micros kShortRest = 16 * kMs;      // the first tally's; each next one's is twice as long
+constexpr Micros kTallyHalf = 30 * kSecond;  // tallies are halved so often: what was learned fades
+constexpr double kBrokeLeast = 3;            // fewer breaks are no evidence
+constexpr double kBrokeMore = 0.15;          // nor is a share of breaks that is higher by less
 constexpr Micros kAnswerWait = 2 * kSecond;  // for an answer that nobody waits for any more
 
 }  // namespace
 
+void IdleLimit::Note(Micros rest, bool broke, Micros now) {
+  if (now - halved_ >= kTallyHalf) {
+    halved_ = now;
+    for (Tally& t : tallies_) t = {t.all / 2, t.broke / 2};
+  }
+  std::size_t at = 0;
+  while (at + 1 < tallies_.size() && rest >= kShortRest << at) ++at;
+  tallies_[at].all += 1;
+  tallies_[at].broke += broke ? 1 : 0;
+  // The shortest rest after which more break than after all shorter ones together.
+  limit_ = longest_;
+  Tally shorter = tallies_[0];
+  for (std::size_t i = 1; i < tallies_.size(); ++i) {
+    const Tally& t = tallies_[i];
+    const double usual = shorter.all > 0 ? shorter.broke / shorter.all : 0;
+    if (t.broke >= kBrokeLeast && t.broke > (usual + kBrokeMore) * t.all) {
+      limit_ = std::min(longest_, kShortRest << (i - 1));
+      return;
+    }
+    shorter = {shorter.all + t.all, shorter.broke + t.broke};
+  }
+}
+
 Workers::Workers(const marlquay::Site& site, int budget, Events events)
     : site_(site),
       budget_(static_cast<std::size_t>(std::max(budget, 1))),
@@ -81,8 +108,10 @@
   Peer& peer = peers_[worker];
   while (!peer.idle.empty()) {
     Link* link = peer.idle.back();
-    // Guards against the same: a peer that has closed, or said a word unasked, has ended this one.
-    if (!link->stream->Quiet()) {
+    link->rest = Now() - link->idle_since;
+    // Guards against the same: a peer that has closed, or said a word unasked, has ended this one;
+    // and one may have let go of it without a word.
+    if (link->rest >= retire_.Get() || !link->stream->Quiet()) {
       Count("stale_connections");
       Destroy(link);
       continue;
@@ -165,6 +194,7 @@
     case State::kWaiting:
       if (link->parser.End() == http::Parser::State::kMessage)
         return OnMessage(link, link->parser.Take());
+      if (link->rest >= 0) retire_.Note(link->rest, true, Now());
       // Only what was broken before its last byte was written is sure not to have run.
       return Finish(link, link->stream->unsent() > 0 ? Outcome::kNoConnection : Outcome::kReset,
                     {});
@@ -172,6 +202,7 @@
 }
 
 void Workers::OnMessage(Link* link, const http::Message& message) {
+  if (link->rest >= 0) retire_.Note(link->rest, false, Now());
   LoadReport load;
   if (const std::string* text = message.Find("X-Server-Load")) load = ReadLoadHeader(*text, site_);
   const std::string* unrun = message.Find("X-Not-Processed");
@@ -198,7 +229,8 @@
   link->state = State::kIdle;
   link->request.clear();
   peers_[link->worker].idle.push_back(link);
-  SetExpiry(link, Now() + retire_);
+  link->idle_since = Now();
+  SetExpiry(link, link->idle_since + retire_.Get());
 }
 
 void Workers::Finish(Link* link, Outcome outcome, const LoadReport& load) {
--- a/src/net/workers.h
+++ b/src/net/workers.h
@@ -5,6 +5,7 @@
 #ifndef PEARREACH_SRC_NET_WORKERS_H_
 #define PEARREACH_SRC_NET_WORKERS_H_
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,6 +26,23 @@
   auto operator<=>(const AttemptKey&) const = default;
 };
 
+// Learns how long a connection may stay unused and still be trusted with a job: less than the
+// settings say where those that rested for longer break under their next request more often.
+class IdleLimit {
+ public:
+  explicit IdleLimit(Micros longest) : longest_(longest) {}
+  // What became of a request that was written after so long a rest.
+  void Note(Micros rest, bool broke, Micros now);
+  Micros Get() const { return limit_; }
+
+ private:
+  struct Tally {
+    double all = 0, broke = 0;
+  };
+  Micros longest_, limit_ = longest_, halved_ = 0;
+  std::array<Tally, 12> tallies_;  // of rests under 16 ms, under 32 ms, and so on
+};
+
 class Workers {
  public:
   // `ended` is told of every attempt that ends before or with the worker's first answer, `taken` of
@@ -59,6 +77,8 @@
     bool bound = false;  // an attempt's, which is told of its end
     std::string request;
     Micros expires = 0;  // 0: does not
+    Micros idle_since = 0;
+    Micros rest = -1;  // before the request it carries; -1: that is its first
     http::Parser parser{http::Parser::Kind::kResponse};
   };
   struct Peer {
@@ -83,7 +103,7 @@
 
   const marlquay::Site& site_;
   std::size_t budget_;
-  Micros retire_;  // an idle connection is closed after this
+  IdleLimit retire_;  // an idle connection is closed after this
   Events events_;
   std::map<Link*, std::unique_ptr<Link>> links_;
   std::map<AttemptKey, Link*> bound_;
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -223,6 +223,52 @@
   rig.ExpectClean();
 }
 
+// Met where workers let go of connections after 130 ms, without a word: the settings said 60 s.
+TEST(Story, AConnectionUnusedForLongerThanItsPeersBearIsNotUsedAgain) {
+  Rig rig;
+  Server* self = nullptr;
+  Micros last = 0;
+  std::size_t links = 0;
+  Server worker([&](const Message&) {
+    const bool fresh = links != self->streams.size(), rested = Now() - last > 100 * kMs;
+    links = self->streams.size();
+    last = Now();
+    if (fresh || !rested) return kAccepted;
+    self->CloseAll();
+    return std::string();
+  });
+  self = &worker;
+  rig.Workers({worker.address()});
+  Caller client(rig.port()), agent(rig.port());
+  int failed = 0, failed_late = 0;
+  for (std::size_t i = 0; i < 12; ++i) {
+    const std::string id = "j" + std::to_string(i);
+    const std::size_t before = worker.got.size();
+    client.Ask(id);
+    RunUntil([&] { return worker.got.size() > before; });
+    RunFor(5 * kMs);
+    agent.News(id, "s-0", "done");
+    const bool bad = client.Status(i) != 200;
+    failed += bad ? 1 : 0;
+    failed_late += bad && i >= 8 ? 1 : 0;
+    RunFor(300 * kMs);  // a trial after a reset is due by then, too
+  }
+  EXPECT_EQ(failed, 3) << "three breaks are evidence";
+  EXPECT_EQ(failed_late, 0);
+  rig.ExpectClean();
+}
+
+TEST(IdleLimit, IsTheShortestRestAfterWhichMoreBreakAndFades) {
+  IdleLimit limit(30 * kSecond);
+  for (int i = 0; i < 300; ++i) limit.Note((i % 60) * kMs, i % 20 == 0, kSecond);
+  for (int i = 0; i < 30; ++i) limit.Note(90 * kMs, false, kSecond);
+  EXPECT_EQ(limit.Get(), 30 * kSecond) << "one of twenty breaks whatever its rest";
+  for (int i = 0; i < 20; ++i) limit.Note((150 + 50 * (i % 10)) * kMs, i % 2 == 0, kSecond);
+  EXPECT_EQ(limit.Get(), 128 * kMs);
+  for (int i = 0; i < 100; ++i) limit.Note(kMs, false, (10 + 2 * i) * kSecond);
+  EXPECT_EQ(limit.Get(), 30 * kSecond) << "another try after a while";
+}
+
 // A worker closes idle connections; a job written to one would end as a reset and be lost.
 TEST(Story, AConnectionClosedByItsPeerIsNotWrittenTo) {
   Rig rig;
