Count the connections that the front lets go, by why

Seen in its replays: no node refused, shed or failed a job and no bad request came; 54 to 370 connections a node never spoke and were let go, without loss while both were up. The cause is not found and stays open; the counts (silent_closed, request_overdue, idle_closed, not_closed_by_peer) are what was missing to see it.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -321,8 +321,10 @@
       continue;
     }
     if (c->closing || c->parser.Between()) {
+      Count(c->closing ? "not_closed_by_peer" : c->answered ? "idle_closed" : "silent_closed");
       Destroy(c);
     } else {
+      Count("request_overdue");
       Respond(c, 408, "the request did not come\n", false);
     }
   }
--- a/tests/net/stories_test.cpp
+++ b/tests/net/stories_test.cpp
@@ -402,6 +402,7 @@
 // A silent or half-sent first request used to be let be for a minute.
 TEST(Story, AFirstRequestThatDoesNotComeEndsItsConnectionHoweverItDrips) {
   Rig rig;
+  const auto silent_before = CountOf("silent_closed"), overdue_before = CountOf("request_overdue");
   Caller silent(rig.port()), half(rig.port()), dripping(rig.port());
   half.Ask("j");
   half.stream->Write("POST /commit HTTP/1.1\r\nX-Req");  // its second: not the first
@@ -416,6 +417,8 @@
   EXPECT_EQ(first.Status(), 408);
   RunUntil([&] { return silent.closed; });
   EXPECT_TRUE(silent.closed && silent.answers.empty());
+  EXPECT_EQ(CountOf("silent_closed") - silent_before, 1u);
+  EXPECT_EQ(CountOf("request_overdue") - overdue_before, 2u);
   EXPECT_FALSE(half.closed);
 }
 
