Move the sources into packages by concern, a CMake target each

Need: capture, durable jobs and further fronts each need a folder and a target of their own; src/net and the flat src held everything together.

Change: git mv into src/module, adapter, site, base, http, config, node, fronts and cli, with one target a package whose dependencies point one way; tests follow the same folders. No line of logic changed.

--- a/example/toy_server.cpp
+++ b/example/toy_server.cpp
@@ -8,8 +8,8 @@
 #include <memory>
 #include <string>
 
-#include "net/http.h"
-#include "net/io.h"
+#include "base/io.h"
+#include "http/http.h"
 
 namespace {
 
--- a/src/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "adapter/wire.h"
 
 #include <algorithm>
 #include <array>
@@ -15,7 +15,7 @@
 #include <utility>
 
 #include "marlquay/dispatcher.h"
-#include "site.h"
+#include "site/site.h"
 
 namespace marlquay {
 namespace {
--- a/src/wire.h
+++ b/src/adapter/wire.h
@@ -1,7 +1,7 @@
 // The simulator's text wire: reads batches of events, keeps one Dispatcher for each instance and
 // writes their actions. It decides nothing.
-#ifndef MARLQUAY_SRC_WIRE_H_
-#define MARLQUAY_SRC_WIRE_H_
+#ifndef MARLQUAY_SRC_ADAPTER_WIRE_H_
+#define MARLQUAY_SRC_ADAPTER_WIRE_H_
 
 #include <iosfwd>
 
@@ -13,4 +13,4 @@
 
 }  // namespace marlquay
 
-#endif  // MARLQUAY_SRC_WIRE_H_
+#endif  // MARLQUAY_SRC_ADAPTER_WIRE_H_
--- a/src/wirehost.cpp
+++ b/src/adapter/wirehost.cpp
@@ -1,6 +1,6 @@
 #include <iostream>
 
-#include "wire.h"
+#include "adapter/wire.h"
 
 int main() {
   std::ios::sync_with_stdio(false);
--- a/src/net/io.cpp
+++ b/src/base/io.cpp
@@ -1,4 +1,4 @@
-#include "io.h"
+#include "base/io.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/src/net/io.h
+++ b/src/base/io.h
@@ -1,8 +1,8 @@
 // What the node uses of GLib: a TCP stream, a listener and an alarm on the default main loop, and
 // the log with its counts. It owns descriptors and event sources; it must never block, never keep a
 // descriptor past Close, and knows nothing of HTTP or of jobs.
-#ifndef PEARREACH_SRC_NET_IO_H_
-#define PEARREACH_SRC_NET_IO_H_
+#ifndef PEARREACH_SRC_BASE_IO_H_
+#define PEARREACH_SRC_BASE_IO_H_
 
 #include <gio/gio.h>
 
@@ -132,4 +132,4 @@
 
 }  // namespace pearreach
 
-#endif  // PEARREACH_SRC_NET_IO_H_
+#endif  // PEARREACH_SRC_BASE_IO_H_
--- a/src/main.cpp
+++ b/src/cli/main.cpp
@@ -9,9 +9,9 @@
 #include <functional>
 #include <iostream>
 
-#include "net/config.h"
-#include "net/front.h"
-#include "net/node.h"
+#include "config/config.h"
+#include "fronts/front.h"
+#include "node/node.h"
 
 #ifndef PEARREACH_VERSION
 #define PEARREACH_VERSION "unknown"
--- a/src/net/config.cpp
+++ b/src/config/config.cpp
@@ -1,4 +1,4 @@
-#include "config.h"
+#include "config/config.h"
 
 #include <rapidjson/document.h>
 #include <rapidjson/error/en.h>
@@ -10,7 +10,7 @@
 #include <fstream>
 #include <iterator>
 
-#include "io.h"
+#include "base/io.h"
 
 namespace pearreach {
 namespace {
--- a/src/net/config.h
+++ b/src/config/config.h
@@ -1,8 +1,8 @@
 // What a node is told at its start: EDGE_CONFIG and the variables beside it. It owns the reading of
 // JSON into the types that the other files use; it must never listen, connect or carry on with half
 // a configuration: what is wrong is said in one line.
-#ifndef PEARREACH_SRC_NET_CONFIG_H_
-#define PEARREACH_SRC_NET_CONFIG_H_
+#ifndef PEARREACH_SRC_CONFIG_CONFIG_H_
+#define PEARREACH_SRC_CONFIG_CONFIG_H_
 
 #include <cstdint>
 #include <optional>
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "marlquay/dispatcher.h"
-#include "site.h"
+#include "site/site.h"
 
 namespace pearreach {
 
@@ -71,4 +71,4 @@
 
 }  // namespace pearreach
 
-#endif  // PEARREACH_SRC_NET_CONFIG_H_
+#endif  // PEARREACH_SRC_CONFIG_CONFIG_H_
--- a/src/net/front.cpp
+++ b/src/fronts/front.cpp
@@ -1,4 +1,4 @@
-#include "front.h"
+#include "fronts/front.h"
 
 #include <algorithm>
 #include <cstdio>
--- a/src/net/http.cpp
+++ b/src/http/http.cpp
@@ -1,4 +1,4 @@
-#include "http.h"
+#include "http/http.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/policy.cpp
+++ b/src/module/policy.cpp
@@ -1,14 +1,14 @@
 // The decisions of marlquay, all of them. The interface (settings, events, actions) is
-// include/marlquay/dispatcher.h; what is remembered is in src/state.h; source: docs/design.md.
-// Order: constants; the rules' gate; workers and their health; the slot limit; arrival, order and
-// end of requests; the pump that sends; the periodic check.
+// include/marlquay/dispatcher.h; what is remembered is in src/module/state.h; source:
+// docs/design.md. Order: constants; the rules' gate; workers and their health; the slot limit;
+// arrival, order and end of requests; the pump that sends; the periodic check.
 #include <algorithm>
 #include <cmath>
 #include <limits>
 #include <queue>
 
 #include "marlquay/dispatcher.h"
-#include "state.h"
+#include "module/state.h"
 
 namespace marlquay {
 namespace {
--- a/src/state.h
+++ b/src/module/state.h
@@ -1,7 +1,7 @@
 // What a Dispatcher remembers: plain records and the table of open requests. No decision is made
 // here; all of them are in policy.cpp.
-#ifndef MARLQUAY_SRC_STATE_H_
-#define MARLQUAY_SRC_STATE_H_
+#ifndef MARLQUAY_SRC_MODULE_STATE_H_
+#define MARLQUAY_SRC_MODULE_STATE_H_
 
 #include <algorithm>
 #include <cmath>
@@ -350,4 +350,4 @@
 
 }  // namespace marlquay
 
-#endif  // MARLQUAY_SRC_STATE_H_
+#endif  // MARLQUAY_SRC_MODULE_STATE_H_
--- a/src/net/core.h
+++ b/src/node/core.h
@@ -1,15 +1,15 @@
 // The narrow interface between a front (a protocol that clients speak) and the node behind it. It
 // owns nothing. It must never name a protocol: another front goes through the same calls, and so
 // through the same decisions and rules.
-#ifndef PEARREACH_SRC_NET_CORE_H_
-#define PEARREACH_SRC_NET_CORE_H_
+#ifndef PEARREACH_SRC_NODE_CORE_H_
+#define PEARREACH_SRC_NODE_CORE_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 
-#include "config.h"
-#include "io.h"
+#include "base/io.h"
+#include "config/config.h"
 
 namespace pearreach {
 
@@ -57,4 +57,4 @@
 
 }  // namespace pearreach
 
-#endif  // PEARREACH_SRC_NET_CORE_H_
+#endif  // PEARREACH_SRC_NODE_CORE_H_
--- a/src/net/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -1,4 +1,4 @@
-#include "discovery.h"
+#include "node/discovery.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/net/discovery.h
+++ b/src/node/discovery.h
@@ -1,17 +1,17 @@
 // The watch of the worker list. It owns one connection to discovery and the version held; it must
 // never end because of what comes back, and never lets more than a moment pass between an answer
 // and the next call, for then the watch would start anew.
-#ifndef PEARREACH_SRC_NET_DISCOVERY_H_
-#define PEARREACH_SRC_NET_DISCOVERY_H_
+#ifndef PEARREACH_SRC_NODE_DISCOVERY_H_
+#define PEARREACH_SRC_NODE_DISCOVERY_H_
 
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
-#include "config.h"
-#include "http.h"
-#include "io.h"
+#include "base/io.h"
+#include "config/config.h"
+#include "http/http.h"
 
 namespace pearreach {
 
@@ -41,4 +41,4 @@
 
 }  // namespace pearreach
 
-#endif  // PEARREACH_SRC_NET_DISCOVERY_H_
+#endif  // PEARREACH_SRC_NODE_DISCOVERY_H_
--- a/src/net/node.cpp
+++ b/src/node/node.cpp
@@ -1,4 +1,4 @@
-#include "node.h"
+#include "node/node.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/net/node.h
+++ b/src/node/node.h
@@ -2,8 +2,8 @@
 // into I/O. It owns a job from Submit to its one answer and an attempt from Send to its one
 // outcome; it must never decide what the module decides, never answer a job twice, and never pass
 // on an outcome twice. It knows no protocol: fronts reach it through core.h.
-#ifndef PEARREACH_SRC_NET_NODE_H_
-#define PEARREACH_SRC_NET_NODE_H_
+#ifndef PEARREACH_SRC_NODE_NODE_H_
+#define PEARREACH_SRC_NODE_NODE_H_
 
 #include <deque>
 #include <queue>
@@ -12,10 +12,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core.h"
-#include "discovery.h"
 #include "marlquay/dispatcher.h"
-#include "workers.h"
+#include "node/core.h"
+#include "node/discovery.h"
+#include "node/workers.h"
 
 namespace pearreach {
 
@@ -99,4 +99,4 @@
 
 }  // namespace pearreach
 
-#endif  // PEARREACH_SRC_NET_NODE_H_
+#endif  // PEARREACH_SRC_NODE_NODE_H_
--- a/src/net/workers.cpp
+++ b/src/node/workers.cpp
@@ -1,4 +1,4 @@
-#include "workers.h"
+#include "node/workers.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/net/workers.h
+++ b/src/node/workers.h
@@ -2,8 +2,8 @@
 // descriptor that leads to a worker, and an attempt from its start to the worker's first answer;
 // what becomes of a job after that is told to the node by call-back. It must never decide where a
 // job goes, never send one twice, and never call an attempt unrun unless PROTOCOL's table does.
-#ifndef PEARREACH_SRC_NET_WORKERS_H_
-#define PEARREACH_SRC_NET_WORKERS_H_
+#ifndef PEARREACH_SRC_NODE_WORKERS_H_
+#define PEARREACH_SRC_NODE_WORKERS_H_
 
 #include <array>
 #include <functional>
@@ -14,9 +14,9 @@
 #include <utility>
 #include <vector>
 
-#include "core.h"
-#include "http.h"
-#include "io.h"
+#include "base/io.h"
+#include "http/http.h"
+#include "node/core.h"
 
 namespace pearreach {
 
@@ -115,4 +115,4 @@
 
 }  // namespace pearreach
 
-#endif  // PEARREACH_SRC_NET_WORKERS_H_
+#endif  // PEARREACH_SRC_NODE_WORKERS_H_
--- a/src/site.cpp
+++ b/src/site/site.cpp
@@ -1,4 +1,4 @@
-#include "site.h"
+#include "site/site.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/site.h
+++ b/src/site/site.h
@@ -2,8 +2,8 @@
 // as path=text with the wire's dotted paths, into the module's Settings and the names that go with
 // them. It owns no connection to where the text came from and must never guess: what it cannot read
 // is Malformed, and paths that it does not know are passed over.
-#ifndef MARLQUAY_SRC_SITE_H_
-#define MARLQUAY_SRC_SITE_H_
+#ifndef MARLQUAY_SRC_SITE_SITE_H_
+#define MARLQUAY_SRC_SITE_SITE_H_
 
 #include <charconv>
 #include <cmath>
@@ -90,4 +90,4 @@
 
 }  // namespace marlquay
 
-#endif  // MARLQUAY_SRC_SITE_H_
+#endif  // MARLQUAY_SRC_SITE_SITE_H_
--- a/tests/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -1,5 +1,5 @@
 // The adapter alone, on hand-written transcripts.
-#include "wire.h"
+#include "adapter/wire.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/net/config_test.cpp
+++ b/tests/config/config_test.cpp
@@ -1,5 +1,5 @@
 // The configuration, the list and the news, from JSON.
-#include "net/config.h"
+#include "config/config.h"
 
 #include <gtest/gtest.h>
 #include <unistd.h>
--- a/tests/net/stories_test.cpp
+++ b/tests/node/stories_test.cpp
@@ -10,8 +10,8 @@
 #include <map>
 #include <memory>
 
-#include "net/front.h"
-#include "net/node.h"
+#include "fronts/front.h"
+#include "node/node.h"
 
 namespace pearreach {
 namespace {
