--- a/example/toy_server.cpp
+++ b/example/toy_server.cpp
@@ -39,9 +39,9 @@
                           [this, key] { streams_.erase(key); }});
         }) {
     if (const std::string wrong = listener_.Open(address); !wrong.empty())
-      Log(address + ": " + wrong);
+      Log("failed", {}, address + ": " + wrong);
     else
-      Log("listening at " + address);
+      Log("listening", {}, "listening at " + address);
   }
 
  private:
@@ -62,7 +62,7 @@
     const std::string* id = m.Find("X-Request-ID");
     if (id == nullptr) return http::WriteResponse(404, {}, "", true);
     if (m.method == "POST") {
-      Log("job " + *id + ": " + m.target);
+      Log("job", {{"job", *id}}, "job " + *id + ": " + m.target);
       waiting_.push_back(*id);
       Begin();
     }
--- a/include/marlquay/dispatcher.h
+++ b/include/marlquay/dispatcher.h
@@ -170,9 +170,16 @@
   LoadReport load;
 };
 
+// Bytes from another node of the tier, which may come late, twice, out of order or never. The
+// module makes nothing of them today.
+struct PeerMessage {
+  int from = 0;  // index of the node that sent it
+  std::string data;
+};
+
 using Event =
     std::variant<WorkerList, RequestArrived, AttemptTaken, AttemptStarted, AttemptProgress,
-                 StreamBegan, AttemptEnded, RequestLapsed, TimerFired, ProbeEnded>;
+                 StreamBegan, AttemptEnded, RequestLapsed, TimerFired, ProbeEnded, PeerMessage>;
 
 // ---------------------------------------------------------------- actions
 
@@ -181,31 +188,39 @@
 struct Send {
   RequestId request = 0;
   WorkerId worker = 0;
+  bool operator==(const Send&) const = default;
 };
 
 struct Refuse {  // final answer: nothing ran, a retry is harmless
   RequestId request = 0;
   Micros retry_after = 0;  // 0: says nothing
+  bool operator==(const Refuse&) const = default;
 };
 
 struct Fail {  // final answer without any promise
   RequestId request = 0;
+  bool operator==(const Fail&) const = default;
 };
 
 struct Cancel {
   RequestId request = 0;
   int attempt = 0;
+  bool operator==(const Cancel&) const = default;
 };
 
 struct SetTimer {  // answer with TimerFired at this time or soon after
   Micros at = 0;
+  bool operator==(const SetTimer&) const = default;
 };
 
 struct Probe {
   WorkerId worker = 0;
+  bool operator==(const Probe&) const = default;
 };
 
-struct Subscribe {};  // ask for the worker list and its changes
+struct Subscribe {  // ask for the worker list and its changes
+  bool operator==(const Subscribe&) const = default;
+};
 
 // A line for the node's log. Few and rate-limited; docs/oncall.md explains each.
 struct LogLine {
@@ -214,12 +229,45 @@
   WorkerId worker = 0;  // kWorkerSilent, kWorkerBack
   int pool = 0;         // kLimitCut
   double value = 0;     // kLimitCut: the new limit; kShedding: refusals since the last such line
+  bool operator==(const LogLine&) const = default;
 };
 
 using Action = std::variant<Send, Refuse, Fail, Cancel, SetTimer, Probe, Subscribe, LogLine>;
 
+// ---------------------------------------------------------------- the observer
+
+// One worker that was looked at for a job, with the figures that it was weighed by.
+struct Candidate {
+  WorkerId worker = 0;
+  double cost = 0;      // the least is chosen
+  double busy = 0;      // slots of this node's attempts out there
+  double taken = 0;     // slots that others have in use, by its faded reports
+  double slowness = 1;  // its running time over what its kind takes
+  double failures = 0;  // fading share of its jobs that failed
+  bool silent = false, cold = false;
+  Micros heard = 0;                // its last word; 0: never
+  std::optional<Micros> reported;  // its last load report
+};
+
+// What became of one look for a worker. Valid during the call only.
+struct Choice {
+  RequestId request = 0;
+  std::optional<WorkerId> chosen;  // none: the job waits
+  bool room = false;               // some pool that may take the job is under its limit
+  double busy = 0, limit = 0;      // of the chosen worker's pool, before the send
+  std::span<const Candidate> sampled;
+};
+
+class Observer {
+ public:
+  virtual ~Observer() = default;
+  virtual void OnChoice(const Choice& choice) = 0;
+};
+
 // ---------------------------------------------------------------- the dispatcher
 
+class State;
+
 // Events that name a request, attempt, worker or class that the dispatcher does not hold are passed
 // over, so a repeated or late event is harmless.
 class Dispatcher {
@@ -233,6 +281,10 @@
   // Takes all events of one instant, appends what to do about them to `actions`.
   void Handle(Micros now, std::span<const Event> events, std::vector<Action>* actions);
 
+  // Tells `observer` of each look for a worker until told otherwise; null: nobody. It changes no
+  // decision and costs one comparison a look when it is off.
+  void Observe(Observer* observer);
+
   // Figures for tests and monitoring.
   double PoolLimit(int pool) const;
   double PoolBusy(int pool) const;
@@ -241,6 +293,8 @@
   std::uint64_t Looks() const;  // workers looked at for a job so far; grows with jobs, not workers
 
  private:
+  friend class Checkpoint;  // src/module/checkpoint.h
+  State& state() const;
   class Impl;
   std::unique_ptr<Impl> impl_;
 };
--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -210,6 +210,8 @@
 
 class Host {
  public:
+  explicit Host(WireWatcher* watcher) : watcher_(watcher) {}
+
   // Takes one line. True when a reply is ready in `reply`.
   bool Take(Text line, std::string* reply) {
     if (rows_left_ > 0) return TakeRow(line), false;
@@ -282,7 +284,9 @@
     const auto seed = Number<std::uint64_t>(f.Required("seed"), "seed");
     if (instances_.contains(node))
       throw Malformed("instance " + std::to_string(node) + " started twice");
-    instances_[node] = std::make_unique<Instance>(ReadSite(ReadPairs(f.Rest())), seed, now_);
+    const Conf conf = ReadPairs(f.Rest());
+    instances_[node] = std::make_unique<Instance>(ReadSite(conf), seed, now_);
+    if (watcher_ != nullptr) watcher_->OnStart(node, seed, now_, conf.values());
   }
 
   Event Parse(Text verb, Fields& f, Instance& instance) {
@@ -311,7 +315,7 @@
       e.load = ReadLoad(f.Optional(), instance.site);
       return e;
     }
-    if (verb == "datagram") return TimerFired{};  // nodes tell each other nothing: a mere wake-up
+    if (verb == "datagram") return ParseDatagram(f);
     throw Malformed("unknown message " + Quote(verb));
   }
 
@@ -361,6 +365,16 @@
     return e;
   }
 
+  Event ParseDatagram(Fields& f) {
+    PeerMessage e;
+    e.from = Number<int>(f.Required("sender"), "sender");
+    const Text hex = f.Optional().value_or(Text());
+    if (hex.size() % 2 != 0) throw Malformed("bad datagram " + Quote(hex));
+    for (std::size_t i = 0; i < hex.size(); i += 2)
+      e.data += static_cast<char>(Number<unsigned char>(hex.substr(i, 2), "datagram", 16));
+    return e;
+  }
+
   Event ParseNote(Fields& f, Instance& instance) {
     const RequestId id = ReadId(f.Required("request id"));
     const int attempt = Number<int>(f.Required("attempt"), "attempt");
@@ -391,15 +405,20 @@
       Instance& instance = *instances_.at(node);
       actions_.clear();
       instance.dispatcher.Handle(now_, instance.events, &actions_);
+      if (watcher_ != nullptr)
+        watcher_->OnTurn(node, batch_, now_, instance.events, actions_, instance.names);
       instance.events.clear();
       Writer writer(*reply, node, instance);
       for (const Action& action : actions_) std::visit(writer, action);
     }
     touched_.clear();
     *reply += "end\n";
+    ++batch_;
     in_batch_ = false;
   }
 
+  WireWatcher* watcher_;
+  std::size_t batch_ = 0;
   Micros now_ = std::numeric_limits<Micros>::min();
   bool in_batch_ = false;
   std::array<std::vector<Row>, 16> lists_;
@@ -412,8 +431,8 @@
 
 }  // namespace
 
-int ServeWire(std::istream& in, std::ostream& out, std::ostream& err) {
-  Host host;
+int ServeWire(std::istream& in, std::ostream& out, std::ostream& err, WireWatcher* watcher) {
+  Host host(watcher);
   std::string line, reply;
   std::size_t number = 0;
   try {
--- a/src/adapter/wire.h
+++ b/src/adapter/wire.h
@@ -4,12 +4,29 @@
 #define MARLQUAY_SRC_ADAPTER_WIRE_H_
 
 #include <iosfwd>
+#include <vector>
+
+#include "marlquay/dispatcher.h"
+#include "site/site.h"
 
 namespace marlquay {
 
+// Watches what the instances are told and decide. References hold during the call only.
+class WireWatcher {
+ public:
+  virtual ~WireWatcher() = default;
+  virtual void OnStart(std::uint64_t node, std::uint64_t seed, Micros now,
+                       const Conf::Values& settings) = 0;
+  // `workers`: all names by id, so far. `batch`: its number in the input, from 0.
+  virtual void OnTurn(std::uint64_t node, std::size_t batch, Micros now,
+                      const std::vector<Event>& events, const std::vector<Action>& actions,
+                      const Names& workers) = 0;
+};
+
 // Serves `in` to its end. Returns 0, or 1 after the first malformed line, which is then named in
 // one line on `err`; nothing of its batch is written to `out`.
-int ServeWire(std::istream& in, std::ostream& out, std::ostream& err);
+int ServeWire(std::istream& in, std::ostream& out, std::ostream& err,
+              WireWatcher* watcher = nullptr);
 
 }  // namespace marlquay
 
--- a/src/base/io.cpp
+++ b/src/base/io.cpp
@@ -4,8 +4,6 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
-#include <cstdio>
-#include <map>
 #include <utility>
 
 namespace pearreach {
@@ -15,21 +13,6 @@
 constexpr int kAcceptsAtOnce = 64;  // then the other sources get their turn
 constexpr std::size_t kReadSize = 64 << 10;
 
-struct Counter {
-  std::uint64_t count = 0, logged = 0;
-  Micros last_line = -kSecond;
-};
-
-std::map<std::string, Counter>& Counters() {
-  static std::map<std::string, Counter> counters;
-  return counters;
-}
-
-std::string& LogName() {
-  static std::string name = "pearreach";
-  return name;
-}
-
 bool IsBlocked(const GError* error) {
   return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) ||
          g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING);
@@ -37,36 +20,6 @@
 
 }  // namespace
 
-void SetLogName(const std::string& name) { LogName() = name; }
-
-void Log(const std::string& line) {
-  const std::int64_t ms = g_get_real_time() / 1000;
-  std::fprintf(stderr, "%lld.%03d %s: %s\n", static_cast<long long>(ms / 1000),
-               static_cast<int>(ms % 1000), LogName().c_str(), line.c_str());
-}
-
-void Count(const char* name) { ++Counters()[name].count; }
-
-void CountFault(const char* name, const std::string& detail) {
-  Counter& c = Counters()[name];
-  ++c.count;
-  if (Now() - c.last_line < kSecond) return;
-  c.last_line = Now();
-  Log(std::string(name) + " (" + std::to_string(c.count) + "): " + detail.substr(0, 200));
-}
-
-std::uint64_t CountOf(const std::string& name) { return Counters()[name].count; }
-
-void LogCounts() {
-  std::string line;
-  for (auto& [name, c] : Counters()) {
-    if (c.count == c.logged) continue;
-    c.logged = c.count;
-    line += ' ' + name + '=' + std::to_string(c.count);
-  }
-  if (!line.empty()) Log("counts:" + line);
-}
-
 // ---------------------------------------------------------------- time
 
 Alarm::Alarm(std::function<void()> ring) : ring_(std::move(ring)) {
--- a/src/base/io.h
+++ b/src/base/io.h
@@ -1,12 +1,11 @@
-// What the node uses of GLib: a TCP stream, a listener and an alarm on the default main loop, and
-// the log with its counts. It owns descriptors and event sources; it must never block, never keep a
-// descriptor past Close, and knows nothing of HTTP or of jobs.
+// What the node uses of GLib: a TCP stream, a listener and an alarm on the default main loop. It
+// owns descriptors and event sources; it must never block, never keep a descriptor past Close, and
+// knows nothing of HTTP or of jobs.
 #ifndef PEARREACH_SRC_BASE_IO_H_
 #define PEARREACH_SRC_BASE_IO_H_
 
 #include <gio/gio.h>
 
-#include <cassert>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -14,6 +13,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/log.h"
 #include "marlquay/dispatcher.h"
 
 namespace pearreach {
@@ -26,25 +26,6 @@
 // The module's clock: microseconds that never run backwards.
 inline Micros Now() { return g_get_monotonic_time(); }
 
-// ---------------------------------------------------------------- log and counts
-
-void SetLogName(const std::string& name);
-void Log(const std::string& line);
-
-// Counts by name, logged by LogCounts; a fault's text is logged at most once a second for each
-// name.
-void Count(const char* name);
-void CountFault(const char* name, const std::string& detail);
-std::uint64_t CountOf(const std::string& name);
-void LogCounts();
-
-// What must hold: asserted in debug builds, counted in release builds.
-inline bool Must(bool holds, const char* name) {
-  assert(holds);
-  if (!holds) CountFault(name, "must not happen");
-  return holds;
-}
-
 // ---------------------------------------------------------------- time
 
 // Calls back once at a time of Now(), until set again.
--- /dev/null
+++ b/src/capture/record.cpp
@@ -0,0 +1,522 @@
+#include "capture/record.h"
+
+#include <google/protobuf/arena.h>
+
+#include <cmath>
+#include <cstdio>
+#include <limits>
+
+#include "capture/capture.pb.h"
+
+namespace pearreach::capture {
+namespace {
+
+using marlquay::Action;
+using marlquay::Event;
+
+// A record's kind is the place among the events, or actions, and one more.
+static_assert(wire::EventKind_MAX == std::variant_size_v<Event>);
+static_assert(wire::ActionKind_MAX == std::variant_size_v<Action>);
+
+// Times are written from the turn on, which is short; a sum that would not fit is no time.
+bool Plus(Micros a, std::int64_t b, Micros* sum) { return !__builtin_add_overflow(a, b, sum); }
+
+struct EventWriter {
+  wire::Event* out;
+  Micros now;
+
+  void Attempt(std::uint64_t request, int attempt, std::uint32_t worker) {
+    out->set_request(request);
+    out->set_attempt(attempt);
+    out->set_worker(worker);
+  }
+  void Load(const marlquay::LoadReport& load) {
+    if (load.free_slots) out->set_free_slots(*load.free_slots);
+    if (load.in_flight) out->set_in_flight(*load.in_flight);
+  }
+  void operator()(const marlquay::WorkerList& e) {
+    out->set_form(static_cast<std::uint32_t>(e.form));
+    for (const marlquay::WorkerEntry& entry : e.entries) {
+      wire::Entry* to = out->add_entries();
+      to->set_worker(entry.worker);
+      to->set_identity(entry.identity);
+      to->set_zone(entry.zone);
+      to->set_kind(entry.kind);
+      to->set_cell(entry.cell);
+      to->set_health(static_cast<std::uint32_t>(entry.health));
+      to->set_weight(entry.weight);
+      to->set_ready_at(entry.ready_at);
+    }
+  }
+  void operator()(const marlquay::RequestArrived& e) {
+    out->set_request(e.request);
+    out->set_cls(e.cls);
+    out->set_tenant(e.tenant);
+    out->set_due_in(e.due - now);
+    out->set_slots(e.slots);
+    out->set_is_repeat(e.is_repeat);
+    if (e.hint) out->set_hint(*e.hint);
+    if (e.key) out->set_key(*e.key);
+  }
+  void operator()(const marlquay::AttemptTaken& e) { Attempt(e.request, e.attempt, e.worker); }
+  void operator()(const marlquay::AttemptStarted& e) { Attempt(e.request, e.attempt, e.worker); }
+  void operator()(const marlquay::AttemptProgress& e) {
+    Attempt(e.request, e.attempt, e.worker);
+    out->set_share(e.share_done);
+  }
+  void operator()(const marlquay::StreamBegan& e) { Attempt(e.request, e.attempt, e.worker); }
+  void operator()(const marlquay::AttemptEnded& e) {
+    Attempt(e.request, e.attempt, e.worker);
+    out->set_outcome(static_cast<std::uint32_t>(e.outcome));
+    out->set_latency(e.latency);
+    out->set_settled(e.settled);
+    Load(e.load);
+  }
+  void operator()(const marlquay::RequestLapsed& e) { out->set_request(e.request); }
+  void operator()(const marlquay::TimerFired&) {}
+  void operator()(const marlquay::ProbeEnded& e) {
+    out->set_worker(e.worker);
+    out->set_good(e.good);
+    Load(e.load);
+  }
+  void operator()(const marlquay::PeerMessage& e) {
+    out->set_from(e.from);
+    out->set_data(e.data);
+  }
+};
+
+struct ActionWriter {
+  wire::Action* out;
+  Micros now;
+
+  void operator()(const marlquay::Send& a) {
+    out->set_request(a.request);
+    out->set_worker(a.worker);
+  }
+  void operator()(const marlquay::Refuse& a) {
+    out->set_request(a.request);
+    out->set_time(a.retry_after);
+  }
+  void operator()(const marlquay::Fail& a) { out->set_request(a.request); }
+  void operator()(const marlquay::Cancel& a) {
+    out->set_request(a.request);
+    out->set_attempt(a.attempt);
+  }
+  void operator()(const marlquay::SetTimer& a) { out->set_time(a.at - now); }
+  void operator()(const marlquay::Probe& a) { out->set_worker(a.worker); }
+  void operator()(const marlquay::Subscribe&) {}
+  void operator()(const marlquay::LogLine& a) {
+    out->set_what(static_cast<std::uint32_t>(a.what));
+    out->set_worker(a.worker);
+    out->set_pool(a.pool);
+    out->set_value(a.value);
+  }
+};
+
+// Reads events back; what makes no sense is a word in `wrong`.
+class EventReader {
+ public:
+  EventReader(Micros now, std::size_t workers) : now_(now), workers_(workers) {}
+
+  Event Read(const wire::Event& in) {
+    switch (in.kind()) {
+      case wire::WORKER_LIST:
+        return List(in);
+      case wire::REQUEST_ARRIVED: {
+        marlquay::RequestArrived e;
+        e.request = in.request();
+        e.cls = in.cls();
+        e.tenant = in.tenant();
+        Must(Plus(now_, in.due_in(), &e.due), "a due time");
+        e.slots = Real(in.slots());
+        e.is_repeat = in.is_repeat();
+        if (in.has_hint()) e.hint = in.hint();
+        if (in.has_key()) e.key = in.key();
+        return e;
+      }
+      case wire::ATTEMPT_TAKEN:
+        return Attempt<marlquay::AttemptTaken>(in);
+      case wire::ATTEMPT_STARTED:
+        return Attempt<marlquay::AttemptStarted>(in);
+      case wire::ATTEMPT_PROGRESS: {
+        auto e = Attempt<marlquay::AttemptProgress>(in);
+        e.share_done = Real(in.share());
+        return e;
+      }
+      case wire::STREAM_BEGAN:
+        return Attempt<marlquay::StreamBegan>(in);
+      case wire::ATTEMPT_ENDED: {
+        auto e = Attempt<marlquay::AttemptEnded>(in);
+        e.outcome = Enum<marlquay::Outcome>(in.outcome(), 7);
+        e.latency = in.latency();
+        e.settled = in.settled();
+        e.load = Load(in);
+        return e;
+      }
+      case wire::REQUEST_LAPSED:
+        return marlquay::RequestLapsed{in.request()};
+      case wire::TIMER_FIRED:
+        return marlquay::TimerFired{};
+      case wire::PROBE_ENDED: {
+        marlquay::ProbeEnded e;
+        e.worker = Worker(in.worker());
+        e.good = in.good();
+        e.load = Load(in);
+        return e;
+      }
+      case wire::PEER_MESSAGE:
+        return marlquay::PeerMessage{in.from(), in.data()};
+      default:
+        Must(false, "an event of a kind not known here");
+        return marlquay::TimerFired{};
+    }
+  }
+
+  Action Read(const wire::Action& in) {
+    switch (in.kind()) {
+      case wire::SEND:
+        return marlquay::Send{in.request(), Worker(in.worker())};
+      case wire::REFUSE:
+        return marlquay::Refuse{in.request(), in.time()};
+      case wire::FAIL:
+        return marlquay::Fail{in.request()};
+      case wire::CANCEL:
+        return marlquay::Cancel{in.request(), in.attempt()};
+      case wire::SET_TIMER: {
+        marlquay::SetTimer a;
+        Must(Plus(now_, in.time(), &a.at), "a timer");
+        return a;
+      }
+      case wire::PROBE:
+        return marlquay::Probe{Worker(in.worker())};
+      case wire::SUBSCRIBE:
+        return marlquay::Subscribe{};
+      case wire::LOG_LINE: {
+        const auto what = Enum<marlquay::LogLine::What>(in.what(), 4);
+        const bool names = what == marlquay::LogLine::What::kWorkerSilent ||
+                           what == marlquay::LogLine::What::kWorkerBack;
+        return marlquay::LogLine{what, names ? Worker(in.worker()) : in.worker(), in.pool(),
+                                 Real(in.value())};
+      }
+      default:
+        Must(false, "an action of a kind not known here");
+        return marlquay::Subscribe{};
+    }
+  }
+
+  const char* wrong() const { return wrong_; }
+
+ private:
+  void Must(bool holds, const char* what) {
+    if (!holds && wrong_ == nullptr) wrong_ = what;
+  }
+  double Real(double v) {
+    Must(std::isfinite(v), "a number that is none");
+    return v;
+  }
+  // Ids are dense: without this check one record could ask the module for gigabytes.
+  marlquay::WorkerId Worker(std::uint32_t id) {
+    Must(id < workers_, "a worker without a name");
+    return id;
+  }
+  template <typename T>
+  T Enum(std::uint32_t v, std::uint32_t last) {
+    Must(v <= last, "a value not known here");
+    return static_cast<T>(v <= last ? v : 0);
+  }
+  template <typename T>
+  T Attempt(const wire::Event& in) {
+    T e;
+    e.request = in.request();
+    e.attempt = in.attempt();
+    e.worker = Worker(in.worker());
+    return e;
+  }
+  marlquay::LoadReport Load(const wire::Event& in) {
+    marlquay::LoadReport load;
+    if (in.has_free_slots()) load.free_slots = Real(in.free_slots());
+    if (in.has_in_flight()) load.in_flight = Real(in.in_flight());
+    return load;
+  }
+  Event List(const wire::Event& in) {
+    marlquay::WorkerList list;
+    list.form = Enum<marlquay::WorkerList::Form>(in.form(), 2);
+    for (const wire::Entry& entry : in.entries()) {
+      marlquay::WorkerEntry e;
+      e.worker = Worker(entry.worker());
+      e.identity = entry.identity();
+      e.zone = entry.zone();
+      e.kind = entry.kind();
+      e.cell = entry.cell();
+      e.health = Enum<marlquay::Health>(entry.health(), 2);
+      e.weight = Real(entry.weight());
+      e.ready_at = entry.ready_at();
+      list.entries.push_back(e);
+    }
+    return list;
+  }
+
+  Micros now_;
+  std::size_t workers_;
+  const char* wrong_ = nullptr;
+};
+
+}  // namespace
+
+marlquay::Site Origin::Site() const {
+  marlquay::Site site = marlquay::ReadSite(marlquay::Conf(settings));
+  site.settings.tells_taken = tells_taken;
+  return site;
+}
+
+std::string WriteOrigin(const Origin& o) {
+  wire::Head head;
+  head.set_node(o.node);
+  head.set_build(o.build);
+  head.set_policy_hash(o.policy_hash);
+  head.set_seed(o.seed);
+  head.set_clock(o.clock);
+  head.set_unix_us(o.unix_us);
+  head.set_first_turn(o.first_turn);
+  for (const auto& [path, value] : o.settings) (*head.mutable_settings())[path] = value;
+  head.set_tells_taken(o.tells_taken);
+  head.set_layout(o.layout);
+  for (const std::string& w : o.workers) head.add_workers(w);
+  head.set_segment(o.segment);
+  head.set_edited(o.edited);
+  return head.SerializeAsString();
+}
+
+bool ReadOrigin(std::string_view bytes, Origin* o) {
+  wire::Head head;
+  if (!head.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return false;
+  o->node = head.node();
+  o->build = head.build();
+  o->policy_hash = head.policy_hash();
+  o->seed = head.seed();
+  o->clock = head.clock();
+  o->unix_us = head.unix_us();
+  o->first_turn = head.first_turn();
+  for (const auto& [path, value] : head.settings()) o->settings[path] = value;
+  o->tells_taken = head.tells_taken();
+  o->layout = head.layout();
+  o->workers.assign(head.workers().begin(), head.workers().end());
+  o->segment = head.segment();
+  o->edited = head.edited();
+  return true;
+}
+
+std::string WriteEnding(const Ending& e) {
+  wire::End end;
+  end.set_turns(e.turns);
+  end.set_events(e.events);
+  end.set_actions(e.actions);
+  end.set_reason(e.reason);
+  return end.SerializeAsString();
+}
+
+bool ReadEnding(std::string_view bytes, Ending* e) {
+  wire::End end;
+  if (!end.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return false;
+  *e = {end.turns(), end.events(), end.actions(), end.reason()};
+  return true;
+}
+
+// ---------------------------------------------------------------- turns
+
+struct TurnWriter::Scratch {
+  wire::Turn turn;
+};
+
+TurnWriter::TurnWriter() : scratch_(std::make_unique<Scratch>()) {}
+TurnWriter::~TurnWriter() = default;
+
+void TurnWriter::Add(Micros before, Micros now, std::span<const Event> events,
+                     std::span<const Note> notes, std::span<const Action> actions,
+                     std::span<const std::string> workers, std::string_view mark,
+                     std::int64_t unix_us) {
+  wire::Turn& turn = scratch_->turn;
+  turn.Clear();
+  turn.set_elapsed(now - before);
+  for (std::size_t i = 0; i < events.size(); ++i) {
+    wire::Event* out = turn.add_events();
+    out->set_kind(static_cast<wire::EventKind>(events[i].index() + 1));
+    std::visit(EventWriter{out, now}, events[i]);
+    if (i >= notes.size()) continue;
+    const Note& note = notes[i];
+    if (note.seen > 0 && note.seen < now) out->set_age(static_cast<std::uint32_t>(now - note.seen));
+    if (!note.id.empty()) out->set_id(note.id);
+    out->set_version(note.version);
+  }
+  for (const Action& action : actions) {
+    wire::Action* out = turn.add_actions();
+    out->set_kind(static_cast<wire::ActionKind>(action.index() + 1));
+    std::visit(ActionWriter{out, now}, action);
+  }
+  for (const std::string& name : workers) turn.add_workers(name);
+  if (!mark.empty()) turn.set_mark(std::string(mark));
+  turn.set_unix_us(unix_us);
+  // A block's bytes are those of a message Block: field 1, its length, the turn.
+  const std::size_t size = turn.ByteSizeLong();
+  bytes_ += '\x0a';
+  for (std::size_t left = size;; left >>= 7) {
+    bytes_ += static_cast<char>((left & 0x7f) | (left > 0x7f ? 0x80 : 0));
+    if (left <= 0x7f) break;
+  }
+  const std::size_t at = bytes_.size();
+  bytes_.resize(at + size);
+  turn.SerializeWithCachedSizesToArray(reinterpret_cast<std::uint8_t*>(bytes_.data() + at));
+}
+
+std::string TurnWriter::Take() { return std::exchange(bytes_, {}); }
+
+std::string ReadTurns(std::string_view bytes, Micros* before, std::size_t* known,
+                      std::vector<Turn>* turns) {
+  google::protobuf::Arena arena;
+  auto* block = google::protobuf::Arena::CreateMessage<wire::Block>(&arena);
+  if (!block->ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    return "its records cannot be read";
+  for (const wire::Turn& in : block->turns()) {
+    Turn& turn = turns->emplace_back();
+    if (in.elapsed() < 0 || !Plus(*before, in.elapsed(), &turn.now))
+      return "its clock runs backwards";
+    *before = turn.now;
+    turn.workers.assign(in.workers().begin(), in.workers().end());
+    *known += turn.workers.size();
+    turn.mark = in.mark();
+    turn.unix_us = in.unix_us();
+    EventReader reader(turn.now, *known);
+    turn.events.reserve(static_cast<std::size_t>(in.events_size()));
+    for (const wire::Event& e : in.events()) {
+      turn.events.push_back(reader.Read(e));
+      turn.notes.push_back({turn.now - static_cast<Micros>(e.age()), e.id(), e.version()});
+    }
+    for (const wire::Action& a : in.actions()) turn.actions.push_back(reader.Read(a));
+    if (reader.wrong() != nullptr) return std::string("it holds ") + reader.wrong();
+  }
+  return "";
+}
+
+// ---------------------------------------------------------------- words
+
+namespace {
+
+std::string NameOf(const marlquay::Names& names, std::int64_t at) {
+  if (at < 0) return "none";
+  const auto place = static_cast<std::size_t>(at);
+  return place < names.size() ? names[place] : "#" + std::to_string(at);
+}
+std::string Ms(Micros t) {
+  char text[40];
+  std::snprintf(text, sizeof text, "%.3f ms", static_cast<double>(t) / 1000);
+  return text;
+}
+std::string Figure(double v) {
+  char text[40];
+  std::snprintf(text, sizeof text, "%.3g", v);
+  return text;
+}
+std::string LoadWords(const marlquay::LoadReport& load) {
+  std::string text;
+  if (load.free_slots) text += ", reports " + Figure(*load.free_slots) + " slots free";
+  if (load.in_flight) text += ", reports " + Figure(*load.in_flight) + " in flight";
+  return text;
+}
+
+struct EventWords {
+  const Note& note;
+  const marlquay::Site& site;
+  const marlquay::Names& workers;
+
+  std::string Attempt(const char* what, std::uint64_t request, int attempt,
+                      std::uint32_t worker) const {
+    return std::string(what) + ": job " + std::to_string(request) + " attempt " +
+           std::to_string(attempt) + " at " + NameOf(workers, worker);
+  }
+  std::string operator()(const marlquay::WorkerList& e) const {
+    static constexpr const char* kForms[] = {"changes", "complete", "failed"};
+    static constexpr const char* kHealth[] = {"in service", "draining", "gone"};
+    std::string text = std::string("list (") + kForms[static_cast<int>(e.form)] + ", version " +
+                       std::to_string(note.version) + "):";
+    for (const marlquay::WorkerEntry& w : e.entries)
+      text += " " + NameOf(workers, w.worker) + " " + kHealth[static_cast<int>(w.health)] + ";";
+    return text;
+  }
+  std::string operator()(const marlquay::RequestArrived& e) const {
+    return "arrived: job " + std::to_string(e.request) + (note.id.empty() ? "" : " " + note.id) +
+           " of " + NameOf(site.classes, e.cls) + " for " + NameOf(site.tenants, e.tenant) + ", " +
+           Figure(e.slots) + " slots, due in " + Ms(e.due - note.seen);
+  }
+  std::string operator()(const marlquay::AttemptTaken& e) const {
+    return Attempt("taken", e.request, e.attempt, e.worker);
+  }
+  std::string operator()(const marlquay::AttemptStarted& e) const {
+    return Attempt("started", e.request, e.attempt, e.worker);
+  }
+  std::string operator()(const marlquay::AttemptProgress& e) const {
+    return Attempt("progress", e.request, e.attempt, e.worker) + ", " + Figure(e.share_done);
+  }
+  std::string operator()(const marlquay::StreamBegan& e) const {
+    return Attempt("answer begun", e.request, e.attempt, e.worker);
+  }
+  std::string operator()(const marlquay::AttemptEnded& e) const {
+    return Attempt("ended", e.request, e.attempt, e.worker) + ": " +
+           kOutcomes[static_cast<int>(e.outcome)] + " after " + Ms(e.latency) +
+           (e.settled ? ", settled" : "") + LoadWords(e.load);
+  }
+  std::string operator()(const marlquay::RequestLapsed& e) const {
+    return "client gone: job " + std::to_string(e.request);
+  }
+  std::string operator()(const marlquay::TimerFired&) const { return "timer"; }
+  std::string operator()(const marlquay::ProbeEnded& e) const {
+    return "probe of " + NameOf(workers, e.worker) + (e.good ? ": good" : ": bad") +
+           LoadWords(e.load);
+  }
+  std::string operator()(const marlquay::PeerMessage& e) const {
+    return "message of node " + std::to_string(e.from) + ", " + std::to_string(e.data.size()) +
+           " bytes";
+  }
+};
+
+struct ActionWords {
+  const marlquay::Site& site;
+  const marlquay::Names& workers;
+
+  std::string operator()(const marlquay::Send& a) const {
+    return "send job " + std::to_string(a.request) + " to " + NameOf(workers, a.worker);
+  }
+  std::string operator()(const marlquay::Refuse& a) const {
+    return "refuse job " + std::to_string(a.request) + ", back in " + Ms(a.retry_after);
+  }
+  std::string operator()(const marlquay::Fail& a) const {
+    return "fail job " + std::to_string(a.request);
+  }
+  std::string operator()(const marlquay::Cancel& a) const {
+    return "cancel job " + std::to_string(a.request) + " attempt " + std::to_string(a.attempt);
+  }
+  std::string operator()(const marlquay::SetTimer& a) const { return "set timer at " + Ms(a.at); }
+  std::string operator()(const marlquay::Probe& a) const {
+    return "probe " + NameOf(workers, a.worker);
+  }
+  std::string operator()(const marlquay::Subscribe&) const { return "subscribe"; }
+  std::string operator()(const marlquay::LogLine& a) const {
+    using What = marlquay::LogLine::What;
+    if (a.what == What::kLimitCut && (a.pool < 0 || a.pool >= static_cast<int>(site.kinds.size())))
+      return "log line of a pool that is none";
+    return "log: " + marlquay::Words(a, site, workers);
+  }
+};
+
+}  // namespace
+
+std::string Words(const Event& event, const Note& note, const marlquay::Site& site,
+                  const marlquay::Names& workers) {
+  return std::visit(EventWords{note, site, workers}, event);
+}
+
+std::string Words(const Action& action, const marlquay::Site& site,
+                  const marlquay::Names& workers) {
+  return std::visit(ActionWords{site, workers}, action);
+}
+
+}  // namespace pearreach::capture
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,148 +1,72 @@
-// The command line of pearreach. It owns the start and the end of the program: reads the
-// configuration, puts the parts together, and turns signals into a clean end. It must never listen
-// before the configuration is known to be good.
-#include <glib-unix.h>
-#include <sys/resource.h>
+// The start of the program: finds the sub-command and turns what goes wrong into one line. It owns
+// the list of sub-commands; it must never do their work.
+#include <unistd.h>
 
-#include <csignal>
-#include <cxxopts.hpp>
-#include <functional>
+#include <chrono>
+#include <cstdio>
 #include <iostream>
 
-#include "config/config.h"
-#include "fronts/front.h"
-#include "node/node.h"
+#include "capture/segment.h"
+#include "cli/cli.h"
+#include "cli/policy_hash.h"
+#include "site/site.h"
 
 #ifndef PEARREACH_VERSION
 #define PEARREACH_VERSION "unknown"
 #endif
 
-namespace pearreach {
-namespace {
-
-constexpr int kUsage = 2;  // exit code for a wrong command line or configuration
-constexpr Micros kCountsEvery = 10 * kSecond;
+namespace pearreach::cli {
 
-constexpr char kHelp[] =
-    "pearreach: load balancer in front of match workers\n"
-    "\n"
-    "  pearreach serve [--config FILE]   run a node\n"
-    "  pearreach check [--config FILE]   read a configuration and say whether it is good\n"
-    "  pearreach version                 print the version\n"
-    "  pearreach help                    print this\n"
-    "\n"
-    "The configuration is $EDGE_CONFIG unless --config names another; EDGE_NAME, EDGE_LISTEN and\n"
-    "EDGE_DISCOVERY override what it says. SIGTERM and SIGINT end a node once all that it has\n"
-    "taken is answered. SIGHUP makes it read the configuration again and move to the discovery\n"
-    "address named there; what else has changed waits for a restart.\n";
+const char kVersion[] = PEARREACH_VERSION;
+const std::uint64_t kPolicyHash = PEARREACH_POLICY_HASH;
 
-// Guards the jobs at hand: whatever the file holds by now, the node goes on.
-void Reload(const std::string& path, Config* config, Node* node) {
-  try {
-    if (ReloadConfig(path, config)) {
-      node->MoveDiscovery(config->discovery);
-      Log("configuration read again: discovery is at " + config->discovery);
-    } else {
-      Log("configuration read again: discovery stays at " + config->discovery);
-    }
-  } catch (const marlquay::Malformed& wrong) {
-    Count("bad_configuration");
-    Log(std::string("configuration not taken over: ") + wrong.what());
-  }
-}
+namespace {
 
-int Serve(Config config, const std::string& path) {
-  // The limit on descriptors is the system's to set; the budget keeps under whichever is less.
-  rlimit limit{};
-  int sockets = config.sockets;
-  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-    limit.rlim_cur = limit.rlim_max;
-    setrlimit(RLIMIT_NOFILE, &limit);
-    getrlimit(RLIMIT_NOFILE, &limit);
-    if (limit.rlim_cur < static_cast<rlim_t>(sockets)) sockets = static_cast<int>(limit.rlim_cur);
-  }
-  std::signal(SIGPIPE, SIG_IGN);
-  SetLogName(config.name);
+struct Entry {
+  const char* name;
+  Command run;
+  const char* what;
+};
 
-  // Guards the start: until the loop runs, a SIGHUP waits instead of ending the program.
-  const auto hup = [](gpointer reload) -> gboolean {
-    (*static_cast<std::function<void()>*>(reload))();
-    return G_SOURCE_CONTINUE;
-  };
-  std::function<void()> reload;
-  g_unix_signal_add(SIGHUP, hup, &reload);
+constexpr Entry kCommands[] = {
+    {"serve", Serve, "run a node"},
+    {"check", Check,
+     "read the configuration and the operator's file and say whether they are good"},
+    {"replay", Replay, "hand a capture to the module again and compare what it decides"},
+    {"explain", Explain, "tell what happened around one worker or one job, and why"},
+    {"audit", Audit, "check the four rules over a capture"},
+    {"capture", CaptureTools, "info, cut, anonymise, import-tap: look at captures, make others"},
+};
 
-  GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
-  Config bounded = config;
-  bounded.sockets = sockets;
-  Node node(bounded);
-  Front front(&node, sockets);
-  if (const std::string wrong = front.Open(config.listen); !wrong.empty()) {
-    std::cerr << "pearreach: " << config.listen << ": " << wrong << '\n';
-    return 1;
+void Help(std::ostream& out) {
+  out << "pearreach: load balancer in front of match workers\n\n";
+  for (const Entry& e : kCommands) {
+    char line[120];
+    std::snprintf(line, sizeof line, "  pearreach %-8s  %s\n", e.name, e.what);
+    out << line;
   }
-  reload = [&] { Reload(path, &config, &node); };
-  node.Start();
-  Log("serving at " + config.listen + ", version " PEARREACH_VERSION);
-
-  Alarm* counts = nullptr;
-  Alarm report([&] {
-    LogCounts();
-    counts->Set(Now() + kCountsEvery);
-  });
-  counts = &report;
-  report.Set(Now() + kCountsEvery);
-
-  struct End {
-    Front* front;
-    GMainLoop* loop;
-  } end{&front, loop};
-  const auto stop = [](gpointer data) -> gboolean {
-    const End* e = static_cast<End*>(data);
-    Log("ending: answering what was taken");
-    e->front->Drain([loop = e->loop] { g_main_loop_quit(loop); });
-    return G_SOURCE_CONTINUE;
-  };
-  g_unix_signal_add(SIGTERM, stop, &end);
-  g_unix_signal_add(SIGINT, stop, &end);
-  g_main_loop_run(loop);
-  LogCounts();
-  Log("ended");
-  g_main_loop_unref(loop);
-  return 0;
+  out << "  pearreach version   print the version\n"
+         "  pearreach help      print this\n\n"
+         "Each has its options: pearreach COMMAND --help. Exit codes: 0 good, 1 the answer is no,\n"
+         "2 wrong use or bad input.\n";
 }
 
 int Run(int argc, char** argv) {
-  cxxopts::Options options("pearreach");
-  options.add_options()("command", "", cxxopts::value<std::string>()->default_value("help"))(
-      "config", "", cxxopts::value<std::string>()->default_value(""))("h,help", "")("version", "");
-  options.parse_positional({"command"});
-  std::string command;
-  try {
-    const auto args = options.parse(argc, argv);
-    command = args.count("help") > 0      ? "help"
-              : args.count("version") > 0 ? "version"
-                                          : args["command"].as<std::string>();
-    if (!args.unmatched().empty()) {
-      std::cerr << "pearreach: too many arguments; see 'pearreach help'\n";
-      return kUsage;
-    }
-    if (command == "help") return std::cout << kHelp, 0;
-    if (command == "version") return std::cout << "pearreach " PEARREACH_VERSION "\n", 0;
-    if (command == "serve" || command == "check") {
-      const std::string path = args["config"].as<std::string>();
-      const Config config = LoadConfig(path);
-      if (command == "serve") return Serve(config, path);
-      std::cout << "good: " << config.site.classes.size() << " classes, "
-                << config.site.kinds.size() << " kinds of workers, listening at " << config.listen
-                << '\n';
-      return 0;
+  const std::string command = argc > 1 ? argv[1] : "help";
+  if (command == "help" || command == "--help" || command == "-h") return Help(std::cout), kGood;
+  if (command == "version" || command == "--version")
+    return std::cout << "pearreach " << kVersion << '\n', kGood;
+  for (const Entry& e : kCommands) {
+    if (command != e.name) continue;
+    try {
+      return e.run(argc - 1, argv + 1);
+    } catch (const cxxopts::exceptions::exception& wrong) {
+      std::cerr << "pearreach: " << wrong.what() << "; see 'pearreach " << command << " --help'\n";
+    } catch (const marlquay::Malformed& wrong) {
+      std::cerr << "pearreach: " << wrong.what() << '\n';
+    } catch (const capture::Unreadable& wrong) {
+      std::cerr << "pearreach: " << wrong.what() << '\n';
     }
-  } catch (const cxxopts::exceptions::exception& wrong) {
-    std::cerr << "pearreach: " << wrong.what() << "; see 'pearreach help'\n";
-    return kUsage;
-  } catch (const marlquay::Malformed& wrong) {
-    std::cerr << "pearreach: " << wrong.what() << '\n';
     return kUsage;
   }
   std::cerr << "pearreach: unknown command '" << command << "'; see 'pearreach help'\n";
@@ -150,6 +74,29 @@
 }
 
 }  // namespace
-}  // namespace pearreach
 
-int main(int argc, char** argv) { return pearreach::Run(argc, argv); }
+cxxopts::ParseResult Parse(cxxopts::Options* options, int argc, char** argv, bool* done) {
+  options->add_options()("h,help", "print this");
+  auto args = options->parse(argc, argv);
+  if (!args.unmatched().empty()) throw cxxopts::exceptions::parsing("too many arguments");
+  *done = args.count("help") > 0;
+  if (*done) std::cout << options->help();
+  return args;
+}
+
+std::function<void(double)> ProgressBar() {
+  if (isatty(STDERR_FILENO) == 0) return {};
+  const auto begin = std::chrono::steady_clock::now();
+  return [begin](double part) {
+    if (std::chrono::steady_clock::now() - begin < std::chrono::seconds(1)) return;
+    constexpr int kWidth = 40;
+    const int full = static_cast<int>(part * kWidth);
+    std::string bar(static_cast<std::size_t>(full), '#');
+    bar.resize(kWidth, ' ');
+    std::fprintf(stderr, "\r[%s] %3.0f%%%s", bar.c_str(), part * 100, part >= 1 ? "\r\x1b[K" : "");
+  };
+}
+
+}  // namespace pearreach::cli
+
+int main(int argc, char** argv) { return pearreach::cli::Run(argc, argv); }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -244,7 +244,9 @@
 bool ReloadConfig(const std::string& path, Config* config) {
   Config next = LoadConfig(path);
   const auto waits = [](bool changed, const char* what) {
-    if (changed) Log(std::string("configuration: a new ") + what + " waits for a restart");
+    if (changed)
+      Log("configuration_waits", {{"setting", what}},
+          std::string("configuration: a new ") + what + " waits for a restart");
   };
   waits(next.name != config->name, "name");
   waits(next.listen != config->listen, "listen");
--- /dev/null
+++ b/src/config/operator.h
@@ -0,0 +1,39 @@
+// The operator's own file: what the platform's configuration does not know. XML after
+// deploy/pearreach.xsd, which is part of the program. It owns the reading and the checking; it must
+// never reach for another file or the network, and never carry on with half a file.
+#ifndef PEARREACH_SRC_CONFIG_OPERATOR_H_
+#define PEARREACH_SRC_CONFIG_OPERATOR_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "base/io.h"
+#include "base/log.h"
+
+namespace pearreach {
+
+// <capture>: docs/capture.md.
+struct CaptureSettings {
+  std::string folder;
+  std::size_t memory = 2 << 20;            // bytes
+  std::uint64_t segment_bytes = 16 << 20;  // stored
+  Micros segment_age = 600 * kSecond;
+  std::uint64_t total_bytes = 256ull << 20;  // stored
+  Micros flush_every = kSecond;
+  bool operator==(const CaptureSettings&) const = default;
+};
+
+struct OperatorSettings {
+  LogFormat log_format = LogFormat::kText;
+  std::optional<CaptureSettings> capture;  // none: off
+};
+
+// Throws marlquay::Malformed with "NAME:LINE: what".
+OperatorSettings ReadOperatorFile(std::string_view xml, const std::string& name);
+OperatorSettings LoadOperatorFile(const std::string& path);
+
+}  // namespace pearreach
+
+#endif  // PEARREACH_SRC_CONFIG_OPERATOR_H_
--- a/src/module/policy.cpp
+++ b/src/module/policy.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <queue>
 
 #include "marlquay/dispatcher.h"
 #include "module/state.h"
@@ -15,7 +14,6 @@
 
 constexpr Micros kMs = 1000;
 constexpr int kQueuesPerClass = 2;  // in share or over it
-constexpr Micros kNever = std::numeric_limits<Micros>::max();
 
 // --- The slot limit of a pool.
 constexpr double kGrowSlow = 0.25;         // limit gained by a success, per slot of the job
@@ -41,7 +39,6 @@
 constexpr double kKeyPlaces = 2;       // workers in a key's own order looked at first, and
 constexpr double kKeySpread = 4;       // times the key's part of the work, of all workers
 constexpr Micros kKeyMemory = 10'000 * kMs;  // the part fades over this
-constexpr std::size_t kKeySums = 1024;       // sums kept; keys that share one count together
 constexpr double kKeyDoubt = 10;  // jobs of doubt: a node that saw few jobs knows no key's part
 constexpr Micros kKeyWait = 1000 * kMs;    // one more worker for each of these waited
 constexpr Micros kHomeProbe = 2000 * kMs;  // the node's own workers are probed this often
@@ -97,10 +94,13 @@
 
 }  // namespace
 
-class Dispatcher::Impl {
+class Dispatcher::Impl : public State {
  public:
-  Impl(const Settings& settings, std::uint64_t seed, Micros now) : s_(settings), random_(seed) {
+  Impl(const Settings& settings, std::uint64_t seed, Micros now) : s_(settings) {
+    random_ = seed;
     now_ = now;
+    subscribe_wait_ = kSubscribeRetry;
+    logged_.fill(-kLogEvery);
     pools_.resize(s_.kinds);
     classes_.resize(s_.classes.size());
     for (std::size_t c = 0; c < classes_.size(); ++c) {
@@ -636,6 +636,7 @@
       if (best == nullptr) return;
       Request& r = *best->Next(kLookahead, table_);
       const WorkerId* w = Pick(r);
+      if (observer_ != nullptr) Show(r, w);
       if (w == nullptr) {
         ++best->passed;
         continue;
@@ -660,6 +661,33 @@
     return best == sample_.end() ? nullptr : &*best;
   }
 
+  void Show(const Request& r, const WorkerId* chosen) {
+    std::vector<Candidate> sampled;
+    for (const WorkerId id : sample_) {
+      const Worker& w = workers_[id];
+      Candidate c;
+      c.worker = id;
+      c.cost = Cost(id, r);
+      c.busy = w.busy;
+      c.taken = w.taken.Now(now_, kTakenMemory);
+      c.slowness = w.slowness;
+      c.failures = w.failures;
+      c.silent = w.silent;
+      c.cold = IsCold(w);
+      c.heard = w.heard;
+      if (w.taken.at > 0) c.reported = w.taken.at;
+      sampled.push_back(c);
+    }
+    Choice choice{r.id, {}, !open_.empty(), 0, 0, sampled};
+    if (chosen != nullptr) {
+      const Pool& p = PoolOf(workers_[*chosen]);
+      choice.chosen = *chosen;
+      choice.busy = p.busy;
+      choice.limit = p.limit;
+    }
+    observer_->OnChoice(choice);
+  }
+
   // The pools that may take the job: of its kind, not too dear for it, their limit not reached.
   void FindRoom(const Request& r) {
     open_.clear();
@@ -934,6 +962,7 @@
   }
 
   void On(const TimerFired&) {}
+  void On(const PeerMessage&) {}
 
   Pool& PoolOf(const Worker& w) { return pools_[w.entry.kind]; }
   const Pool& PoolOf(const Worker& w) const { return pools_[w.entry.kind]; }
@@ -954,31 +983,15 @@
     return true;
   }
 
+  // What outlives a call is in State; here are what the settings say and scratch of one call.
   Settings s_;
-  std::uint64_t random_;
-  Micros now_ = 0;
+  Micros silent_after_ = 0, start_grace_ = 0;
+  Observer* observer_ = nullptr;
   std::vector<Action>* actions_ = nullptr;
-  RequestTable table_;
-  std::vector<Worker> workers_;
-  std::vector<Pool> pools_;
-  std::vector<ClassState> classes_;
-  std::vector<Queue> queues_;
-  std::priority_queue<Due, std::vector<Due>, std::greater<Due>> due_;
   std::vector<Pool*> open_;       // pools with room for the job in hand
   std::vector<WorkerId> sample_;  // workers to choose from for it
   std::size_t places_ = 0;        // how many of the sample are places of the key
   std::vector<std::pair<std::uint64_t, WorkerId>> order_;  // of its key
-  std::uint64_t looks_ = 0, lists_ = 0;                    // workers looked at, words of the list
-  KeySums keys_{kKeySums};
-  std::vector<Bucket> quota_;
-  MeanGap gap_;  // between arrivals
-  Micros silent_after_ = 0, start_grace_ = 0;
-  Micros subscribe_at_ = kNever, subscribe_wait_ = kSubscribeRetry, next_check_ = kNever,
-         armed_ = 0;
-  Micros logged_[5] = {-kLogEvery, -kLogEvery, -kLogEvery, -kLogEvery, -kLogEvery};
-  double largest_weight_ = 0;
-  int held_ = 0, refused_ = 0;
-  bool awaited_ = false;  // a start of a job, or a word of a silent worker
 };
 
 Dispatcher::Dispatcher(const Settings& settings, std::uint64_t seed, Micros now)
@@ -992,6 +1005,8 @@
 }
 double Dispatcher::PoolLimit(int pool) const { return impl_->pools_.at(pool).limit; }
 double Dispatcher::PoolBusy(int pool) const { return impl_->pools_.at(pool).busy; }
+void Dispatcher::Observe(Observer* observer) { impl_->observer_ = observer; }
+State& Dispatcher::state() const { return *impl_; }
 std::uint64_t Dispatcher::Looks() const { return impl_->looks_; }
 std::size_t Dispatcher::OpenRequests() const { return impl_->table_.size(); }
 std::size_t Dispatcher::KnownWorkers() const {
--- a/src/module/state.h
+++ b/src/module/state.h
@@ -1,13 +1,16 @@
-// What a Dispatcher remembers: plain records and the table of open requests. No decision is made
-// here; all of them are in policy.cpp.
+// What a Dispatcher remembers: plain records, the table of open requests, and State, which holds
+// all that outlives a call. No decision is made here; all of them are in policy.cpp. What is added
+// here must be added to its list of fields in checkpoint.cpp, which does not compile without.
 #ifndef MARLQUAY_SRC_MODULE_STATE_H_
 #define MARLQUAY_SRC_MODULE_STATE_H_
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <deque>
 #include <limits>
 #include <numeric>
+#include <queue>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -85,6 +88,7 @@
   void Clear() { parts_.clear(); }
 
  private:
+  friend class Checkpoint;
   std::vector<std::pair<Micros, double>> parts_;
 };
 
@@ -234,7 +238,6 @@
 // How much of the work each key asks for. Keys that share a sum count together.
 class KeySums {
  public:
-  explicit KeySums(std::size_t sums) : sums_(sums) {}
   void Add(std::uint64_t key, double work, Micros now, Micros memory) {
     sums_[Mix(key) % sums_.size()].Add(work, now, memory);
     all_.Add(work, now, memory);
@@ -246,7 +249,9 @@
   }
 
  private:
-  std::vector<FadingSum> sums_;
+  friend class Checkpoint;
+  // Keys whose sums share a place count together.
+  std::vector<FadingSum> sums_ = std::vector<FadingSum>(1024);
   FadingSum all_;
 };
 
@@ -323,6 +328,7 @@
   }
 
  private:
+  friend class Checkpoint;
   std::vector<Request> slab_;
   std::vector<std::uint32_t> free_;
   std::unordered_map<RequestId, std::uint32_t> index_;  // looked up only, never walked
@@ -348,6 +354,37 @@
   }
 };
 
+// The jobs' moments, the soonest first. Ties come out in an order that the container's own order
+// decides, so that is kept too.
+struct DueQueue : std::priority_queue<Due, std::vector<Due>, std::greater<Due>> {
+  container_type& container() { return c; }
+};
+
+class State {
+ protected:
+  friend class Checkpoint;
+  friend class Dispatcher;
+  static constexpr Micros kNever = std::numeric_limits<Micros>::max();
+
+  std::uint64_t random_ = 0;
+  Micros now_ = 0;
+  RequestTable table_;
+  std::vector<Worker> workers_;
+  std::vector<Pool> pools_;
+  std::vector<ClassState> classes_;
+  std::vector<Queue> queues_;
+  DueQueue due_;
+  std::uint64_t looks_ = 0, lists_ = 0;  // workers looked at, words of the list
+  KeySums keys_;
+  std::vector<Bucket> quota_;
+  MeanGap gap_;  // between arrivals
+  Micros subscribe_at_ = kNever, subscribe_wait_ = 0, next_check_ = kNever, armed_ = 0;
+  std::array<Micros, 5> logged_{};  // the last line of each kind
+  double largest_weight_ = 0;
+  int held_ = 0, refused_ = 0;
+  bool awaited_ = false;  // a start of a job, or a word of a silent worker
+};
+
 }  // namespace marlquay
 
 #endif  // MARLQUAY_SRC_MODULE_STATE_H_
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -98,7 +98,8 @@
 
 void Discovery::Again(const char* why) {
   Count("discovery_retries");
-  if (wait_ == 0) Log(std::string("worker list: ") + why + ", trying again");
+  if (wait_ == 0)
+    Log("list_retried", {{"why", why}}, std::string("worker list: ") + why + ", trying again");
   if (stream_ != nullptr) stream_->Close();
   stream_ = nullptr;
   overdue_.Clear();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,6 +1,7 @@
 #include "node/node.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <variant>
 
@@ -25,8 +26,15 @@
 
 Node::Node(const Config& config)
     : site_(config.site),
+      origin_{.node = config.name,
+              .build = {},
+              .seed = config.seed,
+              .settings = config.settings,
+              .tells_taken = true,
+              .workers = {}},
       clock_offset_(g_get_real_time() - Now()),
-      dispatcher_(WithTaken(site_.settings), config.seed, Now()),
+      started_(Now()),
+      dispatcher_(WithTaken(site_.settings), config.seed, started_),
       workers_(site_, config.sockets / kWorkerShare,
                {[this](AttemptKey key) {
                   const auto it = records_.find(key.job);
@@ -51,7 +59,12 @@
 
 // ---------------------------------------------------------------- the turn
 
-void Node::Post(marlquay::Event event) {
+void Node::Post(marlquay::Event event, capture::Note note) {
+  if (recorder_ != nullptr) {
+    note.seen = Now();
+    notes_.resize(events_.size());
+    notes_.push_back(std::move(note));
+  }
   events_.push_back(std::move(event));
   ArmTurn();
 }
@@ -75,12 +88,32 @@
   if (rang) events_.push_back(marlquay::TimerFired{});
   RunDeadlines(now);
   const std::vector<marlquay::Event> events = std::exchange(events_, {});
+  const std::vector<capture::Note> notes = std::exchange(notes_, {});
   actions_.clear();
   dispatcher_.Handle(now, events, &actions_);
-  for (const marlquay::Action& action : std::exchange(actions_, {})) Carry(action);
+  const std::vector<marlquay::Action> actions = std::exchange(actions_, {});
+  for (const marlquay::Action& action : actions) Carry(action);
+  if (recorder_ != nullptr) recorder_->OnTurn(now, events, notes, actions, dispatcher_, names_);
   ArmTurn();
 }
 
+void Node::Capture(const std::optional<capture::RecorderOptions>& options, const std::string& build,
+                   std::uint64_t policy_hash) {
+  if (options == recording_) return;
+  recording_ = options;
+  recorder_.reset();
+  if (!options) return;
+  origin_.build = build;
+  origin_.policy_hash = policy_hash;
+  // Before the first turn the module is as its settings and seed make it.
+  recorder_ = std::make_unique<capture::Recorder>(
+      *options, origin_, dispatcher_, names_, last_turn_ == 0 ? started_ : Now(), last_turn_ == 0);
+}
+
+void Node::Mark(const std::string& what) {
+  if (recorder_ != nullptr) recorder_->Mark(what);
+}
+
 // The node stops waiting for what is out at the deadline; the module, told so, gives the answer.
 void Node::RunDeadlines(Micros now) {
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
@@ -138,11 +171,31 @@
     CountFault("probe_not_possible", NameOf(probe->worker));
     Post(marlquay::ProbeEnded{probe->worker, false, {}});
   } else if (const auto* line = std::get_if<marlquay::LogLine>(&action)) {
-    Log(marlquay::Words(*line, site_, names_));
+    LogDecision(*line);
   }
   // Subscribe needs nothing: the watch runs from the start.
 }
 
+void Node::LogDecision(const marlquay::LogLine& line) {
+  using What = marlquay::LogLine::What;
+  const std::string text = marlquay::Words(line, site_, names_);
+  const std::string value = std::to_string(std::lround(line.value));
+  switch (line.what) {
+    case What::kWorkerSilent:
+      return Log("worker_silent", {{"worker", NameOf(line.worker)}}, text);
+    case What::kWorkerBack:
+      return Log("worker_back", {{"worker", NameOf(line.worker)}}, text);
+    case What::kLimitCut:
+      return Log("limit_cut",
+                 {{"pool", site_.kinds.at(static_cast<std::size_t>(line.pool))}, {"slots", value}},
+                 text);
+    case What::kShedding:
+      return Log("shedding", {{"refused", value}}, text);
+    case What::kListFailed:
+      return Log("list_failed", {}, text);
+  }
+}
+
 // ---------------------------------------------------------------- jobs
 
 std::optional<Ticket> Node::Submit(Job job, Client* client) {
@@ -158,13 +211,15 @@
   e.is_repeat = job.is_repeat;
   e.key = job.key;
   e.due = job.received + job.patience - std::min(kWayHere, job.patience / 2);
+  capture::Note note;
+  if (recorder_ != nullptr) note.id = job.id;
   Record& r = records_[ticket];
   r.job = std::move(job);
   r.client = client;
   r.due = e.due;
   ++open_;
   deadlines_.insert({r.due, ticket});
-  Post(e);
+  Post(e, std::move(note));
   return ticket;
 }
 
@@ -338,7 +393,9 @@
   }
   Count("lists");
   listed_ = true;
-  Post(std::move(news));
+  capture::Note note;
+  note.version = list.version;
+  Post(std::move(news), std::move(note));
 }
 
 }  // namespace pearreach
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "capture/recorder.h"
 #include "marlquay/dispatcher.h"
 #include "node/core.h"
 #include "node/discovery.h"
@@ -27,6 +28,13 @@
   // Goes on with the list at another address; until it is in, the workers held stay.
   void MoveDiscovery(const std::string& address) { discovery_.MoveTo(address); }
 
+  // Records the module's turns from now on; none: stops. `build` and `policy_hash` stand at the
+  // head of each segment.
+  void Capture(const std::optional<capture::RecorderOptions>& options, const std::string& build,
+               std::uint64_t policy_hash);
+  // A word for people that goes into the recording, if there is one.
+  void Mark(const std::string& what);
+
   const marlquay::Site& site() const override { return site_; }
   bool ready() const override { return listed_; }
   std::size_t open_jobs() const override { return open_; }
@@ -59,10 +67,11 @@
     int out = 0;
   };
 
-  void Post(marlquay::Event event);
+  void Post(marlquay::Event event, capture::Note note = {});
   void Turn();
   void ArmTurn();
   void Carry(const marlquay::Action& action);
+  void LogDecision(const marlquay::LogLine& line);
   void Send(const marlquay::Send& action);
   void Cancel(const marlquay::Cancel& action);
   void Reply(Ticket ticket, Record& record, const Answer& answer);
@@ -74,7 +83,9 @@
   const std::string& NameOf(marlquay::WorkerId worker) const { return names_.at(worker); }
 
   marlquay::Site site_;
-  Micros clock_offset_;  // of Unix time before Now(), taken once
+  capture::Origin origin_;  // of what is recorded
+  Micros clock_offset_;     // of Unix time before Now(), taken once
+  Micros started_;          // the module's clock at its start
   marlquay::Dispatcher dispatcher_;
   Workers workers_;
   Discovery discovery_;
@@ -91,9 +102,12 @@
   std::set<std::pair<Micros, Ticket>> deadlines_;
 
   std::vector<marlquay::Event> events_;
+  std::vector<capture::Note> notes_;  // one an event, while it is recorded
   std::vector<marlquay::Action> actions_;
   std::priority_queue<Micros, std::vector<Micros>, std::greater<>> timers_;
   Micros last_turn_ = 0;
+  std::optional<capture::RecorderOptions> recording_;
+  std::unique_ptr<capture::Recorder> recorder_;
   Alarm turn_;
 };
 
--- a/src/site/site.h
+++ b/src/site/site.h
@@ -56,6 +56,7 @@
   explicit Conf(Values values) : values_(std::move(values)) {}
 
   Text Get(const std::string& path) const;
+  const Values& values() const { return values_; }
   template <typename T>
   T Num(const std::string& path, T fallback) const {
     const Text text = Get(path);
