--- a/src/capture/record.cpp
+++ b/src/capture/record.cpp
@@ -18,8 +18,16 @@
 static_assert(wire::EventKind_MAX == std::variant_size_v<Event>);
 static_assert(wire::ActionKind_MAX == std::variant_size_v<Action>);
 
-// Times are written from the turn on, which is short; a sum that would not fit is no time.
-bool Plus(Micros a, std::int64_t b, Micros* sum) { return !__builtin_add_overflow(a, b, sum); }
+// What the module may be handed: sums of such times and figures cannot overflow in it.
+constexpr Micros kMostTime = Micros{1} << 60;
+constexpr Micros kMostHint = 10'000'000'000'000'000;  // what the wire lets through
+constexpr double kMostFigure = 1e15;
+
+bool Within(Micros t, Micros most) { return t >= -most && t <= most; }
+// Times are written from the turn on, which is short.
+bool Plus(Micros a, std::int64_t b, Micros* sum) {
+  return !__builtin_add_overflow(a, b, sum) && Within(*sum, kMostTime);
+}
 
 struct EventWriter {
   wire::Event* out;
@@ -131,6 +139,7 @@
         e.slots = Real(in.slots());
         e.is_repeat = in.is_repeat();
         if (in.has_hint()) e.hint = in.hint();
+        Must(Within(e.hint.value_or(0), kMostHint), "a hint out of range");
         if (in.has_key()) e.key = in.key();
         return e;
       }
@@ -211,7 +220,7 @@
     if (!holds && wrong_ == nullptr) wrong_ = what;
   }
   double Real(double v) {
-    Must(std::isfinite(v), "a number that is none");
+    Must(std::abs(v) <= kMostFigure, "a number that is none");
     return v;
   }
   // Ids are dense: without this check one record could ask the module for gigabytes.
@@ -251,6 +260,7 @@
       e.health = Enum<marlquay::Health>(entry.health(), 2);
       e.weight = Real(entry.weight());
       e.ready_at = entry.ready_at();
+      Must(Within(e.ready_at, kMostTime), "a start out of range");
       list.entries.push_back(e);
     }
     return list;
@@ -278,7 +288,11 @@
   head.set_clock(o.clock);
   head.set_unix_us(o.unix_us);
   head.set_first_turn(o.first_turn);
-  for (const auto& [path, value] : o.settings) (*head.mutable_settings())[path] = value;
+  for (const auto& [path, value] : o.settings) {
+    wire::Setting* to = head.add_settings();
+    to->set_path(path);
+    to->set_value(value);
+  }
   head.set_tells_taken(o.tells_taken);
   head.set_layout(o.layout);
   for (const std::string& w : o.workers) head.add_workers(w);
@@ -297,7 +311,7 @@
   o->clock = head.clock();
   o->unix_us = head.unix_us();
   o->first_turn = head.first_turn();
-  for (const auto& [path, value] : head.settings()) o->settings[path] = value;
+  for (const wire::Setting& s : head.settings()) o->settings[s.path()] = s.value();
   o->tells_taken = head.tells_taken();
   o->layout = head.layout();
   o->workers.assign(head.workers().begin(), head.workers().end());
@@ -378,7 +392,7 @@
     return "its records cannot be read";
   for (const wire::Turn& in : block->turns()) {
     Turn& turn = turns->emplace_back();
-    if (in.elapsed() < 0 || !Plus(*before, in.elapsed(), &turn.now))
+    if (in.elapsed() < 0 || !Within(*before, kMostTime) || !Plus(*before, in.elapsed(), &turn.now))
       return "its clock runs backwards";
     *before = turn.now;
     turn.workers.assign(in.workers().begin(), in.workers().end());
--- a/src/capture/recorder.cpp
+++ b/src/capture/recorder.cpp
@@ -24,8 +24,8 @@
 // One file of the node; it knows nothing of turns.
 class File {
  public:
-  explicit File(const RecorderOptions& options, std::string node)
-      : options_(options), node_(std::move(node)) {}
+  File(const CaptureSettings& settings, const DiskWrite& write, std::string node)
+      : settings_(settings), write_(write), node_(std::move(node)) {}
   ~File() { Close(); }
 
   bool is_open() const { return fd_ >= 0; }
@@ -35,10 +35,10 @@
   std::string Open(std::uint64_t* removed) {
     Close();
     std::error_code error;
-    fs::create_directories(options_.folder, error);
+    fs::create_directories(settings_.folder, error);
     std::vector<std::pair<std::uint64_t, fs::path>> all;
     std::uint64_t total = 0;
-    for (fs::directory_iterator it(options_.folder, error), end; !error && it != end;
+    for (fs::directory_iterator it(settings_.folder, error), end; !error && it != end;
          it.increment(error)) {
       const std::uint64_t number = NumberOf(it->path().filename().string());
       if (number == 0) continue;
@@ -47,12 +47,12 @@
       total += gone ? 0 : size;
       all.push_back({number, it->path()});
     }
-    if (error) return options_.folder + ": " + error.message();
+    if (error) return settings_.folder + ": " + error.message();
     std::sort(all.begin(), all.end());
     // By number and not by time: the wall clock may step.
     const std::uint64_t next = all.empty() ? 1 : all.back().first + 1;
     for (const auto& [number, path] : all) {
-      if (total + options_.segment_bytes <= options_.total_bytes) break;
+      if (total + settings_.segment_bytes <= settings_.total_bytes) break;
       std::error_code gone;
       const std::uint64_t size = fs::file_size(path, gone);
       if (fs::remove(path, gone)) {
@@ -62,9 +62,11 @@
     }
     char name[32];
     std::snprintf(name, sizeof name, ".%08llu", static_cast<unsigned long long>(next));
-    const std::string path = options_.folder + "/" + node_ + name + kSuffix;
+    path_.clear();
+    const std::string path = settings_.folder + "/" + node_ + name + kSuffix;
     fd_ = ::open(path.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0640);
     if (fd_ < 0) return path + ": " + std::strerror(errno);
+    path_ = path;
     size_ = 0;
     return Append(BlockWriter::FileHeader());
   }
@@ -74,7 +76,7 @@
     struct stat now {};
     if (::fstat(fd_, &now) != 0 || now.st_nlink == 0) return "the segment was removed";
     for (std::size_t done = 0; done < bytes.size();) {
-      const ssize_t n = ::write(fd_, bytes.data() + done, bytes.size() - done);
+      const ssize_t n = write_(fd_, bytes.data() + done, bytes.size() - done);
       if (n < 0 && errno == EINTR) continue;
       if (n <= 0) {
         const std::string why = n < 0 ? std::strerror(errno) : "nothing was written";
@@ -91,6 +93,11 @@
     if (fd_ >= 0) ::close(fd_);
     fd_ = -1;
   }
+  // For a segment that never got a turn: it could not be read.
+  void Remove() {
+    Close();
+    if (!path_.empty()) ::unlink(path_.c_str());
+  }
 
  private:
   // Of a segment of this node, from 1 on; 0: it is none.
@@ -104,8 +111,9 @@
     return std::stoull(digits);
   }
 
-  const RecorderOptions& options_;
-  std::string node_;
+  const CaptureSettings& settings_;
+  const DiskWrite& write_;
+  std::string node_, path_;
   int fd_ = -1;
   std::uint64_t size_ = 0;
 };
@@ -118,9 +126,12 @@
 
 }  // namespace
 
-Recorder::Recorder(RecorderOptions options, Origin origin, const marlquay::Dispatcher& dispatcher,
-                   const marlquay::Names& workers, Micros now, bool fresh)
-    : options_(std::move(options)), origin_(std::move(origin)), flush_([this] { Flush(); }) {
+Recorder::Recorder(CaptureSettings settings, Origin origin, const marlquay::Dispatcher& dispatcher,
+                   const marlquay::Names& workers, Micros now, bool fresh, DiskWrite write)
+    : settings_(std::move(settings)),
+      write_(write ? std::move(write) : DiskWrite(::write)),
+      origin_(std::move(origin)),
+      flush_([this] { Flush(); }) {
   thread_ = std::thread([this] { Write(); });
   Begin(fresh ? nullptr : &dispatcher, workers, now);
 }
@@ -162,7 +173,7 @@
   if (checkpoint != nullptr)
     state = {Task::Kind::kBlock, BlockType::kCheckpoint, 0,
              marlquay::Checkpoint::Save(*checkpoint)};
-  if (head.bytes.size() + state.bytes.size() + kBlockBytes > options_.memory) {
+  if (head.bytes.size() + state.bytes.size() + kBlockBytes > settings_.memory) {
     Suspend("a checkpoint of " + std::to_string(state.bytes.size()) + " bytes is too large", now);
     return false;
   }
@@ -172,7 +183,7 @@
   }
   open_ = true;
   Count("capture_segments");
-  flush_.Set(now + options_.flush_every);
+  flush_.Set(now + settings_.flush_every);
   return true;
 }
 
@@ -190,7 +201,7 @@
   }
   if (open_ && failed) {
     Suspend(report.failure, now);
-  } else if (!open_ && now >= retry_at_ && waiting < options_.memory / 4) {
+  } else if (!open_ && now >= retry_at_ && waiting < settings_.memory / 4) {
     // The state as it is after this turn: the next one is the segment's first.
     ++first_turn_;
     if (Begin(&dispatcher, workers, now)) return;
@@ -210,10 +221,10 @@
   ++ending_.turns;
   ending_.events += events.size();
   ending_.actions += actions.size();
-  if (turns_.size() >= kBlockBytes || now - block_began_ >= options_.flush_every) Flush();
+  if (turns_.size() >= kBlockBytes || now - block_began_ >= settings_.flush_every) Flush();
   if (!open_) return;
-  if (report.segment_bytes >= options_.segment_bytes ||
-      now - segment_began_ >= options_.segment_age) {
+  if (report.segment_bytes >= settings_.segment_bytes ||
+      now - segment_began_ >= settings_.segment_age) {
     End("a new segment was due");
     Begin(&dispatcher, workers, now);
   }
@@ -225,7 +236,7 @@
 
 void Recorder::Flush() {
   if (!open_) return;
-  flush_.Set(Now() + options_.flush_every);
+  flush_.Set(Now() + settings_.flush_every);
   if (turns_.size() == 0) return;
   // What is dropped are whole turns at the segment's end; its end says how many there are.
   const std::uint64_t in_block = ending_.turns - block_turn_;
@@ -235,7 +246,7 @@
     return;
   }
   for (std::uint64_t i = 0; i < in_block; ++i) Count("capture_turns_missed");
-  Suspend("the disk is too slow", Now());
+  Suspend("the disk is too slow", clock_);
 }
 
 void Recorder::End(const std::string& reason) {
@@ -254,12 +265,12 @@
 void Recorder::Suspend(const std::string& why, Micros now) {
   open_ = false;
   flush_.Clear();
-  retry_at_ = now + options_.retry_every;
+  retry_at_ = now + settings_.retry_every;
   Count("capture_suspended");
   if (!std::exchange(logged_, true))
     Log("capture_suspended", {{"why", why}},
         "capture suspended: " + why + "; tried again every " +
-            std::to_string(options_.retry_every / kSecond) + " s");
+            std::to_string(settings_.retry_every / kSecond) + " s");
   const std::lock_guard lock(mutex_);
   // Without its counts: what was dropped is not among the blocks.
   tasks_.push_back({Task::Kind::kEnd, BlockType::kEnd, 0, ""});
@@ -268,7 +279,7 @@
 
 bool Recorder::Hand(Task task) {
   const std::lock_guard lock(mutex_);
-  if (waiting_ + task.bytes.size() > options_.memory) return false;
+  if (waiting_ + task.bytes.size() > settings_.memory) return false;
   waiting_ += task.bytes.size();
   tasks_.push_back(std::move(task));
   ready_.notify_all();
@@ -288,9 +299,10 @@
 // ---------------------------------------------------------------- the writer's thread
 
 void Recorder::Write() {
-  File file(options_, FileName(origin_.node));
+  File file(settings_, write_, FileName(origin_.node));
   BlockWriter blocks;
   std::string stored;
+  bool has_turns = false;
   std::unique_lock lock(mutex_);
   for (;;) {
     busy_ = false;
@@ -306,6 +318,7 @@
     const std::size_t raw = task.bytes.size();
     if (task.kind == Task::Kind::kOpen) {
       blocks = BlockWriter();
+      has_turns = false;
       failure = file.Open(&removed);
     }
     if (failure.empty() && file.is_open() &&
@@ -313,8 +326,10 @@
       stored.clear();
       blocks.Append(task.type, task.first_turn, task.bytes, &stored);
       failure = file.Append(stored);
+      has_turns = has_turns || (failure.empty() && task.type == BlockType::kTurns);
     }
     // After a failure nothing more goes into this file: its last block is its end.
+    if (!failure.empty() && !has_turns) file.Remove();
     if (!failure.empty() || task.kind == Task::Kind::kEnd) file.Close();
     task = Task();
     lock.lock();
--- a/src/capture/recorder.h
+++ b/src/capture/recorder.h
@@ -7,6 +7,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <functional>
 #include <mutex>
 #include <span>
 #include <string>
@@ -16,27 +17,20 @@
 #include "base/io.h"
 #include "capture/format.h"
 #include "capture/record.h"
+#include "config/operator.h"
 #include "marlquay/dispatcher.h"
 
 namespace pearreach::capture {
 
-struct RecorderOptions {
-  std::string folder;
-  std::size_t memory = 2 << 20;              // bytes that may wait for the disk
-  std::uint64_t segment_bytes = 16 << 20;    // stored; then a new segment begins
-  Micros segment_age = 600 * kSecond;        // likewise
-  std::uint64_t total_bytes = 256ull << 20;  // of all segments of the node; the oldest go first
-  Micros flush_every = kSecond;              // a kill loses no more than this, and the disk's cache
-  Micros retry_every = 5 * kSecond;          // after a failure of the disk
-  bool operator==(const RecorderOptions&) const = default;
-};
+// In place of write(2), for tests of the disk's failures.
+using DiskWrite = std::function<ssize_t(int, const void*, std::size_t)>;
 
 class Recorder {
  public:
   // `origin`: node, build, hash, seed, settings. The first segment begins with `dispatcher` as it
   // is: `fresh` says that it has not taken a turn yet, so that it needs no checkpoint.
-  Recorder(RecorderOptions options, Origin origin, const marlquay::Dispatcher& dispatcher,
-           const marlquay::Names& workers, Micros now, bool fresh);
+  Recorder(CaptureSettings settings, Origin origin, const marlquay::Dispatcher& dispatcher,
+           const marlquay::Names& workers, Micros now, bool fresh, DiskWrite write = {});
   ~Recorder();  // writes what it holds and ends the segment
   Recorder(const Recorder&) = delete;
   Recorder& operator=(const Recorder&) = delete;
@@ -77,7 +71,8 @@
   bool Hand(Task task);  // false: it does not fit the memory
   void Write();          // the thread
 
-  RecorderOptions options_;
+  CaptureSettings settings_;
+  DiskWrite write_;
   Origin origin_;
   TurnWriter turns_;
   Alarm flush_;
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -32,15 +32,7 @@
 
 void Apply(const OperatorSettings& settings, Node* node) {
   SetLogFormat(settings.log_format);
-  std::optional<capture::RecorderOptions> options;
-  if (const auto& c = settings.capture)
-    options = capture::RecorderOptions{.folder = c->folder,
-                                       .memory = c->memory,
-                                       .segment_bytes = c->segment_bytes,
-                                       .segment_age = c->segment_age,
-                                       .total_bytes = c->total_bytes,
-                                       .flush_every = c->flush_every};
-  node->Capture(options, kVersion, kPolicyHash);
+  node->Capture(settings.capture, kVersion, kPolicyHash);
 }
 
 // Guards the jobs at hand: whatever the file holds by now, the node goes on.
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -17,11 +17,12 @@
 // <capture>: docs/capture.md.
 struct CaptureSettings {
   std::string folder;
-  std::size_t memory = 2 << 20;            // bytes
-  std::uint64_t segment_bytes = 16 << 20;  // stored
-  Micros segment_age = 600 * kSecond;
-  std::uint64_t total_bytes = 256ull << 20;  // stored
-  Micros flush_every = kSecond;
+  std::size_t memory = 2 << 20;              // bytes that may wait for the disk
+  std::uint64_t segment_bytes = 16 << 20;    // stored; then a new segment begins
+  Micros segment_age = 600 * kSecond;        // likewise
+  std::uint64_t total_bytes = 256ull << 20;  // of all segments of the node; the oldest go first
+  Micros flush_every = kSecond;              // a kill loses no more than this
+  Micros retry_every = 5 * kSecond;          // after a failure of the disk; not in the file
   bool operator==(const CaptureSettings&) const = default;
 };
 
--- a/src/module/checkpoint.cpp
+++ b/src/module/checkpoint.cpp
@@ -14,8 +14,13 @@
 using google::protobuf::io::CodedInputStream;
 using google::protobuf::io::CodedOutputStream;
 
-// Guards the bytes at rest against a longer number than any state holds.
+// Bounds of what a state holds. Bytes beyond them are none, and sums of what is within cannot
+// overflow in the module.
 constexpr std::uint64_t kMostItems = 50'000'000;
+constexpr std::int64_t kMostTime = std::int64_t{1} << 61;  // kLongAgo is the least
+constexpr std::int64_t kMostCount = 1'000'000'000;
+constexpr double kMostFigure = 1e15;
+constexpr std::int64_t kNever = std::numeric_limits<Micros>::max();
 
 std::uint64_t ZigZag(std::int64_t v) {
   return (static_cast<std::uint64_t>(v) << 1) ^ static_cast<std::uint64_t>(v >> 63);
@@ -139,6 +144,7 @@
       (Get(fields), ...);
     }
     bool good() const { return good_; }
+    std::size_t nevers() const { return nevers_; }  // times that were kNever
 
    private:
     std::uint64_t Varint() {
@@ -152,7 +158,7 @@
         std::uint64_t bits = 0;
         good_ = good_ && in_->ReadLittleEndian64(&bits);
         v = std::bit_cast<double>(bits);
-        good_ = good_ && std::isfinite(v);
+        good_ = good_ && std::abs(v) <= kMostFigure;
       } else if constexpr (std::is_same_v<T, bool>) {
         v = Varint() != 0;
       } else if constexpr (std::is_enum_v<T>) {
@@ -162,8 +168,12 @@
       } else if constexpr (std::is_integral_v<T>) {
         const std::uint64_t n = Varint();
         if constexpr (std::is_signed_v<T>) {
-          v = static_cast<T>(UnZigZag(n));
-          good_ = good_ && v == UnZigZag(n);
+          const std::int64_t wide = UnZigZag(n);
+          const std::int64_t most = sizeof(T) == 8 ? kMostTime : kMostCount;
+          const bool never = sizeof(T) == 8 && wide == kNever;
+          nevers_ += never ? 1 : 0;
+          good_ = good_ && (never || (wide >= -most && wide <= most));
+          v = static_cast<T>(good_ ? wide : 0);
         } else {
           v = static_cast<T>(n);
           good_ = good_ && v == n;
@@ -215,11 +225,12 @@
 
     CodedInputStream* in_;
     std::uint64_t left_;
+    std::size_t nevers_ = 0;
     bool good_ = true;
   };
 
   // What the module relies on without asking. Empty, or what does not hold.
-  static std::string Broken(State& s, const State& fresh) {
+  static std::string Broken(State& s, const State& fresh, std::size_t nevers) {
     const auto& slab = s.table_.slab_;
     const auto worker = [&](WorkerId id) { return id < s.workers_.size(); };
     const auto slot = [&](const Ref& r) { return r.slot < slab.size(); };
@@ -227,11 +238,19 @@
         s.queues_.size() != fresh.queues_.size() || s.quota_.size() != fresh.quota_.size() ||
         s.keys_.sums_.size() != fresh.keys_.sums_.size())
       return "its settings are others";
+    // Only these times may be never; to any other the module adds.
+    std::size_t may = (s.subscribe_at_ == kNever ? 1 : 0) + (s.next_check_ == kNever ? 1 : 0);
+    for (const Pool& p : s.pools_) may += p.shut_until == kNever ? 1 : 0;
+    if (nevers != may) return "a time is out of range";
+    for (const Pool& p : s.pools_)
+      if (p.slowdown < 0.1 || p.slowdown > 10) return "a pool's speed is out of range";
+    if (s.subscribe_wait_ < 2) return "a wait is out of range";
     for (const Pool& p : s.pools_)
       for (const Members* set : {&p.members, &p.local, &p.home, &p.used})
         for (const Member& m : *set)
           if (!worker(m.id)) return "a pool names a worker that is none";
     for (const Worker& w : s.workers_) {
+      if (w.slowness < 0.1 || w.slowness > 10) return "a worker's speed is out of range";
       if (w.entry.kind < 0 || w.entry.kind >= static_cast<int>(s.pools_.size()))
         return "a worker is of no kind";
       for (const auto& [ref, number] : w.out) {
@@ -291,7 +310,7 @@
   loader(s);
   if (!loader.good()) return "it cannot be read";
   if (in.CurrentPosition() != static_cast<int>(bytes.size())) return "it is too long";
-  return Fields::Broken(s, fresh);
+  return Fields::Broken(s, fresh, loader.nevers());
 }
 
 std::uint64_t Checkpoint::Layout() {
--- a/src/module/state.h
+++ b/src/module/state.h
@@ -163,7 +163,7 @@
   const auto at = std::lower_bound(all.begin(), all.end(), m, less);
   if (in)
     all.insert(at, m);
-  else
+  else if (at != all.end() && at->id == m.id)
     all.erase(at);
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -97,17 +97,17 @@
   ArmTurn();
 }
 
-void Node::Capture(const std::optional<capture::RecorderOptions>& options, const std::string& build,
+void Node::Capture(const std::optional<CaptureSettings>& settings, const std::string& build,
                    std::uint64_t policy_hash) {
-  if (options == recording_) return;
-  recording_ = options;
+  if (settings == recording_) return;
+  recording_ = settings;
   recorder_.reset();
-  if (!options) return;
+  if (!settings) return;
   origin_.build = build;
   origin_.policy_hash = policy_hash;
   // Before the first turn the module is as its settings and seed make it.
   recorder_ = std::make_unique<capture::Recorder>(
-      *options, origin_, dispatcher_, names_, last_turn_ == 0 ? started_ : Now(), last_turn_ == 0);
+      *settings, origin_, dispatcher_, names_, last_turn_ == 0 ? started_ : Now(), last_turn_ == 0);
 }
 
 void Node::Mark(const std::string& what) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -30,7 +30,7 @@
 
   // Records the module's turns from now on; none: stops. `build` and `policy_hash` stand at the
   // head of each segment.
-  void Capture(const std::optional<capture::RecorderOptions>& options, const std::string& build,
+  void Capture(const std::optional<CaptureSettings>& settings, const std::string& build,
                std::uint64_t policy_hash);
   // A word for people that goes into the recording, if there is one.
   void Mark(const std::string& what);
@@ -106,7 +106,7 @@
   std::vector<marlquay::Action> actions_;
   std::priority_queue<Micros, std::vector<Micros>, std::greater<>> timers_;
   Micros last_turn_ = 0;
-  std::optional<capture::RecorderOptions> recording_;
+  std::optional<CaptureSettings> recording_;
   std::unique_ptr<capture::Recorder> recorder_;
   Alarm turn_;
 };
--- /dev/null
+++ b/tests/cli/cli_test.cpp
@@ -0,0 +1,113 @@
+// The program as a person calls it: exit codes and one line for what is wrong.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "capture/segment.h"
+#include "lab/scenarios.h"
+
+namespace pearreach {
+namespace {
+
+struct Result {
+  int code = -1;
+  std::string out;
+};
+
+Result Call(const std::string& arguments) {
+  Result r;
+  FILE* pipe = popen((std::string(PEARREACH_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
+  char buffer[4096];
+  for (std::size_t n; (n = fread(buffer, 1, sizeof buffer, pipe)) > 0;) r.out.append(buffer, n);
+  r.code = WEXITSTATUS(pclose(pipe));
+  return r;
+}
+
+std::string File(const std::string& name, const std::string& bytes) {
+  const std::string path = testing::TempDir() + name;
+  capture::WriteFile(path, bytes);
+  return path;
+}
+
+std::string Day() { return lab::Play(lab::Scenarios()[1])->Capture(); }
+
+TEST(Cli, ReplaySaysIdenticalOrNot) {
+  const std::string good = File("good.prcap", Day());
+  Result r = Call("replay " + good);
+  EXPECT_EQ(r.code, 0) << r.out;
+  EXPECT_EQ(r.out.substr(0, 11), "identical: ");
+  r = Call("replay --json " + good + " " + good);
+  EXPECT_EQ(r.code, 0);
+  EXPECT_NE(r.out.find("\"identical\":true"), std::string::npos);
+  const std::string cut = File("cut.prcap", Day().substr(0, Day().size() - 20));
+  r = Call("replay " + cut);
+  EXPECT_EQ(r.code, 0);
+  EXPECT_NE(r.out.find("cut off: the last "), std::string::npos) << r.out;
+  std::string bytes = Day();
+  bytes[bytes.size() / 2] ^= 1;
+  r = Call("replay " + File("bad.prcap", bytes));
+  EXPECT_EQ(r.code, 2);
+  EXPECT_EQ(r.out.find("identical"), std::string::npos) << r.out;
+  EXPECT_NE(r.out.find("damaged: block "), std::string::npos) << r.out;
+  r = Call("replay --set Limits.TryLimit=1 " + good);
+  EXPECT_EQ(r.code, 0);
+  EXPECT_EQ(r.out.substr(0, 9), "what if: ");
+}
+
+TEST(Cli, ToolsMakeCapturesThatReplay) {
+  const std::string day = File("day.prcap", Day());
+  const std::string part = testing::TempDir() + "part.prcap";
+  EXPECT_EQ(Call("capture cut " + day + " --from 0.5 --until 2 -o " + part).code, 0);
+  EXPECT_EQ(Call("replay " + part).code, 0);
+  EXPECT_EQ(Call("audit " + day + " " + part).code, 0);
+  const std::string masked = testing::TempDir() + "masked.prcap";
+  EXPECT_EQ(Call("capture anonymise " + part + " -o " + masked).code, 0);
+  EXPECT_EQ(Call("replay " + masked).code, 0);
+  Result r = Call("capture info " + masked);
+  EXPECT_EQ(r.code, 0);
+  EXPECT_NE(r.out.find("with a checkpoint of"), std::string::npos) << r.out;
+  EXPECT_EQ(r.out.find("s-0"), std::string::npos) << r.out;
+  EXPECT_EQ(Call("explain " + day + " --worker s-1").code, 0);
+  r = Call("explain " + day + " --worker nobody");
+  EXPECT_EQ(r.code, 1);
+  EXPECT_EQ(r.out, "pearreach: " + day + ": nothing of nobody there\n");
+}
+
+TEST(Cli, WrongUseIsOneLineAndCodeTwo) {
+  const std::string day = File("day2.prcap", Day());
+  for (const std::string& call :
+       std::vector<std::string>{std::string("fly"),
+                                std::string("replay"),
+                                "replay --fast " + day,
+                                std::string("replay /no/such"),
+                                "replay --from 3 --until 2 " + day,
+                                "replay --from x " + day,
+                                "replay --set A " + day,
+                                "replay --set Limits.TryLimit=x " + day,
+                                "replay --accept --set A=1 " + day,
+                                "explain " + day,
+                                "explain --worker a " + day + " " + day,
+                                "capture cut " + day,
+                                "capture fly",
+                                "capture cut " + day + " --from 99 -o /dev/null",
+                                "capture anonymise " + day + " --key /dev/null -o /dev/null",
+                                "capture import-tap " + day + " -o /dev/null",
+                                std::string("replay /"),
+                                std::string("serve --config /no/such"),
+                                std::string("check --operator /no/such"),
+                                std::string("serve extra words")}) {
+    const Result r = Call(call);
+    EXPECT_EQ(r.code, 2) << call << ": " << r.out;
+    EXPECT_EQ(std::count(r.out.begin(), r.out.end(), '\n'), 1) << call << ": " << r.out;
+  }
+  for (const char* call : {"help", "version", "replay --help", "capture --help", "serve --help",
+                           "check --help", "explain --help", "audit --help", "capture info --help"})
+    EXPECT_EQ(Call(call).code, 0) << call;
+}
+
+}  // namespace
+}  // namespace pearreach
--- /dev/null
+++ b/tests/config/operator_test.cpp
@@ -0,0 +1,80 @@
+// The operator's file: what is wrong is one line with its place, and nothing is half taken.
+#include "config/operator.h"
+
+#include <gtest/gtest.h>
+
+#include "site/site.h"
+
+namespace pearreach {
+namespace {
+
+std::string Wrong(const std::string& xml) {
+  try {
+    ReadOperatorFile(xml, "op.xml");
+    return "";
+  } catch (const marlquay::Malformed& wrong) {
+    return wrong.what();
+  }
+}
+
+TEST(OperatorFile, EmptyMeansAllOff) {
+  const OperatorSettings s = ReadOperatorFile("<pearreach/>", "op.xml");
+  EXPECT_EQ(s.log_format, LogFormat::kText);
+  EXPECT_FALSE(s.capture);
+}
+
+TEST(OperatorFile, SetsWhatItNames) {
+  const OperatorSettings s = ReadOperatorFile(
+      "<pearreach><capture folder='/c' memory-kib='512' segment-kib='1024' segment-seconds='60' "
+      "total-kib='4096' flush-ms='250'/><log format='json'/></pearreach>",
+      "op.xml");
+  EXPECT_EQ(s.log_format, LogFormat::kJson);
+  const CaptureSettings wanted{.folder = "/c",
+                               .memory = 512 << 10,
+                               .segment_bytes = 1 << 20,
+                               .segment_age = 60 * kSecond,
+                               .total_bytes = 4 << 20,
+                               .flush_every = 250 * kMs};
+  ASSERT_TRUE(s.capture);
+  EXPECT_EQ(*s.capture, wanted);
+}
+
+TEST(OperatorFile, WhatIsWrongIsOneLineWithItsPlace) {
+  const char* cases[][2] = {
+      {"<pearreach>\n<log format='xml'/>\n</pearreach>", "op.xml:2: "},
+      {"<pearreach>\n\n<captur folder='/c'/></pearreach>", "op.xml:3: "},
+      {"<pearreach>\n<capture/>\n</pearreach>", "op.xml:2: "},
+      {"<pearreach>\n<capture folder='/c' memory-kib='12MB'/></pearreach>", "op.xml:2: "},
+      {"<pearreach>\n<capture folder='/c' memory-kib='1'/></pearreach>", "op.xml:2: "},
+      {"<pearreach>\n<capture folder='captures'/></pearreach>",
+       "op.xml:2: capture: folder 'captures' is not absolute"},
+      {"<pearreach><capture folder='/c' segment-kib='1024' total-kib='1500'/></pearreach>",
+       "op.xml:1: capture: total-kib holds less than two segments"},
+      {"<pearreach>\n<log>", "op.xml:2: "},
+      {"", "op.xml:1: "},
+      {"{\"not\": \"xml\"}", "op.xml:1: "},
+      {"<other/>", "op.xml:1: "}};
+  for (const auto& [xml, begin] : cases) {
+    const std::string wrong = Wrong(xml);
+    EXPECT_EQ(wrong.substr(0, std::string(begin).size()), begin) << xml;
+    EXPECT_GT(wrong.size(), std::string("op.xml:1: ").size()) << xml;
+    EXPECT_EQ(wrong.find('\n'), std::string::npos) << wrong;
+  }
+}
+
+// A billion laughs, a file of the machine, an address: none is read.
+TEST(OperatorFile, NoEntitiesAndNoOtherFiles) {
+  const std::string laughs =
+      "<!DOCTYPE p [<!ENTITY a 'ha'><!ENTITY b '&a;&a;&a;&a;'>]><pearreach>&b;</pearreach>";
+  EXPECT_EQ(Wrong(laughs), "op.xml:1: a document type is not allowed");
+  const std::string file =
+      "<!DOCTYPE p [<!ENTITY f SYSTEM 'file:///etc/hostname'>]>"
+      "<pearreach><log format='&f;'/></pearreach>";
+  EXPECT_NE(Wrong(file), "");
+  EXPECT_EQ(Wrong("<!DOCTYPE p SYSTEM 'http://127.0.0.1:1/x.dtd'><pearreach/>"),
+            "op.xml:1: a document type is not allowed");
+  EXPECT_EQ(Wrong(std::string(2 << 20, ' ')), "op.xml:1: longer than a mebibyte");
+}
+
+}  // namespace
+}  // namespace pearreach
--- a/tests/node/stories_test.cpp
+++ b/tests/node/stories_test.cpp
@@ -5,12 +5,15 @@
 
 #include <csignal>
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
 
+#include "capture/replay.h"
 #include "fronts/front.h"
+#include "lab/world.h"
 #include "node/node.h"
 
 namespace pearreach {
@@ -687,6 +690,59 @@
   std::remove(path.c_str());
 }
 
+// What a node does across SIGHUPs that move discovery and switch the capture off and on: every
+// segment replays alone, and the jobs do not notice.
+TEST(Story, CaptureGoesOnAcrossReloads) {
+  std::string folder = testing::TempDir() + "pearreach-XXXXXX";
+  ASSERT_NE(mkdtemp(folder.data()), nullptr);
+  Config config = BaseConfig();
+  config.settings = lab::BaseSettings();
+  config.site = marlquay::ReadSite(marlquay::Conf(config.settings));
+  Rig rig(config);
+  const CaptureSettings settings{.folder = folder, .flush_every = 20 * kMs};
+  rig.node.Capture(settings, "test", 1);
+  Server worker(Accept), other(Silent);
+  rig.Workers({worker.address()});
+  Caller client(rig.port()), agent(rig.port());
+  std::size_t jobs = 0;
+  const auto serve = [&](const std::string& id) {
+    client.Ask(id);
+    RunUntil([&] { return worker.got.size() == jobs + 1; });
+    agent.News(id, "s-0", "started");
+    agent.News(id, "s-0", "done");
+    EXPECT_EQ(client.Status(jobs), 200);
+    ++jobs;
+  };
+  serve("a");
+  rig.node.MoveDiscovery(other.address());
+  rig.node.Mark("configuration read again");
+  serve("b");
+  rig.node.Capture(settings, "test", 1);  // read again, unchanged: the segment goes on
+  serve("c");
+  rig.node.Capture(std::nullopt, "test", 1);
+  serve("d");
+  rig.node.Capture(settings, "test", 1);  // a module with a past: a checkpoint
+  serve("e");
+  rig.node.Capture(std::nullopt, "test", 1);
+  std::string marks, ids;
+  int checkpoints = 0;
+  for (const char* name : {"/pearreach.00000001.prcap", "/pearreach.00000002.prcap"}) {
+    capture::Segment segment(folder + name), again(folder + name);
+    const capture::Replayed r = capture::Replay(&segment, {});
+    EXPECT_FALSE(r.difference);
+    EXPECT_TRUE(r.ended);
+    checkpoints += segment.checkpoint() ? 1 : 0;
+    for (capture::Turn t; again.Next(&t);) {
+      marks += t.mark;
+      for (const capture::Note& n : t.notes) ids += n.id;
+    }
+  }
+  EXPECT_EQ(ids, "abce");
+  EXPECT_EQ(marks, "configuration read again");
+  EXPECT_EQ(checkpoints, 1);
+  std::filesystem::remove_all(folder);
+}
+
 // Each list tells the same start again: by an offset taken anew it would look like a restart.
 TEST(Story, AStartToldTwiceIsOneStart) {
   Rig rig;
