--- a/src/capture/explain.cpp
+++ b/src/capture/explain.cpp
@@ -134,7 +134,7 @@
       About about;
       about.request = kept.choice.request;
       if (kept.choice.chosen) about.workers.push_back(*kept.choice.chosen);
-      if (Wanted(about)) Say(turn.now, "choice", Why(kept, turn.now));
+      if (Wanted(about)) SayChoice(kept, turn.now);
     }
     for (const Action& a : turn.actions)
       if (Wanted(AboutOf(a)))
@@ -142,6 +142,23 @@
             Words(a, site, workers));
   }
 
+  // A job that waits is looked at again and again: said once, and how often when that ends.
+  void SayChoice(const Kept& kept, Micros now) {
+    const marlquay::Choice& c = kept.choice;
+    const int reason = c.chosen ? 0 : c.room ? 1 : 2;
+    auto& [last, times] = waits_[c.request];
+    if (reason != 0 && reason == last) {
+      ++times;
+      return;
+    }
+    std::string text = Why(kept, now);
+    if (times > 0)
+      text += "\n        it had been looked at " + std::to_string(times) + " times more";
+    last = reason;
+    times = 0;
+    Say(now, "choice", text);
+  }
+
   // Of a list, the worker asked for alone.
   std::string TellEvent(const Event& e, const Turn& turn, std::size_t i) const {
     if (const auto* list = std::get_if<marlquay::WorkerList>(&e); list != nullptr && worker_) {
@@ -195,6 +212,7 @@
   std::size_t names_seen_ = 0;
   std::optional<marlquay::WorkerId> worker_;
   std::set<marlquay::RequestId> jobs_;
+  std::map<marlquay::RequestId, std::pair<int, int>> waits_;  // the last reason, how often since
   Explained result_;
 };
 
