--- a/include/marlquay/dispatcher.h
+++ b/include/marlquay/dispatcher.h
@@ -177,9 +177,21 @@
   std::string data;
 };
 
+// An attempt that was made before this module's time, of a request that arrives in the same Handle.
+// One that is out is taken on as it is: its slots count, its outcome is awaited, and it is not sent
+// again.
+struct AttemptAdopted {
+  enum class Was { kOut, kNeverRan, kMayHaveRun };
+  RequestId request = 0;
+  WorkerId worker = 0;
+  Micros sent = 0;  // may lie before the module's first call
+  bool started = false;
+  Was was = Was::kOut;
+};
+
 using Event =
     std::variant<WorkerList, RequestArrived, AttemptTaken, AttemptStarted, AttemptProgress,
-                 StreamBegan, AttemptEnded, RequestLapsed, TimerFired, ProbeEnded, PeerMessage>;
+                 StreamBegan, AttemptEnded, RequestLapsed, TimerFired, ProbeEnded, PeerMessage, AttemptAdopted>;
 
 // ---------------------------------------------------------------- actions
 
--- a/src/capture/audit.cpp
+++ b/src/capture/audit.cpp
@@ -181,6 +181,20 @@
     job->settled = true;
   }
   void On(const TimerFired&) {}
+  void On(const AttemptAdopted& e) {
+    Job* job = Find(e.request);
+    if (job == nullptr) return;
+    Try t;
+    t.worker = e.worker;
+    t.sent = e.sent;
+    t.out = e.was == AttemptAdopted::Was::kOut;
+    t.may_have_run = e.was != AttemptAdopted::Was::kNeverRan;
+    if (t.out && e.started) {
+      t.started = now_;
+      Worker(e.worker).running += job->slots;
+    }
+    job->tries.push_back(t);
+  }
   void On(const ProbeEnded&) {}
   void On(const PeerMessage&) {}
 
--- a/src/capture/record.cpp
+++ b/src/capture/record.cpp
@@ -91,6 +91,12 @@
     out->set_from(e.from);
     out->set_data(e.data);
   }
+  void operator()(const marlquay::AttemptAdopted& e) {
+    Attempt(e.request, 0, e.worker);
+    out->set_sent_ago(now - e.sent);
+    out->set_started(e.started);
+    out->set_was(static_cast<std::uint32_t>(e.was));
+  }
 };
 
 struct ActionWriter {
@@ -175,6 +181,15 @@
       }
       case wire::PEER_MESSAGE:
         return marlquay::PeerMessage{in.from(), in.data()};
+      case wire::ATTEMPT_ADOPTED: {
+        marlquay::AttemptAdopted e;
+        e.request = in.request();
+        e.worker = Worker(in.worker());
+        Must(Within(in.sent_ago(), kMostTime) && Plus(now_, -in.sent_ago(), &e.sent), "a time");
+        e.started = in.started();
+        e.was = Enum<marlquay::AttemptAdopted::Was>(in.was(), 2);
+        return e;
+      }
       default:
         Must(false, "an event of a kind not known here");
         return marlquay::TimerFired{};
@@ -486,6 +501,11 @@
     return "probe of " + NameOf(workers, e.worker) + (e.good ? ": good" : ": bad") +
            LoadWords(e.load);
   }
+  std::string operator()(const marlquay::AttemptAdopted& e) const {
+    static constexpr const char* kWas[] = {"may be running", "never ran", "may have run"};
+    return "adopted: job " + std::to_string(e.request) + " at " + NameOf(workers, e.worker) +
+           ", sent " + Ms(note.seen - e.sent) + " ago, " + kWas[static_cast<int>(e.was)];
+  }
   std::string operator()(const marlquay::PeerMessage& e) const {
     return "message of node " + std::to_string(e.from) + ", " + std::to_string(e.data.size()) +
            " bytes";
--- /dev/null
+++ b/src/cli/jobs.cpp
@@ -0,0 +1,200 @@
+// The sub-command jobs: looks at a store of durable jobs and settles doubts. It owns the words that
+// it prints; it must never change a store that a node has open but by an order that the node
+// carries out itself.
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <ctime>
+#include <filesystem>
+#include <iostream>
+
+#include "cli/cli.h"
+#include "durable/orders.h"
+#include "site/site.h"
+#include "store/store.h"
+
+namespace pearreach::cli {
+namespace {
+
+using jobs::Job;
+using Json = rapidjson::Writer<rapidjson::StringBuffer>;
+
+void Put(Json& json, const char* key, const std::string& value) {
+  json.Key(key);
+  json.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+}
+
+std::string JsonOf(const Job& job, bool whole) {
+  static constexpr const char* kRan[] = {"out", "never", "maybe", "said its end", "fenced off"};
+  rapidjson::StringBuffer buffer;
+  Json json(buffer);
+  json.StartObject();
+  Put(json, "id", job.id);
+  Put(json, "request", job.request_id);
+  Put(json, "state", jobs::kStateNames[static_cast<int>(job.state)]);
+  Put(json, "class", job.cls);
+  Put(json, "account", job.tenant);
+  json.Key("created_s");
+  json.Double(static_cast<double>(job.created) / 1e6);
+  json.Key("due_s");
+  json.Double(static_cast<double>(job.due) / 1e6);
+  if (!job.reason.empty()) Put(json, "reason", job.reason);
+  if (whole && job.state == jobs::State::kServed) Put(json, "result", job.result);
+  json.Key("attempts");
+  json.StartArray();
+  for (const jobs::Attempt& a : job.attempts) {
+    json.StartObject();
+    Put(json, "worker", a.worker);
+    Put(json, "ran", kRan[static_cast<int>(a.ran)]);
+    json.Key("fence");
+    json.Uint64(a.fence);
+    json.Key("knows_fences");
+    json.Bool(a.knows_fences);
+    json.Key("sent_s");
+    json.Double(static_cast<double>(a.sent) / 1e6);
+    json.Key("lease_until_s");
+    json.Double(static_cast<double>(a.lease_until) / 1e6);
+    json.EndObject();
+  }
+  json.EndArray();
+  json.EndObject();
+  return buffer.GetString();
+}
+
+std::vector<Job> LoadAll(const std::string& path) {
+  if (!std::filesystem::exists(path)) throw store::StoreError(path + ": there is no such store");
+  std::vector<Job> all;
+  store::OpenSqlite({.path = path, .owner = "", .read_only = true, .fault = {}})
+      ->Load([&](Job job) { all.push_back(std::move(job)); });
+  return all;
+}
+
+int List(const std::string& path, const std::string& state, bool as_json) {
+  std::uint64_t shown = 0;
+  for (const Job& j : LoadAll(path)) {
+    const char* name = jobs::kStateNames[static_cast<int>(j.state)];
+    if (!state.empty() && state != name) continue;
+    ++shown;
+    if (as_json)
+      std::puts(JsonOf(j, false).c_str());
+    else
+      std::printf("%s  %-9s  %-16s %-12s %zu attempts%s%s\n", j.id.c_str(), name, j.cls.c_str(),
+                  j.tenant.c_str(), j.attempts.size(), j.reason.empty() ? "" : ": ",
+                  j.reason.c_str());
+  }
+  if (!as_json) std::printf("%llu jobs\n", static_cast<unsigned long long>(shown));
+  std::fflush(stdout);
+  return kGood;
+}
+
+int Show(const std::string& path, const std::string& id) {
+  for (const Job& j : LoadAll(path))
+    if (j.id == id || j.request_id == id) return std::puts(JsonOf(j, true).c_str()), kGood;
+  std::cerr << "pearreach: " << path << ": no job " << id << '\n';
+  return kNo;
+}
+
+// Where no node has the store, here; else by an order, waited for.
+int Resolve(const std::string& path, const std::string& id, const std::string& as,
+            const std::string& reason) {
+  jobs::State state{};
+  if (as == "served")
+    state = jobs::State::kServed;
+  else if (as == "failed")
+    state = jobs::State::kFailed;
+  else if (as == "refused")
+    state = jobs::State::kRefused;
+  else
+    throw marlquay::Malformed("--as wants served, failed or refused, not '" + as + "'");
+  bool doubted = false;
+  Job job;
+  for (Job& j : LoadAll(path))
+    if (j.id == id && j.state == jobs::State::kInDoubt) {
+      doubted = true;
+      job = std::move(j);
+    }
+  if (!doubted) {
+    std::cerr << "pearreach: " << path << ": no job " << id << " in doubt\n";
+    return kNo;
+  }
+  try {
+    const auto store = store::OpenSqlite({.path = path, .owner = "person", .fault = {}});
+    job.state = state;
+    job.reason = reason;
+    job.ended = static_cast<jobs::UnixMicros>(std::time(nullptr)) * 1'000'000;
+    store->Submit({{store::PutJob{job, false}}, nullptr});
+  } catch (const store::StoreError&) {  // a node has it
+    WriteOrder(path, {id, state, reason});
+    for (int i = 0; i < 100 && OrderWaits(path, id); ++i) usleep(100'000);
+    if (OrderWaits(path, id)) {
+      std::cerr << "pearreach: the order is written; the node has not carried it out yet\n";
+      return kNo;
+    }
+  }
+  for (const Job& j : LoadAll(path))
+    if (j.id == id && j.state == state)
+      return std::printf("%s is %s now\n", id.c_str(), as.c_str()), kGood;
+  std::cerr << "pearreach: " << id << " could not be settled: it is no longer in doubt\n";
+  return kNo;
+}
+
+}  // namespace
+
+int JobsTools(int argc, char** argv) {
+  cxxopts::Options options(
+      "pearreach jobs",
+      "Durable jobs in a store, of a node that runs or one that does not:\n"
+      "  list [--state S], show ID, export, resolve ID --as served|failed|refused,\n"
+      "  verify, compact. Exit code 1: no such job, or the store is not sound.");
+  options.add_options()("words", "", cxxopts::value<std::vector<std::string>>())(
+      "store", "the store's file", cxxopts::value<std::string>(), "FILE")(
+      "state", "only jobs in this state, e.g. 'in doubt'",
+      cxxopts::value<std::string>()->default_value(""), "S")(
+      "as", "resolve: what the job is taken for", cxxopts::value<std::string>()->default_value(""),
+      "STATE")("reason", "resolve: for those who read it later",
+               cxxopts::value<std::string>()->default_value("settled by a person"),
+               "TEXT")("json", "print JSON, a job a line");
+  options.parse_positional({"words"});
+  options.positional_help("WHAT [ID]");
+  bool done = false;
+  const auto args = Parse(&options, argc, argv, &done);
+  if (done) return kGood;
+  const auto words = args.count("words") > 0 ? args["words"].as<std::vector<std::string>>()
+                                             : std::vector<std::string>();
+  const std::string what = words.empty() ? "" : words[0];
+  const bool named = what == "show" || what == "resolve";
+  if (what != "list" && what != "export" && what != "verify" && what != "compact" && !named)
+    throw marlquay::Malformed("jobs wants list, show, export, resolve, verify or compact");
+  if (words.size() != (named ? 2u : 1u))
+    throw marlquay::Malformed(named ? "jobs " + what + " wants one ID" : "too many arguments");
+  if (args.count("store") == 0) throw marlquay::Malformed("no --store FILE");
+  const std::string path = args["store"].as<std::string>();
+  try {
+    if (what == "list") return List(path, args["state"].as<std::string>(), args.count("json") > 0);
+    if (what == "show") return Show(path, words[1]);
+    if (what == "export") {
+      for (const Job& j : LoadAll(path)) std::puts(JsonOf(j, true).c_str());
+      return kGood;
+    }
+    if (what == "resolve")
+      return Resolve(path, words[1], args["as"].as<std::string>(),
+                     args["reason"].as<std::string>());
+    if (!std::filesystem::exists(path)) throw store::StoreError(path + ": there is no such store");
+    if (what == "verify") {
+      const auto wrong = store::VerifySqlite(path);
+      for (const std::string& line : wrong) std::cout << path << ": " << line << '\n';
+      if (wrong.empty()) std::cout << path << ": sound\n";
+      return wrong.empty() ? kGood : kNo;
+    }
+    const auto [before, after] = store::CompactSqlite(path);
+    std::cout << path << ": " << before << " bytes, now " << after << '\n';
+    return kGood;
+  } catch (const store::StoreError& wrong) {
+    std::cerr << "pearreach: " << wrong.what() << '\n';
+    return kUsage;
+  }
+}
+
+}  // namespace pearreach::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -36,6 +36,7 @@
     {"explain", Explain, "tell what happened around one worker or one job, and why"},
     {"audit", Audit, "check the four rules over a capture"},
     {"capture", CaptureTools, "info, cut, anonymise, import-tap: look at captures, make others"},
+    {"jobs", JobsTools, "list, show, export, resolve, verify, compact: durable jobs in a store"},
 };
 
 void Help(std::ostream& out) {
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -6,12 +6,14 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <functional>
 #include <iostream>
 
 #include "cli/cli.h"
 #include "config/config.h"
 #include "config/operator.h"
+#include "durable/keeper.h"
 #include "fronts/front.h"
 #include "node/node.h"
 
@@ -86,7 +88,23 @@
   Config bounded = config;
   bounded.sockets = sockets;
   Node node(bounded);
-  Front front(&node, sockets);
+  std::unique_ptr<store::Store> store;
+  jobs::Policy policy;
+  std::string store_path;
+  if (const auto& j = settings.jobs) {
+    policy = {.lease = j->lease, .keep = j->keep, .recovered_at_once = j->recovered_at_once};
+    store_path = j->store;
+    try {
+      std::filesystem::create_directories(std::filesystem::path(j->store).parent_path());
+      store = store::OpenSqlite({.path = j->store, .owner = config.name, .fault = {}});
+    } catch (const std::exception& wrong) {
+      std::cerr << "pearreach: durable jobs: " << wrong.what() << '\n';
+      return kUsage;
+    }
+  }
+  Keeper keeper(&node, std::move(store), policy, store_path,
+                settings.jobs ? settings.jobs->callback_prefixes : std::vector<std::string>());
+  Front front(&keeper, sockets);
   if (const std::string wrong = front.Open(config.listen); !wrong.empty()) {
     std::cerr << "pearreach: " << config.listen << ": " << wrong << '\n';
     return kNo;
@@ -165,7 +183,9 @@
     const OperatorSettings settings = LoadOperator(sources);
     std::cout << "good: " << sources.operator_file << ": log in "
               << (settings.log_format == LogFormat::kJson ? "JSON" : "text") << ", capture "
-              << (settings.capture ? "to " + settings.capture->folder : std::string("off")) << '\n';
+              << (settings.capture ? "to " + settings.capture->folder : std::string("off"))
+              << ", durable jobs "
+              << (settings.jobs ? "in " + settings.jobs->store : std::string("off")) << '\n';
     if (sources.config.empty() && std::getenv("EDGE_CONFIG") == nullptr) return kGood;
   }
   const Config config = LoadConfig(sources.config);
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -81,6 +81,21 @@
   return c;
 }
 
+JobsSettings ReadJobs(const xmlNode* node, const std::string& name) {
+  JobsSettings j;
+  j.store = Text(node, "store");
+  Take(node, "lease-ms", kMs, &j.lease);
+  Take(node, "keep-seconds", kSecond, &j.keep);
+  Take(node, "recovered-at-once", 1, &j.recovered_at_once);
+  const std::string prefixes = Text(node, "callback-prefixes");  // outlives the views of it
+  for (const marlquay::Text prefix : marlquay::Split(prefixes, ' '))
+    if (!prefix.empty()) j.callback_prefixes.emplace_back(prefix);
+  if (j.store.front() != '/')
+    Fail(name, static_cast<int>(xmlGetLineNo(node)),
+         "jobs: store '" + j.store + "' is not absolute");
+  return j;
+}
+
 }  // namespace
 
 OperatorSettings ReadOperatorFile(std::string_view xml, const std::string& name) {
@@ -117,6 +132,7 @@
     if (element == "log")
       settings.log_format = Text(n, "format") == "json" ? LogFormat::kJson : LogFormat::kText;
     if (element == "capture") settings.capture = ReadCapture(n, name);
+    if (element == "jobs") settings.jobs = ReadJobs(n, name);
   }
   return settings;
 }
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/io.h"
 #include "base/log.h"
@@ -26,9 +27,20 @@
   bool operator==(const CaptureSettings&) const = default;
 };
 
+// <jobs>: docs/durable-jobs.md. Read at the start only.
+struct JobsSettings {
+  std::string store;  // the file
+  Micros lease = 10 * kSecond;
+  Micros keep = 3600 * kSecond;
+  int recovered_at_once = 64;
+  std::vector<std::string> callback_prefixes;  // of URLs, beside the loopback's
+  bool operator==(const JobsSettings&) const = default;
+};
+
 struct OperatorSettings {
   LogFormat log_format = LogFormat::kText;
   std::optional<CaptureSettings> capture;  // none: off
+  std::optional<JobsSettings> jobs;        // none: off
 };
 
 // Throws marlquay::Malformed with "NAME:LINE: what".
--- a/src/fronts/front.cpp
+++ b/src/fronts/front.cpp
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "node/job_view.h"
+
 namespace pearreach {
 namespace {
 
@@ -62,6 +64,7 @@
       drain_([this] { DrainStep(); }) {}
 
 Front::~Front() {
+  *alive_ = false;
   for (auto& [c, owned] : connections_) c->stream->Close();
 }
 
@@ -80,7 +83,7 @@
   c->stream->Listen({[] {},
                      [this, c](std::string_view bytes) {
                        c->parser.Feed(bytes);
-                       if (c->ticket == 0) return Read(c);
+                       if (c->ticket == 0 && c->promise == 0) return Read(c);
                        // One request at a time: more than one whole head ahead is no client.
                        if (c->parser.Buffered() > http::Limits().head + http::Limits().body)
                          Destroy(c);
@@ -90,7 +93,7 @@
 
 // Takes the requests that have come, until one of them has to wait.
 void Front::Read(Connection* c) {
-  while (connections_.contains(c) && c->ticket == 0 && !c->closing) {
+  while (connections_.contains(c) && c->ticket == 0 && c->promise == 0 && !c->closing) {
     switch (c->parser.Next()) {
       case http::Parser::State::kMore:
         if (c->parser.TakeContinue()) c->stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -99,7 +102,10 @@
         Count("bad_requests");
         return Respond(c, c->parser.error_status(), c->parser.error() + "\n", false);
       case http::Parser::State::kMessage:
+        // Answers that come at once must not read on from here: a peer could nest them without end.
+        handling_ = c;
         Handle(c, c->parser.Take());
+        handling_ = nullptr;
         break;
     }
   }
@@ -113,6 +119,9 @@
     const bool ready = core_->ready() && !draining_;
     return Respond(c, ready ? 200 : 503, ready ? "ready\n" : "not ready\n", message.keep_alive);
   }
+  constexpr std::string_view kJobs = "/_jobs/";
+  if (path.starts_with(kJobs) && path != "/_jobs/news")
+    return HandleLook(c, message, path.substr(kJobs.size()));
   const std::string first =
       path.starts_with('/') ? path.substr(1, path.find('/', 1) - 1) : std::string();
   const bool is_class = marlquay::IndexOf(core_->site().classes, first) >= 0;
@@ -139,9 +148,72 @@
     CountFault("bad_news", message.body);
     return Respond(c, 400, "not news of a job\n", message.keep_alive);
   }
-  // Whatever it is about, it has been heard: any other answer makes the worker say it again.
-  Respond(c, 200, "", message.keep_alive);
-  core_->Tell(*news);
+  // Whatever it is about, it has been heard: any other answer makes the worker say it again. Of a
+  // durable job it is heard once it is on the disk.
+  const std::uint64_t promise = Promise(c);
+  core_->Tell(*news, [this, promise, keep_alive = message.keep_alive, alive = alive_](bool heard) {
+    if (!*alive) return;
+    Connection* c = Redeem(promise);
+    if (c == nullptr) return;
+    Respond(c, heard ? 200 : 503, "", keep_alive);
+    if (handling_ != c) Read(c);
+  });
+}
+
+std::uint64_t Front::Promise(Connection* c) {
+  c->promise = ++last_promise_;
+  promised_[c->promise] = c;
+  quiet_.erase(c->quiet);
+  return c->promise;
+}
+
+// Null: the connection has gone.
+Front::Connection* Front::Redeem(std::uint64_t promise) {
+  const auto it = promised_.find(promise);
+  if (it == promised_.end()) return nullptr;
+  Connection* c = it->second;
+  promised_.erase(it);
+  c->promise = 0;
+  MarkQuiet(c);
+  return c;
+}
+
+// A job that its client does not wait for: answered when it is on the disk.
+void Front::HandleDurable(Connection* c, Job job, bool keep_alive) {
+  const std::uint64_t promise = Promise(c);
+  core_->Take(
+      std::move(job), [this, promise, keep_alive, alive = alive_](const TakeResult& result) {
+        if (!*alive) return;
+        Connection* c = Redeem(promise);
+        if (c == nullptr) return;
+        switch (result.kind) {
+          case TakeResult::Kind::kTaken:
+            Respond(c, 202, "", keep_alive && !refusing_, {{"Location", "/_jobs/" + result.id}});
+            break;
+          case TakeResult::Kind::kAway:
+            Refuse(c, keep_alive && !refusing_, result.retry_after);
+            break;
+          case TakeResult::Kind::kBad:
+            Count("bad_requests");
+            Respond(c, 400, "X-Callback-Url is no address that may be called\n", keep_alive);
+            break;
+          case TakeResult::Kind::kConflict:
+            Count("bad_requests");
+            Respond(c, 409, "a request of this id is open\n", keep_alive);
+            break;
+        }
+        if (handling_ != c) Read(c);
+      });
+}
+
+void Front::HandleLook(Connection* c, const http::Message& message, const std::string& id) {
+  if (message.method != "GET" && message.method != "DELETE") {
+    Count("bad_requests");
+    return Respond(c, 405, "GET or DELETE only\n", message.keep_alive, {{"Allow", "GET, DELETE"}});
+  }
+  const auto view = message.method == "GET" ? core_->Look(id) : core_->GiveUp(id);
+  if (!view) return Respond(c, 404, "no such job\n", message.keep_alive);
+  Respond(c, 200, WriteJobView(*view), message.keep_alive, {{"Content-Type", "application/json"}});
 }
 
 void Front::HandleJob(Connection* c, http::Message message, const std::string& cls) {
@@ -193,6 +265,10 @@
   job.content_type = text("Content-Type");
   job.path = std::move(message.target);
   job.body = std::move(message.body);
+  if (core_->keeps() && text("Prefer") == "respond-async") {
+    job.callback = text("X-Callback-Url");
+    return HandleDurable(c, std::move(job), message.keep_alive);
+  }
   const auto ticket = core_->Submit(std::move(job), this);
   if (!ticket) {
     Count("bad_requests");
@@ -280,6 +356,8 @@
   if (c->ticket != 0) {  // the client has gone away
     waiting_.erase(c->ticket);
     core_->Abandon(c->ticket);
+  } else if (c->promise != 0) {
+    promised_.erase(c->promise);
   } else {
     quiet_.erase(c->quiet);
   }
--- a/src/fronts/front.h
+++ b/src/fronts/front.h
@@ -38,13 +38,14 @@
   struct Connection {
     std::shared_ptr<Stream> stream;
     http::Parser parser{http::Parser::Kind::kRequest};
-    Ticket ticket = 0;         // of the request that waits for its answer
-    bool keep_alive = true;    // after that answer
-    bool is_worker = false;    // has brought news: not closed while draining
-    bool over_budget = false;  // its first request is refused
-    bool answered = false;     // has carried a request
-    bool closing = false;      // its last answer has been written
-    bool long_close = false;   // and what it still sends may be long
+    Ticket ticket = 0;          // of the request that waits for its answer
+    std::uint64_t promise = 0;  // of the store's or the node's word that it waits for
+    bool keep_alive = true;     // after that answer
+    bool is_worker = false;     // has brought news: not closed while draining
+    bool over_budget = false;   // its first request is refused
+    bool answered = false;      // has carried a request
+    bool closing = false;       // its last answer has been written
+    bool long_close = false;    // and what it still sends may be long
     Micros quiet_since = 0;
     std::list<Connection*>::iterator quiet;  // in quiet_, if it has no ticket
   };
@@ -54,6 +55,11 @@
   void Handle(Connection* c, http::Message message);
   void HandleNews(Connection* c, const http::Message& message);
   void HandleJob(Connection* c, http::Message message, const std::string& cls);
+  // Makes the connection wait for a word that comes later; the number finds it again, or not.
+  std::uint64_t Promise(Connection* c);
+  Connection* Redeem(std::uint64_t promise);
+  void HandleDurable(Connection* c, Job job, bool keep_alive);
+  void HandleLook(Connection* c, const http::Message& message, const std::string& id);
   void Respond(Connection* c, int status, std::string_view body, bool keep_alive,
                std::vector<http::Header> headers = {});
   void Refuse(Connection* c, bool keep_alive, Micros retry_after);
@@ -69,9 +75,13 @@
   std::size_t budget_;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   std::unordered_map<Ticket, Connection*> waiting_;
+  std::unordered_map<std::uint64_t, Connection*> promised_;
+  std::uint64_t last_promise_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::list<Connection*> quiet_;  // without an open request, the longest so first
   Listener listener_;
   Alarm sweep_, drain_;
+  Connection* handling_ = nullptr;  // whose request is being taken
   bool draining_ = false, refusing_ = false;
   Micros next_sweep_ = 0;  // 0: none is set
   Micros drain_began_ = 0, refuse_at_ = 0, stop_by_ = 0;
--- /dev/null
+++ b/src/jobs/ledger.cpp
@@ -0,0 +1,115 @@
+#include "jobs/ledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pearreach::jobs {
+namespace {
+
+using marlquay::ClassSettings;
+using marlquay::Effect;
+
+// It never ran, or can no longer take effect where it does.
+bool Harmless(const Attempt& a) { return a.ran == Ran::kNever || a.ran == Ran::kFenced; }
+
+const Attempt* FirstRisky(const Job& job) {
+  for (const Attempt& a : job.attempts)
+    if (!Harmless(a)) return &a;
+  return nullptr;
+}
+
+const Attempt* Out(const Job& job) {
+  for (const Attempt& a : job.attempts)
+    if (a.ran == Ran::kOut) return &a;
+  return nullptr;
+}
+
+}  // namespace
+
+bool MayRepeat(const Job& job, const ClassSettings& cls, UnixMicros now) {
+  const Attempt* risky = FirstRisky(job);
+  if (risky == nullptr || cls.effect == Effect::kRepeatable) return true;
+  // The window runs from the first send that may have run, also while no node was there to count.
+  return cls.effect == Effect::kByKey && now >= risky->sent && now < risky->sent + cls.key_window;
+}
+
+Recovery Recover(const Job& job, const ClassSettings* cls, const Policy& policy, UnixMicros now) {
+  using What = Recovery::What;
+  if (IsEnd(job.state) || job.state == State::kInDoubt) return {What::kNothing, ""};
+  const Attempt* out = Out(job);
+  const bool risky = FirstRisky(job) != nullptr;
+  if (cls == nullptr) return {What::kWithdraw, "its class is no more"};
+  if (now >= job.due) {
+    if (risky && cls->effect == Effect::kOnce)
+      return {What::kDoubt, "its time ended while no node was there"};
+    return {What::kEnd, "its time ended while no node was there"};
+  }
+  if (out != nullptr) {
+    // A wall clock set back makes the lease look longer than it is, so it is cut to a whole one.
+    const UnixMicros until = std::min(out->lease_until, now + policy.lease);
+    if (now < until || MayRepeat(job, *cls, now)) return {What::kAdopt, ""};
+    return {What::kDoubt, "no word of it since before the restart"};
+  }
+  if (!MayRepeat(job, *cls, now)) return {What::kDoubt, "it may have run before the restart"};
+  return {What::kQueue, ""};
+}
+
+State EndOfFailure(const Job& job, const ClassSettings& cls) {
+  if (cls.effect != Effect::kOnce) return State::kFailed;
+  for (const Attempt& a : job.attempts)
+    if (a.ran == Ran::kOut || a.ran == Ran::kMaybe) return State::kInDoubt;
+  return State::kFailed;
+}
+
+Resolution Resolve(const Job& job, const std::string& worker, Word word) {
+  Resolution r;
+  if (job.state != State::kInDoubt) return r;
+  const auto it = std::find_if(job.attempts.rbegin(), job.attempts.rend(), [&](const Attempt& a) {
+    return a.worker == worker && a.ran != Ran::kNever;
+  });
+  if (it == job.attempts.rend()) return r;
+  switch (word) {
+    case Word::kDone:
+      return {true, State::kServed, ""};
+    case Word::kFailed:
+      r.reason = worker + " says that it failed";
+      break;
+    case Word::kReturned:
+      r.reason = worker + " says that it never ran it";
+      break;
+    case Word::kLost:  // the process died: whether it had taken effect by then, nobody knows
+      return r;
+  }
+  // One worker's word settles its own attempt; another that may have run leaves the doubt.
+  for (const Attempt& a : job.attempts)
+    if (&a != &*it && !Harmless(a)) return {};
+  r.resolves = true;
+  r.state = word == Word::kReturned ? State::kRefused : State::kFailed;
+  return r;
+}
+
+bool MayFence(const Job& job) {
+  if (job.state != State::kInDoubt) return false;
+  return std::all_of(job.attempts.begin(), job.attempts.end(),
+                     [](const Attempt& a) { return Harmless(a) || a.knows_fences; });
+}
+
+std::uint64_t NextFence(const Job& job) {
+  std::uint64_t fence = 0;
+  for (const Attempt& a : job.attempts) fence = std::max(fence, a.fence);
+  return fence + 1;
+}
+
+bool MayForget(const Job& job, const Policy& policy, UnixMicros now) {
+  if (!IsEnd(job.state)) return false;
+  const bool told =
+      job.callback.empty() || job.callback_done || job.callback_tries >= kMostCallbacks;
+  return told && now >= job.ended + policy.keep;
+}
+
+std::int64_t CallbackWait(int tries, double chance) {
+  const double base = std::min(300.0, std::ldexp(1.0, std::min(tries, 20)));
+  return static_cast<std::int64_t>(1e6 * base * (0.5 + 0.5 * chance));
+}
+
+}  // namespace pearreach::jobs
--- a/src/module/policy.cpp
+++ b/src/module/policy.cpp
@@ -156,11 +156,20 @@
   }
 
   void SendTo(Request& r, WorkerId id) {
+    Worker& w = workers_[id];
+    Book(r, id, now_);
+    if (IsCold(w)) w.cold_sends.Add(ColdWork(r), now_);
+    if (w.silent || w.blocked_until > 0) BackOff(w);
+    Act(Send{r.id, id});
+  }
+
+  // An attempt is out at a worker.
+  void Book(Request& r, WorkerId id, Micros sent) {
     Worker& w = workers_[id];
     Pool& pool = PoolOf(w);
     Attempt a;
     a.worker = id;
-    a.sent = now_;
+    a.sent = sent;
     r.asked_at = 0;
     a.zone = w.entry.zone;
     a.cell = w.entry.cell;
@@ -175,9 +184,24 @@
     SetUsed(pool.used, w, id, true);
     awaited_ = true;
     next_check_ = std::min(next_check_, now_ + kStartPeriod);
-    if (IsCold(w)) w.cold_sends.Add(ColdWork(r), now_);
-    if (w.silent || w.blocked_until > 0) BackOff(w);
-    Act(Send{r.id, id});
+  }
+
+  // Guards rule 2 across a restart: what may run already is never sent on suspicion.
+  void On(const AttemptAdopted& e) {
+    Request* r = table_.FindId(e.request);
+    if (r == nullptr || r->ended) return;
+    if (e.worker >= workers_.size()) workers_.resize(e.worker + 1);
+    Worker& w = workers_[e.worker];
+    if (!w.known) SetSilent(w, true);  // not on the list: its slots fill no limit
+    const bool out = e.was == AttemptAdopted::Was::kOut;
+    if (out) Unhold(*r);
+    Book(*r, e.worker, std::min(e.sent, now_));
+    Attempt& a = r->attempts.back();
+    a.taken = a.late = true;  // when it began is not known here: no word on the limit
+    if (e.started) Start(*r, a);
+    if (out) return;
+    Release(*r, a, static_cast<int>(r->attempts.size()) - 1);
+    a.ran = e.was == AttemptAdopted::Was::kNeverRan ? Ran::kNo : Ran::kMaybe;
   }
 
   // The one final answer that this node itself gives.
--- a/src/node/core.h
+++ b/src/node/core.h
@@ -5,6 +5,7 @@
 #define PEARREACH_SRC_NODE_CORE_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -24,8 +25,11 @@
   double slots = 1;
   bool is_repeat = false;
   std::optional<std::uint64_t> key;
-  Micros received = 0;  // when its last byte was seen, by Now()
-  Micros patience = 0;  // how long its client waits
+  Micros received = 0;      // when its last byte was seen, by Now()
+  Micros patience = 0;      // how long its client waits
+  Micros lease = 0;         // an attempt without a word for so long is given up; 0: not for that
+  std::uint64_t fence = 0;  // of a durable job's attempts; 0: none
+  std::string callback;     // where a durable job's end is told; empty: nowhere
 };
 
 struct Answer {
@@ -36,6 +40,26 @@
   bool overdue = false;    // kFailed: the time is up
 };
 
+// A word about a worker's news: true, it may forget it; false, it should say it again.
+using Heard = std::function<void(bool)>;
+
+// A durable job as its client may see it.
+struct JobView {
+  std::string id, state, cls, result, reason;
+  bool ended = false, served = false;
+  int attempts = 0;
+  Micros retry_after = 0;
+};
+
+struct TakeResult {
+  // kAway: cannot be made durable now; kBad: its call-back may not be called.
+  enum class Kind { kTaken, kAway, kConflict, kBad };
+  Kind kind = Kind::kAway;
+  std::string id;  // kTaken
+  Micros retry_after = 0;
+};
+using Taken = std::function<void(const TakeResult&)>;
+
 class Client {
  public:
   virtual ~Client() = default;
@@ -51,8 +75,15 @@
   virtual std::size_t open_jobs() const = 0;  // taken and not answered
   // Nothing: a job of this id is open.
   virtual std::optional<Ticket> Submit(Job job, Client* client) = 0;
-  virtual void Abandon(Ticket ticket) = 0;  // the client has gone away
-  virtual void Tell(const News& news) = 0;  // a worker's word of a job
+  virtual void Abandon(Ticket ticket) = 0;               // the client has gone away
+  virtual void Tell(const News& news, Heard heard) = 0;  // a worker's word of a job
+
+  // Durable jobs; a core that keeps none refuses them.
+  virtual bool keeps() const { return false; }
+  // Takes a job on durably; `taken` is told once that is so. Not called from inside where it waits.
+  virtual void Take(Job, Taken taken) { taken({}); }
+  virtual std::optional<JobView> Look(const std::string&) const { return std::nullopt; }
+  virtual std::optional<JobView> GiveUp(const std::string&) { return std::nullopt; }
 };
 
 }  // namespace pearreach
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -36,11 +36,12 @@
       started_(Now()),
       dispatcher_(WithTaken(site_.settings), config.seed, started_),
       workers_(site_, config.sockets / kWorkerShare,
-               {[this](AttemptKey key) {
+               {[this](AttemptKey key, bool fences) {
                   const auto it = records_.find(key.job);
                   if (it == records_.end()) return;
                   Attempt& a = it->second.attempts[static_cast<std::size_t>(key.number)];
                   a.taken = true;
+                  Hear(key.job, a, fences ? AttemptState::kTakenKnowsFences : AttemptState::kTaken);
                   Post(marlquay::AttemptTaken{key.job, key.number, a.worker});
                 },
                 [this](AttemptKey key) { Reject(key); },
@@ -49,6 +50,7 @@
                 }}),
       discovery_(config.discovery, [this](const Listing& list) { OnListing(list); }),
       known_(config.known),
+      lease_alarm_([this] { RunLeases(); }),
       turn_([this] { Turn(); }) {}
 
 void Node::Start() {
@@ -130,6 +132,10 @@
         if (r.attempts[i].out) out.push_back({{ticket, static_cast<int>(i)}, r.attempts[i]});
       const std::string id = r.job.id;
       for (const auto& [key, attempt] : out) {
+        if (attempt.held) {
+          End(key, Outcome::kMoot, {});
+          continue;
+        }
         if (!attempt.taken) workers_.GiveUp(key, attempt.worker, id);
         End(key, Outcome::kTimeout, {});
       }
@@ -199,6 +205,11 @@
 // ---------------------------------------------------------------- jobs
 
 std::optional<Ticket> Node::Submit(Job job, Client* client) {
+  return SubmitGuarded(std::move(job), client, nullptr, {});
+}
+
+std::optional<Ticket> Node::SubmitGuarded(Job job, Client* client, Guard* guard,
+                                          const std::vector<Adopted>& attempts) {
   const auto [slot, fresh] = by_id_.try_emplace(job.id, last_ticket_ + 1);
   if (!fresh) return std::nullopt;
   const Ticket ticket = ++last_ticket_;
@@ -216,10 +227,26 @@
   Record& r = records_[ticket];
   r.job = std::move(job);
   r.client = client;
+  r.guard = guard;
   r.due = e.due;
   ++open_;
   deadlines_.insert({r.due, ticket});
   Post(e, std::move(note));
+  for (const Adopted& a : attempts) {
+    marlquay::AttemptAdopted adopted{ticket, IdOf(a.worker), a.sent, a.started, a.was};
+    const bool out = a.was == marlquay::AttemptAdopted::Was::kOut;
+    r.attempts.push_back({adopted.worker, a.sent, out, true});
+    if (out) {
+      ++r.out;
+      Attempt& mine = r.attempts.back();
+      mine.heard = Now();  // a whole lease from now on: the worker may have spoken to nobody
+      if (r.job.lease > 0)
+        leases_.insert(
+            {mine.heard + r.job.lease, {ticket, static_cast<int>(r.attempts.size()) - 1}});
+    }
+    Post(adopted);
+  }
+  if (!leases_.empty()) lease_alarm_.Set(leases_.begin()->first);
   return ticket;
 }
 
@@ -268,7 +295,58 @@
   r.attempts.push_back({action.worker, now, true, false});
   ++r.out;
   Count("attempts");
-  workers_.Start(key, action.worker, r.job, r.due - now);
+  if (r.guard == nullptr) return Launch(key);
+  r.attempts.back().held = true;
+  r.guard->BeforeSend(key.job, NameOf(action.worker), [this, key](bool go) {
+    const auto it = records_.find(key.job);
+    if (it == records_.end()) return;
+    Attempt& a = it->second.attempts[static_cast<std::size_t>(key.number)];
+    a.held = false;
+    if (!a.out) return;  // given up meanwhile: nothing of it has gone out
+    if (!go || it->second.answered) return End(key, Outcome::kMoot, {});
+    a.sent = a.heard = Now();
+    if (it->second.job.lease > 0) {
+      leases_.insert({a.heard + it->second.job.lease, key});
+      lease_alarm_.Set(leases_.begin()->first);
+    }
+    Launch(key);
+  });
+}
+
+void Node::Launch(AttemptKey key) {
+  const Record& r = records_.at(key.job);
+  workers_.Start(key, r.attempts[static_cast<std::size_t>(key.number)].worker, r.job,
+                 r.due - Now());
+}
+
+// A word of an attempt renews its lease.
+void Node::Hear(Ticket ticket, Attempt& a, AttemptState state) {
+  a.heard = Now();
+  const auto it = records_.find(ticket);
+  if (it != records_.end() && it->second.guard != nullptr)
+    it->second.guard->OnAttempt(ticket, NameOf(a.worker), state);
+}
+
+// Attempts that were not heard of for their lease are given up; what that means for the job is
+// decided elsewhere.
+void Node::RunLeases() {
+  const Micros now = Now();
+  while (!leases_.empty() && leases_.begin()->first <= now) {
+    const AttemptKey key = leases_.begin()->second;
+    leases_.erase(leases_.begin());
+    const auto it = records_.find(key.job);
+    if (it == records_.end()) continue;
+    const Attempt& a = it->second.attempts[static_cast<std::size_t>(key.number)];
+    if (!a.out) continue;
+    if (a.heard + it->second.job.lease > now) {
+      leases_.insert({a.heard + it->second.job.lease, key});
+      continue;
+    }
+    Count("leases_over");
+    if (!a.taken) workers_.GiveUp(key, a.worker, it->second.job.id);
+    End(key, Outcome::kTimeout, {});
+  }
+  if (!leases_.empty()) lease_alarm_.Set(leases_.begin()->first);
 }
 
 void Node::Cancel(const marlquay::Cancel& action) {
@@ -278,6 +356,7 @@
   const auto at = static_cast<std::size_t>(action.attempt);
   if (!Must(at < r.attempts.size(), "cancel_of_nothing") || !r.attempts[at].out) return;
   const AttemptKey key{action.request, action.attempt};
+  if (r.attempts[at].held) return End(key, Outcome::kMoot, {});
   workers_.GiveUp(key, r.attempts[at].worker, r.job.id);
   End(key, Outcome::kCancelled, {});
 }
@@ -292,6 +371,15 @@
   if (!a.out) return;
   a.out = false;
   --r.out;
+  if (r.guard != nullptr) {
+    const bool never =
+        outcome == Outcome::kFull || outcome == Outcome::kNoConnection || outcome == Outcome::kMoot;
+    const bool said = outcome == Outcome::kGood || outcome == Outcome::kError;
+    r.guard->OnAttempt(key.job, NameOf(a.worker),
+                       never  ? AttemptState::kNeverRan
+                       : said ? AttemptState::kSaidEnd
+                              : AttemptState::kMayHaveRun);
+  }
   Count((std::string("ended_") + kNames[static_cast<int>(outcome)]).c_str());
   if (load.free_slots || load.in_flight) Count("load_reports");
   marlquay::AttemptEnded e;
@@ -318,10 +406,13 @@
 
 // News may come before the 202, come again, or be of a job or an attempt that has ended: it counts
 // for an attempt that is out at the worker it comes from, and only once.
-void Node::Tell(const News& news) {
+void Node::TellNode(const News& news) {
   const auto id = by_id_.find(news.job);
   const auto from = ids_.find(news.from);
-  if (id == by_id_.end() || from == ids_.end()) return Count("news_passed_over");
+  if (id == by_id_.end() || from == ids_.end()) {
+    if (!orphan_ || !orphan_(news)) Count("news_passed_over");
+    return;
+  }
   const Ticket ticket = id->second;
   Record& r = records_.at(ticket);
   int number = -1;
@@ -339,8 +430,10 @@
   if (again && !a.taken && news.state == News::State::kReturned) return Count("news_passed_over");
   switch (news.state) {
     case News::State::kStarted:
+      Hear(ticket, a, AttemptState::kStarted);
       return Post(marlquay::AttemptStarted{ticket, number, a.worker});
     case News::State::kRunning:
+      Hear(ticket, a, AttemptState::kProgress);
       return Post(marlquay::AttemptProgress{ticket, number, a.worker, news.share});
     case News::State::kDone:
       workers_.Detach(key);
@@ -367,15 +460,19 @@
   return unix_ms <= 0 ? 0 : std::max<Micros>(1, unix_ms * kMs - clock_offset_);
 }
 
+marlquay::WorkerId Node::IdOf(const std::string& name) {
+  const auto [it, fresh] = ids_.try_emplace(name, static_cast<marlquay::WorkerId>(names_.size()));
+  if (fresh) names_.push_back(name);
+  return it->second;
+}
+
 void Node::OnListing(const Listing& list) {
   marlquay::WorkerList news;
   news.form =
       list.full ? marlquay::WorkerList::Form::kComplete : marlquay::WorkerList::Form::kChanges;
   for (const ServerEntry& s : list.servers) {
-    const auto [it, fresh] = ids_.try_emplace(s.id, static_cast<marlquay::WorkerId>(names_.size()));
-    if (fresh) names_.push_back(s.id);
     marlquay::WorkerEntry e;
-    e.worker = it->second;
+    e.worker = IdOf(s.id);
     e.identity = marlquay::HashName(s.id);
     e.zone = marlquay::IndexOf(site_.zones, s.zone);
     e.kind = marlquay::IndexOf(site_.kinds, s.kind);
@@ -396,6 +493,7 @@
   capture::Note note;
   note.version = list.version;
   Post(std::move(news), std::move(note));
+  if (first_list_) std::exchange(first_list_, nullptr)();
 }
 
 }  // namespace pearreach
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -20,8 +20,34 @@
 
 namespace pearreach {
 
+// Keeps jobs durable: asked before each of their attempts goes out, and told of what becomes of it.
+enum class AttemptState {
+  kTaken,
+  kTakenKnowsFences,
+  kStarted,
+  kProgress,
+  kSaidEnd,     // the worker says that it is done or failed
+  kNeverRan,    // proven
+  kMayHaveRun,  // ended without a word
+};
+class Guard {
+ public:
+  using Go = std::function<void(bool)>;  // false: it must not go out
+  virtual ~Guard() = default;
+  virtual void BeforeSend(Ticket ticket, const std::string& worker, Go go) = 0;
+  virtual void OnAttempt(Ticket ticket, const std::string& worker, AttemptState state) = 0;
+};
+
 class Node : public Core {
  public:
+  // An attempt of a job that another process of this node made.
+  struct Adopted {
+    std::string worker;
+    Micros sent = 0;  // by Now(); may lie before this process began
+    bool started = false;
+    marlquay::AttemptAdopted::Was was = marlquay::AttemptAdopted::Was::kOut;
+  };
+
   explicit Node(const Config& config);
 
   void Start();  // begins the watch of the worker list
@@ -40,7 +66,19 @@
   std::size_t open_jobs() const override { return open_; }
   std::optional<Ticket> Submit(Job job, Client* client) override;
   void Abandon(Ticket ticket) override;
-  void Tell(const News& news) override;
+  void Tell(const News& news, Heard heard) override {
+    TellNode(news);
+    heard(true);
+  }
+  void TellNode(const News& news);
+
+  // ---- for the keeper of durable jobs
+  std::optional<Ticket> SubmitGuarded(Job job, Client* client, Guard* guard,
+                                      const std::vector<Adopted>& attempts);
+  bool IsOpen(const std::string& id) const { return by_id_.contains(id); }
+  void OnFirstList(std::function<void()> tell) { first_list_ = std::move(tell); }
+  // Asked about news of a job that is not open; true: it was of use.
+  void OnOrphan(std::function<bool(const News&)> ask) { orphan_ = std::move(ask); }
 
   // Figures for tests and the log.
   std::size_t records() const { return records_.size(); }
@@ -57,8 +95,11 @@
     Micros sent = 0;
     bool out = true;     // its outcome has not been passed on
     bool taken = false;  // the worker has answered 202
+    bool held = false;   // its intent is not durable yet: nothing of it has gone out
+    Micros heard = 0;    // the last word of it, where it has a lease
   };
   struct Record {
+    Guard* guard = nullptr;
     Job job;
     Client* client = nullptr;
     Micros due = 0;
@@ -78,6 +119,10 @@
   // Passes an attempt's outcome on, once.
   void End(AttemptKey key, marlquay::Outcome outcome, const marlquay::LoadReport& load);
   void Reject(AttemptKey key);
+  void Launch(AttemptKey key);
+  void Hear(Ticket ticket, Attempt& attempt, AttemptState state);
+  void RunLeases();
+  marlquay::WorkerId IdOf(const std::string& name);
   void RunDeadlines(Micros now);
   void Forget(Ticket ticket);
   const std::string& NameOf(marlquay::WorkerId worker) const { return names_.at(worker); }
@@ -101,6 +146,11 @@
   std::size_t open_ = 0;
   std::set<std::pair<Micros, Ticket>> deadlines_;
 
+  std::set<std::pair<Micros, AttemptKey>> leases_;
+  std::function<void()> first_list_;
+  std::function<bool(const News&)> orphan_;
+  Alarm lease_alarm_;
+
   std::vector<marlquay::Event> events_;
   std::vector<capture::Note> notes_;  // one an event, while it is recorded
   std::vector<marlquay::Action> actions_;
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -81,6 +81,7 @@
       {"X-Request-ID", job.id},
       {"X-Priority-Class", site_.classes[static_cast<std::size_t>(job.cls)]},
       {"X-Timeout", std::to_string(std::max<Micros>(patience, kMs) / kMs) + "m"}};
+  if (job.fence > 0) headers.push_back({"X-Fence", std::to_string(job.fence)});
   if (!job.idempotency_key.empty()) headers.push_back({"Idempotency-Key", job.idempotency_key});
   if (!job.content_type.empty()) headers.push_back({"Content-Type", job.content_type});
   Send(key, true, worker, http::WriteRequest("POST", job.path, headers, job.body));
@@ -218,7 +219,10 @@
   else
     Destroy(link);
   if (!bound) return;
-  if (message.status == 202) return events_.taken(key);
+  if (message.status == 202) {
+    const std::string* fences = message.Find("X-Fences");
+    return events_.taken(key, fences != nullptr && *fences == "1");
+  }
   if (message.status >= 400 && message.status < 500) return events_.rejected(key);
   if (!never_ran && message.status != 500)
     CountFault("odd_worker_answer", "status " + std::to_string(message.status));
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -49,7 +49,8 @@
   // every one that a worker has taken on (202), `rejected` of every one that it finds bad (4xx).
   // None is called from inside Start.
   struct Events {
-    std::function<void(AttemptKey)> taken, rejected;
+    std::function<void(AttemptKey, bool knows_fences)> taken;
+    std::function<void(AttemptKey)> rejected;
     std::function<void(AttemptKey, marlquay::Outcome, const marlquay::LoadReport&)> ended;
   };
 
--- /dev/null
+++ b/tests/durable/keeper_test.cpp
@@ -0,0 +1,366 @@
+// Stories of durable jobs over loopback sockets: a node with its keeper, front and store, against
+// scripted workers. A crash is a node that is dropped where it stands and another on the same
+// store.
+#include "durable/keeper.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <filesystem>
+
+#include "durable/orders.h"
+#include "fronts/front.h"
+#include "lab/world.h"
+#include "tests/node/rig.h"
+
+namespace pearreach {
+namespace {
+
+namespace fs = std::filesystem;
+using namespace rig;
+using http::Message;
+
+Config TestConfig() {
+  Config c;
+  c.discovery = "127.0.0.1:1";
+  c.settings = lab::BaseSettings();
+  c.site = marlquay::ReadSite(marlquay::Conf(c.settings));
+  return c;
+}
+
+// Takes jobs with a 202, and says that it knows fences if it does.
+std::string Fenced(const Message&) {
+  return http::WriteResponse(202, {{"X-Fences", "1"}}, "", true);
+}
+
+class Durable : public testing::Test {
+ protected:
+  struct Life {
+    Life(const std::string& path, jobs::Policy policy, store::Fault fault)
+        : node(TestConfig()),
+          keeper(&node, store::OpenSqlite({.path = path, .owner = "n0", .fault = std::move(fault)}),
+                 policy, path),
+          front(&keeper, 1024) {
+      EXPECT_EQ(front.Open("127.0.0.1:0"), "");
+    }
+    Node node;
+    Keeper keeper;
+    Front front;
+  };
+
+  Durable() {
+    std::string name = (fs::temp_directory_path() / "pearreach-XXXXXX").string();
+    folder_ = mkdtemp(name.data());
+    path_ = folder_ + "/jobs.db";
+  }
+  ~Durable() override {
+    life.reset();
+    fs::remove_all(folder_);
+  }
+
+  void Start(store::Fault fault = {}) {
+    life.reset();
+    life = std::make_unique<Life>(path_, policy, std::move(fault));
+    ListWorkers();
+  }
+  void ListWorkers() {
+    Listing list;
+    list.full = true;
+    list.version = 1;
+    for (std::size_t i = 0; i < workers.size(); ++i)
+      list.servers.push_back({"s-" + std::to_string(i), workers[i]->address(), "a", "m"});
+    life->node.OnListing(list);
+  }
+
+  // Hands a job in; its path, or the status of the refusal.
+  std::string Take(const std::string& id, const std::string& cls = "commit",
+                   const std::string& key = "", const std::string& timeout = "60000m") {
+    Caller caller(life->front.port());
+    caller.Ask(
+        id, cls, timeout,
+        "Prefer: respond-async\r\n" + (key.empty() ? "" : "Idempotency-Key: " + key + "\r\n"));
+    const int status = caller.Status();
+    if (status != 202) return std::to_string(status);
+    return *caller.answers[0].Find("Location");
+  }
+  std::string Call(const std::string& method, const std::string& path) {
+    Caller caller(life->front.port());
+    caller.stream->Write(http::WriteRequest(method, path, {{"Host", "a"}}, ""));
+    return caller.Status() == 200 ? caller.answers[0].body : std::to_string(caller.Status());
+  }
+  std::string Get(const std::string& path) { return Call("GET", path); }
+  bool Becomes(const std::string& path, const std::string& state) {
+    std::string last;
+    for (int i = 0; i < 400; ++i) {
+      last = Get(path);
+      if (last.find("\"state\":\"" + state + "\"") != std::string::npos) return true;
+      RunFor(10 * kMs);
+    }
+    ADD_FAILURE() << "still " << last;
+    return false;
+  }
+  int News(const std::string& id, const std::string& from, const std::string& state) {
+    Caller agent(life->front.port());
+    agent.News(id, from, state);
+    return agent.Status();
+  }
+  std::size_t Sent() const {
+    std::size_t n = 0;
+    for (const auto& w : workers)
+      for (const Message& m : w->got) n += m.method == "POST" ? 1 : 0;
+    return n;
+  }
+
+  std::string folder_, path_;
+  jobs::Policy policy;
+  std::vector<std::unique_ptr<Server>> workers;
+  std::unique_ptr<Life> life;
+};
+
+TEST_F(Durable, AJobIsTakenServedAndKept) {
+  workers.push_back(std::make_unique<Server>(Accept));
+  Start();
+  const std::string path = Take("j1", "commit", "k1");
+  ASSERT_EQ(path.substr(0, 7), "/_jobs/");
+  RunUntil([&] { return Sent() == 1; });
+  EXPECT_EQ(*workers[0]->got[0].Find("X-Fence"), "1");
+  EXPECT_TRUE(Becomes(path, "running"));
+  EXPECT_EQ(News("j1", "s-0", "started"), 200);
+  EXPECT_EQ(News("j1", "s-0", "done"), 200);
+  EXPECT_NE(Get(path).find("\"state\":\"served\""), std::string::npos);
+  EXPECT_NE(Get(path).find("\"result\":\"r-j1\""), std::string::npos);
+  EXPECT_EQ(Take("j2", "commit", "k1"), path) << "the same key is the same job";
+  EXPECT_EQ(Take("j3", "commit", "k2") == path, false);
+  Start();  // another life
+  EXPECT_NE(Get(path).find("\"result\":\"r-j1\""), std::string::npos);
+  EXPECT_EQ(Take("j4", "commit", "k1"), path);
+  EXPECT_EQ(Get("/_jobs/nothing"), "404");
+}
+
+TEST_F(Durable, OneKeyFromTwoConnectionsAtOnceIsOneJob) {
+  workers.push_back(std::make_unique<Server>(Accept));
+  Start();
+  Caller a(life->front.port()), b(life->front.port());
+  const std::string head = "Prefer: respond-async\r\nIdempotency-Key: same\r\n";
+  a.Ask("j1", "commit", "60000m", head);
+  b.Ask("j2", "commit", "60000m", head);
+  EXPECT_EQ(a.Status(), 202);
+  EXPECT_EQ(b.Status(), 202);
+  EXPECT_EQ(*a.answers[0].Find("Location"), *b.answers[0].Find("Location"));
+  RunUntil([&] { return Sent() == 1; });
+  RunFor(50 * kMs);
+  EXPECT_EQ(Sent(), 1u);
+}
+
+// The intent cannot be written: nothing of it may reach a worker.
+TEST_F(Durable, NothingGoesOutBeforeItsIntentIsDurable) {
+  std::atomic<int> commits = 0;
+  workers.push_back(std::make_unique<Server>(Accept));
+  Start([&](store::Stage s) {
+    return s == store::Stage::kCommit && ++commits > 1 ? std::string("disk full") : std::string();
+  });
+  const std::string path = Take("j1", "commit", "", "700m");
+  ASSERT_EQ(path.substr(0, 7), "/_jobs/");
+  EXPECT_TRUE(Becomes(path, "refused")) << "it never ran";
+  EXPECT_EQ(Sent(), 0u);
+  EXPECT_EQ(Take("j2"), "503") << "nothing can be taken on, and that is said";
+}
+
+// Killed just after the worker has begun: the next life adopts the attempt and does not send it
+// again.
+TEST_F(Durable, ARunningJobIsAdoptedAndItsLateWordFindsIt) {
+  for (int i = 0; i < 3; ++i) workers.push_back(std::make_unique<Server>(Accept));
+  Start();
+  const std::string path = Take("j1");
+  RunUntil([&] { return Sent() == 1; });
+  std::string at;
+  for (std::size_t i = 0; i < 3; ++i)
+    if (!workers[i]->got.empty()) at = "s-" + std::to_string(i);
+  EXPECT_EQ(News("j1", at, "started"), 200);
+  Start();
+  EXPECT_TRUE(Becomes(path, "running"));
+  RunFor(400 * kMs);
+  EXPECT_EQ(Sent(), 1u) << "sent again on suspicion";
+  EXPECT_GT(life->node.site().settings.classes.size(), 0u);
+  EXPECT_EQ(News("j1", at, "done"), 200);
+  EXPECT_TRUE(Becomes(path, "served"));
+}
+
+TEST_F(Durable, QueuedJobsComeBackInOrderAndPaced) {
+  policy.recovered_at_once = 2;
+  Start();  // no worker: nothing can be sent
+  std::vector<std::string> paths;
+  for (int i = 0; i < 6; ++i) paths.push_back(Take("j" + std::to_string(i)));
+  workers.push_back(std::make_unique<Server>(Accept));
+  Start();
+  for (std::size_t done = 0; done < 6; ++done) {
+    RunUntil([&] { return Sent() > done; });
+    ASSERT_GT(Sent(), done);
+    EXPECT_LE(Sent(), done + 2) << "more than may be in the module's hands";
+    const std::string id = *workers[0]->got[done].Find("X-Request-ID");
+    EXPECT_EQ(News(id, "s-0", "done"), 200);
+  }
+  for (const std::string& path : paths) EXPECT_TRUE(Becomes(path, "served"));
+  // They are handed over in the order of intake, each when another has ended; which of those it has
+  // the module sends first is its own decision (the newest).
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = *workers[0]->got[static_cast<std::size_t>(i)].Find("X-Request-ID");
+    EXPECT_LE(id, "j" + std::to_string(i + 1)) << "handed over before its turn";
+  }
+}
+
+// A silent worker whose lease runs out while its job runs on, and which then says that it is done.
+TEST_F(Durable, ALeaseThatRunsOutIsADoubtAndTheWorkersWordResolvesIt) {
+  policy.lease = 300 * kMs;
+  for (int i = 0; i < 2; ++i) workers.push_back(std::make_unique<Server>(Accept));
+  Start();
+  const std::string path = Take("j1");
+  RunUntil([&] { return Sent() == 1; });
+  const std::string at = workers[0]->got.empty() ? "s-1" : "s-0";
+  EXPECT_EQ(News("j1", at, "started"), 200);
+  EXPECT_TRUE(Becomes(path, "in doubt"));
+  RunFor(300 * kMs);
+  EXPECT_EQ(Sent(), 1u) << "a job in doubt was sent again";
+  EXPECT_EQ(News("j1", at == "s-0" ? "s-1" : "s-0", "done"), 200) << "heard, and of no use";
+  EXPECT_NE(Get(path).find("in doubt"), std::string::npos);
+  EXPECT_EQ(News("j1", at, "done"), 200);
+  EXPECT_TRUE(Becomes(path, "served"));
+  EXPECT_NE(Get(path).find("r-j1"), std::string::npos);
+}
+
+// Workers that know fences: what is in doubt goes out again, under a higher fence, and only there.
+TEST_F(Durable, ADoubtAtWorkersThatKnowFencesIsGivenOutAgain) {
+  policy.lease = 300 * kMs;
+  workers.push_back(std::make_unique<Server>(Fenced));
+  Start();
+  const std::string path = Take("j1");
+  RunUntil([&] { return Sent() == 2; });
+  ASSERT_EQ(Sent(), 2u);
+  EXPECT_EQ(*workers[0]->got[0].Find("X-Fence"), "1");
+  EXPECT_EQ(*workers[0]->got.back().Find("X-Fence"), "2");
+  EXPECT_EQ(News("j1", "s-0", "done"), 200);
+  EXPECT_TRUE(Becomes(path, "served"));
+}
+
+TEST_F(Durable, ProgressRenewsTheLease) {
+  policy.lease = 300 * kMs;
+  workers.push_back(std::make_unique<Server>(Accept));
+  Start();
+  const std::string path = Take("j1");
+  RunUntil([&] { return Sent() == 1; });
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(News("j1", "s-0", "running"), 200);
+    RunFor(150 * kMs);
+  }
+  EXPECT_NE(Get(path).find("\"state\":\"running\""), std::string::npos);
+}
+
+TEST_F(Durable, ADoubtThatOutlivesTheNodeIsSettledByAPerson) {
+  policy.lease = 200 * kMs;
+  workers.push_back(std::make_unique<Server>(Accept));
+  Start();
+  const std::string path = Take("j1");
+  EXPECT_TRUE(Becomes(path, "in doubt"));
+  Start();
+  EXPECT_NE(Get(path).find("in doubt"), std::string::npos);
+  WriteOrder(path_, {path.substr(7), jobs::State::kServed, "found in the memory"});
+  EXPECT_TRUE(Becomes(path, "served"));
+  EXPECT_FALSE(OrderWaits(path_, path.substr(7)));
+  EXPECT_EQ(Sent(), 1u);
+}
+
+TEST_F(Durable, WhatRanOutOfTimeMeanwhileEndsAtOnce) {
+  Start();
+  const std::string queued = Take("j1", "commit", "", "300m");
+  life.reset();
+  RunFor(400 * kMs);
+  workers.push_back(std::make_unique<Server>(Accept));
+  Start();
+  EXPECT_NE(Get(queued).find("\"state\":\"failed\""), std::string::npos);
+  RunFor(50 * kMs);
+  EXPECT_EQ(Sent(), 0u);
+}
+
+TEST_F(Durable, AJobIsGivenUpByItsClient) {
+  Start();
+  const std::string path = Take("j1");
+  EXPECT_NE(Call("DELETE", path).find("\"state\":\"cancelled\""), std::string::npos);
+  workers.push_back(std::make_unique<Server>(Accept));
+  ListWorkers();
+  RunFor(100 * kMs);
+  EXPECT_EQ(Sent(), 0u);
+  EXPECT_EQ(Call("PUT", path), "405");
+  EXPECT_EQ(Call("DELETE", "/_jobs/x"), "404");
+}
+
+// The word of an end is acknowledged once it is on the disk: a worker that hears 503 says it again.
+TEST_F(Durable, AnEndThatCannotBeWrittenIsNotAcknowledged) {
+  std::atomic<bool> full = false;
+  workers.push_back(std::make_unique<Server>(Fenced));
+  Start([&](store::Stage s) {
+    return s == store::Stage::kCommit && full ? std::string("disk full") : std::string();
+  });
+  const std::string path = Take("j1");
+  RunUntil([&] { return Sent() == 1; });
+  EXPECT_EQ(News("j1", "s-0", "started"), 200);
+  full = true;
+  EXPECT_EQ(News("j1", "s-0", "done"), 503);
+  full = false;
+  Start();  // as if it had been killed there: the store still has it running
+  EXPECT_TRUE(Becomes(path, "running"));
+  EXPECT_EQ(News("j1", "s-0", "done"), 200) << "said again, and found";
+  EXPECT_TRUE(Becomes(path, "served"));
+  EXPECT_EQ(Sent(), 1u);
+}
+
+// The end is told until it is heard; an address that may not be called is refused at the door.
+TEST_F(Durable, TheEndIsToldToTheCallback) {
+  workers.push_back(std::make_unique<Server>(Accept));
+  Start();
+  int calls = 0;
+  Server listener(
+      [&](const Message&) { return http::WriteResponse(++calls == 1 ? 500 : 204, {}, "", false); });
+  Caller caller(life->front.port());
+  const std::string head = "Prefer: respond-async\r\nX-Callback-Url: ";
+  caller.Ask("j0", "commit", "9000m", head + "http://10.0.0.1:80/x\r\n");
+  EXPECT_EQ(caller.Status(), 400);
+  caller.Ask("j1", "commit", "9000m", head + "http://" + listener.address() + "/told?a=1\r\n");
+  EXPECT_EQ(caller.Status(1), 202);
+  RunUntil([&] { return Sent() == 1; });
+  EXPECT_EQ(News("j1", "s-0", "done"), 200);
+  RunUntil([&] { return calls == 2; });
+  ASSERT_EQ(calls, 2) << "said again after a 500";
+  EXPECT_EQ(listener.got[1].target, "/told?a=1");
+  EXPECT_NE(listener.got[1].body.find("\"result\":\"r-j1\""), std::string::npos);
+  RunUntil([&] { return CountOf("callbacks_told") > 0; });
+  Start();
+  RunFor(100 * kMs);
+  EXPECT_EQ(calls, 2) << "told is told, also after a start";
+}
+
+TEST(CallbackUrl, OnlyNumbersAndOnlyWhatIsAllowed) {
+  EXPECT_TRUE(ReadCallbackUrl("http://127.0.0.1:80/x", {}));
+  EXPECT_TRUE(ReadCallbackUrl("http://[::1]:80", {}));
+  EXPECT_TRUE(ReadCallbackUrl("http://10.1.2.3:80/jobs/1", {"http://10.1.2.3:80/jobs/"}));
+  for (const char* url :
+       {"http://10.1.2.3:80/other", "https://127.0.0.1:80/", "http://localhost:80/",
+        "http://127.0.0.1/", "http://127.0.0.1:80@10.1.1.1:80/", "ftp://x", "",
+        "http://127.0.0.1:80/a b", "http://127.0.0.1:80/\r\nX: y"})
+    EXPECT_FALSE(ReadCallbackUrl(url, {"http://10.1.2.3:80/jobs/"})) << url;
+}
+
+// Ordinary jobs pass through a keeper as through the node itself.
+TEST_F(Durable, OrdinaryJobsPassThrough) {
+  workers.push_back(std::make_unique<Server>(Accept));
+  Start();
+  Caller client(life->front.port());
+  client.Ask("o1", "commit");
+  RunUntil([&] { return Sent() == 1; });
+  EXPECT_EQ(workers[0]->got[0].Find("X-Fence"), nullptr);
+  EXPECT_EQ(News("o1", "s-0", "done"), 200);
+  EXPECT_EQ(client.Status(), 200);
+  EXPECT_EQ(life->keeper.records(), 0u);
+}
+
+}  // namespace
+}  // namespace pearreach
--- /dev/null
+++ b/tests/jobs/ledger_test.cpp
@@ -0,0 +1,160 @@
+// The decisions about durable jobs, by table and by property.
+#include "jobs/ledger.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace pearreach::jobs {
+namespace {
+
+using marlquay::Effect;
+using What = Recovery::What;
+
+constexpr UnixMicros kNow = 1'700'000'000'000'000;
+constexpr std::int64_t kS = 1'000'000;
+
+marlquay::ClassSettings Class(Effect effect) {
+  marlquay::ClassSettings c;
+  c.effect = effect;
+  c.key_window = 7 * kS;
+  return c;
+}
+
+Job JobWith(std::vector<Attempt> attempts, State state = State::kRunning) {
+  Job j;
+  j.state = state;
+  j.due = kNow + 60 * kS;
+  j.attempts = std::move(attempts);
+  return j;
+}
+
+Attempt Tried(Ran ran, std::int64_t sent_ago = kS, std::int64_t lease_left = 5 * kS) {
+  Attempt a;
+  a.worker = "w";
+  a.fence = 1;
+  a.ran = ran;
+  a.sent = kNow - sent_ago;
+  a.lease_until = kNow + lease_left;
+  return a;
+}
+
+What After(const Job& job, Effect effect, UnixMicros now = kNow) {
+  const marlquay::ClassSettings c = Class(effect);
+  return Recover(job, &c, {}, now).what;
+}
+
+TEST(Recover, ByWhatIsKnown) {
+  EXPECT_EQ(After(JobWith({}, State::kQueued), Effect::kOnce), What::kQueue);
+  EXPECT_EQ(After(JobWith({Tried(Ran::kNever)}, State::kQueued), Effect::kOnce), What::kQueue);
+  EXPECT_EQ(After(JobWith({Tried(Ran::kOut)}), Effect::kOnce), What::kAdopt);
+  // Its lease ran out while no node was there.
+  EXPECT_EQ(After(JobWith({Tried(Ran::kOut, kS, -1)}), Effect::kOnce), What::kDoubt);
+  EXPECT_EQ(After(JobWith({Tried(Ran::kOut, kS, -1)}), Effect::kRepeatable), What::kAdopt);
+  EXPECT_EQ(After(JobWith({Tried(Ran::kMaybe)}), Effect::kOnce), What::kDoubt);
+  EXPECT_EQ(After(JobWith({Tried(Ran::kMaybe)}), Effect::kRepeatable), What::kQueue);
+  // The window of a keyed job went on while no node was there.
+  EXPECT_EQ(After(JobWith({Tried(Ran::kMaybe, 6 * kS)}), Effect::kByKey), What::kQueue);
+  EXPECT_EQ(After(JobWith({Tried(Ran::kMaybe, 8 * kS)}), Effect::kByKey), What::kDoubt);
+  Job over = JobWith({}, State::kQueued);
+  over.due = kNow;
+  EXPECT_EQ(After(over, Effect::kOnce), What::kEnd);
+  over.attempts = {Tried(Ran::kOut)};
+  EXPECT_EQ(After(over, Effect::kOnce), What::kDoubt) << "it may have taken effect";
+  EXPECT_EQ(After(JobWith({}, State::kServed), Effect::kOnce), What::kNothing);
+  EXPECT_EQ(After(JobWith({Tried(Ran::kMaybe)}, State::kInDoubt), Effect::kOnce), What::kNothing);
+  EXPECT_EQ(Recover(JobWith({}, State::kQueued), nullptr, {}, kNow).what, What::kWithdraw);
+}
+
+// A wall clock that was set back makes a lease, or a window, look longer than it is.
+TEST(Recover, AClockThatSteppedDoesNotStretchALeaseOrAWindow) {
+  Policy policy;
+  const marlquay::ClassSettings once = Class(Effect::kOnce), keyed = Class(Effect::kByKey);
+  const Job job = JobWith({Tried(Ran::kOut, kS, 3600 * kS)});
+  EXPECT_EQ(Recover(job, &once, policy, kNow).what, What::kAdopt);
+  EXPECT_FALSE(MayRepeat(JobWith({Tried(Ran::kMaybe, -30 * kS)}), keyed, kNow))
+      << "sent in what is now the future: how long ago, nobody knows";
+}
+
+TEST(Doubt, IsWhatAFailureMeansWhereItMayHaveRun) {
+  EXPECT_EQ(EndOfFailure(JobWith({Tried(Ran::kMaybe)}), Class(Effect::kOnce)), State::kInDoubt);
+  EXPECT_EQ(EndOfFailure(JobWith({Tried(Ran::kNever)}), Class(Effect::kOnce)), State::kFailed);
+  EXPECT_EQ(EndOfFailure(JobWith({Tried(Ran::kDone)}), Class(Effect::kOnce)), State::kFailed);
+  EXPECT_EQ(EndOfFailure(JobWith({Tried(Ran::kMaybe)}), Class(Effect::kByKey)), State::kFailed);
+}
+
+TEST(Doubt, IsResolvedByTheWorkersOwnWordAlone) {
+  Job job = JobWith({Tried(Ran::kNever), Tried(Ran::kMaybe)}, State::kInDoubt);
+  EXPECT_EQ(Resolve(job, "w", Word::kDone).state, State::kServed);
+  EXPECT_EQ(Resolve(job, "w", Word::kFailed).state, State::kFailed);
+  EXPECT_EQ(Resolve(job, "w", Word::kReturned).state, State::kRefused);
+  EXPECT_FALSE(Resolve(job, "w", Word::kLost).resolves) << "it died: before or after its effect?";
+  EXPECT_FALSE(Resolve(job, "another", Word::kDone).resolves);
+  Attempt second = Tried(Ran::kMaybe);
+  second.worker = "v";
+  job.attempts.push_back(second);
+  EXPECT_FALSE(Resolve(job, "w", Word::kReturned).resolves) << "v may have run it all the same";
+  EXPECT_TRUE(Resolve(job, "v", Word::kDone).resolves);
+  job.state = State::kServed;
+  EXPECT_FALSE(Resolve(job, "w", Word::kFailed).resolves) << "an end is an end";
+}
+
+TEST(Doubt, MayBeFencedOnlyWhereAllKnowFences) {
+  Job job = JobWith({Tried(Ran::kMaybe)}, State::kInDoubt);
+  EXPECT_FALSE(MayFence(job));
+  job.attempts[0].knows_fences = true;
+  EXPECT_TRUE(MayFence(job));
+  EXPECT_EQ(NextFence(job), 2u);
+  job.attempts[0].ran = Ran::kFenced;
+  job.state = State::kQueued;
+  EXPECT_EQ(After(job, Effect::kOnce), What::kQueue) << "it can no longer take effect";
+}
+
+// Whatever the store holds: a `once` job of which some attempt may have run never goes out again.
+TEST(Recover, NeverSendsOutAgainWhatMayHaveRun) {
+  EXPECT_TRUE(rc::check("once and risky: adopted or in doubt", [] {
+    Job job;
+    job.state = *rc::gen::element(State::kQueued, State::kRunning);
+    job.due = kNow + *rc::gen::inRange<std::int64_t>(-100, 100) * kS;
+    const int n = *rc::gen::inRange(1, 5);
+    bool risky = false, out = false;
+    for (int i = 0; i < n; ++i) {
+      job.attempts.push_back(Tried(*rc::gen::element(Ran::kOut, Ran::kNever, Ran::kMaybe),
+                                   *rc::gen::inRange<std::int64_t>(-20, 20) * kS,
+                                   *rc::gen::inRange<std::int64_t>(-20, 20) * kS));
+      risky = risky || job.attempts.back().ran != Ran::kNever;
+      out = out || job.attempts.back().ran == Ran::kOut;
+    }
+    const What what = After(job, Effect::kOnce);
+    if (risky) RC_ASSERT(what == What::kDoubt || (what == What::kAdopt && out));
+    if (!risky) RC_ASSERT(what == (kNow < job.due ? What::kQueue : What::kEnd));
+  }));
+}
+
+TEST(Pacer, HandsOverNoMoreThanItMay) {
+  Pacer pacer(2);
+  EXPECT_EQ(pacer.Room(), 2);
+  pacer.Out();
+  pacer.Out();
+  EXPECT_EQ(pacer.Room(), 0);
+  pacer.Back();
+  EXPECT_EQ(pacer.Room(), 1);
+}
+
+TEST(Forget, KeepsWhatIsNotToldYet) {
+  Policy policy;
+  policy.keep = 10 * kS;
+  Job job = JobWith({}, State::kServed);
+  job.ended = kNow - 11 * kS;
+  EXPECT_TRUE(MayForget(job, policy, kNow));
+  job.callback = "http://127.0.0.1:1/";
+  EXPECT_FALSE(MayForget(job, policy, kNow));
+  job.callback_done = true;
+  EXPECT_TRUE(MayForget(job, policy, kNow));
+  job.state = State::kInDoubt;
+  EXPECT_FALSE(MayForget(job, policy, kNow));
+  EXPECT_GE(CallbackWait(0, 0), kS / 2);
+  EXPECT_LE(CallbackWait(100, 1), 300 * kS);
+}
+
+}  // namespace
+}  // namespace pearreach::jobs
--- a/tests/module/checkpoint_test.cpp
+++ b/tests/module/checkpoint_test.cpp
@@ -41,6 +41,12 @@
       if (step.a % 4 == 0) e.hint = static_cast<Micros>(step.a % 900) * kMs;
       due_[e.request] = e.due;
       events.push_back(e);
+      if (step.b % 11 == 3) {  // made before the module's time
+        events.push_back(AttemptAdopted{e.request, step.a % 8, now - kSecond, step.a % 2 == 0,
+                                        static_cast<AttemptAdopted::Was>(step.b % 3)});
+        if (step.b % 3 == 0) out_[{e.request, tries_[e.request]}] = step.a % 8;
+        ++tries_[e.request];
+      }
     } else if (step.kind < 8 && !out_.empty()) {
       auto it = std::next(out_.begin(), step.a % out_.size());
       const auto [request, attempt] = it->first;
--- a/tests/module/rules_test.cpp
+++ b/tests/module/rules_test.cpp
@@ -232,5 +232,54 @@
   EXPECT_EQ(d.all_sends.size(), 1u);
 }
 
+// Rule 2 across a restart: a job whose attempt was made before this module's time.
+TEST(Adopted, IsNotSentAgainAndItsSlotsCount) {
+  Driver d(BaseSettings());
+  d.Workers(3);
+  AttemptAdopted adopted{7, 1, -kSecond, true, AttemptAdopted::Was::kOut};
+  d.Give({d.Request(7, 1), adopted});
+  EXPECT_TRUE(d.sends.empty());
+  EXPECT_EQ(d.dispatcher.PoolBusy(0), 1);
+  d.Run(3 * kSecond);
+  EXPECT_TRUE(d.all_sends.empty()) << "sent again on suspicion";
+  AttemptEnded e;
+  e.request = 7;
+  e.worker = 1;
+  e.outcome = Outcome::kTimeout;
+  d.Give({e});
+  EXPECT_TRUE(d.all_sends.empty());
+  EXPECT_EQ(d.failed, std::vector<RequestId>{7}) << "no promise: it may have run";
+  EXPECT_EQ(d.dispatcher.PoolBusy(0), 0);
+  EXPECT_EQ(d.dispatcher.OpenRequests(), 0u);
+}
+
+// At a worker that is not on the list any more: its slots fill no limit, and it is not sent
+// elsewhere.
+TEST(Adopted, AtAWorkerThatHasGone) {
+  Driver d(BaseSettings());
+  d.Workers(1);
+  d.Give({d.Request(7, 1), AttemptAdopted{7, 9, 0, true, AttemptAdopted::Was::kOut}});
+  d.Run(3 * kSecond);
+  EXPECT_TRUE(d.all_sends.empty());
+  d.Serve(8);
+  EXPECT_EQ(d.all_sends.size(), 1u);
+}
+
+// What never ran goes out at once; what may have run only within its window, from the first send
+// on.
+TEST(Adopted, EndedAttemptsBindTheNextAsEver) {
+  for (const auto& [cls, was, sent, wanted] :
+       {std::tuple{1, AttemptAdopted::Was::kNeverRan, -kSecond, 1u},
+        std::tuple{1, AttemptAdopted::Was::kMayHaveRun, -kSecond, 0u},
+        std::tuple{2, AttemptAdopted::Was::kMayHaveRun, -kSecond, 1u},
+        std::tuple{2, AttemptAdopted::Was::kMayHaveRun, -6 * kSecond, 0u}}) {
+    Driver d(BaseSettings());
+    d.Workers(3);
+    d.Give({d.Request(7, cls), AttemptAdopted{7, 1, sent, false, was}});
+    d.Run(kSecond);
+    EXPECT_EQ(d.all_sends.size(), wanted) << "class " << cls << ", sent at " << sent;
+  }
+}
+
 }  // namespace
 }  // namespace marlquay::testing
--- /dev/null
+++ b/tests/node/rig.h
@@ -0,0 +1,108 @@
+// Scripted peers of a node for stories over loopback sockets: workers or discovery, and callers.
+// They run on the main loop of the test.
+#ifndef PEARREACH_TESTS_NODE_RIG_H_
+#define PEARREACH_TESTS_NODE_RIG_H_
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/io.h"
+#include "http/http.h"
+
+namespace pearreach::rig {
+
+using http::Message;
+using Replies = std::function<std::string(const Message&)>;  // empty: says nothing
+
+inline void RunUntil(const std::function<bool()>& done, Micros most = 20 * kSecond) {
+  const Micros end = Now() + most;
+  Alarm wake([] {});
+  wake.Set(end);
+  while (!done() && Now() < end) g_main_context_iteration(nullptr, TRUE);
+}
+inline void RunFor(Micros time) {
+  RunUntil([] { return false; }, time);
+}
+
+// A scripted worker or discovery.
+class Server {
+ public:
+  explicit Server(Replies replies)
+      : replies_(std::move(replies)), listener_([this](auto stream) {
+          const auto parser = std::make_shared<http::Parser>(http::Parser::Kind::kRequest);
+          Stream* s = stream.get();
+          streams.push_back(stream);
+          stream->Listen({[] {},
+                          [this, s, parser](std::string_view bytes) {
+                            parser->Feed(bytes);
+                            while (s->open() && parser->Next() == http::Parser::State::kMessage) {
+                              got.push_back(parser->Take());
+                              const std::string answer = replies_(got.back());
+                              if (!answer.empty() && s->open()) s->Write(answer);
+                            }
+                          },
+                          [] {}});
+        }) {
+    EXPECT_EQ(listener_.Open("127.0.0.1:0"), "");
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
+  void CloseAll() {
+    for (const auto& s : streams) s->Close();
+  }
+  std::vector<Message> got;
+  std::vector<std::shared_ptr<Stream>> streams;
+
+ private:
+  Replies replies_;
+  Listener listener_;
+};
+
+inline const std::string kAccepted = http::WriteResponse(202, {}, "", true);
+inline std::string Accept(const Message&) { return kAccepted; }
+inline std::string Silent(const Message&) { return ""; }
+
+class Caller {
+ public:
+  explicit Caller(int port) {
+    stream = Stream::Connect("127.0.0.1:" + std::to_string(port),
+                             {[] {},
+                              [this](std::string_view bytes) {
+                                parser_.Feed(bytes);
+                                while (parser_.Next() == http::Parser::State::kMessage)
+                                  answers.push_back(parser_.Take());
+                              },
+                              [this] { closed = true; }});
+  }
+  ~Caller() { stream->Close(); }
+  void Ask(const std::string& id, const std::string& cls = "commit",
+           const std::string& timeout = "5000m", std::string headers = "") {
+    headers += "X-Request-ID: " + id + "\r\nX-Priority-Class: " + cls +
+               "\r\nX-Timeout: " + timeout +
+               "\r\nX-Attrs: slots=1\r\nContent-Length: 4\r\n\r\nbody";
+    stream->Write("POST /" + cls + "/x?y=1 HTTP/1.1\r\nHost: a\r\n" + headers);
+  }
+  void News(const std::string& id, const std::string& from, const std::string& state) {
+    stream->Write(http::WriteRequest("POST", "/_jobs/news", {},
+                                     R"({"id":")" + id + R"(","from":")" + from + R"(","state":")" +
+                                         state + R"(","result":"r-)" + id + "\"}"));
+  }
+  // The status of answer number `n`, waited for; 0: none came.
+  int Status(std::size_t n = 0) {
+    RunUntil([&] { return answers.size() > n || closed; });
+    return answers.size() > n ? answers[n].status : 0;
+  }
+  std::shared_ptr<Stream> stream;
+  std::vector<Message> answers;
+  bool closed = false;
+
+ private:
+  http::Parser parser_{http::Parser::Kind::kResponse};
+};
+
+}  // namespace pearreach::rig
+
+#endif  // PEARREACH_TESTS_NODE_RIG_H_
