--- a/lab/standins.cpp
+++ b/lab/standins.cpp
@@ -115,10 +115,17 @@
           listen) {}
 
 void StandInDiscovery::SetWorkers(const std::vector<const MatchWorker*>& workers) {
+  std::vector<std::pair<std::string, std::string>> all;
+  for (const MatchWorker* w : workers) all.push_back({w->options().id, w->address()});
+  SetList(all, workers.empty() ? "" : workers.front()->options().kind);
+}
+
+void StandInDiscovery::SetList(const std::vector<std::pair<std::string, std::string>>& workers,
+                               const std::string& kind) {
   list_ = R"({"version":1,"full":true,"servers":[)";
-  for (const MatchWorker* w : workers)
-    list_ += std::string(w == workers.front() ? "" : ",") + R"({"id":")" + w->options().id +
-             R"(","addr":")" + w->address() + R"(","zone":"here","kind":")" + w->options().kind +
+  for (const auto& [id, address] : workers)
+    list_ += std::string(id == workers.front().first ? "" : ",") + R"({"id":")" + id +
+             R"(","addr":")" + address + R"(","zone":"here","kind":")" + kind +
              R"(","cell":0,"state":"up","weight":1.0,"started_ms":0})";
   list_ += "]}";
 }
@@ -188,8 +195,8 @@
 
 NodeProcess::NodeProcess(const std::string& program, const std::string& name,
                          const std::string& folder, const std::string& discovery,
-                         const std::string& operator_file)
-    : name_(name), address_(FreeAddress()) {
+                         const std::string& operator_file, const std::string& address)
+    : name_(name), address_(address.empty() ? FreeAddress() : address) {
   const std::string config = folder + "/" + name + ".json";
   std::ofstream(config)
       << R"({"name":")" << name << R"(","listen":")" << address_ << R"(","discovery":")"
@@ -265,6 +272,13 @@
   return 0;
 }
 
+void NodeProcess::Kill() {
+  if (pid_ == 0) return;
+  g_subprocess_force_exit(process_);
+  g_subprocess_wait(process_, nullptr, nullptr);
+  pid_ = 0;
+}
+
 bool NodeProcess::Stop() {
   if (pid_ == 0) return false;
   g_subprocess_send_signal(process_, SIGTERM);
--- a/lab/standins.h
+++ b/lab/standins.h
@@ -76,6 +76,9 @@
   explicit StandInDiscovery(const std::string& listen = "127.0.0.1:0");
   std::string address() const { return server_.address(); }
   void SetWorkers(const std::vector<const MatchWorker*>& workers);
+  // Of workers by name and address.
+  void SetList(const std::vector<std::pair<std::string, std::string>>& workers,
+               const std::string& kind = "standin");
 
  private:
   std::string list_;
@@ -114,7 +117,8 @@
 class NodeProcess {
  public:
   NodeProcess(const std::string& program, const std::string& name, const std::string& folder,
-              const std::string& discovery, const std::string& operator_file);
+              const std::string& discovery, const std::string& operator_file,
+              const std::string& address = "");
   ~NodeProcess();  // SIGTERM; SIGKILL if it does not end
   const std::string& address() const { return address_; }
   bool Ready(Micros most);  // waits until it answers
@@ -123,6 +127,7 @@
   std::uint64_t cpu_ns(bool without_the_loop = false) const;
   std::uint64_t resident() const;
   bool Stop();  // SIGTERM; true: it ended with 0
+  void Kill();  // SIGKILL, and waits for its end
 
  private:
   std::string name_, address_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -153,6 +153,7 @@
   if (news.job.empty() || news.from.empty() || known == std::end(kStates)) return std::nullopt;
   news.state = known->second;
   news.share = Real(d, "share", 0);
+  news.fence = static_cast<std::uint64_t>(std::clamp(Real(d, "fence", 0), 0.0, 9e15));
   if (const Value* result = Member(d, "result")) {
     if (result->IsString()) {
       news.result = TextOf(*result);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -40,6 +40,7 @@
   std::string job, from;
   State state = State::kStarted;
   double share = 0;
+  std::uint64_t fence = 0;  // of the attempt it is about, where the worker says so
   std::string result;
   marlquay::LoadReport load;
 };
--- a/src/durable/keeper.cpp
+++ b/src/durable/keeper.cpp
@@ -42,6 +42,9 @@
     if (!job.idempotency_key.empty())
       by_key_[job.cls + '\n' + job.tenant + '\n' + job.idempotency_key] = job.seq;
     if (jobs::IsEnd(job.state)) ends_.push_back({job.ended, job.seq});
+    if (job.state == State::kInDoubt) doubts_.insert(job.seq);
+    for (const jobs::Attempt& a : job.attempts)
+      if (a.knows_fences) knows_fences_.insert(a.worker);
     r.job = std::move(job);
   });
   std::sort(ends_.begin(), ends_.end());
@@ -163,6 +166,7 @@
 
 // To the module, as a job that waits or with its attempts as they are known.
 void Keeper::HandOver(Record& r, bool adopt) {
+  if (!Must(r.ticket == 0, "handed_over_twice")) return;
   const jobs::UnixMicros now = UnixNow();
   Job job;
   job.id = r.job.request_id;
@@ -177,7 +181,7 @@
   job.received = Now();
   job.patience = std::max<Micros>(r.job.due - now, kMs);
   job.lease = policy_.lease;
-  job.fence = jobs::NextFence(r.job);
+  job.fence = jobs::NextFence(r.job) - 1;  // of the last attempt, if one is adopted
   std::vector<Node::Adopted> attempts;
   for (const jobs::Attempt& a : r.job.attempts) {
     if (a.ran == Ran::kFenced || (a.ran == Ran::kNever && !adopt)) continue;
@@ -201,7 +205,8 @@
   recovering_ = true;
   std::uint64_t queued = 0, adopted = 0, doubts = 0, ended = 0;
   for (auto& [seq, r] : jobs_) {
-    if (r.ticket != 0) continue;  // came in before the list did
+    // Came in before the list did: handed over already, or when its own record is written.
+    if (r.ticket != 0 || !r.durable) continue;
     const jobs::Recovery what = jobs::Recover(r.job, ClassOf(r.job), policy_, now);
     switch (what.what) {
       case jobs::Recovery::What::kNothing:
@@ -263,8 +268,12 @@
 // A job in doubt whose attempts are all at workers that know fences goes out once more: with a
 // higher fence the old ones can no longer take effect, and one that has taken effect is told again.
 void Keeper::Fence(Record& r) {
+  // An attempt that got no answer is at a worker that may have said so of another.
+  for (jobs::Attempt& a : r.job.attempts)
+    a.knows_fences = a.knows_fences || knows_fences_.contains(a.worker);
   if (!jobs::MayFence(r.job) || r.job.body.empty() || UnixNow() >= r.job.due) return;
   Count("doubts_fenced");
+  doubts_.erase(r.job.seq);
   std::vector<store::Change> changes;
   for (jobs::Attempt& a : r.job.attempts) {
     if (a.ran == Ran::kNever) continue;
@@ -283,13 +292,14 @@
          if (e.empty()) return HandOver(it->second, false);
          CountFault("store_failed", e);
          it->second.job.state = State::kInDoubt;
+         doubts_.insert(seq);
        }});
 }
 
 // Nothing goes out before its intent is on the disk.
 void Keeper::BeforeSend(Ticket ticket, const std::string& worker, Go go) {
   Record* r = Find(ticket);
-  if (!Must(r != nullptr, "guarded_job_unknown")) return go(false);
+  if (!Must(r != nullptr, "guarded_job_unknown")) return go(0);
   jobs::Attempt a;
   a.number = static_cast<int>(r->job.attempts.size());
   a.worker = worker;
@@ -299,15 +309,17 @@
   r->job.attempts.push_back(a);
   r->job.state = State::kRunning;
   const int number = a.number;
-  store_->Submit({{store::PutJob{r->job, false}, store::PutAttempt{r->job.seq, a}},
-                  [this, seq = r->job.seq, number, go, alive = alive_](const std::string& error) {
-                    if (!*alive) return;
-                    if (error.empty()) return go(true);
-                    CountFault("store_failed", error);
-                    if (const auto it = jobs_.find(seq); it != jobs_.end())
-                      it->second.job.attempts[static_cast<std::size_t>(number)].ran = Ran::kNever;
-                    go(false);
-                  }});
+  const std::uint64_t fence = a.fence;
+  store_->Submit(
+      {{store::PutJob{r->job, false}, store::PutAttempt{r->job.seq, a}},
+       [this, seq = r->job.seq, number, fence, go, alive = alive_](const std::string& error) {
+         if (!*alive) return;
+         if (error.empty()) return go(fence);
+         CountFault("store_failed", error);
+         if (const auto it = jobs_.find(seq); it != jobs_.end())
+           it->second.job.attempts[static_cast<std::size_t>(number)].ran = Ran::kNever;
+         go(0);
+       }});
 }
 
 jobs::Attempt* Keeper::OutAt(Record& r, const std::string& worker) {
@@ -325,6 +337,7 @@
   switch (state) {
     case AttemptState::kTakenKnowsFences:
       a->knows_fences = true;
+      knows_fences_.insert(worker);
       break;
     case AttemptState::kTaken:
       save = false;
@@ -400,7 +413,10 @@
   if (r.ticket != 0) by_ticket_.erase(r.ticket);
   r.ticket = 0;
   if (std::exchange(r.recovered, false)) pacer_.Back();
-  if (state != State::kInDoubt) {
+  if (state == State::kInDoubt) {
+    doubts_.insert(r.job.seq);
+  } else {
+    doubts_.erase(r.job.seq);
     ends_.push_back({r.job.ended, r.job.seq});
     r.job.body.clear();  // of no more use; the store keeps it until the job is forgotten
     r.job.body.shrink_to_fit();
@@ -511,6 +527,9 @@
   sweep_.Set(Now() + kSweepEvery);
   if (!orders_.empty())
     for (const Order& order : TakeOrders(orders_)) Settle(order.id, order.state, order.reason);
+  const std::vector<std::uint64_t> doubts(doubts_.begin(), doubts_.end());
+  for (const std::uint64_t seq : doubts)
+    if (const auto it = jobs_.find(seq); it != jobs_.end() && node_->ready()) Fence(it->second);
   const jobs::UnixMicros now = UnixNow();
   for (int left = 1000; left > 0 && !ends_.empty(); --left) {  // a sweep costs what it forgets
     const std::uint64_t seq = ends_.front().second;
--- a/src/durable/keeper.h
+++ b/src/durable/keeper.h
@@ -96,7 +96,9 @@
   std::deque<std::pair<jobs::UnixMicros, std::uint64_t>> ends_;  // by their time, roughly
   std::string orders_;
   bool recovering_ = false;
-  std::vector<std::string> prefixes_;  // of URLs that may be called beside the loopback's
+  std::vector<std::string> prefixes_;   // of URLs that may be called beside the loopback's
+  std::set<std::uint64_t> doubts_;      // looked at again in each sweep
+  std::set<std::string> knows_fences_;  // workers that have ever said so
   std::set<std::pair<Micros, std::uint64_t>> callbacks_due_;
   Callbacks callbacks_;
   Alarm callback_alarm_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -297,13 +297,14 @@
   Count("attempts");
   if (r.guard == nullptr) return Launch(key);
   r.attempts.back().held = true;
-  r.guard->BeforeSend(key.job, NameOf(action.worker), [this, key](bool go) {
+  r.guard->BeforeSend(key.job, NameOf(action.worker), [this, key](std::uint64_t fence) {
     const auto it = records_.find(key.job);
     if (it == records_.end()) return;
     Attempt& a = it->second.attempts[static_cast<std::size_t>(key.number)];
     a.held = false;
     if (!a.out) return;  // given up meanwhile: nothing of it has gone out
-    if (!go || it->second.answered) return End(key, Outcome::kMoot, {});
+    if (fence == 0 || it->second.answered) return End(key, Outcome::kMoot, {});
+    it->second.job.fence = fence;
     a.sent = a.heard = Now();
     if (it->second.job.lease > 0) {
       leases_.insert({a.heard + it->second.job.lease, key});
@@ -425,6 +426,10 @@
   if (number < 0) return Count("news_passed_over");
   Attempt& a = r.attempts[static_cast<std::size_t>(number)];
   const AttemptKey key{ticket, number};
+  // Guards a job given out again to the same worker: what it says of the attempt that was fenced
+  // off is no word of the new one, unless that the job has taken effect.
+  if (news.fence != 0 && news.fence < r.job.fence && news.state != News::State::kDone)
+    return Count("news_passed_over");
   // Guards rule 2: where this worker had an attempt before, its 'returned' said again must not be
   // read as a word of the new one, which would then be sent elsewhere though it may run.
   if (again && !a.taken && news.state == News::State::kReturned) return Count("news_passed_over");
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -32,7 +32,7 @@
 };
 class Guard {
  public:
-  using Go = std::function<void(bool)>;  // false: it must not go out
+  using Go = std::function<void(std::uint64_t fence)>;  // 0: it must not go out
   virtual ~Guard() = default;
   virtual void BeforeSend(Ticket ticket, const std::string& worker, Go go) = 0;
   virtual void OnAttempt(Ticket ticket, const std::string& worker, AttemptState state) = 0;
--- a/tests/durable/keeper_test.cpp
+++ b/tests/durable/keeper_test.cpp
@@ -166,6 +166,26 @@
   EXPECT_EQ(Take("j2"), "503") << "nothing can be taken on, and that is said";
 }
 
+// The list comes while the record of a new job is being written: it is handed over once.
+TEST_F(Durable, AJobTakenInWhileTheListComesIsOneJob) {
+  workers.push_back(std::make_unique<Server>(Accept));
+  life = std::make_unique<Life>(path_, policy, nullptr);
+  Job job;
+  job.id = "j1";
+  job.path = "/commit/x";
+  job.body = "body";
+  job.received = Now();
+  job.patience = 9 * kSecond;
+  std::string id;
+  life->keeper.Take(job, [&](const TakeResult& r) { id = r.id; });
+  ListWorkers();
+  RunUntil([&] { return Sent() == 1; });
+  RunFor(50 * kMs);
+  EXPECT_EQ(Sent(), 1u);
+  EXPECT_NE(Get("/_jobs/" + id).find("running"), std::string::npos);
+  EXPECT_EQ(CountOf("guarded_job_unknown"), 0u);
+}
+
 // Killed just after the worker has begun: the next life adopts the attempt and does not send it
 // again.
 TEST_F(Durable, ARunningJobIsAdoptedAndItsLateWordFindsIt) {
@@ -238,6 +258,14 @@
   ASSERT_EQ(Sent(), 2u);
   EXPECT_EQ(*workers[0]->got[0].Find("X-Fence"), "1");
   EXPECT_EQ(*workers[0]->got.back().Find("X-Fence"), "2");
+  // The attempt that was fenced off says that it failed, at the same worker: no word of the new
+  // one.
+  Caller agent(life->front.port());
+  agent.stream->Write(http::WriteRequest("POST", "/_jobs/news", {},
+                                         R"({"id":"j1","from":"s-0","state":"failed","fence":1})"));
+  EXPECT_EQ(agent.Status(), 200);
+  RunFor(20 * kMs);
+  EXPECT_NE(Get(path).find("running"), std::string::npos);
   EXPECT_EQ(News("j1", "s-0", "done"), 200);
   EXPECT_TRUE(Becomes(path, "served"));
 }
