--- a/include/marlquay/dispatcher.h
+++ b/include/marlquay/dispatcher.h
@@ -189,9 +189,9 @@
   Was was = Was::kOut;
 };
 
-using Event =
-    std::variant<WorkerList, RequestArrived, AttemptTaken, AttemptStarted, AttemptProgress,
-                 StreamBegan, AttemptEnded, RequestLapsed, TimerFired, ProbeEnded, PeerMessage, AttemptAdopted>;
+using Event = std::variant<WorkerList, RequestArrived, AttemptTaken, AttemptStarted,
+                           AttemptProgress, StreamBegan, AttemptEnded, RequestLapsed, TimerFired,
+                           ProbeEnded, PeerMessage, AttemptAdopted>;
 
 // ---------------------------------------------------------------- actions
 
--- a/src/cli/captures.cpp
+++ b/src/cli/captures.cpp
@@ -518,6 +518,7 @@
                            "code 1: this build's module\ndecides otherwise than was recorded.");
   AddFiles(&options);
   AddOut(&options);
+  AddJson(&options);
   options.add_options()("instance", "its number",
                         cxxopts::value<std::uint64_t>()->default_value("0"),
                         "N")("life", "which of its starts, from 1 on",
@@ -530,6 +531,18 @@
       capture::ImportTap(capture::ReadFile(file), file, args["instance"].as<std::uint64_t>(),
                          args["life"].as<std::uint64_t>(), kVersion, kPolicyHash);
   capture::WriteFile(out, i.bytes);
+  if (args.count("json") > 0) {
+    rapidjson::StringBuffer buffer;
+    Json json(buffer);
+    json.StartObject();
+    Put(json, "file", out);
+    Put(json, "turns", i.turns);
+    Put(json, "identical", i.identical);
+    Put(json, "log_lines_lost", i.log_lines_lost);
+    json.EndObject();
+    std::cout << buffer.GetString() << '\n';
+    return i.identical ? kGood : kNo;
+  }
   std::cout << out << ": " << i.turns << " turns, "
             << (i.identical ? "decided alike by this build" : "decided otherwise by this build");
   if (i.log_lines_lost > 0) std::cout << ", " << i.log_lines_lost << " log lines left out";
--- a/tests/capture/recorder_test.cpp
+++ b/tests/capture/recorder_test.cpp
@@ -222,6 +222,10 @@
       Record({.folder = folder.path + "/file/below", .retry_every = kSecond}, Overload());
   EXPECT_GT(world->served(), 50u);
   EXPECT_GT(CountOf("capture_turns_missed"), missed);
+  // Nor where nothing can be written, which not even root may change.
+  const std::uint64_t before = CountOf("capture_turns_missed");
+  Record({.folder = "/proc/pearreach", .retry_every = kSecond}, Overload());
+  EXPECT_GT(CountOf("capture_turns_missed"), before);
 }
 
 // A node that starts again, or whose wall clock was set back, goes on with the numbers.
--- a/tests/capture/tools_test.cpp
+++ b/tests/capture/tools_test.cpp
@@ -47,6 +47,25 @@
   EXPECT_THROW(Cut(&segment, {100 * kSecond, 101 * kSecond}), Unreadable);
 }
 
+// Jobs that come before the module has any worker are part of the capture, and of a checkpoint
+// there.
+TEST(Cut, EventsBeforeTheFirstListReplay) {
+  lab::World world(lab::BaseSettings(), 9);
+  world.AddWorker({.name = "s-0"});
+  world.AddLoad({.per_second = 50, .cls = "commit", .tenant = "acme", .work = 30 * kMs}, 1 * kMs,
+                kSecond);
+  world.ListAll(600 * kMs);
+  world.Run(8 * kSecond);
+  const std::string day = world.Capture();
+  EXPECT_GT(world.served(), 20u);
+  EXPECT_EQ(TurnsThatReplay(day), world.turns().size());
+  Segment segment(day, "day");
+  const std::string part = Cut(&segment, {300 * kMs, 5 * kSecond});
+  EXPECT_GT(TurnsThatReplay(part), 20u);
+  Segment audited(day, "day");
+  EXPECT_EQ(RunAudit(&audited).breach_count, 0u);
+}
+
 TEST(Anonymise, KeepsEveryDecisionAndNoName) {
   const std::string day = Day("drain-around-a-late-list");
   Segment whole(day, "day");
--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "capture/segment.h"
@@ -18,9 +19,10 @@
   std::string out;
 };
 
-Result Call(const std::string& arguments) {
+Result Call(const std::string& arguments, const std::string& environment = "") {
   Result r;
-  FILE* pipe = popen((std::string(PEARREACH_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
+  FILE* pipe =
+      popen((environment + " " + PEARREACH_PROGRAM + " " + arguments + " 2>&1").c_str(), "r");
   char buffer[4096];
   for (std::size_t n; (n = fread(buffer, 1, sizeof buffer, pipe)) > 0;) r.out.append(buffer, n);
   r.code = WEXITSTATUS(pclose(pipe));
@@ -58,6 +60,34 @@
   EXPECT_EQ(r.out.substr(0, 9), "what if: ");
 }
 
+// Neither the place nor the machine's mood must matter to a replay.
+TEST(Cli, ReplayDoesNotDependOnTheEnvironment) {
+  for (const lab::Scenario& s : lab::Scenarios()) {
+    const std::string file = File("place.prcap", lab::Play(s)->Capture());
+    for (const char* environment :
+         {"TZ=Asia/Kolkata LC_ALL=C.UTF-8", "TZ=America/St_Johns LC_ALL=de_DE.UTF-8 LANG=tr_TR",
+          "env -i", "setarch -R", "MALLOC_PERTURB_=165 MALLOC_ARENA_MAX=1"})
+      EXPECT_EQ(Call("replay " + file, environment).code, 0) << s.name << " " << environment;
+  }
+}
+
+TEST(Cli, InfoTellsThatTheWallClockStepped) {
+  const auto world = lab::Play(lab::Scenarios()[1]);
+  capture::SegmentWriter writer(world->origin(), nullptr);
+  const std::int64_t begin = 1'700'000'000'000'000;
+  bool first = true;
+  for (capture::Turn t : world->turns()) {
+    t.unix_us = begin + t.now - (t.now > 2 * lab::kSecond ? 3600 * lab::kSecond : 0);
+    if (std::exchange(first, false)) t.unix_us = begin;
+    writer.Add(t);
+  }
+  const std::string file = File("stepped.prcap", writer.Finish(""));
+  const Result r = Call("capture info " + file);
+  EXPECT_EQ(r.code, 0);
+  EXPECT_NE(r.out.find("the wall clock stepped by -3600"), std::string::npos) << r.out;
+  EXPECT_EQ(Call("replay " + file).code, 0) << "the module is told the other clock";
+}
+
 TEST(Cli, ToolsMakeCapturesThatReplay) {
   const std::string day = File("day.prcap", Day());
   const std::string part = testing::TempDir() + "part.prcap";
