Close a store whole when its opening fails

Cause: the leak check of the address sanitizer, run over the new tests, found that a store refused for its version or damage stayed open: its statements were not ended before the file was closed, and its lock was kept, so that nobody in the process could open it again.

Change: both are let go on that way.

--- a/src/store/sqlite.cpp
+++ b/src/store/sqlite.cpp
@@ -113,6 +113,7 @@
     try {
       Open(path, read_only);
     } catch (const StoreError& wrong) {
+      statements_.clear();  // an open one would keep the file open
       sqlite3_close(db_);
       throw StoreError(std::string(wrong.what()).starts_with(path) ? wrong.what()
                                                                    : path + ": " + wrong.what());
@@ -169,13 +170,18 @@
  public:
   explicit SqliteStore(SqliteOptions options) : options_(std::move(options)) {
     if (!options_.read_only) Lock();
-    connection_ = std::make_unique<Connection>(options_.path, options_.read_only);
-    if (options_.read_only) return;
-    connection_->Run("BEGIN IMMEDIATE");
-    epoch_ = connection_->One("SELECT value FROM meta WHERE name='epoch'") + 1;
-    connection_->Get("UPDATE meta SET value=? WHERE name='epoch'").Bind(epoch_).Step();
-    connection_->Run("COMMIT");
-    next_seq_ = static_cast<std::uint64_t>(connection_->One("SELECT max(seq) FROM jobs")) + 1;
+    try {
+      connection_ = std::make_unique<Connection>(options_.path, options_.read_only);
+      if (options_.read_only) return;
+      connection_->Run("BEGIN IMMEDIATE");
+      epoch_ = connection_->One("SELECT value FROM meta WHERE name='epoch'") + 1;
+      connection_->Get("UPDATE meta SET value=? WHERE name='epoch'").Bind(epoch_).Step();
+      connection_->Run("COMMIT");
+      next_seq_ = static_cast<std::uint64_t>(connection_->One("SELECT max(seq) FROM jobs")) + 1;
+    } catch (const StoreError&) {
+      if (lock_ >= 0) ::close(lock_);  // else nobody in this process could open it again
+      throw;
+    }
     thread_ = std::thread([this] { Work(); });
   }
   ~SqliteStore() override {
