Show that a bad operator's file at SIGHUP changes nothing

Change: the story of the program and its SIGHUPs has an operator's file, replaces it with a bad one under way, and finds one whole segment of the capture at the end, which replays identically.

--- a/tests/node/stories_test.cpp
+++ b/tests/node/stories_test.cpp
@@ -579,13 +579,17 @@
            R"(","settings":{"RequestClasses":[{"Name":"c","Effect":"once"}],"Models":["m"],"RoundMs":2.0}})";
   };
   write(config(before.address()));
+  const std::string own = path + ".xml", captures = path + ".captures";
+  const auto write_own = [&](const std::string& text) { std::ofstream(own) << text; };
+  write_own("<pearreach><capture folder='" + captures + "'/></pearreach>");
   GSubprocess* program =
       g_subprocess_new(G_SUBPROCESS_FLAGS_STDERR_SILENCE, nullptr, PEARREACH_PROGRAM, "serve",
-                       "--config", path.c_str(), nullptr);
+                       "--config", path.c_str(), "--operator", own.c_str(), nullptr);
   ASSERT_NE(program, nullptr);
   RunUntil([&] { return before.got.size() == 2; });
   EXPECT_EQ(before.got.size(), 2u);
   write("nonsense");
+  write_own("<pearreach><log format='xml'/></pearreach>");  // bad: capture goes on as it was
   g_subprocess_send_signal(program, SIGHUP);
   RunFor(100 * kMs);
   write(config(after.address()));
@@ -602,6 +606,12 @@
   ASSERT_TRUE(ended);
   EXPECT_TRUE(g_subprocess_get_if_exited(program) && g_subprocess_get_exit_status(program) == 0);
   g_object_unref(program);
+  capture::Segment segment(captures + "/pearreach.00000001.prcap");
+  EXPECT_FALSE(capture::Replay(&segment, {}).difference);
+  EXPECT_TRUE(segment.ending());
+  EXPECT_FALSE(std::filesystem::exists(captures + "/pearreach.00000002.prcap"));
+  std::filesystem::remove_all(captures);
+  std::remove(own.c_str());
   std::remove(path.c_str());
 }
 
