Keep durable jobs in the store and in memory only what the module has

Cause: the keeper read the whole store at its start and held every job with its body and result, so memory and start grew with the jobs kept; an end whose write had failed was acknowledged when the worker said it again, though it was on no disk; a refused job held its idempotency key; a client could not both wait and be safe.

Change: the store (schema 2, with a migration) finds jobs by id (its seq is in it), request id and key (by hash), and answers questions on its thread between two syncs, each after the writes it must see. The keeper holds a record only while the module has the job or a write is under way; what does not fit (in-hand, in-hand-kib) and what a restart found is a backlog walked in pages. Its window grows with each job served and halves with each refused (jobs::Pacer). What could not be written is written again, whole, and a worker's word is acknowledged only then. Prefer: respond-async, wait=N waits for the end; a drain answers those who wait with their 202.

--- a/src/cli/jobs.cpp
+++ b/src/cli/jobs.cpp
@@ -12,6 +12,7 @@
 
 #include "cli/cli.h"
 #include "durable/orders.h"
+#include "jobs/ledger.h"
 #include "site/site.h"
 #include "store/store.h"
 
@@ -63,19 +64,16 @@
   return buffer.GetString();
 }
 
-std::vector<Job> LoadAll(const std::string& path) {
+std::unique_ptr<store::Store> Open(const std::string& path) {
   if (!std::filesystem::exists(path)) throw store::StoreError(path + ": there is no such store");
-  std::vector<Job> all;
-  store::OpenSqlite({.path = path, .owner = "", .read_only = true, .fault = {}})
-      ->Load([&](Job job) { all.push_back(std::move(job)); });
-  return all;
+  return store::OpenSqlite({.path = path, .owner = "", .read_only = true, .fault = {}});
 }
 
 int List(const std::string& path, const std::string& state, bool as_json) {
   std::uint64_t shown = 0;
-  for (const Job& j : LoadAll(path)) {
+  Open(path)->Load([&](const Job& j) {
     const char* name = jobs::kStateNames[static_cast<int>(j.state)];
-    if (!state.empty() && state != name) continue;
+    if (!state.empty() && state != name) return;
     ++shown;
     if (as_json)
       std::puts(JsonOf(j, false).c_str());
@@ -83,15 +81,26 @@
       std::printf("%s  %-9s  %-16s %-12s %zu attempts%s%s\n", j.id.c_str(), name, j.cls.c_str(),
                   j.tenant.c_str(), j.attempts.size(), j.reason.empty() ? "" : ": ",
                   j.reason.c_str());
-  }
+  });
   if (!as_json) std::printf("%llu jobs\n", static_cast<unsigned long long>(shown));
   std::fflush(stdout);
   return kGood;
 }
 
+// By its public id, or by its request's.
+std::optional<Job> FindJob(const std::string& path, const std::string& id) {
+  const auto store = Open(path);
+  for (const store::Question& question :
+       {store::Question(store::ById{id}), store::Question(store::ByRequest{id})}) {
+    store::Found found = store->AskNow(question);
+    if (!found.error.empty()) throw store::StoreError(path + ": " + found.error);
+    if (!found.jobs.empty()) return std::move(found.jobs.front());
+  }
+  return std::nullopt;
+}
+
 int Show(const std::string& path, const std::string& id) {
-  for (const Job& j : LoadAll(path))
-    if (j.id == id || j.request_id == id) return std::puts(JsonOf(j, true).c_str()), kGood;
+  if (const auto job = FindJob(path, id)) return std::puts(JsonOf(*job, true).c_str()), kGood;
   std::cerr << "pearreach: " << path << ": no job " << id << '\n';
   return kNo;
 }
@@ -108,23 +117,18 @@
     state = jobs::State::kRefused;
   else
     throw marlquay::Malformed("--as wants served, failed or refused, not '" + as + "'");
-  bool doubted = false;
-  Job job;
-  for (Job& j : LoadAll(path))
-    if (j.id == id && j.state == jobs::State::kInDoubt) {
-      doubted = true;
-      job = std::move(j);
-    }
-  if (!doubted) {
+  std::optional<Job> job = FindJob(path, id);
+  if (!job || job->id != id || job->state != jobs::State::kInDoubt) {
     std::cerr << "pearreach: " << path << ": no job " << id << " in doubt\n";
     return kNo;
   }
   try {
     const auto store = store::OpenSqlite({.path = path, .owner = "person", .fault = {}});
-    job.state = state;
-    job.reason = reason;
-    job.ended = static_cast<jobs::UnixMicros>(std::time(nullptr)) * 1'000'000;
-    store->Submit({{store::PutJob{job, false}}, nullptr});
+    job->state = state;
+    job->reason = reason;
+    job->ended = static_cast<jobs::UnixMicros>(std::time(nullptr)) * 1'000'000;
+    jobs::PlanAfterEnd(&*job, {}, job->ended, 0);
+    store->Submit({{store::PutJob{*job}}, nullptr});
   } catch (const store::StoreError&) {  // a node has it
     WriteOrder(path, {id, state, reason});
     for (int i = 0; i < 100 && OrderWaits(path, id); ++i) usleep(100'000);
@@ -133,8 +137,8 @@
       return kNo;
     }
   }
-  for (const Job& j : LoadAll(path))
-    if (j.id == id && j.state == state)
+  for (int i = 0; i < 50; ++i, usleep(100'000))  // the node writes it after it has taken the order
+    if (job = FindJob(path, id); job && job->state == state)
       return std::printf("%s is %s now\n", id.c_str(), as.c_str()), kGood;
   std::cerr << "pearreach: " << id << " could not be settled: it is no longer in doubt\n";
   return kNo;
@@ -175,7 +179,7 @@
     if (what == "list") return List(path, args["state"].as<std::string>(), args.count("json") > 0);
     if (what == "show") return Show(path, words[1]);
     if (what == "export") {
-      for (const Job& j : LoadAll(path)) std::puts(JsonOf(j, true).c_str());
+      Open(path)->Load([](const Job& j) { std::puts(JsonOf(j, true).c_str()); });
       return kGood;
     }
     if (what == "resolve")
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -92,7 +92,11 @@
   jobs::Policy policy;
   std::string store_path;
   if (const auto& j = settings.jobs) {
-    policy = {.lease = j->lease, .keep = j->keep, .recovered_at_once = j->recovered_at_once};
+    policy = {.lease = j->lease,
+              .keep = j->keep,
+              .recovered_at_once = j->recovered_at_once,
+              .in_hand = j->in_hand,
+              .in_hand_bytes = j->in_hand_bytes};
     store_path = j->store;
     try {
       std::filesystem::create_directories(std::filesystem::path(j->store).parent_path());
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -87,6 +87,8 @@
   Take(node, "lease-ms", kMs, &j.lease);
   Take(node, "keep-seconds", kSecond, &j.keep);
   Take(node, "recovered-at-once", 1, &j.recovered_at_once);
+  Take(node, "in-hand", 1, &j.in_hand);
+  Take(node, "in-hand-kib", 1024, &j.in_hand_bytes);
   const std::string prefixes = Text(node, "callback-prefixes");  // outlives the views of it
   for (const marlquay::Text prefix : marlquay::Split(prefixes, ' '))
     if (!prefix.empty()) j.callback_prefixes.emplace_back(prefix);
--- a/src/durable/keeper.h
+++ b/src/durable/keeper.h
@@ -1,12 +1,12 @@
 // The keeper of durable jobs: it stands between fronts and the node, passes ordinary jobs through,
-// and holds durable ones in the store from their intake to their end. It owns their records in
-// memory and the order of writing: a job is acknowledged only when it is durable, an attempt goes
-// out only when its intent is, a worker's word is acknowledged only when what it says is. It must
-// never decide what the module or the ledger decides.
+// and holds durable ones in the store from their intake to their end. It owns the order of writing
+// (a job is acknowledged only when it is durable, an attempt goes out only when its intent is, a
+// worker's word is acknowledged only when what it says is) and, in memory, no more than the jobs
+// that the module has or whose records are being written. It must never decide what the module or
+// the ledger decides.
 #ifndef PEARREACH_SRC_DURABLE_KEEPER_H_
 #define PEARREACH_SRC_DURABLE_KEEPER_H_
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,8 +43,9 @@
 
   bool keeps() const override { return store_ != nullptr; }
   void Take(Job job, Taken taken) override;
-  std::optional<JobView> Look(const std::string& id) const override;
-  std::optional<JobView> GiveUp(const std::string& id) override;
+  void Look(const std::string& id, Micros wait, Seen seen) override;
+  void EndWaits() override;
+  void GiveUp(const std::string& id, Seen seen) override;
 
   // ---- Client and Guard, for the node
   void OnAnswer(Ticket ticket, const Answer& answer) override;
@@ -52,57 +53,100 @@
   void OnAttempt(Ticket ticket, const std::string& worker, AttemptState state) override;
 
   // Figures for tests and the log.
-  std::size_t records() const { return jobs_.size(); }
-  std::size_t waiting_to_recover() const { return to_recover_.size(); }
+  std::size_t records() const { return records_.size(); }  // in memory
+  std::size_t waits() const { return waits_.size(); }
+  const jobs::Pacer& pacer() const { return pacer_; }
   store::Figures figures() { return store_ == nullptr ? store::Figures() : store_->figures(); }
-  // A person's word on a job in doubt. False: it is not in doubt.
-  bool Settle(const std::string& id, jobs::State state, const std::string& reason);
 
  private:
+  using Written = std::function<void(bool durable)>;
   struct Record {
-    jobs::Job job;
-    Ticket ticket = 0;          // in the node's hands; 0: not
-    bool recovered = false;     // counts in the pacer
-    bool durable = false;       // its intake has been synced
-    std::vector<Taken> asking;  // until then
+    jobs::Job job;               // without its body once it has been handed over
+    Ticket ticket = 0;           // in the node's hands; 0: not
+    bool backlog = false;        // how it counts in the pacer, while it has a ticket
+    std::size_t bytes = 0;       // likewise
+    int writes = 0;              // submitted, and not told of yet
+    bool unsaved = false;        // a write failed: the record is written whole in the next sweep
+    std::vector<Written> heard;  // to be told once all of it is written
+  };
+  // A walk over the jobs of a state in the store, a page at a time, by their order of intake.
+  struct Walk {
+    jobs::State state;
+    std::function<void(jobs::Job)> each;
+    std::uint64_t after = 0;
+    std::uint64_t again = 0;  // a job that this walk has passed and must see in the next; 0: none
+    bool wanted = false, asking = false;
+  };
+  struct Wait {
+    std::uint64_t seq = 0;
+    std::string id;
+    Micros until = 0;
+    Seen seen;
   };
 
   void Recover();
-  void Pump();
-  void HandOver(Record& record, bool adopt);
-  void Fence(Record& record);
-  void PlanCallback(const Record& record);
+  void Pump(Walk* walk);
+  void PumpBoth();
+  void Back(Record& record, jobs::Pacer::End end);
+  void ToBacklog(std::uint64_t seq);
+  static void MeetAgain(Walk* walk, std::uint64_t seq);
+  void MeetQueued(jobs::Job job);
+  void MeetDoubt(jobs::Job job);
+  void Judge(Record& record, bool fits);
+  bool HandOver(Record& record, bool backlog, bool adopt);
+  Record& Hold(jobs::Job job);
+  void MaybeDrop(std::uint64_t seq);
+  // Calls with the job's record, or null: it is not kept. The record is let go where nothing holds
+  // it after the call.
+  void Bring(store::Question question, std::function<void(Record*)> use);
+  Record* ByRequest(const std::string& request_id);
+  void Write(Record& record, std::vector<store::Change> changes, Written done);
+  void SaveWhole(Record& record);
+  void End(Record& record, jobs::State state, const std::string& reason, Written done);
+  void Orphan(const News& news, Heard heard);
+  void AfterEnd(Record& record);
+  void ForgetOld();
+  void EndOverdue();
+  void FillCallbacks();
   void CallBack();
-  void End(Record& record, jobs::State state, const std::string& reason,
-           std::function<void(bool)> done);
-  void Save(const Record& record, std::function<void(const std::string&)> done);
-  void SaveAttempt(const Record& record, const jobs::Attempt& attempt,
-                   std::function<void(const std::string&)> done);
+  void PlanCall(const jobs::Job& job);
+  void TellWaits(Record& record);
+  void RunWaits();
   Record* Find(Ticket ticket);
   jobs::Attempt* OutAt(Record& record, const std::string& worker);
   const marlquay::ClassSettings* ClassOf(const jobs::Job& job) const;
-  JobView View(const Record& record) const;
+  static JobView View(const jobs::Job& job);
+  void Learn(const std::string& worker);
   void Sweep();
-  static std::string NewId();
 
   Node* node_;
   std::unique_ptr<store::Store> store_;
   jobs::Policy policy_;
   jobs::Pacer pacer_;
-  std::map<std::uint64_t, Record> jobs_;  // by seq
-  std::unordered_map<std::string, std::uint64_t> by_id_, by_key_, by_request_;
+  std::unordered_map<std::uint64_t, Record> records_;          // by seq
+  std::unordered_map<std::string, std::uint64_t> by_request_;  // of records, not ended
   std::unordered_map<Ticket, std::uint64_t> by_ticket_;
-  std::vector<std::uint64_t> to_recover_;                        // the last first
-  std::deque<std::pair<jobs::UnixMicros, std::uint64_t>> ends_;  // by their time, roughly
+  std::set<std::string> taking_;  // request ids whose intake is being written
+  Walk queued_, doubts_;
+  int fencing_ = 0;  // doubts that are being given out again
+  bool recovered_ = false, forgetting_ = false, ending_overdue_ = false;
   std::string orders_;
-  bool recovering_ = false;
   std::vector<std::string> prefixes_;   // of URLs that may be called beside the loopback's
-  std::set<std::uint64_t> doubts_;      // looked at again in each sweep
   std::set<std::string> knows_fences_;  // workers that have ever said so
-  std::set<std::pair<Micros, std::uint64_t>> callbacks_due_;
+
+  std::set<std::pair<Micros, std::uint64_t>> calls_due_;  // by Now(); no more than kMostCalls
+  std::set<std::uint64_t> calling_;
+  bool more_calls_ = true, filling_calls_ = false;
   Callbacks callbacks_;
-  Alarm callback_alarm_;
-  std::function<void(bool)> hearing_;  // of the word that is being told to the node
+  Alarm call_alarm_;
+
+  std::uint64_t last_wait_ = 0;
+  std::map<std::uint64_t, Wait> waits_;
+  std::multimap<std::uint64_t, std::uint64_t> waits_by_seq_;
+  std::set<std::pair<Micros, std::uint64_t>> waits_due_;
+  Alarm wait_alarm_;
+
+  Heard hearing_;  // of the word that is being told to the node
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   Alarm sweep_;
 };
--- a/src/fronts/front.cpp
+++ b/src/fronts/front.cpp
@@ -35,6 +35,7 @@
 constexpr Micros kDrainLeast = 1000 * kMs;
 constexpr Micros kLongestPatience = 3600 * kSecond;
 constexpr std::size_t kLongestId = 128;
+constexpr Micros kEndWritten = 250 * kMs;  // for an end to reach the disk and its waiting client
 
 // "480m" or "1500u".
 Micros ReadTimeout(const std::string& text) {
@@ -47,6 +48,27 @@
   return number > kLongestPatience / unit ? kLongestPatience : number * unit;
 }
 
+// RFC 7240: "respond-async", "wait=SECONDS" and others that mean nothing here, with commas.
+struct Prefer {
+  bool async = false;
+  std::optional<Micros> wait;
+};
+Prefer ReadPrefer(const http::Message& message) {
+  Prefer prefer;
+  const std::string* value = message.Find("Prefer");
+  if (value == nullptr) return prefer;
+  for (std::string_view part : marlquay::Split(*value, ',')) {
+    while (part.starts_with(' ')) part.remove_prefix(1);
+    while (part.ends_with(' ')) part.remove_suffix(1);
+    if (part == "respond-async") prefer.async = true;
+    if (!part.starts_with("wait=")) continue;
+    const auto seconds = marlquay::Number<std::int64_t>(part.substr(5), "Prefer: wait");
+    if (seconds < 0) throw Malformed("bad Prefer: wait");
+    prefer.wait = std::min<std::int64_t>(seconds, kLongestPatience / kSecond) * kSecond;
+  }
+  return prefer;
+}
+
 std::string SecondsOf(Micros t) {
   char text[32];
   std::snprintf(text, sizeof text, "%.3f", static_cast<double>(t) / 1e6);
@@ -178,12 +200,14 @@
   return c;
 }
 
-// A job that its client does not wait for: answered when it is on the disk.
-void Front::HandleDurable(Connection* c, Job job, bool keep_alive) {
+// A durable job: answered when it is on the disk or, where its client waits for its end, with that.
+void Front::HandleDurable(Connection* c, Job job, Micros wait, bool keep_alive) {
   const std::uint64_t promise = Promise(c);
   core_->Take(
-      std::move(job), [this, promise, keep_alive, alive = alive_](const TakeResult& result) {
+      std::move(job), [this, promise, wait, keep_alive, alive = alive_](const TakeResult& result) {
         if (!*alive) return;
+        if (result.kind == TakeResult::Kind::kTaken && wait > 0 && !refusing_)
+          return AwaitEnd(promise, result.id, wait, keep_alive);
         Connection* c = Redeem(promise);
         if (c == nullptr) return;
         switch (result.kind) {
@@ -206,14 +230,57 @@
       });
 }
 
+// The end of a durable job as that of any job, if it comes within `wait`; else its 202.
+void Front::AwaitEnd(std::uint64_t promise, const std::string& id, Micros wait, bool keep_alive) {
+  core_->Look(id, wait,
+              [this, promise, id, keep_alive, alive = alive_](const std::optional<JobView>& view) {
+                if (!*alive) return;
+                Connection* c = Redeem(promise);
+                if (c == nullptr) return;  // gone; its job goes on
+                const bool stays = keep_alive && !refusing_;
+                std::vector<http::Header> headers = {{"Location", "/_jobs/" + id}};
+                if (!view || !view->ended) {
+                  Respond(c, 202, "", stays, std::move(headers));
+                } else if (view->served) {
+                  Respond(c, 200, view->result, stays, std::move(headers));
+                } else if (view->refused) {
+                  Refuse(c, stays, view->retry_after);
+                } else {
+                  Respond(c, view->overdue ? 504 : 502, "failed\n", stays, std::move(headers));
+                }
+                if (handling_ != c) Read(c);
+              });
+}
+
 void Front::HandleLook(Connection* c, const http::Message& message, const std::string& id) {
   if (message.method != "GET" && message.method != "DELETE") {
     Count("bad_requests");
     return Respond(c, 405, "GET or DELETE only\n", message.keep_alive, {{"Allow", "GET, DELETE"}});
   }
-  const auto view = message.method == "GET" ? core_->Look(id) : core_->GiveUp(id);
-  if (!view) return Respond(c, 404, "no such job\n", message.keep_alive);
-  Respond(c, 200, WriteJobView(*view), message.keep_alive, {{"Content-Type", "application/json"}});
+  std::optional<Micros> wait;
+  try {
+    wait = ReadPrefer(message).wait;
+  } catch (const Malformed& wrong) {
+    Count("bad_requests");
+    return Respond(c, 400, std::string(wrong.what()) + "\n", message.keep_alive);
+  }
+  const std::uint64_t promise = Promise(c);
+  const auto seen = [this, promise, keep_alive = message.keep_alive,
+                     alive = alive_](const std::optional<JobView>& view) {
+    if (!*alive) return;
+    Connection* c = Redeem(promise);
+    if (c == nullptr) return;
+    if (!view)
+      Respond(c, 404, "no such job\n", keep_alive && !refusing_);
+    else
+      Respond(c, 200, WriteJobView(*view), keep_alive && !refusing_,
+              {{"Content-Type", "application/json"}});
+    if (handling_ != c) Read(c);
+  };
+  if (message.method == "GET")
+    core_->Look(id, refusing_ ? 0 : wait.value_or(0), seen);
+  else
+    core_->GiveUp(id, seen);
 }
 
 void Front::HandleJob(Connection* c, http::Message message, const std::string& cls) {
@@ -227,8 +294,10 @@
     return Refuse(c, false, site.settings.max_retry_after);
   }
   Job job;
+  Prefer prefer;
   job.received = Now();
   try {
+    if (core_->keeps()) prefer = ReadPrefer(message);
     job.id = text("X-Request-ID");
     if (job.id.empty() || job.id.size() > kLongestId || job.id.find(' ') != std::string::npos ||
         job.id.find('/') != std::string::npos)
@@ -265,9 +334,11 @@
   job.content_type = text("Content-Type");
   job.path = std::move(message.target);
   job.body = std::move(message.body);
-  if (core_->keeps() && text("Prefer") == "respond-async") {
+  if (core_->keeps() && prefer.async) {
     job.callback = text("X-Callback-Url");
-    return HandleDurable(c, std::move(job), message.keep_alive);
+    // A client that waits hears no later than its job's time ends, and a moment for the disk.
+    const Micros wait = std::min(prefer.wait.value_or(0), job.patience + kEndWritten);
+    return HandleDurable(c, std::move(job), wait, message.keep_alive);
   }
   const auto ticket = core_->Submit(std::move(job), this);
   if (!ticket) {
@@ -429,6 +500,7 @@
 // reset what waits in its backlog.
 void Front::DrainStep() {
   refusing_ = Now() >= refuse_at_;
+  if (refusing_) core_->EndWaits();  // their jobs outlive this process
   bool clients = false, written = true;
   for (const auto& [c, owned] : connections_) {
     clients = clients || !c->is_worker;
@@ -441,7 +513,7 @@
     if (!c->is_worker && !c->closing && !fresh && c->parser.Between() && c->stream->Quiet())
       Destroy(c);
   }
-  if (core_->open_jobs() > 0 || !written || (clients && !refusing_) ||
+  if (core_->open_jobs() > 0 || !written || !promised_.empty() || (clients && !refusing_) ||
       Now() < drain_began_ + kDrainLeast)
     return drain_.Set(Now() + kDrainStep);
   drained_();
--- a/src/fronts/front.h
+++ b/src/fronts/front.h
@@ -58,7 +58,8 @@
   // Makes the connection wait for a word that comes later; the number finds it again, or not.
   std::uint64_t Promise(Connection* c);
   Connection* Redeem(std::uint64_t promise);
-  void HandleDurable(Connection* c, Job job, bool keep_alive);
+  void HandleDurable(Connection* c, Job job, Micros wait, bool keep_alive);
+  void AwaitEnd(std::uint64_t promise, const std::string& id, Micros wait, bool keep_alive);
   void HandleLook(Connection* c, const http::Message& message, const std::string& id);
   void Respond(Connection* c, int status, std::string_view body, bool keep_alive,
                std::vector<http::Header> headers = {});
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pearreach::jobs {
@@ -47,7 +48,7 @@
 
 struct Job {
   std::uint64_t seq = 0;  // the store's order of intake
-  std::string id;         // public, in /_jobs/ID
+  std::string id;         // public, in /_jobs/ID: MakeId
   std::string request_id, path, body, idempotency_key, content_type;
   std::string cls, tenant;  // by name: indices may change with the settings
   double slots = 1;
@@ -61,12 +62,20 @@
   std::string callback;          // a URL, or empty
   bool callback_done = false;
   int callback_tries = 0;
+  UnixMicros callback_at = 0;  // when the next call is due; 0: none
+  UnixMicros forget_at = 0;    // when its record may go; 0: not yet known
   // Of the node that has it. With an engine that nodes share, another may take over a job whose
   // owner's lease is over by raising the epoch; what the old owner writes then is refused.
   std::string owner;
   std::uint64_t epoch = 0;
 };
 
+// The public id of a job: 32 hex digits, of which the first half is its seq, so that a store finds
+// it without an index of ids, and the second `chance`, so that nobody guesses another's.
+std::string MakeId(std::uint64_t seq, std::uint64_t chance);
+// The seq that an id claims; nothing where it is no id.
+std::optional<std::uint64_t> SeqOf(std::string_view id);
+
 }  // namespace pearreach::jobs
 
 #endif  // PEARREACH_SRC_JOBS_JOB_H_
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -1,6 +1,7 @@
 #include "jobs/ledger.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 
 namespace pearreach::jobs {
@@ -100,11 +101,13 @@
   return fence + 1;
 }
 
-bool MayForget(const Job& job, const Policy& policy, UnixMicros now) {
-  if (!IsEnd(job.state)) return false;
-  const bool told =
-      job.callback.empty() || job.callback_done || job.callback_tries >= kMostCallbacks;
-  return told && now >= job.ended + policy.keep;
+void PlanAfterEnd(Job* job, const Policy& policy, UnixMicros now, double chance) {
+  const bool tells =
+      !job->callback.empty() && !job->callback_done && job->callback_tries < kMostCallbacks;
+  const std::int64_t wait =
+      job->callback_tries == 0 ? 0 : CallbackWait(job->callback_tries - 1, chance);
+  job->callback_at = tells ? std::max<UnixMicros>(now + wait, 1) : 0;
+  job->forget_at = tells ? 0 : std::max<UnixMicros>(job->ended + policy.keep, 1);
 }
 
 std::int64_t CallbackWait(int tries, double chance) {
@@ -112,4 +115,52 @@
   return static_cast<std::int64_t>(1e6 * base * (0.5 + 0.5 * chance));
 }
 
+Pacer::Pacer(const Policy& policy)
+    : first_(std::max(1, policy.recovered_at_once)),
+      most_(std::max(policy.in_hand, first_)),
+      window_(first_),
+      most_bytes_(policy.in_hand_bytes) {}
+
+bool Pacer::RoomForNew(std::size_t bytes) const {
+  return new_ < most_ && (new_ == 0 || bytes_ + bytes <= most_bytes_);
+}
+
+int Pacer::RoomForBacklog() const {
+  // Large bodies in hand leave room for one at a time, never for none.
+  const int window = bytes_ <= most_bytes_ ? window_ : 1;
+  return std::max(0, window - backlog_);
+}
+
+void Pacer::Out(bool backlog, std::size_t bytes) {
+  ++(backlog ? backlog_ : new_);
+  bytes_ += bytes;
+}
+
+void Pacer::Back(bool backlog, std::size_t bytes, End end) {
+  --(backlog ? backlog_ : new_);
+  bytes_ -= bytes;
+  if (!backlog || end == End::kOther) return;
+  window_ = end == End::kServed ? std::min(window_ + 1, most_) : std::max(first_, window_ / 2);
+}
+
+std::string MakeId(std::uint64_t seq, std::uint64_t chance) {
+  std::string id(32, '0');
+  for (int i = 0; i < 16; ++i) {
+    const auto digit = [&](std::uint64_t of) {
+      return "0123456789abcdef"[of >> (60 - 4 * i) & 15];
+    };
+    id[static_cast<std::size_t>(i)] = digit(seq);
+    id[static_cast<std::size_t>(16 + i)] = digit(chance);
+  }
+  return id;
+}
+
+std::optional<std::uint64_t> SeqOf(std::string_view id) {
+  if (id.size() != 32 || id.find_first_not_of("0123456789abcdef") != std::string_view::npos)
+    return std::nullopt;
+  std::uint64_t seq = 0;
+  std::from_chars(id.data(), id.data() + 16, seq, 16);
+  return seq;
+}
+
 }  // namespace pearreach::jobs
--- a/src/jobs/ledger.h
+++ b/src/jobs/ledger.h
@@ -17,7 +17,9 @@
 struct Policy {
   std::int64_t lease = 10'000'000;             // microseconds without a word of an attempt
   std::int64_t keep = 3600'000'000ll;          // ends are kept so long
-  int recovered_at_once = 64;                  // recovered jobs in the module's hands at most
+  int recovered_at_once = 64;                  // jobs of the backlog handed over at first
+  int in_hand = 4096;                          // durable jobs in the module's hands at most
+  std::size_t in_hand_bytes = 64u << 20;       // likewise, of their bodies
   std::int64_t longest = 24 * 3600'000'000ll;  // of a job's time
 };
 
@@ -59,25 +61,34 @@
 bool MayFence(const Job& job);
 std::uint64_t NextFence(const Job& job);
 
-// An end that has been kept for long enough, and whose client has been told.
-bool MayForget(const Job& job, const Policy& policy, UnixMicros now);
-
-// Wait before call-back number `tries` + 1, with a part by chance (0 to 1): 1 s doubled, to 5 min.
+// Plans what follows an end, in the job's own fields: when its call-back is due (`chance` from 0 to
+// 1 spreads the calls: 1 s doubled, to 5 min) and, where nothing is left to tell, when its record
+// may go. To be called at the end and after each call.
+void PlanAfterEnd(Job* job, const Policy& policy, UnixMicros now, double chance);
 std::int64_t CallbackWait(int tries, double chance);
 constexpr int kMostCallbacks = 20;
 
-// Gives recovered jobs back in their order, as the module's hands become free: new jobs are not
-// starved by a hundred thousand old ones.
+// How many durable jobs are in the module's hands. New ones go to it at once while there is room;
+// what has no room, and what a restart found waiting, is the backlog: it lies in the store and
+// comes back a few at a time. The window for it grows by one with each that was served and halves
+// with each refused, so that a hundred thousand old jobs neither starve new ones nor push over cold
+// workers, and yet keep a warm fleet busy. The backlog's window is on top of the room for new ones:
+// neither can shut the other out.
 class Pacer {
  public:
-  explicit Pacer(int at_once) : at_once_(at_once) {}
-  // How many more may be handed over now.
-  int Room() const { return at_once_ > out_ ? at_once_ - out_ : 0; }
-  void Out() { ++out_; }
-  void Back() { --out_; }
+  explicit Pacer(const Policy& policy);
+  bool RoomForNew(std::size_t bytes) const;
+  int RoomForBacklog() const;  // how many more may be handed over now
+  void Out(bool backlog, std::size_t bytes);
+  enum class End { kServed, kRefused, kOther };
+  void Back(bool backlog, std::size_t bytes, End end);
+  int window() const { return window_; }
+  int out() const { return new_ + backlog_; }
 
  private:
-  int at_once_, out_ = 0;
+  int first_, most_, window_;
+  std::size_t most_bytes_, bytes_ = 0;
+  int new_ = 0, backlog_ = 0;
 };
 
 }  // namespace pearreach::jobs
--- a/src/node/core.h
+++ b/src/node/core.h
@@ -46,7 +46,8 @@
 // A durable job as its client may see it.
 struct JobView {
   std::string id, state, cls, result, reason;
-  bool ended = false, served = false;
+  bool ended = false, served = false, refused = false;
+  bool overdue = false;  // ended because its time was up
   int attempts = 0;
   Micros retry_after = 0;
 };
@@ -59,6 +60,7 @@
   Micros retry_after = 0;
 };
 using Taken = std::function<void(const TakeResult&)>;
+using Seen = std::function<void(const std::optional<JobView>&)>;
 
 class Client {
  public:
@@ -80,10 +82,14 @@
 
   // Durable jobs; a core that keeps none refuses them.
   virtual bool keeps() const { return false; }
-  // Takes a job on durably; `taken` is told once that is so. Not called from inside where it waits.
+  // Takes a job on durably; `taken` is told once that is so, or at once that it is not.
   virtual void Take(Job, Taken taken) { taken({}); }
-  virtual std::optional<JobView> Look(const std::string&) const { return std::nullopt; }
-  virtual std::optional<JobView> GiveUp(const std::string&) { return std::nullopt; }
+  // Tells how a durable job stands: at once, or once it has ended and that is durable, `wait` from
+  // now at the latest. Nothing: there is no such job.
+  virtual void Look(const std::string&, Micros /*wait*/, Seen seen) { seen(std::nullopt); }
+  // Those who wait in Look are told how their jobs stand, now; nobody waits from then on.
+  virtual void EndWaits() {}
+  virtual void GiveUp(const std::string&, Seen seen) { seen(std::nullopt); }
 };
 
 }  // namespace pearreach
