Kill workers as processes and cut their links; begin the laboratory's program

Need: the kill test's workers lived in the test's own process, so that nothing of them was really killed; what durable jobs cost was not measured by size; experiments need one program.

Cause found on the way: stand-in workers wrote their news one behind the other on one connection and never said them again, so a node that answers news only once they are on the disk closed the connection, and a recovered backlog stood still at 1,500 a second.

--- a/bench/capture_costs.cpp
+++ b/bench/capture_costs.cpp
@@ -7,7 +7,7 @@
 #include "capture/audit.h"
 #include "capture/recorder.h"
 #include "capture/replay.h"
-#include "lab/scenarios.h"
+#include "lab/world/scenarios.h"
 #include "module/checkpoint.h"
 
 namespace {
--- a/bench/formats.cpp
+++ b/bench/formats.cpp
@@ -10,7 +10,7 @@
 
 #include "capture/segment.h"
 #include "capture_generated.h"
-#include "lab/scenarios.h"
+#include "lab/world/scenarios.h"
 
 namespace {
 
--- a/example/toy_server.cpp
+++ b/example/toy_server.cpp
@@ -1,7 +1,7 @@
 // A toy to try a node with: one match worker and its discovery, both on the loopback interface. It
 // takes every job, runs a few at a time for half a second each, and reports what became of them.
 // It must never be taken for a load generator: it makes no requests but its call-backs.
-#include "lab/standins.h"
+#include "lab/base/standins.h"
 
 int main(int argc, char** argv) {
   using namespace pearreach;
--- a/lab/standins.cpp
+++ b/lab/base/standins.cpp
@@ -1,4 +1,4 @@
-#include "lab/standins.h"
+#include "lab/base/standins.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -58,7 +58,7 @@
               options.listen) {}
 
 void MatchWorker::AddNode(const std::string& name, const std::string& address) {
-  nodes_[name] = {address, nullptr};
+  nodes_[name] = std::make_unique<NewsAgent>(address);
 }
 
 std::string MatchWorker::Take(const http::Message& m) {
@@ -94,14 +94,8 @@
 void MatchWorker::Tell(const Job& job, const std::string& state, const std::string& more) {
   const auto it = nodes_.size() == 1 ? nodes_.begin() : nodes_.find(job.node);
   if (it == nodes_.end()) return;
-  auto& [address, stream] = it->second;
-  if (stream == nullptr || !stream->open()) {
-    stream = Stream::Connect(address, {[] {}, [](std::string_view) {}, [] {}});
-    if (stream == nullptr) return;
-  }
-  stream->Write(http::WriteRequest("POST", "/_jobs/news", {{"Host", address}},
-                                   R"({"id":")" + job.id + R"(","from":")" + options_.id +
-                                       R"(","state":")" + state + "\"" + more + "}"));
+  it->second->Tell(job.id, R"({"id":")" + job.id + R"(","from":")" + options_.id +
+                               R"(","state":")" + state + "\"" + more + "}");
 }
 
 StandInDiscovery::StandInDiscovery(const std::string& listen)
@@ -196,11 +190,25 @@
 NodeProcess::NodeProcess(const std::string& program, const std::string& name,
                          const std::string& folder, const std::string& discovery,
                          const std::string& operator_file, const std::string& address)
-    : name_(name), address_(address.empty() ? FreeAddress() : address) {
+    : NodeProcess(program, name, folder, discovery, operator_file,
+                  address.empty() ? FreeAddress() : address, 0) {}
+
+NodeProcess::NodeProcess(const std::string& program, const std::string& name,
+                         const std::string& folder, const std::string& discovery,
+                         const std::string& operator_file, const std::string& address, int)
+    : Process(Words(program, name, folder, discovery, operator_file, address),
+              folder + "/" + name + ".log"),
+      address_(address) {}
+
+// Writes the node's configuration, too.
+std::vector<std::string> NodeProcess::Words(const std::string& program, const std::string& name,
+                                            const std::string& folder, const std::string& discovery,
+                                            const std::string& operator_file,
+                                            const std::string& address) {
   const std::string config = folder + "/" + name + ".json";
   std::ofstream(config)
-      << R"({"name":")" << name << R"(","listen":")" << address_ << R"(","discovery":")"
-      << discovery << R"(","seed":"8c1f30d27a5be964","limits":{"sockets":1024},"settings":{)"
+      << R"({"name":")" << name << R"(","listen":")" << address << R"(","discovery":")" << discovery
+      << R"(","seed":"8c1f30d27a5be964","limits":{"sockets":4096},"settings":{)"
       << R"("Balancers":1,"Ordinal":0,"Locality":"here","Zones":["here"],"Models":["standin"],)"
       << R"("RoundMs":2.0,"Accounts":[{"Name":"acme","Fraction":1.0,"QuotaRps":10000.0}],)"
       << R"("RequestClasses":[{"Name":"commit","Effect":"once","AimMs":300.0,"DeadlineMs":5000.0,)"
@@ -211,21 +219,9 @@
       << R"("ConnIdleMs":60000.0,"ConnectTimeoutMs":200.0,"MaxRetryAfterMs":2000.0,)"
       << R"("MayDuplicate":true,"TryLimit":3},"Contract":{"ColdMs":8000.0,"ColdShare":0.32,)"
       << R"("FallMs":1000.0,"FallMultiple":2.5,"StopSendingWithinMs":1000.0}}})";
-  std::vector<const char*> words = {program.c_str(), "serve", "--config", config.c_str()};
-  if (!operator_file.empty()) words.insert(words.end(), {"--operator", operator_file.c_str()});
-  words.push_back(nullptr);
-  GSubprocessLauncher* launcher = g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
-  const std::string log = folder + "/" + name + ".log";
-  g_subprocess_launcher_set_stderr_file_path(launcher, log.c_str());
-  process_ = g_subprocess_launcher_spawnv(launcher, words.data(), nullptr);
-  g_object_unref(launcher);
-  if (process_ != nullptr) pid_ = std::atoi(g_subprocess_get_identifier(process_));
-}
-
-NodeProcess::~NodeProcess() {
-  if (process_ == nullptr) return;
-  Stop();
-  g_object_unref(process_);
+  std::vector<std::string> words = {program, "serve", "--config", config};
+  if (!operator_file.empty()) words.insert(words.end(), {"--operator", operator_file});
+  return words;
 }
 
 bool NodeProcess::Ready(Micros most) {
@@ -252,47 +248,4 @@
   return false;
 }
 
-std::uint64_t NodeProcess::cpu_ns(bool without_the_loop) const {
-  std::uint64_t sum = 0;
-  std::error_code error;
-  for (const auto& task :
-       std::filesystem::directory_iterator("/proc/" + std::to_string(pid_) + "/task", error)) {
-    if (without_the_loop && task.path().filename() == std::to_string(pid_)) continue;
-    std::ifstream in(task.path() / "schedstat");
-    std::uint64_t ns = 0;
-    if (in >> ns) sum += ns;
-  }
-  return sum;
-}
-
-std::uint64_t NodeProcess::resident() const {
-  std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
-  for (std::string line; std::getline(in, line);)
-    if (line.starts_with("VmRSS:")) return std::strtoull(line.c_str() + 6, nullptr, 10) << 10;
-  return 0;
-}
-
-void NodeProcess::Kill() {
-  if (pid_ == 0) return;
-  g_subprocess_force_exit(process_);
-  g_subprocess_wait(process_, nullptr, nullptr);
-  pid_ = 0;
-}
-
-bool NodeProcess::Stop() {
-  if (pid_ == 0) return false;
-  g_subprocess_send_signal(process_, SIGTERM);
-  bool ended = false;
-  g_subprocess_wait_async(
-      process_, nullptr, [](GObject*, GAsyncResult*, gpointer e) { *static_cast<bool*>(e) = true; },
-      &ended);
-  if (!RunUntil([&] { return ended; }, 15 * kSecond)) {
-    g_subprocess_force_exit(process_);
-    RunUntil([&] { return ended; }, 5 * kSecond);
-  }
-  pid_ = 0;
-  return ended && g_subprocess_get_if_exited(process_) &&
-         g_subprocess_get_exit_status(process_) == 0;
-}
-
 }  // namespace pearreach::lab
--- a/lab/standins.h
+++ b/lab/base/standins.h
@@ -2,8 +2,8 @@
 // and the node's own process. They speak docs' platform protocol on the main loop of the program
 // that holds them. They own their sockets and end with it; they must never address anything but the
 // loopback interface.
-#ifndef PEARREACH_LAB_STANDINS_H_
-#define PEARREACH_LAB_STANDINS_H_
+#ifndef PEARREACH_LAB_BASE_STANDINS_H_
+#define PEARREACH_LAB_BASE_STANDINS_H_
 
 #include <deque>
 #include <functional>
@@ -15,6 +15,8 @@
 
 #include "base/io.h"
 #include "http/http.h"
+#include "lab/base/agent.h"
+#include "lab/base/process.h"
 
 namespace pearreach::lab {
 
@@ -63,7 +65,7 @@
 
   MatchWorkerOptions options_;
   std::mt19937_64 random_;
-  std::map<std::string, std::pair<std::string, std::shared_ptr<Stream>>> nodes_;
+  std::map<std::string, std::unique_ptr<NewsAgent>> nodes_;
   std::deque<Job> waiting_;
   std::deque<std::pair<Micros, Job>> running_;  // by their end
   Alarm ended_;
@@ -114,25 +116,24 @@
 };
 
 // A node's own process. Its files stand in `folder`.
-class NodeProcess {
+class NodeProcess : public Process {
  public:
   NodeProcess(const std::string& program, const std::string& name, const std::string& folder,
               const std::string& discovery, const std::string& operator_file,
               const std::string& address = "");
-  ~NodeProcess();  // SIGTERM; SIGKILL if it does not end
+  ~NodeProcess() { Stop(); }  // SIGTERM; SIGKILL if it does not end
   const std::string& address() const { return address_; }
   bool Ready(Micros most);  // waits until it answers
-  int pid() const { return pid_; }
-  // Nanoseconds of processor time of all its threads so far, and bytes resident.
-  std::uint64_t cpu_ns(bool without_the_loop = false) const;
-  std::uint64_t resident() const;
-  bool Stop();  // SIGTERM; true: it ended with 0
-  void Kill();  // SIGKILL, and waits for its end
 
  private:
-  std::string name_, address_;
-  GSubprocess* process_ = nullptr;
-  int pid_ = 0;
+  static std::vector<std::string> Words(const std::string& program, const std::string& name,
+                                        const std::string& folder, const std::string& discovery,
+                                        const std::string& operator_file,
+                                        const std::string& address);
+  NodeProcess(const std::string& program, const std::string& name, const std::string& folder,
+              const std::string& discovery, const std::string& operator_file,
+              const std::string& address, int);
+  std::string address_;
 };
 
 // Runs the main loop until `done` or so long.
@@ -143,4 +144,4 @@
 
 }  // namespace pearreach::lab
 
-#endif  // PEARREACH_LAB_STANDINS_H_
+#endif  // PEARREACH_LAB_BASE_STANDINS_H_
--- a/lab/try.cpp
+++ b/lab/cli/try.cpp
@@ -1,8 +1,6 @@
 // Tries a node for real: starts one with stand-in workers, one of which fails, and discovery, sends
 // it jobs and prints what became of them. With --compare it measures instead what capture costs:
 // two nodes, one with capture off and one with it on, under the same load in turn.
-#include <unistd.h>
-
 #include <algorithm>
 #include <cstdio>
 #include <cxxopts.hpp>
@@ -11,22 +9,14 @@
 #include <iostream>
 #include <random>
 
-#include "lab/standins.h"
+#include "lab/base/standins.h"
+#include "lab/cli/commands.h"
 
 namespace pearreach::lab {
 namespace {
 
 namespace fs = std::filesystem;
 
-struct Folder {
-  Folder() {
-    std::string name = (fs::temp_directory_path() / "pearreach-XXXXXX").string();
-    path = mkdtemp(name.data());
-  }
-  ~Folder() { fs::remove_all(path); }
-  std::string path;
-};
-
 // Jobs at a constant rate, a third of them of the keyed class.
 void Load(JobSource* source, double per_second, std::uint64_t jobs) {
   const Micros begin = Now();
@@ -63,16 +53,17 @@
   StandInDiscovery discovery;
 };
 
-int Try(const std::string& program, std::uint64_t jobs, double rate, std::string capture) {
+int TryOnce(const std::string& program, std::uint64_t jobs, double rate, std::string capture) {
   Folder folder;
   Fleet fleet(4, 0.2);
-  if (capture.empty()) capture = folder.path + "/captures";
-  const std::string file = folder.path + "/operator.xml";
+  if (capture.empty()) capture = folder.path() + "/captures";
+  const std::string file = folder.path() + "/operator.xml";
   std::ofstream(file) << "<pearreach><capture folder='" << capture << "'/></pearreach>";
-  NodeProcess node(program, "n0", folder.path, fleet.discovery.address(), file);
+  NodeProcess node(program, "n0", folder.path(), fleet.discovery.address(), file);
   fleet.AddNode("n0", node.address());
   if (!node.Ready(10 * kSecond)) {
-    std::cerr << "try: the node did not start:\n" << std::ifstream(folder.path + "/n0.log").rdbuf();
+    std::cerr << "try: the node did not start:\n"
+              << std::ifstream(folder.path() + "/n0.log").rdbuf();
     return 1;
   }
   std::printf("a node at %s, 4 stand-in workers, one of which fails a fifth of its jobs\n",
@@ -103,10 +94,10 @@
 int Compare(const std::string& program, int rounds, double rate) {
   Folder folder;
   Fleet fleet(16, 0);
-  const std::string file = folder.path + "/operator.xml";
-  std::ofstream(file) << "<pearreach><capture folder='" << folder.path << "/c'/></pearreach>";
-  NodeProcess off(program, "off", folder.path, fleet.discovery.address(), "");
-  NodeProcess on(program, "on", folder.path, fleet.discovery.address(), file);
+  const std::string file = folder.path() + "/operator.xml";
+  std::ofstream(file) << "<pearreach><capture folder='" << folder.path() << "/c'/></pearreach>";
+  NodeProcess off(program, "off", folder.path(), fleet.discovery.address(), "");
+  NodeProcess on(program, "on", folder.path(), fleet.discovery.address(), file);
   fleet.AddNode("off", off.address());
   fleet.AddNode("on", on.address());
   if (!off.Ready(10 * kSecond) || !on.Ready(10 * kSecond)) return 1;
@@ -141,32 +132,25 @@
 }
 
 }  // namespace
-}  // namespace pearreach::lab
 
-int main(int argc, char** argv) {
-  cxxopts::Options options("pearreach_try",
+int Try(int argc, char** argv) {
+  cxxopts::Options options("pearreach-lab try",
                            "Tries a node with stand-ins on the loopback interface.");
-  options.add_options()("node", "the program", cxxopts::value<std::string>(), "PATH")(
+  options.add_options()("node", "the node's program",
+                        cxxopts::value<std::string>()->default_value(""), "PATH")(
       "jobs", "how many", cxxopts::value<std::uint64_t>()->default_value("300"))(
       "rate", "jobs a second", cxxopts::value<double>()->default_value("100"))(
       "capture", "keep the capture there", cxxopts::value<std::string>()->default_value(""), "DIR")(
       "compare", "measure what capture costs, in so many rounds",
-      cxxopts::value<int>()->default_value("0"))("h,help", "print this");
-  try {
-    const auto args = options.parse(argc, argv);
-    if (args.count("help") > 0 || args.count("node") == 0) {
-      std::cout << options.help();
-      return args.count("help") > 0 ? 0 : 2;
-    }
-    const std::string program = std::filesystem::absolute(args["node"].as<std::string>());
-    const double rate = std::clamp(args["rate"].as<double>(), 1.0, 5000.0);
-    if (const int rounds = args["compare"].as<int>(); rounds > 0)
-      return pearreach::lab::Compare(program, std::min(rounds, 100), rate);
-    return pearreach::lab::Try(program,
-                               std::min<std::uint64_t>(args["jobs"].as<std::uint64_t>(), 100000),
-                               rate, args["capture"].as<std::string>());
-  } catch (const cxxopts::exceptions::exception& wrong) {
-    std::cerr << "pearreach_try: " << wrong.what() << '\n';
-    return 2;
-  }
+      cxxopts::value<int>()->default_value("0"));
+  const auto args = Parse(&options, argc, argv);
+  if (!args) return 0;
+  const std::string program = NodeProgram((*args)["node"].as<std::string>());
+  const double rate = std::clamp((*args)["rate"].as<double>(), 1.0, 5000.0);
+  if (const int rounds = (*args)["compare"].as<int>(); rounds > 0)
+    return Compare(program, std::min(rounds, 100), rate);
+  return TryOnce(program, std::min<std::uint64_t>((*args)["jobs"].as<std::uint64_t>(), 100000),
+                 rate, (*args)["capture"].as<std::string>());
 }
+
+}  // namespace pearreach::lab
--- a/lab/make_captures.cpp
+++ b/lab/world/make_captures.cpp
@@ -3,7 +3,7 @@
 #include <iostream>
 
 #include "capture/segment.h"
-#include "lab/scenarios.h"
+#include "lab/world/scenarios.h"
 
 int main(int argc, char** argv) {
   if (argc != 2) {
--- a/lab/scenarios.cpp
+++ b/lab/world/scenarios.cpp
@@ -1,4 +1,4 @@
-#include "lab/scenarios.h"
+#include "lab/world/scenarios.h"
 
 #include <string>
 
--- a/lab/scenarios.h
+++ b/lab/world/scenarios.h
@@ -1,13 +1,13 @@
 // Scripted days for one node in virtual time, each about one thing that went wrong or may. They are
 // the source of tests/captures. It owns the scripts; it must never depend on a real clock.
-#ifndef PEARREACH_LAB_SCENARIOS_H_
-#define PEARREACH_LAB_SCENARIOS_H_
+#ifndef PEARREACH_LAB_WORLD_SCENARIOS_H_
+#define PEARREACH_LAB_WORLD_SCENARIOS_H_
 
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "lab/world.h"
+#include "lab/world/world.h"
 
 namespace pearreach::lab {
 
@@ -25,4 +25,4 @@
 
 }  // namespace pearreach::lab
 
-#endif  // PEARREACH_LAB_SCENARIOS_H_
+#endif  // PEARREACH_LAB_WORLD_SCENARIOS_H_
--- a/lab/world.cpp
+++ b/lab/world/world.cpp
@@ -1,4 +1,4 @@
-#include "lab/world.h"
+#include "lab/world/world.h"
 
 #include <algorithm>
 #include <cmath>
--- a/lab/world.h
+++ b/lab/world/world.h
@@ -2,8 +2,8 @@
 // room and a cold start, the worker list, and what goes wrong with them, by script. It owns the
 // virtual clock and records what the module is told and decides; it must never read a real clock or
 // draw from anything but its seed, so that the same script makes the same capture anywhere.
-#ifndef PEARREACH_LAB_WORLD_H_
-#define PEARREACH_LAB_WORLD_H_
+#ifndef PEARREACH_LAB_WORLD_WORLD_H_
+#define PEARREACH_LAB_WORLD_WORLD_H_
 
 #include <functional>
 #include <map>
@@ -139,4 +139,4 @@
 
 }  // namespace pearreach::lab
 
-#endif  // PEARREACH_LAB_WORLD_H_
+#endif  // PEARREACH_LAB_WORLD_WORLD_H_
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -34,7 +34,7 @@
   Micros keep = 3600 * kSecond;
   int recovered_at_once = 64;
   int in_hand = 4096;  // durable jobs that the module has at most; others wait in the store
-  std::size_t in_hand_bytes = 64u << 20;  // of their bodies
+  std::size_t in_hand_bytes = 64u << 20;       // of their bodies
   std::vector<std::string> callback_prefixes;  // of URLs, beside the loopback's
   bool operator==(const JobsSettings&) const = default;
 };
--- a/src/durable/keeper.cpp
+++ b/src/durable/keeper.cpp
@@ -765,6 +765,10 @@
   for (const auto& [seq, r] : records_)
     if (r.unsaved && r.writes == 0) unsaved.push_back(seq);
   for (const std::uint64_t seq : unsaved) SaveWhole(records_.at(seq));
+  const store::Figures figures = store_->figures();
+  Count("store_writes", figures.writes - counted_.writes);
+  Count("store_syncs", figures.groups - counted_.groups);
+  counted_ = figures;
   EndOverdue();
   ForgetOld();
   FillCallbacks();
--- a/src/durable/keeper.h
+++ b/src/durable/keeper.h
@@ -146,6 +146,7 @@
   std::set<std::pair<Micros, std::uint64_t>> waits_due_;
   Alarm wait_alarm_;
 
+  store::Figures counted_;  // in the counts of the process
   Heard hearing_;  // of the word that is being told to the node
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   Alarm sweep_;
--- a/tests/capture/format_test.cpp
+++ b/tests/capture/format_test.cpp
@@ -4,7 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "capture/replay.h"
-#include "lab/world.h"
+#include "lab/world/world.h"
 
 namespace pearreach::capture {
 namespace {
--- a/tests/capture/recorder_test.cpp
+++ b/tests/capture/recorder_test.cpp
@@ -8,7 +8,7 @@
 #include <fstream>
 
 #include "capture/replay.h"
-#include "lab/scenarios.h"
+#include "lab/world/scenarios.h"
 
 namespace pearreach::capture {
 namespace {
--- a/tests/capture/tools_test.cpp
+++ b/tests/capture/tools_test.cpp
@@ -9,7 +9,7 @@
 #include "capture/edit.h"
 #include "capture/explain.h"
 #include "capture/replay.h"
-#include "lab/scenarios.h"
+#include "lab/world/scenarios.h"
 
 namespace pearreach::capture {
 namespace {
--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "capture/segment.h"
-#include "lab/scenarios.h"
+#include "lab/world/scenarios.h"
 
 namespace pearreach {
 namespace {
--- a/tests/durable/keeper_test.cpp
+++ b/tests/durable/keeper_test.cpp
@@ -11,7 +11,7 @@
 #include "capture/replay.h"
 #include "durable/orders.h"
 #include "fronts/front.h"
-#include "lab/world.h"
+#include "lab/world/world.h"
 #include "tests/node/rig.h"
 
 namespace pearreach {
--- a/tests/fuzz/capture_fuzz.cpp
+++ b/tests/fuzz/capture_fuzz.cpp
@@ -7,7 +7,7 @@
 #include "capture/audit.h"
 #include "capture/explain.h"
 #include "capture/replay.h"
-#include "lab/world.h"
+#include "lab/world/world.h"
 #include "module/checkpoint.h"
 
 using namespace pearreach;
--- a/tests/node/stories_test.cpp
+++ b/tests/node/stories_test.cpp
@@ -13,7 +13,7 @@
 
 #include "capture/replay.h"
 #include "fronts/front.h"
-#include "lab/world.h"
+#include "lab/world/world.h"
 #include "node/node.h"
 #include "tests/node/rig.h"
 
