Keep two threads from using one connection of the store

Cause: under load one test in fifty failed with "database table is locked": counting the open jobs for the log line at recovery read through the writer's connection from the loop's thread, while a write was under way.

Change: what blocks takes a lock with the store's thread; the counts are taken at the opening. A test compared ids as text ("j2" after "j11"); it compares numbers.

--- a/src/durable/keeper.cpp
+++ b/src/durable/keeper.cpp
@@ -48,6 +48,7 @@
   // Blocking, before the node serves: whatever comes must find the jobs that may be running. They
   // are no more than the workers had slots; all others stay where they are.
   store_->LoadState(State::kRunning, [this](jobs::Job job) { Hold(std::move(job)); });
+  found_ = store_->CountOpen();
   for (const std::string& worker : store_->FencingWorkers()) knows_fences_.insert(worker);
   node_->OnFirstList([this] { Recover(); });
   node_->OnOrphan([this](const News& news) {
@@ -272,7 +273,7 @@
 
 void Keeper::Recover() {
   recovered_ = true;
-  const auto counts = store_->CountOpen();
+  const auto counts = found_;
   std::vector<std::uint64_t> running;
   for (const auto& [seq, r] : records_)
     if (r.job.state == State::kRunning) running.push_back(seq);
--- a/src/durable/keeper.h
+++ b/src/durable/keeper.h
@@ -7,6 +7,7 @@
 #ifndef PEARREACH_SRC_DURABLE_KEEPER_H_
 #define PEARREACH_SRC_DURABLE_KEEPER_H_
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -126,7 +127,8 @@
   std::unordered_map<std::uint64_t, Record> records_;          // by seq
   std::unordered_map<std::string, std::uint64_t> by_request_;  // of records, not ended
   std::unordered_map<Ticket, std::uint64_t> by_ticket_;
-  std::set<std::string> taking_;  // request ids whose intake is being written
+  std::set<std::string> taking_;          // request ids whose intake is being written
+  std::array<std::uint64_t, 3> found_{};  // open jobs at the start, by state
   Walk queued_, doubts_;
   int fencing_ = 0;  // doubts that are being given out again
   bool recovered_ = false, forgetting_ = false, ending_overdue_ = false;
@@ -147,7 +149,7 @@
   Alarm wait_alarm_;
 
   store::Figures counted_;  // in the counts of the process
-  Heard hearing_;  // of the word that is being told to the node
+  Heard hearing_;           // of the word that is being told to the node
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   Alarm sweep_;
 };
--- a/src/store/sqlite.cpp
+++ b/src/store/sqlite.cpp
@@ -288,14 +288,17 @@
   }
 
   void Load(const std::function<void(Job)>& each) override {
+    const std::lock_guard lock(use_);
     Statement& s = connection_->Get(kSelect + " ORDER BY j.seq");
     for (s.Bind(); s.Step();) each(ReadJob(*connection_, s));
   }
   void LoadState(jobs::State state, const std::function<void(Job)>& each) override {
+    const std::lock_guard lock(use_);
     Statement& s = connection_->Get(kSelect + " WHERE j.state=? AND j.state < 3 ORDER BY j.seq");
     for (s.Bind(state); s.Step();) each(ReadJob(*connection_, s));
   }
   std::array<std::uint64_t, 3> CountOpen() override {
+    const std::lock_guard lock(use_);
     std::array<std::uint64_t, 3> counts{};
     Statement& s =
         connection_->Get("SELECT state, count(*) FROM jobs WHERE state < 3 GROUP BY state");
@@ -304,12 +307,16 @@
     return counts;
   }
   std::vector<std::string> FencingWorkers() override {
+    const std::lock_guard lock(use_);
     std::vector<std::string> names;
     Statement& s = connection_->Get("SELECT worker FROM fencing_workers");
     for (s.Bind(); s.Step();) names.push_back(s.Text(0));
     return names;
   }
-  Found AskNow(const Question& question) override { return Answer(question); }
+  Found AskNow(const Question& question) override {
+    const std::lock_guard lock(use_);
+    return Answer(question);
+  }
 
   std::uint64_t NextSeq() override { return next_seq_++; }
   bool lost() const override {
@@ -611,10 +618,12 @@
       lock.unlock();
       std::string error;
       told->outcomes.resize(told->group.size());
+      std::unique_lock use(use_);
       if (!told->group.empty()) error = Commit(told->group, &told->outcomes);
       if (!error.empty())
         for (Outcome& o : told->outcomes) o = {error, Outcome::Kind::kWritten, "", 0};
       for (const Read& read : told->reads) told->found.push_back(Answer(read.question));
+      use.unlock();
       {  // before anybody is told: who asks then sees what has happened
         const std::lock_guard counted(mutex_);
         figures_.writes += told->group.size();
@@ -627,14 +636,18 @@
       lock.lock();
       if (queue_.empty() && reads_.empty()) {
         lock.unlock();
+        use.lock();
         Vacuum();
+        use.unlock();
         lock.lock();
       }
     }
   }
 
   SqliteOptions options_;
-  std::unique_ptr<Connection> connection_;  // the thread's, once it runs
+  // Guards the connection: what blocks is called on another thread than the store's own.
+  std::mutex use_;
+  std::unique_ptr<Connection> connection_;
   int lock_ = -1;
   std::int64_t epoch_ = 0;
   std::uint64_t next_seq_ = 1;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -116,7 +116,7 @@
   virtual ~Store() = default;  // writes what is waiting
   virtual void Submit(Write write) = 0;
   virtual void Ask(Read read) = 0;
-  // Blocking; before any Submit, or by tools. In the order of intake.
+  // Blocking, so for starts and tools. In the order of intake.
   virtual void Load(const std::function<void(jobs::Job)>& each) = 0;
   virtual void LoadState(jobs::State state, const std::function<void(jobs::Job)>& each) = 0;
   // How many jobs there are in each state that has not ended.
--- a/tests/durable/keeper_test.cpp
+++ b/tests/durable/keeper_test.cpp
@@ -231,7 +231,7 @@
   // those it has the module sends first is its own decision (the newest).
   for (int i = 0; i < 6; ++i) {
     const std::string id = *workers[0]->got[static_cast<std::size_t>(i)].Find("X-Request-ID");
-    EXPECT_LE(id, "j" + std::to_string(2 * i + 1)) << "handed over before its turn";
+    EXPECT_LE(std::stoi(id.substr(1)), 2 * i + 1) << "handed over before its turn";
   }
 }
 
