--- a/lab/sim/simulation.cpp
+++ b/lab/sim/simulation.cpp
@@ -478,7 +478,7 @@
   }
 
   void Begin() {
-    up_ = true;
+    if (std::exchange(up_, true)) return;
     ++life_;
     decider_ =
         MakeDecider(s_.policy, site_.settings, SeedOf(world_->seed, 4, self * 1000 + life_), now_);
@@ -489,7 +489,7 @@
     Tell(std::move(list));
   }
   void Die() {
-    up_ = false;
+    if (!std::exchange(up_, false)) return;
     looks_ += decider_->Looks();
     decider_.reset();
     events_.clear();
