Load nodes in open loop and emulate their fleet on real sockets

Need: tests that send the next request after the last answer hide the delays that hurt; a node could be tried only against stand-ins without queue, warm-up or failures by script.

--- a/lab/cli/main.cpp
+++ b/lab/cli/main.cpp
@@ -61,6 +61,8 @@
     {"chaos-worker", {ChaosWorker, nullptr}},
     {"durable", {Durable, "measure durable jobs: intake, recovery, growth of the store"}},
     {"experiment", {ExperimentCommand, "run scenarios in variants and compare them"}},
+    {"emulate", {EmulateCommand, "match workers and discovery on real sockets, with failures"}},
+    {"load", {LoadCommand, "an open-loop load on nodes over HTTP"}},
     {"simulate", {SimulateCommand, "many nodes and their fleet in virtual time"}},
     {"try", {Try, "start a node with stand-ins, send it jobs, say what became of them"}},
 };
--- a/lab/sim/scenario.cpp
+++ b/lab/sim/scenario.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <cstdio>
 
+#include "lab/stats/stats.h"
+
 namespace pearreach::lab {
 namespace {
 
@@ -92,4 +94,16 @@
   return v;
 }
 
+std::vector<std::uint32_t> StruckBy(const Trouble& t, std::uint32_t of, std::uint64_t seed,
+                                    std::size_t index) {
+  std::vector<std::uint32_t> all(of);
+  for (std::uint32_t i = 0; i < of; ++i) all[i] = i;
+  Chance chance(SeedOf(seed, 5, index));
+  const auto n = std::min<std::size_t>(
+      of, std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(t.part * of))));
+  for (std::size_t i = 0; i < n; ++i) std::swap(all[i], all[i + chance.Below(of - i)]);
+  all.resize(n);
+  return all;
+}
+
 }  // namespace pearreach::lab
--- a/lab/sim/scenario.h
+++ b/lab/sim/scenario.h
@@ -89,6 +89,10 @@
 // Jobs a second at load 1.
 double JobsPerSecond(const Scenario& scenario);
 
+// Which of so many workers or nodes trouble number `index` befalls, drawn from the seed.
+std::vector<std::uint32_t> StruckBy(const Trouble& trouble, std::uint32_t of, std::uint64_t seed,
+                                    std::size_t index);
+
 }  // namespace pearreach::lab
 
 #endif  // PEARREACH_LAB_SIM_SCENARIO_H_
--- a/lab/sim/simulation.cpp
+++ b/lab/sim/simulation.cpp
@@ -770,19 +770,6 @@
 
 // ---------------------------------------------------------------- the run
 
-// Which workers or nodes a trouble befalls.
-std::vector<std::uint32_t> Struck(const Trouble& t, std::uint32_t of, std::uint64_t seed,
-                                  std::size_t index) {
-  std::vector<std::uint32_t> all(of);
-  for (std::uint32_t i = 0; i < of; ++i) all[i] = i;
-  Chance chance(SeedOf(seed, 5, index));
-  const auto n = std::min<std::size_t>(
-      of, std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(t.part * of))));
-  for (std::size_t i = 0; i < n; ++i) std::swap(all[i], all[i + chance.Below(of - i)]);
-  all.resize(n);
-  return all;
-}
-
 }  // namespace
 
 void Tally::Merge(const Tally& o) {
@@ -844,7 +831,7 @@
     const Trouble& t = scenario.troubles[i];
     if (t.what == Trouble::What::kLateList) continue;
     const bool of_nodes = t.what == Trouble::What::kNodeDies;
-    for (const std::uint32_t j : Struck(t, of_nodes ? world.nodes : world.workers, seed, i)) {
+    for (const std::uint32_t j : StruckBy(t, of_nodes ? world.nodes : world.workers, seed, i)) {
       if (of_nodes) {
         nodes[j]->Script(t.at, true);
         nodes[j]->Script(t.at + t.length, false);
