--- a/lab/cli/commands.h
+++ b/lab/cli/commands.h
@@ -19,6 +19,7 @@
 int ExperimentCommand(int argc, char** argv);
 int EmulateCommand(int argc, char** argv);
 int LoadCommand(int argc, char** argv);
+int ReportCommand(int argc, char** argv);
 int SimulateCommand(int argc, char** argv);
 int Try(int argc, char** argv);
 
--- a/lab/cli/main.cpp
+++ b/lab/cli/main.cpp
@@ -63,6 +63,7 @@
     {"experiment", {ExperimentCommand, "run scenarios in variants and compare them"}},
     {"emulate", {EmulateCommand, "match workers and discovery on real sockets, with failures"}},
     {"load", {LoadCommand, "an open-loop load on nodes over HTTP"}},
+    {"report", {ReportCommand, "a page with plots of results or of a capture"}},
     {"simulate", {SimulateCommand, "many nodes and their fleet in virtual time"}},
     {"try", {Try, "start a node with stand-ins, send it jobs, say what became of them"}},
 };
--- /dev/null
+++ b/lab/cli/report.cpp
@@ -0,0 +1,42 @@
+// The sub-command report: a page out of an experiment's results or a capture.
+#include <fstream>
+#include <iostream>
+
+#include "config/xml.h"
+#include "lab/cli/commands.h"
+#include "lab/report/page.h"
+#include "site/site.h"
+
+namespace pearreach::lab {
+
+int ReportCommand(int argc, char** argv) {
+  cxxopts::Options options(
+      "pearreach-lab report",
+      "One self-contained page with plots, of results (FILE.json) or a capture\n"
+      "(FILE.prcap): report FILE --out PAGE.html");
+  options.add_options()("words", "", cxxopts::value<std::vector<std::string>>())(
+      "out", "", cxxopts::value<std::string>(), "PAGE");
+  options.parse_positional({"words"});
+  const auto args = Parse(&options, argc, argv);
+  if (!args) return 0;
+  if (args->count("words") != 1 || args->count("out") == 0)
+    throw marlquay::Malformed("report wants one FILE and --out PAGE");
+  const std::string path = (*args)["words"].as<std::vector<std::string>>().at(0);
+  const std::string out = (*args)["out"].as<std::string>();
+  std::string page;
+  if (path.ends_with(".prcap")) {
+    page = ReportOfCapture(path);
+  } else {
+    std::ifstream in(path, std::ios::binary);
+    if (!in) throw marlquay::Malformed(path + ": cannot be read");
+    const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    page = ReportOf(ReadResults(text, path));
+  }
+  std::ofstream file(out, std::ios::binary);
+  file << page;
+  if (!file.flush()) throw marlquay::Malformed(out + ": cannot be written");
+  std::cout << out << ": " << page.size() << " bytes\n";
+  return 0;
+}
+
+}  // namespace pearreach::lab
--- a/tests/lab/simulation_test.cpp
+++ b/tests/lab/simulation_test.cpp
@@ -7,6 +7,7 @@
 
 #include "lab/experiment/run.h"
 #include "lab/experiment/settings.h"
+#include "lab/report/page.h"
 
 namespace pearreach::lab {
 namespace {
@@ -183,5 +184,34 @@
     EXPECT_THROW(ReadTrouble(trouble), marlquay::Malformed) << trouble;
 }
 
+std::size_t CountIn(const std::string& text, const std::string& what) {
+  std::size_t n = 0;
+  for (std::size_t at = 0; (at = text.find(what, at)) != std::string::npos; ++at) ++n;
+  return n;
+}
+
+// A page stands alone, is whole, and takes no word of its source for markup.
+TEST(Report, IsOneSelfContainedPage) {
+  Experiment e = ReadExperiment(kFile, "few.xml");
+  e.seeds = 2;
+  Results results = RunExperiment(e, 2, "test", nullptr);
+  results.what = "<script>alert('x')</script> & more";
+  const std::string page = ReportOf(results);
+  EXPECT_EQ(CountIn(page, "<script"), 0u);
+  EXPECT_EQ(CountIn(page, "<svg "), CountIn(page, "</svg>"));
+  EXPECT_GE(CountIn(page, "<svg "), 10u);
+  EXPECT_EQ(CountIn(page, "http"), CountIn(page, "xmlns='http://www.w3.org/2000/svg'"));
+  EXPECT_EQ(CountIn(page, "nan"), 0u);
+  for (const char* word :
+       {"small, two", "Service by the second", "limit and busy slots", "workers, darker"})
+    EXPECT_GE(CountIn(page, word), 1u) << word;
+  Results bare{"empty", "", "", {}};
+  EXPECT_EQ(CountIn(ReportOf(bare), "<svg "), 0u);
+  results.runs[0].details =
+      "{\"times\":[[[1]]],\"seconds\":[1,[]],\"nodes\":[[{}]],\"workers\":[[\"a\"]]}";
+  EXPECT_GE(CountIn(ReportOf(results), "</html>"), 1u) << "details of no use are no crash";
+  EXPECT_GE(CountIn(ReportOfCapture(PEARREACH_CAPTURES "/all-restart-at-once.prcap"), "<svg "), 6u);
+}
+
 }  // namespace
 }  // namespace pearreach::lab
