Show nodes' logs and an experiment's progress in a terminal

Need: whoever runs a long experiment or watches a few nodes had to read lines.

Nothing changes where the log is text, as on the platform.

--- a/lab/cli/commands.h
+++ b/lab/cli/commands.h
@@ -21,6 +21,7 @@
 int LoadCommand(int argc, char** argv);
 int ReportCommand(int argc, char** argv);
 int SimulateCommand(int argc, char** argv);
+int TopCommand(int argc, char** argv);
 int Try(int argc, char** argv);
 
 }  // namespace pearreach::lab
--- a/lab/cli/experiment.cpp
+++ b/lab/cli/experiment.cpp
@@ -26,7 +26,8 @@
           "broken,cpu_us"))("scenario", "only this one", cxxopts::value<std::string>(), "NAME")(
       "seeds", "in place of the file's", cxxopts::value<int>()->default_value("0"))(
       "threads", "0: one a core", cxxopts::value<int>()->default_value("0"))(
-      "compare", "two files of results")("quiet", "no line a run");
+      "compare", "two files of results")("quiet", "no line a run")(
+      "progress", "a JSON line a run, for top", cxxopts::value<std::string>(), "FILE");
   options.parse_positional({"words"});
   const auto args = Parse(&options, argc, argv);
   if (!args) return 0;
@@ -51,8 +52,11 @@
   int threads = (*args)["threads"].as<int>();
   if (threads <= 0) threads = std::max(1, static_cast<int>(std::thread::hardware_concurrency()));
   const bool quiet = args->count("quiet") > 0;
+  std::ofstream progress;
+  if (args->count("progress") > 0) progress.open((*args)["progress"].as<std::string>());
   const Results results = RunExperiment(
       e, threads, PEARREACH_VERSION, [&](const Run& run, std::size_t done, std::size_t of) {
+        if (progress.is_open()) progress << ProgressLine(run, done, of) << std::endl;
         if (!quiet)
           std::fprintf(stderr, "%zu of %zu: %s, %s, seed %llu: service %.4f\n", done, of,
                        run.scenario.c_str(), run.variant.c_str(),
--- a/lab/cli/main.cpp
+++ b/lab/cli/main.cpp
@@ -65,6 +65,7 @@
     {"load", {LoadCommand, "an open-loop load on nodes over HTTP"}},
     {"report", {ReportCommand, "a page with plots of results or of a capture"}},
     {"simulate", {SimulateCommand, "many nodes and their fleet in virtual time"}},
+    {"top", {TopCommand, "nodes' logs or an experiment's progress in a terminal"}},
     {"try", {Try, "start a node with stand-ins, send it jobs, say what became of them"}},
 };
 
--- a/lab/experiment/results.cpp
+++ b/lab/experiment/results.cpp
@@ -160,6 +160,21 @@
           {"cpu_us", f.cpu_us_a_job}};
 }
 
+std::string ProgressLine(const Run& run, std::size_t done, std::size_t of) {
+  rapidjson::StringBuffer buffer;
+  Json json(buffer);
+  json.StartObject();
+  Put(json, "event", std::string("run"));
+  Put(json, "done", static_cast<std::uint64_t>(done));
+  Put(json, "of", static_cast<std::uint64_t>(of));
+  Put(json, "scenario", run.scenario);
+  Put(json, "variant", run.variant);
+  Put(json, "seed", run.seed);
+  for (const auto& [name, value] : run.figures) Put(json, name.c_str(), value);
+  json.EndObject();
+  return buffer.GetString();
+}
+
 std::string WriteResults(const Results& results) {
   rapidjson::StringBuffer buffer;
   Json json(buffer);
--- a/lab/experiment/results.h
+++ b/lab/experiment/results.h
@@ -30,6 +30,9 @@
 // The figures of a run that are compared: service, refused, p99 and others.
 std::vector<std::pair<std::string, double>> Compared(const Figures& figures);
 
+// A run that is done, as a line for those who watch: {"event":"run","done":N,"of":N,...}.
+std::string ProgressLine(const Run& run, std::size_t done, std::size_t of);
+
 std::string WriteResults(const Results& results);
 // Throws marlquay::Malformed.
 Results ReadResults(std::string_view json, const std::string& name);
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -122,6 +122,7 @@
   Alarm* counts = nullptr;
   Alarm report([&] {
     LogCounts();
+    if (settings.log_format == LogFormat::kJson) node.LogFigures();
     counts->Set(Now() + kCountsEvery);
   });
   counts = &report;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -501,4 +501,26 @@
   if (first_list_) std::exchange(first_list_, nullptr)();
 }
 
+void Node::LogFigures() const {
+  const auto text = [](double value) {
+    std::string t = std::to_string(value);
+    return t.substr(0, t.find('.') + 2);
+  };
+  std::vector<std::string> names;  // outlive the fields
+  names.reserve(2 * site_.kinds.size());
+  std::vector<LogField> fields = {{"open", std::to_string(open_)},
+                                  {"workers", std::to_string(dispatcher_.KnownWorkers())}};
+  std::string line = "figures: open=" + fields[0].value + " workers=" + fields[1].value;
+  for (std::size_t k = 0; k < site_.kinds.size(); ++k) {
+    const int pool = static_cast<int>(k);
+    for (const auto& [what, value] : {std::pair("limit_", dispatcher_.PoolLimit(pool)),
+                                      std::pair("busy_", dispatcher_.PoolBusy(pool))}) {
+      names.push_back(what + site_.kinds[k]);
+      fields.push_back({names.back().c_str(), text(value)});
+      line += " " + names.back() + "=" + fields.back().value;
+    }
+  }
+  Log("figures", fields, line);
+}
+
 }  // namespace pearreach
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -80,6 +80,9 @@
   // Asked about news of a job that is not open; true: it was of use.
   void OnOrphan(std::function<bool(const News&)> ask) { orphan_ = std::move(ask); }
 
+  // Open jobs, workers, and limit and busy slots of each pool, as one event of the log.
+  void LogFigures() const;
+
   // Figures for tests and the log.
   std::size_t records() const { return records_.size(); }
   std::size_t links() const { return workers_.links(); }
