Tell a simulated worker's ends on time, found by holding the simulator against sockets

A worker that waited for the end of a long job did not wait for that of a shorter one that started later, and told it with its next event: jobs seemed up to a fifth longer, and starts came late.

--- a/lab/load/schedule.cpp
+++ b/lab/load/schedule.cpp
@@ -17,16 +17,6 @@
 
 constexpr std::size_t kMostJobs = 20'000'000;
 
-double FactorAt(const Arrivals& a, Micros at, const std::string& account) {
-  double factor = 1;
-  for (const Phase& p : a.phases) {
-    if (at < p.from || at >= p.until || (!p.tenant.empty() && p.tenant != account)) continue;
-    const double part = static_cast<double>(at - p.from) / static_cast<double>(p.until - p.from);
-    factor *= p.factor + (p.factor_end - p.factor) * part;
-  }
-  return factor;
-}
-
 // The index of one that is there, or is added.
 template <class Spec>
 int IndexOfNamed(std::vector<Spec>* all, const std::string& name) {
@@ -121,7 +111,7 @@
     job.slots = plan->classes[static_cast<std::size_t>(job.cls)].slots;
     const double part =
         FactorAt(
-            a, job.at,
+            a.phases, job.at,
             job.account < 0 ? "" : plan->accounts[static_cast<std::size_t>(job.account)].name) /
         most;
     if (a.constant) {
--- a/lab/sim/scenario.cpp
+++ b/lab/sim/scenario.cpp
@@ -17,6 +17,16 @@
 
 }  // namespace
 
+double FactorAt(const std::vector<Phase>& phases, Micros at, const std::string& tenant) {
+  double factor = 1;
+  for (const Phase& p : phases) {
+    if (at < p.from || at >= p.until || (!p.tenant.empty() && p.tenant != tenant)) continue;
+    const double part = static_cast<double>(at - p.from) / static_cast<double>(p.until - p.from);
+    factor *= p.factor + (p.factor_end - p.factor) * part;
+  }
+  return factor;
+}
+
 double CapacityOf(const Scenario& s) {
   double parts = 0, capacity = 0;
   for (const KindSpec& k : s.kinds) parts += k.part;
--- a/lab/sim/scenario.h
+++ b/lab/sim/scenario.h
@@ -81,6 +81,9 @@
   std::string policy = "module";  // or random, least, two, greedy
 };
 
+// What all phases together make of the load of an account (empty: of those in none) at a time.
+double FactorAt(const std::vector<Phase>& phases, Micros at, const std::string& tenant);
+
 // What a node of this scenario is told at its start.
 marlquay::Conf::Values SettingsOf(const Scenario& scenario, int node);
 
--- a/lab/sim/simulation.cpp
+++ b/lab/sim/simulation.cpp
@@ -174,7 +174,7 @@
         if (!silent_ && model_.Cancel(now_, item.key)) jobs_.erase(item.key);
         break;
       case Kind::kModel:
-        model_set_ = false;
+        if (now_ >= model_at_) model_at_ = kNever;
         break;
       case Kind::kScript:
         Play(item.key);
@@ -186,9 +186,10 @@
         break;
     }
     Catch();
-    if (const auto next = model_.Next(); next && !silent_ && !model_set_) {
-      model_set_ = true;
-      Own(std::max(*next, now_ + 1), Kind::kModel);
+    // An end that is sooner than the one waited for is waited for as well.
+    if (const auto next = model_.Next(); next && !silent_ && *next < model_at_) {
+      model_at_ = std::max(*next, now_ + 1);
+      Own(model_at_, Kind::kModel);
     }
   }
 
@@ -352,7 +353,8 @@
   std::uint32_t index_;
   WorkerModel model_;
   Chance chance_;
-  bool silent_ = false, draining_ = false, model_set_ = false;
+  bool silent_ = false, draining_ = false;
+  Micros model_at_ = kNever;
   std::map<std::uint64_t, Held> jobs_;
   std::vector<std::uint64_t> unheard_;
   std::vector<Micros> back_;
@@ -500,15 +502,6 @@
 
   // ---- clients
 
-  double FactorAt(Micros at, const std::string& tenant) const {
-    double factor = 1;
-    for (const Phase& p : s_.phases) {
-      if (at < p.from || at >= p.until || (!p.tenant.empty() && p.tenant != tenant)) continue;
-      const double part = static_cast<double>(at - p.from) / static_cast<double>(p.until - p.from);
-      factor *= p.factor + (p.factor_end - p.factor) * part;
-    }
-    return factor;
-  }
   void Arrive() {
     const Micros next =
         now_ + std::max<Micros>(1, static_cast<Micros>(chance_.Exponential() * 1e6 / rate_));
@@ -524,7 +517,7 @@
         at -= s_.tenants[static_cast<std::size_t>(job.tenant++)].share;
       tenant = &s_.tenants[static_cast<std::size_t>(job.tenant)].name;
     }
-    const bool comes = chance_.Uniform() * most_factor_ < FactorAt(now_, *tenant);
+    const bool comes = chance_.Uniform() * most_factor_ < FactorAt(s_.phases, now_, *tenant);
     double at = chance_.Uniform() * class_shares_;
     while (at >= s_.classes[static_cast<std::size_t>(job.cls)].share &&
            job.cls + 1 < static_cast<int>(s_.classes.size()))
--- a/tests/lab/simulation_test.cpp
+++ b/tests/lab/simulation_test.cpp
@@ -41,6 +41,21 @@
   EXPECT_NE(Digest(Simulate(Busy(), 8, 1)), one);
 }
 
+// Nobody waits in a fleet that is nearly idle: each job takes its work and its ways, no more. Ends
+// were once told at the worker's next event.
+TEST(Simulation, AJobInAnIdleFleetTakesItsOwnTime) {
+  Scenario s;
+  s.workers = 50;
+  s.load = 0.1;
+  s.length = 20 * kS;
+  s.classes = {{.name = "short", .work = 20'000, .spread = ClassSpec::Spread::kFixed},
+               {.name = "long", .work = 400'000, .spread = ClassSpec::Spread::kFixed}};
+  const Figures f = Simulate(s, 1, 2);
+  EXPECT_LT(f.times[0].Quantile(0.99), 20'000 + 5'000);
+  EXPECT_LT(f.times[1].Quantile(0.99), 400'000 + 5'000);
+  EXPECT_GE(f.times[0].Quantile(0.01), 20'000);
+}
+
 TEST(Simulation, CountsEachJobOnce) {
   const Figures f = Simulate(Busy(), 3, 2);
   Tally sum;
