Show that an end said twice is not acknowledged while it is on no disk

Need: taking out the guard that holds a repeated word until its end is written was tried on purpose; no test asked for the repeat. Change: the story says the end twice while the disk is full and wants 503 both times. Measured: red without the guard, green with it.

--- a/tests/durable/keeper_test.cpp
+++ b/tests/durable/keeper_test.cpp
@@ -339,6 +339,7 @@
   EXPECT_EQ(News("j1", "s-0", "started"), 200);
   full = true;
   EXPECT_EQ(News("j1", "s-0", "done"), 503);
+  EXPECT_EQ(News("j1", "s-0", "done"), 503) << "said again, and still on no disk";
   full = false;
   Start();  // as if it had been killed there: the store still has it running
   EXPECT_TRUE(Becomes(path, "running"));
