--- a/src/base/io.cpp
+++ b/src/base/io.cpp
@@ -79,7 +79,7 @@
   // A refusal known at once is told like any other: from the loop, by the socket's error.
   stream->refused_ = !done && !IsBlocked(error);
   g_clear_error(&error);
-  stream->Watch(&stream->out_ready_, G_IO_OUT, &Stream::OnWritable);
+  stream->Want(false, true);
   return stream;
 }
 
@@ -95,27 +95,27 @@
 
 void Stream::Listen(Handlers handlers) {
   handlers_ = std::move(handlers);
-  Watch(&in_, G_IO_IN, &Stream::OnReadable);
+  Want(true, wants_out_);
 }
 
-void Stream::Watch(GSource** source, GIOCondition condition, GSocketSourceFunc callback) {
-  if (*source != nullptr) return;
-  *source = g_socket_create_source(socket_, condition, nullptr);
-  g_source_set_callback(*source, G_SOURCE_FUNC(callback), this, nullptr);
-  g_source_attach(*source, nullptr);
+void Stream::Want(bool in, bool out) {
+  wants_in_ = in;
+  wants_out_ = out;
+  const int fd = g_socket_get_fd(socket_);
+  if (!Poller::Default().Set(fd, (in ? EPOLLIN : 0u) | (out ? EPOLLOUT : 0u), this))
+    CountFault("poll_failed", g_strerror(errno));
 }
 
-void Stream::Drop(GSource** source) {
-  if (*source == nullptr) return;
-  g_source_destroy(*source);
-  g_source_unref(*source);
-  *source = nullptr;
+void Stream::OnReady(std::uint32_t events) {
+  const auto self = shared_from_this();
+  constexpr std::uint32_t kEnd = EPOLLERR | EPOLLHUP;
+  if (wants_out_ && (events & (EPOLLOUT | kEnd)) != 0) OnWritable();
+  if (socket_ != nullptr && wants_in_ && (events & (EPOLLIN | kEnd)) != 0) OnReadable();
 }
 
 void Stream::Close() {
   if (socket_ == nullptr) return;
-  Drop(&in_);
-  Drop(&out_ready_);
+  Poller::Default().Remove(g_socket_get_fd(socket_));
   g_socket_close(socket_, nullptr);
   g_clear_object(&socket_);
 }
@@ -145,7 +145,7 @@
 bool Stream::Write(std::string_view bytes) {
   if (socket_ == nullptr) return false;
   out_.append(bytes);
-  if (connecting_ || out_ready_ != nullptr) return true;
+  if (connecting_ || wants_out_) return true;
   if (Flush()) return true;
   Close();
   return false;
@@ -162,53 +162,42 @@
     const bool blocked = IsBlocked(error);
     g_clear_error(&error);
     if (!blocked) return false;
-    Watch(&out_ready_, G_IO_OUT, &Stream::OnWritable);
+    Want(wants_in_, true);
     return true;
   }
   out_.clear();
   sent_ = 0;
-  Drop(&out_ready_);
+  if (wants_out_) Want(wants_in_, false);
   return true;
 }
 
-gboolean Stream::OnWritable(GSocket*, GIOCondition, gpointer self) {
-  const auto stream = static_cast<Stream*>(self)->shared_from_this();
-  if (std::exchange(stream->connecting_, false)) {
-    if (stream->refused_ || !g_socket_check_connect_result(stream->socket_, nullptr)) {
-      stream->Break();
-      return G_SOURCE_REMOVE;
-    }
-    stream->Watch(&stream->in_, G_IO_IN, &Stream::OnReadable);
-    Drop(&stream->out_ready_);
-    const auto connected = stream->handlers_.connected;
+void Stream::OnWritable() {
+  if (std::exchange(connecting_, false)) {
+    if (refused_ || !g_socket_check_connect_result(socket_, nullptr)) return Break();
+    Want(true, false);
+    const auto connected = handlers_.connected;
     if (connected) connected();
     // Guards what was written before the connection was up: nothing else would send it.
-    if (stream->socket_ != nullptr && !stream->Flush()) stream->Break();
-    return G_SOURCE_REMOVE;
+    if (socket_ != nullptr && !Flush()) Break();
+    return;
   }
-  if (!stream->Flush())
-    stream->Break();
-  else if (stream->closing_)
-    stream->CloseAfterWrite();
-  return G_SOURCE_CONTINUE;
+  if (!Flush())
+    Break();
+  else if (closing_)
+    CloseAfterWrite();
 }
 
-gboolean Stream::OnReadable(GSocket* socket, GIOCondition, gpointer self) {
-  const auto stream = static_cast<Stream*>(self)->shared_from_this();
+void Stream::OnReadable() {
   static char buffer[kReadSize];
   GError* error = nullptr;
-  const gssize n = g_socket_receive(socket, buffer, sizeof buffer, nullptr, &error);
+  const gssize n = g_socket_receive(socket_, buffer, sizeof buffer, nullptr, &error);
   const bool blocked = n < 0 && IsBlocked(error);
   g_clear_error(&error);
-  if (blocked) return G_SOURCE_CONTINUE;
-  if (n <= 0) {
-    stream->Break();
-    return G_SOURCE_REMOVE;
-  }
-  if (stream->closing_) return G_SOURCE_CONTINUE;  // nothing more is wanted of this peer
-  const auto data = stream->handlers_.data;
+  if (blocked) return;
+  if (n <= 0) return Break();
+  if (closing_) return;  // nothing more is wanted of this peer
+  const auto data = handlers_.data;
   if (data) data(std::string_view(buffer, static_cast<std::size_t>(n)));
-  return G_SOURCE_CONTINUE;
 }
 
 Listener::Listener(std::function<void(std::shared_ptr<Stream>)> accepted)
--- a/src/base/io.h
+++ b/src/base/io.h
@@ -14,6 +14,7 @@
 #include <string_view>
 
 #include "base/log.h"
+#include "base/poller.h"
 #include "marlquay/dispatcher.h"
 
 namespace pearreach {
@@ -49,7 +50,7 @@
 GSocketAddress* ParseAddress(const std::string& text);  // "ip:port"; null: not one. Owned by caller
 
 // One non-blocking connection. No handler is called after Close, nor from inside Write.
-class Stream : public std::enable_shared_from_this<Stream> {
+class Stream : public std::enable_shared_from_this<Stream>, private Poller::Client {
  public:
   struct Handlers {
     std::function<void()> connected;
@@ -75,15 +76,15 @@
 
  private:
   Stream() = default;
-  void Watch(GSource** source, GIOCondition condition, GSocketSourceFunc callback);
-  static void Drop(GSource** source);
+  void Want(bool in, bool out);
+  void OnReady(std::uint32_t events) override;
   bool Flush();
   void Break();
-  static gboolean OnReadable(GSocket*, GIOCondition, gpointer self);
-  static gboolean OnWritable(GSocket*, GIOCondition, gpointer self);
+  void OnReadable();
+  void OnWritable();
 
   GSocket* socket_ = nullptr;
-  GSource *in_ = nullptr, *out_ready_ = nullptr;
+  bool wants_in_ = false, wants_out_ = false;
   Handlers handlers_;
   std::string out_;
   std::size_t sent_ = 0;
--- a/tests/lab/top_test.cpp
+++ b/tests/lab/top_test.cpp
@@ -1,6 +1,13 @@
 // The terminal view's model: what lines make of the screen, and that no line can do harm.
 #include <gtest/gtest.h>
+#include <poll.h>
+#include <pty.h>
 #include <rapidcheck.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
 
 #include "lab/top/model.h"
 
@@ -72,5 +79,45 @@
   }));
 }
 
+// In a terminal of its own: it draws, follows the file as it grows, ends at a key with the terminal
+// as it was, and says so in one line where there is none.
+TEST(Top, RunsInATerminal) {
+  const std::string path = testing::TempDir() + "top-" + std::to_string(getpid()) + ".log";
+  std::ofstream log(path);
+  log << R"({"time":100,"node":"n7","event":"worker_silent","worker":"s-1","text":"s-1 is silent"})"
+      << std::endl;
+  int terminal = -1;
+  winsize size{30, 100, 0, 0};
+  const pid_t child = forkpty(&terminal, nullptr, nullptr, &size);
+  if (child == 0) {
+    setenv("TERM", "xterm", 1);
+    execl(PEARREACH_LAB, PEARREACH_LAB, "top", path.c_str(), nullptr);
+    _exit(127);
+  }
+  ASSERT_GT(child, 0);
+  std::string seen;
+  const auto sees = [&](const std::string& what) {
+    for (int i = 0; i < 200 && seen.find(what) == std::string::npos; ++i) {
+      pollfd ready{terminal, POLLIN, 0};
+      if (poll(&ready, 1, 100) <= 0) continue;
+      char bytes[4096];
+      const ssize_t n = read(terminal, bytes, sizeof bytes);
+      if (n <= 0) break;
+      seen.append(bytes, static_cast<std::size_t>(n));
+    }
+    return seen.find(what) != std::string::npos;
+  };
+  EXPECT_TRUE(sees("s-1 is silent")) << seen;
+  log << R"({"time":101,"node":"n7","event":"worker_silent","worker":"s-2","text":"s-2 too"})"
+      << std::endl;
+  EXPECT_TRUE(sees("s-2 too")) << seen;
+  ASSERT_EQ(write(terminal, "q", 1), 1);
+  EXPECT_TRUE(sees("\x1b[?1049l")) << "the terminal was not given back";
+  int status = -1;
+  EXPECT_EQ(waitpid(child, &status, 0), child);
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  close(terminal);
+}
+
 }  // namespace
 }  // namespace pearreach::lab
--- a/tests/node/rig.h
+++ b/tests/node/rig.h
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -12,6 +13,7 @@
 
 #include "base/io.h"
 #include "http/http.h"
+#include "lab/base/standins.h"
 
 namespace pearreach::rig {
 
@@ -19,46 +21,31 @@
 using Replies = std::function<std::string(const Message&)>;  // empty: says nothing
 
 inline void RunUntil(const std::function<bool()>& done, Micros most = 20 * kSecond) {
-  const Micros end = Now() + most;
-  Alarm wake([] {});
-  wake.Set(end);
-  while (!done() && Now() < end) g_main_context_iteration(nullptr, TRUE);
+  lab::RunUntil(done, most);
 }
 inline void RunFor(Micros time) {
   RunUntil([] { return false; }, time);
 }
 
-// A scripted worker or discovery.
+// A scripted worker or discovery: the laboratory's server, with what it was sent kept.
 class Server {
  public:
   explicit Server(Replies replies)
-      : replies_(std::move(replies)), listener_([this](auto stream) {
-          const auto parser = std::make_shared<http::Parser>(http::Parser::Kind::kRequest);
-          Stream* s = stream.get();
-          streams.push_back(stream);
-          stream->Listen({[] {},
-                          [this, s, parser](std::string_view bytes) {
-                            parser->Feed(bytes);
-                            while (s->open() && parser->Next() == http::Parser::State::kMessage) {
-                              got.push_back(parser->Take());
-                              const std::string answer = replies_(got.back());
-                              if (!answer.empty() && s->open()) s->Write(answer);
-                            }
-                          },
-                          [] {}});
-        }) {
-    EXPECT_EQ(listener_.Open("127.0.0.1:0"), "");
-  }
-  std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
-  void CloseAll() {
-    for (const auto& s : streams) s->Close();
-  }
+      : replies_(std::move(replies)),
+        server_([this](const Message& m, const std::shared_ptr<Stream>& stream) {
+          if (std::find(streams.begin(), streams.end(), stream) == streams.end())
+            streams.push_back(stream);
+          got.push_back(m);
+          return replies_(got.back());
+        }) {}
+  std::string address() const { return server_.address(); }
+  void CloseAll() { server_.CloseAll(); }
   std::vector<Message> got;
-  std::vector<std::shared_ptr<Stream>> streams;
+  std::vector<std::shared_ptr<Stream>> streams;  // those that something came on
 
  private:
   Replies replies_;
-  Listener listener_;
+  lab::HttpServer server_;
 };
 
 inline const std::string kAccepted = http::WriteResponse(202, {}, "", true);
