Keep what a node has learned: an event of evidence, two generations of a file, ageing

Change: Dispatcher::Learned tells what may outlive the process and the event Knowledge takes it back, weighed by age before (src/knowledge/memory.h, a half-life for each kind; the cold workers' pressure is a debt and does not fade). The file has a version, a keyed or plain BLAKE2b and two generations; it is written aside, synced and renamed by a thread.

Found on the way: giving back the highest value found kept a wrong limit alive through several cuts (17 of 20 slots after the first, where 8 were used); only the limit is raised now, to what worked.

--- a/include/marlquay/dispatcher.h
+++ b/include/marlquay/dispatcher.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -189,9 +190,42 @@
   Was was = Was::kOut;
 };
 
+// What a node has learned, as far as it may outlive its process. As an event it is evidence of an
+// earlier process, already weighed by its age: it fills in what is unknown, and the first word of a
+// worker outweighs it. Workers must have been named by the list before.
+struct PoolKnowledge {
+  int pool = 0;
+  double limit = 0, found = 0;  // slots: the limit, the highest value that worked
+  double slots_seen = 1;        // most slots seen on one worker
+  double ran = 0, worked = 0;   // mean running time and work, microseconds; 0: not known
+  double tell = 0;              // microseconds from a send to the word of its start, at least
+};
+struct WorkerKnowledge {
+  WorkerId worker = 0;
+  double slowness = 1;  // running time over what its kind takes
+  double failures = 0;  // fading share of its jobs that failed
+  bool silent = false;
+  Micros died_at = 0;  // the last sign that its process died; 0: none
+  std::vector<std::pair<Micros, double>> cold_sends;  // when, and work sent to it while cold
+};
+struct ClassKnowledge {
+  int cls = 0;
+  double work = 0;  // mean, microseconds; 0: not known
+};
+struct TenantKnowledge {
+  int tenant = 0;
+  double left = 0;  // requests that it may still send within its share
+};
+struct Knowledge {
+  std::vector<PoolKnowledge> pools;
+  std::vector<WorkerKnowledge> workers;
+  std::vector<ClassKnowledge> classes;
+  std::vector<TenantKnowledge> tenants;
+};
+
 using Event = std::variant<WorkerList, RequestArrived, AttemptTaken, AttemptStarted,
                            AttemptProgress, StreamBegan, AttemptEnded, RequestLapsed, TimerFired,
-                           ProbeEnded, PeerMessage, AttemptAdopted>;
+                           ProbeEnded, PeerMessage, AttemptAdopted, Knowledge>;
 
 // ---------------------------------------------------------------- actions
 
@@ -297,6 +331,10 @@
   // decision and costs one comparison a look when it is off.
   void Observe(Observer* observer);
 
+  // What it has learned by `now` that a later process of this node may be told. Costs a look at
+  // each worker.
+  Knowledge Learned(Micros now) const;
+
   // Figures for tests and monitoring.
   double PoolLimit(int pool) const;
   double PoolBusy(int pool) const;
--- a/lab/cli/commands.h
+++ b/lab/cli/commands.h
@@ -18,6 +18,7 @@
 int Durable(int argc, char** argv);
 int ExperimentCommand(int argc, char** argv);
 int EmulateCommand(int argc, char** argv);
+int KnowledgeCommand(int argc, char** argv);
 int LoadCommand(int argc, char** argv);
 int ReportCommand(int argc, char** argv);
 int SimulateCommand(int argc, char** argv);
--- a/lab/cli/main.cpp
+++ b/lab/cli/main.cpp
@@ -62,6 +62,7 @@
     {"durable", {Durable, "measure durable jobs: intake, recovery, growth of the store"}},
     {"experiment", {ExperimentCommand, "run scenarios in variants and compare them"}},
     {"emulate", {EmulateCommand, "match workers and discovery on real sockets, with failures"}},
+    {"knowledge", {KnowledgeCommand, "measure what it costs to keep what a node has learned"}},
     {"load", {LoadCommand, "an open-loop load on nodes over HTTP"}},
     {"report", {ReportCommand, "a page with plots of results or of a capture"}},
     {"simulate", {SimulateCommand, "many nodes and their fleet in virtual time"}},
--- a/lab/emulate/fleet.cpp
+++ b/lab/emulate/fleet.cpp
@@ -344,7 +344,9 @@
   };
   for (std::size_t i = 0; i < options_.scenario.troubles.size(); ++i) {
     const Trouble& t = options_.scenario.troubles[i];
-    if (t.what == Trouble::What::kNodeDies || t.what == Trouble::What::kLateList) continue;
+    if (t.what == Trouble::What::kNodeDies || t.what == Trouble::What::kRolling ||
+        t.what == Trouble::What::kLateList)
+      continue;
     for (const std::uint32_t j :
          StruckBy(t, static_cast<std::uint32_t>(workers_.size()), options_.seed, i)) {
       Worker* w = workers_[j].get();
--- a/lab/experiment/results.cpp
+++ b/lab/experiment/results.cpp
@@ -155,6 +155,8 @@
           {"uneven_limits", f.limit_spread},
           {"cold_pressure", f.cold_pressure},
           {"falls", static_cast<double>(f.falls)},
+          {"restart_10s", f.after_restart.service()},
+          {"limits_back_s", f.limits_back_s},
           {"rules_broken", static_cast<double>(f.broken())},
           {"looks", static_cast<double>(f.looks) / jobs},
           {"cpu_us", f.cpu_us_a_job}};
--- a/lab/experiment/settings.cpp
+++ b/lab/experiment/settings.cpp
@@ -30,6 +30,7 @@
   if (text == "slow") return What::kSlow;
   if (text == "drain") return What::kDrain;
   if (text == "node-dies") return What::kNodeDies;
+  if (text == "rolling") return What::kRolling;
   if (text == "late-list") return What::kLateList;
   throw Malformed("no trouble " + marlquay::Quote(text));
 }
@@ -79,6 +80,12 @@
   return p;
 }
 
+Scenario::Recall ReadRecall(std::string_view text) {
+  return text == "learned"   ? Scenario::Recall::kLearned
+         : text == "swapped" ? Scenario::Recall::kSwapped
+                             : Scenario::Recall::kNothing;
+}
+
 Scenario ReadScenario(const xmlNode* node, const std::string& name) {
   Scenario s;
   s.kinds.clear();
@@ -96,6 +103,8 @@
   Take(node, "notice-most-ms", 1e3, &s.notice_most);
   Take(node, "tries", 1, &s.client_tries);
   Take(node, "policy", &s.policy);
+  s.recall = ReadRecall(Text(node, "recall"));
+  Take(node, "recall-age", 1e6, &s.recall_age);
   xml::Each(node, [&](const std::string& element, const xmlNode* n) {
     if (element == "kind") s.kinds.push_back(ReadKind(n));
     if (element == "class") s.classes.push_back(ReadClass(n));
@@ -193,6 +202,10 @@
     Take(n, "nodes", 1, &v.nodes);
     Take(n, "workers", 1, &v.workers);
     Take(n, "load", 1, &v.load);
+    if (const std::string recall = Text(n, "recall"); !recall.empty()) {
+      v.recall = ReadRecall(recall);
+      Take(n, "recall-age", 1e6, &v.recall_age);
+    }
     xml::Each(n, [&](const std::string&, const xmlNode* s) {
       v.settings.push_back({Text(s, "path"), Text(s, "value")});
     });
@@ -205,7 +218,10 @@
     }
     e.variants.push_back(std::move(v));
   });
-  if (e.variants.empty()) e.variants.push_back({.name = "as it is", .policy = {}, .settings = {}});
+  if (e.variants.empty()) {
+    e.variants.emplace_back();
+    e.variants.back().name = "as it is";
+  }
   return e;
 }
 
@@ -219,6 +235,7 @@
   if (v.nodes > 0) s.nodes = v.nodes;
   if (v.workers > 0) s.workers = v.workers;
   if (v.load > 0) s.load = v.load;
+  if (v.recall) s.recall = *v.recall, s.recall_age = v.recall_age;
   s.settings.insert(s.settings.end(), v.settings.begin(), v.settings.end());
   return s;
 }
--- a/lab/experiment/settings.h
+++ b/lab/experiment/settings.h
@@ -4,6 +4,7 @@
 #ifndef PEARREACH_LAB_EXPERIMENT_SETTINGS_H_
 #define PEARREACH_LAB_EXPERIMENT_SETTINGS_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -20,6 +21,8 @@
   std::vector<std::pair<std::string, std::string>> settings;  // of the nodes
   int nodes = 0, workers = 0;                                 // 0: the scenario's
   double load = 0;                                            // likewise
+  std::optional<Scenario::Recall> recall;                     // none: the scenario's
+  Micros recall_age = 0;
 };
 
 struct Experiment {
--- a/lab/sim/decider.cpp
+++ b/lab/sim/decider.cpp
@@ -23,6 +23,7 @@
   double Busy(int pool) const override { return dispatcher_.PoolBusy(pool); }
   std::size_t Open() const override { return dispatcher_.OpenRequests(); }
   std::uint64_t Looks() const override { return dispatcher_.Looks(); }
+  Knowledge Learned(Micros now) const override { return dispatcher_.Learned(now); }
 
  private:
   Dispatcher dispatcher_;
--- a/lab/sim/decider.h
+++ b/lab/sim/decider.h
@@ -23,6 +23,8 @@
   virtual double Busy(int) const { return 0; }
   virtual std::size_t Open() const = 0;
   virtual std::uint64_t Looks() const { return 0; }
+  // What it has learned by now; empty where it learns nothing.
+  virtual marlquay::Knowledge Learned(marlquay::Micros) const { return {}; }
 };
 
 // module, random, least (in flight of all workers), two (the better of two drawn), greedy (the most
--- a/lab/sim/scenario.h
+++ b/lab/sim/scenario.h
@@ -54,6 +54,7 @@
     kDrain,     // the list says so; after the time it is back in service
     kNodeDies,  // its jobs are lost; back, knowing nothing, after the time
     kLateList,  // no news of the list reaches the nodes
+    kRolling,   // the nodes die in turn, each for the time; the next when the one before is back
   } what = What::kSilence;
   Micros at = 0, length = 0;
   double part = 0;  // of the workers or nodes, drawn; at least one
@@ -79,6 +80,10 @@
   std::vector<std::pair<std::string, std::string>>
       settings;                   // over those that follow from the rest
   std::string policy = "module";  // or random, least, two, greedy
+  // What a node that was down is told of what it had learned: nothing, that, or that with the speed
+  // of every worker the wrong way round; so much older than the node was down.
+  enum class Recall { kNothing, kLearned, kSwapped } recall = Recall::kNothing;
+  Micros recall_age = 0;
 };
 
 // What all phases together make of the load of an account (empty: of those in none) at a time.
--- a/lab/sim/simulation.cpp
+++ b/lab/sim/simulation.cpp
@@ -6,11 +6,13 @@
 #include <cstdio>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <thread>
 #include <unordered_map>
 
+#include "knowledge/memory.h"
 #include "lab/sim/decider.h"
 
 namespace pearreach::lab {
@@ -23,7 +25,9 @@
 constexpr std::size_t kSampledNodes = 8, kSampledWorkers = 64;
 constexpr Micros kFallDown = 2'000'000;  // a worker that was pushed over is down so long
 constexpr Micros kProgress = 1'000'000;
-constexpr Micros kLateBy = 50'000;         // the rules' slack for an answer
+constexpr Micros kLateBy = 50'000;  // the rules' slack for an answer
+constexpr Micros kJustBack = 10'000'000, kLongBack = 60'000'000;
+constexpr double kLimitBack = 0.8;         // of what it was
 constexpr Micros kAfterwards = 8'000'000;  // the run goes on until all is answered
 constexpr int kAttemptBits = 4, kNodeShift = 48;
 
@@ -56,6 +60,7 @@
 
 struct Job {  // of a client, with all its tries
   Micros first = 0, work = 0;
+  bool after_restart = false;  // its first try came to a node that was just back
   std::int32_t cls = 0, tenant = -1, tries = 0;
   std::int32_t attempts = 0;
 };
@@ -322,6 +327,7 @@
         TellList(begins ? marlquay::Health::kDraining : marlquay::Health::kInService);
         break;
       case Trouble::What::kNodeDies:
+      case Trouble::What::kRolling:
       case Trouble::What::kLateList:
         break;
     }
@@ -435,6 +441,8 @@
 
   Tally all;
   std::vector<Tally> classes, tenants;
+  Tally after_restart;
+  std::vector<Micros> limits_back;  // after each restart
   std::vector<TimeHistogram> times;
   std::vector<Second> seconds;
   std::vector<NodeSample> samples;
@@ -489,9 +497,51 @@
     marlquay::WorkerList list{marlquay::WorkerList::Form::kComplete, {}};
     for (std::uint32_t w = 0; w < world_->workers; ++w) list.entries.push_back(Entry(w));
     Tell(std::move(list));
+    if (life_ == 1) return;
+    back_at_ = now_;
+    limit_awaited_ = true;
+    if (learned_) Recall();
+  }
+  // Through the same memory, ageing and conversions as a node's file.
+  void Recall() {
+    knowledge::Memory m = std::move(*std::exchange(learned_, std::nullopt));
+    if (s_.recall == Scenario::Recall::kNothing) return;
+    if (s_.recall == Scenario::Recall::kSwapped)
+      for (auto& w : m.workers) w.what.slowness = 1 / w.what.slowness;
+    std::string why;
+    const auto recall = knowledge::ForNode(m, site_, m.node, now_ + s_.recall_age, &why);
+    if (!recall) return;
+    marlquay::Knowledge told = recall->common;
+    for (std::uint32_t w = 0; w < world_->workers; ++w) {
+      const auto it = recall->workers.find(std::to_string(w));
+      if (it != recall->workers.end() && it->second.started_ms == Entry(w).ready_at)
+        told.workers.push_back(knowledge::ForModule(it->second, w, now_));
+    }
+    Tell(std::move(told));
+  }
+  double Limits() const {
+    double sum = 0;
+    for (std::size_t k = 0; k < s_.kinds.size(); ++k) sum += decider_->Limit(static_cast<int>(k));
+    return sum;
+  }
+  void WatchLimits() {
+    if (!limit_awaited_) return;
+    const bool back = Limits() >= kLimitBack * limit_before_;
+    if (!back && now_ < back_at_ + kLongBack) return;
+    limit_awaited_ = false;
+    limits_back.push_back(std::min(now_ - back_at_, kLongBack));
   }
   void Die() {
     if (!std::exchange(up_, false)) return;
+    std::vector<std::string> names;
+    std::vector<std::int64_t> starts;
+    for (std::uint32_t w = 0; w < world_->workers; ++w) {
+      names.push_back(std::to_string(w));
+      starts.push_back(Entry(w).ready_at);
+    }
+    learned_ =
+        knowledge::Collect(decider_->Learned(now_), now_, site_, names, starts, "node", now_);
+    limit_before_ = Limits();
     looks_ += decider_->Looks();
     decider_.reset();
     events_.clear();
@@ -508,6 +558,7 @@
     if (next < world_->end) Own(next, Kind::kArrive);
     Job job;
     job.first = now_;
+    job.after_restart = up_ && back_at_ > 0 && now_ < back_at_ + kJustBack;
     const std::string* tenant = &kNobody;
     if (!s_.tenants.empty()) {
       double at = chance_.Uniform() * tenant_shares_;
@@ -579,6 +630,7 @@
       ++(what == What::kRefused ? t.refused : t.failed);
     }
     all.Merge(t);
+    if (job.after_restart) after_restart.Merge(t);
     classes[static_cast<std::size_t>(job.cls)].Merge(t);
     if (job.tenant >= 0) tenants[static_cast<std::size_t>(job.tenant)].Merge(t);
     Second& s = At(job.first);
@@ -614,6 +666,7 @@
     cpu_us +=
         std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin).count();
     for (const marlquay::Action& action : actions_) Carry(action);
+    WatchLimits();
   }
   void Carry(const marlquay::Action& action) {
     if (const auto* send = std::get_if<marlquay::Send>(&action)) {
@@ -753,7 +806,10 @@
   double class_shares_ = 0, tenant_shares_ = 0, most_factor_ = 1, rate_ = 0;
   bool up_ = false, turn_set_ = false;
   std::uint64_t life_ = 0, last_id_ = 0, looks_ = 0;
-  Micros last_turn_ = 0;
+  Micros last_turn_ = 0, back_at_ = 0;
+  std::optional<knowledge::Memory> learned_;  // by the life before
+  double limit_before_ = 0;
+  bool limit_awaited_ = false;
   std::unique_ptr<Decider> decider_;
   std::unordered_map<marlquay::WorkerId, Known> known_;
   std::unordered_map<std::uint64_t, Request> requests_;
@@ -823,6 +879,13 @@
   for (std::size_t i = 0; i < scenario.troubles.size(); ++i) {
     const Trouble& t = scenario.troubles[i];
     if (t.what == Trouble::What::kLateList) continue;
+    if (t.what == Trouble::What::kRolling) {
+      for (std::uint32_t n = 0; n < world.nodes; ++n) {
+        nodes[n]->Script(t.at + 2 * n * t.length, true);
+        nodes[n]->Script(t.at + (2 * n + 1) * t.length, false);
+      }
+      continue;
+    }
     const bool of_nodes = t.what == Trouble::What::kNodeDies;
     for (const std::uint32_t j : StruckBy(t, of_nodes ? world.nodes : world.workers, seed, i)) {
       if (of_nodes) {
@@ -885,9 +948,14 @@
   f.tenants.resize(scenario.tenants.size());
   f.times.resize(scenario.classes.size());
   double cpu = 0;
-  std::uint64_t requests = 0;
+  std::uint64_t requests = 0, restarts = 0;
   for (const auto& n : nodes) {
     f.all.Merge(n->all);
+    f.after_restart.Merge(n->after_restart);
+    for (const Micros back : n->limits_back) {
+      f.limits_back_s += static_cast<double>(back) / 1e6;
+      ++restarts;
+    }
     for (std::size_t i = 0; i < f.classes.size(); ++i) {
       f.classes[i].Merge(n->classes[i]);
       f.times[i].Merge(n->times[i]);
@@ -904,6 +972,7 @@
     cpu += n->cpu_us;
     requests += n->requests_seen;
   }
+  if (restarts > 0) f.limits_back_s /= static_cast<double>(restarts);
   std::vector<std::uint64_t> begun;
   double busy = 0, squares = 0, up = 0;
   for (const auto& w : workers) {
--- a/lab/sim/simulation.h
+++ b/lab/sim/simulation.h
@@ -63,6 +63,10 @@
   // What the rules forbid: a second run of a `once` job, a send more than the grace after a node
   // was told of a drain, an answer after its deadline, none at all.
   std::uint64_t second_runs = 0, sends_to_drained = 0, late_answers = 0, unanswered = 0;
+  // Jobs that came to a node within 10 s of its being back, and the time until its limits were four
+  // fifths of what they were (a minute where they were not by then), on average.
+  Tally after_restart;
+  double limits_back_s = 0;
   double busy_share = 0;    // of the slots that were up, on average
   double imbalance = 0;     // standard deviation of the busy share between workers, on average
   double limit_spread = 0;  // between nodes, over its mean, on average
--- a/src/capture/audit.cpp
+++ b/src/capture/audit.cpp
@@ -197,6 +197,7 @@
   }
   void On(const ProbeEnded&) {}
   void On(const PeerMessage&) {}
+  void On(const Knowledge&) {}
 
   // ------------------------------------------------------------ what it decided
 
--- a/src/capture/explain.cpp
+++ b/src/capture/explain.cpp
@@ -44,6 +44,9 @@
   void Take(const marlquay::WorkerList& list) {
     for (const auto& e : list.entries) workers.push_back(e.worker);
   }
+  void Take(const marlquay::Knowledge& k) {
+    for (const auto& w : k.workers) workers.push_back(w.worker);
+  }
   void Take(const marlquay::LogLine& line) {
     using What = marlquay::LogLine::What;
     if (line.what == What::kWorkerSilent || line.what == What::kWorkerBack)
--- a/src/capture/record.cpp
+++ b/src/capture/record.cpp
@@ -97,6 +97,39 @@
     out->set_started(e.started);
     out->set_was(static_cast<std::uint32_t>(e.was));
   }
+  void operator()(const marlquay::Knowledge& e) {
+    wire::Knowledge* to = out->mutable_knowledge();
+    for (const marlquay::PoolKnowledge& p : e.pools) {
+      wire::PoolKnowledge* k = to->add_pools();
+      k->set_pool(p.pool);
+      k->set_limit(p.limit);
+      k->set_found(p.found);
+      k->set_slots_seen(p.slots_seen);
+      k->set_ran(p.ran);
+      k->set_worked(p.worked);
+      k->set_tell(p.tell);
+    }
+    for (const marlquay::WorkerKnowledge& w : e.workers) {
+      wire::WorkerKnowledge* k = to->add_workers();
+      k->set_worker(w.worker);
+      k->set_slowness(w.slowness);
+      k->set_failures(w.failures);
+      k->set_silent(w.silent);
+      if (w.died_at != 0) k->set_died_ago(now - w.died_at);
+      for (const auto& [at, work] : w.cold_sends) {
+        wire::ColdSend* send = k->add_cold_sends();
+        send->set_ago(now - at);
+        send->set_work(work);
+      }
+    }
+    for (const marlquay::ClassKnowledge& c : e.classes) Figure(c.cls, c.work, to->add_classes());
+    for (const marlquay::TenantKnowledge& t : e.tenants)
+      Figure(t.tenant, t.left, to->add_tenants());
+  }
+  static void Figure(int index, double value, wire::Figure* to) {
+    to->set_index(index);
+    to->set_value(value);
+  }
 };
 
 struct ActionWriter {
@@ -190,6 +223,8 @@
         e.was = Enum<marlquay::AttemptAdopted::Was>(in.was(), 2);
         return e;
       }
+      case wire::KNOWLEDGE:
+        return Knowledge(in.knowledge());
       default:
         Must(false, "an event of a kind not known here");
         return marlquay::TimerFired{};
@@ -262,6 +297,33 @@
     if (in.has_in_flight()) load.in_flight = Real(in.in_flight());
     return load;
   }
+  Micros Ago(std::int64_t ago) {
+    Micros at = 0;
+    Must(Within(ago, kMostTime) && Plus(now_, -ago, &at), "a time");
+    return at;
+  }
+  Event Knowledge(const wire::Knowledge& in) {
+    marlquay::Knowledge e;
+    for (const wire::PoolKnowledge& p : in.pools()) {
+      e.pools.push_back({p.pool(), Real(p.limit()), Real(p.found()), Real(p.slots_seen()),
+                         Real(p.ran()), Real(p.worked()), Real(p.tell())});
+      Must(p.ran() >= 0 && p.worked() >= 0, "a running time below nought");
+    }
+    for (const wire::WorkerKnowledge& w : in.workers()) {
+      marlquay::WorkerKnowledge k;
+      k.worker = Worker(w.worker());
+      k.slowness = Real(w.slowness());
+      k.failures = Real(w.failures());
+      k.silent = w.silent();
+      if (w.has_died_ago()) k.died_at = Ago(w.died_ago());
+      for (const wire::ColdSend& s : w.cold_sends())
+        k.cold_sends.push_back({Ago(s.ago()), Real(s.work())});
+      e.workers.push_back(std::move(k));
+    }
+    for (const wire::Figure& f : in.classes()) e.classes.push_back({f.index(), Real(f.value())});
+    for (const wire::Figure& f : in.tenants()) e.tenants.push_back({f.index(), Real(f.value())});
+    return e;
+  }
   Event List(const wire::Event& in) {
     marlquay::WorkerList list;
     list.form = Enum<marlquay::WorkerList::Form>(in.form(), 2);
@@ -506,6 +568,10 @@
     return "adopted: job " + std::to_string(e.request) + " at " + NameOf(workers, e.worker) +
            ", sent " + Ms(note.seen - e.sent) + " ago, " + kWas[static_cast<int>(e.was)];
   }
+  std::string operator()(const marlquay::Knowledge& e) const {
+    return "knowledge of an earlier process: " + std::to_string(e.pools.size()) + " pools, " +
+           std::to_string(e.workers.size()) + " workers";
+  }
   std::string operator()(const marlquay::PeerMessage& e) const {
     return "message of node " + std::to_string(e.from) + ", " + std::to_string(e.data.size()) +
            " bytes";
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -37,13 +37,14 @@
     {"audit", Audit, "check the four rules over a capture"},
     {"capture", CaptureTools, "info, cut, anonymise, import-tap: look at captures, make others"},
     {"jobs", JobsTools, "list, show, export, resolve, verify, compact: durable jobs in a store"},
+    {"knowledge", KnowledgeTools, "show, verify, age, drop: what a node has learned and keeps"},
 };
 
 void Help(std::ostream& out) {
   out << "pearreach: load balancer in front of match workers\n\n";
   for (const Entry& e : kCommands) {
     char line[120];
-    std::snprintf(line, sizeof line, "  pearreach %-8s  %s\n", e.name, e.what);
+    std::snprintf(line, sizeof line, "  pearreach %-9s  %s\n", e.name, e.what);
     out << line;
   }
   out << "  pearreach version   print the version\n"
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -9,12 +9,14 @@
 #include <filesystem>
 #include <functional>
 #include <iostream>
+#include <utility>
 
 #include "cli/cli.h"
 #include "config/config.h"
 #include "config/operator.h"
 #include "durable/keeper.h"
 #include "fronts/front.h"
+#include "knowledge/saver.h"
 #include "node/node.h"
 
 namespace pearreach::cli {
@@ -62,6 +64,41 @@
   }
 }
 
+// What the last process of this node left, and who keeps what this one learns; none: off. What
+// cannot be read is one line and costs no start.
+std::unique_ptr<knowledge::Saver> Remember(const OperatorSettings& settings, Node* node,
+                                           const std::string& name) {
+  if (!settings.knowledge) return nullptr;
+  const KnowledgeSettings& k = *settings.knowledge;
+  knowledge::Key key;
+  if (!k.key_file.empty()) key = knowledge::ReadKeyFile(k.key_file);
+  std::error_code error;
+  std::filesystem::create_directories(k.folder, error);
+  knowledge::Folder folder(k.folder, name, key);
+  const auto pass_over = [](const std::string& path, const std::string& why) {
+    Count("knowledge_passed_over");
+    Log("knowledge_passed_over", {{"file", path}}, path + ": " + why);
+  };
+  for (const auto& found : folder.Look()) {
+    std::string why = found.what.wrong;
+    if (found.what.memory) {
+      const std::int64_t now = g_get_real_time();
+      if (auto recall = knowledge::ForNode(*found.what.memory, node->site(), name, now, &why)) {
+        const knowledge::Age age = knowledge::AgeOf(found.what.memory->written, now);
+        Log("recalled", {{"workers", std::to_string(recall->workers.size())}},
+            "recalled what was learned " +
+                (age.unknown ? std::string("at an unknown time")
+                             : std::to_string(age.age / kSecond) + " s ago") +
+                " of " + std::to_string(recall->workers.size()) + " workers");
+        node->Recall(std::move(*recall));
+        break;
+      }
+    }
+    pass_over(found.path, why);
+  }
+  return std::make_unique<knowledge::Saver>(std::move(folder));
+}
+
 int RunNode(Config config, const OperatorSettings& settings, const Sources& sources) {
   // The limit on descriptors is the system's to set; the budget keeps under whichever is less.
   rlimit limit{};
@@ -113,6 +150,13 @@
     std::cerr << "pearreach: " << config.listen << ": " << wrong << '\n';
     return kNo;
   }
+  std::unique_ptr<knowledge::Saver> saver;
+  try {
+    saver = Remember(settings, &node, config.name);
+  } catch (const marlquay::Malformed& wrong) {
+    std::cerr << "pearreach: knowledge: " << wrong.what() << '\n';
+    return kUsage;
+  }
   reload = [&] { Reload(sources, &config, &node); };
   Apply(settings, &node);
   node.Start();
@@ -128,6 +172,19 @@
   counts = &report;
   report.Set(Now() + kCountsEvery);
 
+  Alarm* keeps = nullptr;
+  std::uint64_t failed = 0;
+  Alarm keep([&] {
+    const knowledge::Saver::Figures figures = saver->figures();
+    if (figures.failed > std::exchange(failed, figures.failed))
+      CountFault("knowledge_not_kept", figures.wrong);
+    // Before the first list there is nothing that the file does not know better.
+    if (node.ready()) saver->Save(node.Learned());
+    keeps->Set(Now() + settings.knowledge->every);
+  });
+  keeps = &keep;
+  if (saver != nullptr) keep.Set(Now() + settings.knowledge->every);
+
   struct End {
     Front* front;
     GMainLoop* loop;
@@ -141,6 +198,10 @@
   g_unix_signal_add(SIGTERM, stop, &end);
   g_unix_signal_add(SIGINT, stop, &end);
   g_main_loop_run(loop);
+  if (saver != nullptr) {
+    if (node.ready()) saver->Save(node.Learned());
+    saver.reset();  // waits until it is kept
+  }
   LogCounts();
   Log("ended", {}, "ended");
   g_main_loop_unref(loop);
@@ -190,7 +251,10 @@
               << (settings.log_format == LogFormat::kJson ? "JSON" : "text") << ", capture "
               << (settings.capture ? "to " + settings.capture->folder : std::string("off"))
               << ", durable jobs "
-              << (settings.jobs ? "in " + settings.jobs->store : std::string("off")) << '\n';
+              << (settings.jobs ? "in " + settings.jobs->store : std::string("off"))
+              << ", knowledge "
+              << (settings.knowledge ? "in " + settings.knowledge->folder : std::string("off"))
+              << '\n';
     if (sources.config.empty() && std::getenv("EDGE_CONFIG") == nullptr) return kGood;
   }
   const Config config = LoadConfig(sources.config);
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -49,6 +49,17 @@
   return j;
 }
 
+KnowledgeSettings ReadKnowledge(const xmlNode* node, const std::string& name) {
+  KnowledgeSettings k;
+  k.folder = Text(node, "folder");
+  k.key_file = Text(node, "key-file");
+  Take(node, "every-ms", kMs, &k.every);
+  for (const std::string* path : {&k.folder, &k.key_file})
+    if (!path->empty() && path->front() != '/')
+      Fail(name, xml::Line(node), "knowledge: '" + *path + "' is not absolute");
+  return k;
+}
+
 }  // namespace
 
 OperatorSettings ReadOperatorFile(std::string_view text, const std::string& name) {
@@ -59,6 +70,7 @@
       settings.log_format = Text(n, "format") == "json" ? LogFormat::kJson : LogFormat::kText;
     if (element == "capture") settings.capture = ReadCapture(n, name);
     if (element == "jobs") settings.jobs = ReadJobs(n, name);
+    if (element == "knowledge") settings.knowledge = ReadKnowledge(n, name);
   });
   return settings;
 }
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -39,10 +39,19 @@
   bool operator==(const JobsSettings&) const = default;
 };
 
+// <knowledge>: docs/knowledge.md. Read at the start only.
+struct KnowledgeSettings {
+  std::string folder;
+  Micros every = 5 * kSecond;  // between two writings
+  std::string key_file;        // empty: unsigned
+  bool operator==(const KnowledgeSettings&) const = default;
+};
+
 struct OperatorSettings {
   LogFormat log_format = LogFormat::kText;
-  std::optional<CaptureSettings> capture;  // none: off
-  std::optional<JobsSettings> jobs;        // none: off
+  std::optional<CaptureSettings> capture;      // none: off
+  std::optional<JobsSettings> jobs;            // none: off
+  std::optional<KnowledgeSettings> knowledge;  // none: off
 };
 
 // Throws marlquay::Malformed with "NAME:LINE: what".
--- a/src/module/policy.cpp
+++ b/src/module/policy.cpp
@@ -62,6 +62,8 @@
 constexpr Micros kTrialLast = 4000 * kMs;  // the wait doubles up to this
 
 constexpr double kFailureLearn = 0.2;  // weight of one job that a worker served or failed
+constexpr double kFirstFailure = 0.7;  // of the first one where an earlier process's word stands
+constexpr double kFirstSpeed = 0.25;   // likewise, for its speed: running times scatter
 constexpr double kSick = 0.3;          // a worker that fails more than this share is on trial
 
 constexpr Micros kFullFirst = 40 * kMs;  // a full worker's rest, for each balancer: the
@@ -76,9 +78,8 @@
 constexpr double kSlowest = 3.0;  // a worker counts for no slower, nor faster than 1 over it
 constexpr double kOutlier = 4.0;  // a job counts for no more than this many expected ones
 constexpr Micros kServiceMemory = 8000 * kMs;  // served shares of classes fade over this
-constexpr double kWorstGap = 0.1;  // a class this far behind gets the full worst-class weight
-// Seconds of a tenant's quota it may use at once: a node sees few of its requests in one second.
-constexpr double kQuotaBurst = 2.0;
+constexpr double kWorstGap = 0.1;    // a class this far behind gets the full worst-class weight
+constexpr double kQuotaBurst = 2.0;  // seconds of its quota that a tenant may use at once
 
 // --- Answers and calls.
 constexpr Micros kFirstTry = 50 * kMs;         // estimates refuse nothing sooner than this
@@ -86,13 +87,6 @@
 constexpr Micros kSubscribeRetry = 250 * kMs;  // first wait after a failed call of the list
 constexpr Micros kLogEvery = 1000 * kMs;       // no log line of one kind sooner than this
 
-// What the rules allow for a request now: the only source of that answer.
-struct Permit {
-  bool send = false;
-  bool refuse = false;
-  const Attempt* group = nullptr;  // sends are bound to this attempt's group of workers
-};
-
 }  // namespace
 
 class Dispatcher::Impl : public State {
@@ -104,9 +98,8 @@
     logged_.fill(-kLogEvery);
     pools_.resize(s_.kinds);
     classes_.resize(s_.classes.size());
-    for (std::size_t c = 0; c < classes_.size(); ++c) {
+    for (std::size_t c = 0; c < classes_.size(); ++c)
       classes_[c].work = static_cast<double>(std::max<Micros>(s_.classes[c].aim, kMs));
-    }
     queues_.resize(kQueuesPerClass * classes_.size());
     for (Pool& p : pools_) p.ran = p.worked = classes_[0].work;
     for (const TenantSettings& t : s_.tenants) {
@@ -131,7 +124,7 @@
 
   // ------------------------------------------------------------ the rules' gate
 
-  // Guards all four rules' send and answer parts: whoever sends, refuses or fails asks here.
+  // Guards all four rules' send and answer parts: whoever sends, refuses or fails asks here alone.
   Permit PermitFor(const Request& r) const {
     Permit p;
     if (r.ended) return p;
@@ -205,6 +198,32 @@
     a.ran = e.was == AttemptAdopted::Was::kNeverRan ? Ran::kNo : Ran::kMaybe;
   }
 
+  // An earlier process's word, weighed by its age: evidence until this one hears for itself.
+  void On(const Knowledge& k) {
+    for (const PoolKnowledge& e : k.pools) {
+      Pool* p = Numbered(pools_, e.pool);
+      if (p == nullptr || p->last_cut != kLongAgo || e.worked <= 0) continue;
+      p->limit = std::max(p->limit, std::min(e.limit, e.found));  // no further than what worked
+      p->slots_seen = std::max(p->slots_seen, e.slots_seen);
+      p->ran = e.ran, p->worked = e.worked, p->tell = e.tell;
+      p->slowdown = std::clamp(p->ran / p->worked, 0.1, 10.0);
+    }
+    for (const ClassKnowledge& e : k.classes)
+      if (ClassState* c = Numbered(classes_, e.cls); c != nullptr && e.work > 0) c->work = e.work;
+    for (const TenantKnowledge& e : k.tenants)
+      if (Bucket* b = Numbered(quota_, e.tenant)) b->left = std::min(b->left, e.left);
+    for (const WorkerKnowledge& e : k.workers) {
+      Worker* w = Numbered(workers_, e.worker);
+      if (w == nullptr || !w->known || w->heard > 0) continue;
+      w->recalled = true;
+      w->slowness = std::clamp(e.slowness, 1 / kSlowest, kSlowest);
+      w->failures = e.failures;
+      w->died_at = std::max(w->died_at, e.died_at);
+      for (const auto& [at, work] : e.cold_sends) w->cold_sends.Add(work, at);
+      if (e.silent) SetSilent(*w, true);
+    }
+  }
+
   // The one final answer that this node itself gives.
   void Finish(Request& r, bool hopeless) {
     const Permit p = PermitFor(r);
@@ -270,11 +289,8 @@
   void Split(Pool& p) {
     for (const Member& m : p.home) workers_[m.id].part = 0;
     p.home.clear();
-    const std::size_t size = p.members.size(), nodes = static_cast<std::size_t>(s_.balancers);
-    const std::size_t from = size * static_cast<std::size_t>(s_.self), to = from + size;
-    for (std::size_t at = from / nodes; at < size && at * nodes < to; ++at) {
-      const std::size_t units = std::min(to, (at + 1) * nodes) - std::max(from, at * nodes);
-      workers_[p.members[at].id].part = static_cast<double>(units) / s_.balancers;
+    for (const auto& [at, part] : EvenPart(p.members.size(), s_.balancers, s_.self)) {
+      workers_[p.members[at].id].part = part;
       p.home.push_back(p.members[at]);
     }
   }
@@ -394,8 +410,7 @@
   }
 
   double FastestSlowdown(int cls) const {
-    const int kind = s_.classes[cls].kind;
-    if (kind >= 0 && kind < s_.kinds) return pools_[kind].slowdown;
+    if (const Pool* p = Numbered(pools_, s_.classes[cls].kind)) return p->slowdown;
     double best = kNever;
     for (const Pool& p : pools_)
       if (!p.members.empty()) best = std::min(best, p.slowdown);
@@ -570,7 +585,8 @@
                            e.outcome == Outcome::kMoot;
     a->ran = never_ran ? Ran::kNo : Ran::kMaybe;
     if (e.outcome == Outcome::kGood || e.outcome == Outcome::kError) {
-      w.failures += kFailureLearn * ((e.outcome == Outcome::kError ? 1 : 0) - w.failures);
+      const double weight = std::exchange(w.recalled, false) ? kFirstFailure : kFailureLearn;
+      w.failures += weight * ((e.outcome == Outcome::kError ? 1 : 0) - w.failures);
       if (Sick(w) && e.outcome == Outcome::kGood) w.blocked_until = 0;  // the next trial at once
     }
     if (e.outcome == Outcome::kGood || e.outcome == Outcome::kFull) Hear(a->worker);
@@ -621,7 +637,8 @@
     p.worked += kLearn * (Work(r) - p.worked);
     // One of its kind may be slower for good, or for as long as another program takes its cores.
     Worker& w = workers_[a.worker];
-    w.slowness += kLearn * Work(r) / p.worked * (run / expected - w.slowness);
+    const double weight = w.recalled ? kFirstSpeed : kLearn * Work(r) / p.worked;
+    w.slowness += weight * (run / expected - w.slowness);
     w.slowness = std::clamp(w.slowness, 1 / kSlowest, kSlowest);
     p.slowdown = std::clamp(p.ran / p.worked, 0.1, 10.0);
     ClassState& c = classes_[r.cls];
@@ -630,9 +647,9 @@
 
   void Report(Worker& w, const LoadReport& load) {
     Pool& p = PoolOf(w);
-    if (load.free_slots) p.told = true;
     if (load.in_flight) w.others = std::max(0.0, *load.in_flight - w.busy);
     if (load.free_slots) {
+      p.told = true;
       p.slots_seen = std::max(p.slots_seen, std::floor(*load.free_slots));
       const double taken = std::max(0.0, p.slots_seen - *load.free_slots - w.running);
       const double before = w.taken.Now(now_, kTakenMemory);
@@ -693,21 +710,9 @@
 
   void Show(const Request& r, const WorkerId* chosen) {
     std::vector<Candidate> sampled;
-    for (const WorkerId id : sample_) {
-      const Worker& w = workers_[id];
-      Candidate c;
-      c.worker = id;
-      c.cost = Cost(id, r);
-      c.busy = w.busy;
-      c.taken = w.taken.Now(now_, kTakenMemory);
-      c.slowness = w.slowness;
-      c.failures = w.failures;
-      c.silent = w.silent;
-      c.cold = IsCold(w);
-      c.heard = w.heard;
-      if (w.taken.at > 0) c.reported = w.taken.at;
-      sampled.push_back(c);
-    }
+    for (const WorkerId id : sample_)
+      sampled.push_back(Describe(workers_[id], id, Cost(id, r), IsCold(workers_[id]),
+                                 workers_[id].taken.Now(now_, kTakenMemory)));
     Choice choice{r.id, {}, !open_.empty(), 0, 0, sampled};
     if (chosen != nullptr) {
       const Pool& p = PoolOf(workers_[*chosen]);
@@ -1036,14 +1041,7 @@
 void Dispatcher::Handle(Micros now, std::span<const Event> events, std::vector<Action>* actions) {
   impl_->Handle(now, events, actions);
 }
-double Dispatcher::PoolLimit(int pool) const { return impl_->pools_.at(pool).limit; }
-double Dispatcher::PoolBusy(int pool) const { return impl_->pools_.at(pool).busy; }
 void Dispatcher::Observe(Observer* observer) { impl_->observer_ = observer; }
 State& Dispatcher::state() const { return *impl_; }
-std::uint64_t Dispatcher::Looks() const { return impl_->looks_; }
-std::size_t Dispatcher::OpenRequests() const { return impl_->table_.size(); }
-std::size_t Dispatcher::KnownWorkers() const {
-  return std::ranges::count_if(impl_->workers_, [](const Worker& w) { return w.known; });
-}
 
 }  // namespace marlquay
--- a/src/module/state.h
+++ b/src/module/state.h
@@ -86,6 +86,7 @@
     return sum;
   }
   void Clear() { parts_.clear(); }
+  const std::vector<std::pair<Micros, double>>& parts() const { return parts_; }
 
  private:
   friend class Checkpoint;
@@ -107,6 +108,7 @@
   bool member = false;      // in its pool's members: on the list and in service
   bool used = false;        // in its pool's used
   bool known = false;       // on the list now
+  bool recalled = false;    // what is known of its speed and failures is an earlier process's word
   std::uint64_t named = 0;  // the number of the last list that named it
   WorkerEntry entry;
   Micros idle_since = 0;                                // the last time a connection became idle
@@ -139,6 +141,27 @@
   }
 };
 
+// What the rules allow for a request now.
+struct Permit {
+  bool send = false;
+  bool refuse = false;
+  const Attempt* group = nullptr;  // sends are bound to this attempt's group of workers
+};
+
+// A worker that was looked at, for the observer.
+inline Candidate Describe(const Worker& w, WorkerId id, double cost, bool cold, double taken) {
+  Candidate c{id, cost, w.busy, taken, w.slowness, w.failures, w.silent, cold, w.heard, {}};
+  if (w.taken.at > 0) c.reported = w.taken.at;
+  return c;
+}
+
+// The record of this number, or null.
+template <class List>
+auto* Numbered(List& all, std::int64_t number) {
+  const bool there = number >= 0 && number < static_cast<std::int64_t>(all.size());
+  return there ? &all[static_cast<std::size_t>(number)] : nullptr;
+}
+
 inline std::uint64_t Mix(std::uint64_t x) {  // splitmix64
   x += 0x9e3779b97f4a7c15u;
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
@@ -198,6 +221,18 @@
   std::size_t left_, size_, at_, stride_;
 };
 
+// Numbers 0 to size, side by side, split evenly over parties: party `self`'s part of each.
+inline std::vector<std::pair<std::size_t, double>> EvenPart(std::size_t size, int parties,
+                                                            int self) {
+  const std::size_t n = static_cast<std::size_t>(parties);
+  const std::size_t from = size * static_cast<std::size_t>(self), to = from + size;
+  std::vector<std::pair<std::size_t, double>> parts;
+  for (std::size_t at = from / n; at < size && at * n < to; ++at)
+    parts.push_back({at, static_cast<double>(std::min(to, (at + 1) * n) - std::max(from, at * n)) /
+                             static_cast<double>(parties)});
+  return parts;
+}
+
 struct Pool {
   Members members;       // in service, in the order common to all nodes
   Members local;         // those of them in this node's zone
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,6 +14,7 @@
 constexpr Micros kWayHere = 5 * kMs;
 // The module answers by the deadline. What is still unanswered so long after it is failed here.
 constexpr Micros kOverdue = 10 * kMs;
+constexpr Micros kRecallFor = 60 * kSecond;  // for a worker's first mention by the list
 constexpr int kWorkerShare = 8;  // a part of so many of the descriptors leads to workers
 
 // The platform's workers answer 202 as soon as they have a job.
@@ -112,6 +113,36 @@
       *settings, origin_, dispatcher_, names_, last_turn_ == 0 ? started_ : Now(), last_turn_ == 0);
 }
 
+void Node::Recall(knowledge::Recall recall) {
+  recall_ = std::move(recall);
+  recall_until_ = Now() + kRecallFor;
+}
+
+knowledge::Memory Node::Learned() const {
+  const Micros now = Now();
+  return knowledge::Collect(dispatcher_.Learned(now), now, site_, names_, started_ms_, origin_.node,
+                            g_get_real_time());
+}
+
+// Guards against taking one process for another: a worker that was started anew meanwhile, or
+// another machine at its address, is not the one that something was learned of.
+void Node::HandRecall(const Listing& list) {
+  const Micros now = Now();
+  marlquay::Knowledge told = std::exchange(recall_->common, {});
+  for (const ServerEntry& s : list.servers) {
+    const auto it = recall_->workers.find(s.id);
+    if (it == recall_->workers.end() || s.health == marlquay::Health::kGone) continue;
+    if (it->second.started_ms == s.started_ms)
+      told.workers.push_back(knowledge::ForModule(it->second, IdOf(s.id), now));
+    else
+      Count("recalled_another_process");
+    recall_->workers.erase(it);
+  }
+  Count("recalled_workers", told.workers.size());
+  if (now >= recall_until_ || recall_->workers.empty()) recall_.reset();
+  if (!told.pools.empty() || !told.workers.empty()) Post(std::move(told));
+}
+
 void Node::Mark(const std::string& what) {
   if (recorder_ != nullptr) recorder_->Mark(what);
 }
@@ -467,7 +498,7 @@
 
 marlquay::WorkerId Node::IdOf(const std::string& name) {
   const auto [it, fresh] = ids_.try_emplace(name, static_cast<marlquay::WorkerId>(names_.size()));
-  if (fresh) names_.push_back(name);
+  if (fresh) names_.push_back(name), started_ms_.push_back(0);
   return it->second;
 }
 
@@ -491,6 +522,7 @@
       workers_.Remove(e.worker);
     else
       workers_.SetAddress(e.worker, s.address);
+    started_ms_[e.worker] = s.started_ms;
     news.entries.push_back(e);
   }
   Count("lists");
@@ -498,6 +530,7 @@
   capture::Note note;
   note.version = list.version;
   Post(std::move(news), std::move(note));
+  if (recall_) HandRecall(list);
   if (first_list_) std::exchange(first_list_, nullptr)();
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "capture/recorder.h"
+#include "knowledge/memory.h"
 #include "marlquay/dispatcher.h"
 #include "node/core.h"
 #include "node/discovery.h"
@@ -58,6 +59,11 @@
   // head of each segment.
   void Capture(const std::optional<CaptureSettings>& settings, const std::string& build,
                std::uint64_t policy_hash);
+  // What an earlier process of this node has learned: handed to the module with the first list, and
+  // of each worker when the list names the process that it is about.
+  void Recall(knowledge::Recall recall);
+  // What this one has learned, for a later one.
+  knowledge::Memory Learned() const;
   // A word for people that goes into the recording, if there is one.
   void Mark(const std::string& what);
 
@@ -125,6 +131,7 @@
   void Launch(AttemptKey key);
   void Hear(Ticket ticket, Attempt& attempt, AttemptState state);
   void RunLeases();
+  void HandRecall(const Listing& list);
   marlquay::WorkerId IdOf(const std::string& name);
   void RunDeadlines(Micros now);
   void Forget(Ticket ticket);
@@ -140,7 +147,11 @@
   std::optional<Listing> known_;
   bool listed_ = false;
 
+  std::optional<knowledge::Recall> recall_;  // what of it has not been handed over
+  Micros recall_until_ = 0;                  // a worker named later than this is known by itself
+
   std::unordered_map<std::string, marlquay::WorkerId> ids_;
+  std::vector<std::int64_t> started_ms_;  // by id: of the process that the list names
   std::vector<std::string> names_;
 
   std::unordered_map<Ticket, Record> records_;
--- a/tests/node/stories_test.cpp
+++ b/tests/node/stories_test.cpp
@@ -682,6 +682,126 @@
   EXPECT_GT(rig.node.ClockOf(1), 0) << "not the same as long ago";
 }
 
+// A node that is started again knows the workers that are the same processes, and takes a worker
+// that was started anew meanwhile, or that the list names later, for what the list says it is.
+TEST(Story, ARestartedNodeRecallsTheSameProcessesOnly) {
+  Server first(Accept), second(Accept);
+  const auto listing = [&](std::int64_t second_started) {
+    Listing list;
+    list.full = true;
+    list.servers.push_back({"s-0", first.address(), "a", "m"});
+    if (second_started >= 0) {
+      list.servers.push_back({"s-1", second.address(), "a", "m"});
+      list.servers.back().started_ms = second_started;
+    }
+    return list;
+  };
+  Config config = BaseConfig();
+  config.name = "n0";
+  std::optional<knowledge::Recall> recall;
+  std::string why;
+  {
+    Rig rig(config);
+    rig.node.OnListing(listing(1000));
+    Caller one(rig.port()), other(rig.port()), agent(rig.port());
+    for (int i = 0; i < 4; ++i) {  // two at a time: one for each worker
+      one.Ask("a" + std::to_string(i));
+      other.Ask("b" + std::to_string(i));
+      const auto n = static_cast<std::size_t>(i + 1);
+      RunUntil([&] { return first.got.size() == n && second.got.size() == n; });
+      for (const auto& [worker, name] : {std::pair(&first, "s-0"), std::pair(&second, "s-1")}) {
+        const std::string id = *worker->got.back().Find("X-Request-ID");
+        agent.News(id, name, "started");
+        agent.News(id, name, "done");
+      }
+      ASSERT_EQ(one.Status(n - 1), 200);
+      ASSERT_EQ(other.Status(n - 1), 200);
+    }
+    const knowledge::Memory learned = rig.node.Learned();
+    ASSERT_EQ(learned.workers.size(), 2u);
+    EXPECT_EQ(learned.workers[1].started_ms, 1000);
+    EXPECT_GT(learned.pools.at(0).what.limit, 1);
+    recall = knowledge::ForNode(learned, config.site, "n0", learned.written + kSecond, &why);
+    ASSERT_TRUE(recall) << why;
+  }
+  const std::uint64_t known = CountOf("recalled_workers");
+  const std::uint64_t others = CountOf("recalled_another_process");
+  {
+    Rig rig(config);
+    rig.node.Recall(*recall);
+    rig.node.OnListing(listing(2000));
+    EXPECT_EQ(CountOf("recalled_workers"), known + 1);
+    EXPECT_EQ(CountOf("recalled_another_process"), others + 1);
+    RunFor(50 * kMs);
+    EXPECT_GT(rig.node.Learned().pools.at(0).what.limit, 1) << "its limit does not start at zero";
+  }
+  {
+    Rig rig(config);
+    rig.node.Recall(*recall);
+    rig.node.OnListing(listing(-1));
+    EXPECT_EQ(CountOf("recalled_workers"), known + 2);
+    rig.node.OnListing(listing(1000));
+    EXPECT_EQ(CountOf("recalled_workers"), known + 3) << "it waits for the list to name it";
+    rig.node.OnListing(listing(1000));
+    EXPECT_EQ(CountOf("recalled_workers"), known + 3) << "once";
+  }
+}
+
+// The program itself, killed outright and started again: it goes on from what it had kept; a
+// damaged file, or one that another signed, costs a line and no start.
+TEST(Story, TheProgramRecallsWhatItKept) {
+  Server worker(Accept);
+  Server discovery([&](const Message& m) {
+    return m.target == "/v1/endpoints"
+               ? http::WriteResponse(200, {}, ListOf(1, "s-0", worker.address()), true)
+               : std::string();
+  });
+  std::string folder = testing::TempDir() + "pearreach-XXXXXX";
+  ASSERT_NE(mkdtemp(folder.data()), nullptr);
+  std::ofstream(folder + "/key") << std::string(40, 'k');
+  std::ofstream(folder + "/config.json")
+      << R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + discovery.address() +
+             R"(","settings":{"RequestClasses":[{"Name":"c","Effect":"once"}],"Models":["m"],"RoundMs":2.0}})";
+  std::ofstream(folder + "/own.xml") << "<pearreach><knowledge folder='" + folder +
+                                            "/k' every-ms='100' key-file='" + folder +
+                                            "/key'/></pearreach>";
+  std::string said;
+  const auto live = [&](int signal) {
+    const std::string log = folder + "/log";
+    GSubprocessLauncher* launcher = g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+    g_subprocess_launcher_set_stderr_file_path(launcher, log.c_str());
+    GSubprocess* program = g_subprocess_launcher_spawn(
+        launcher, nullptr, PEARREACH_PROGRAM, "serve", "--config",
+        (folder + "/config.json").c_str(), "--operator", (folder + "/own.xml").c_str(), nullptr);
+    const std::size_t before = discovery.got.size();
+    RunUntil([&] { return discovery.got.size() >= before + 2; });
+    const auto written = [&] {
+      std::error_code none;
+      return std::filesystem::exists(folder + "/k/n0.0.know", none) &&
+             std::filesystem::exists(folder + "/k/n0.1.know", none);
+    };
+    RunUntil([&] { return written() || signal == SIGTERM; });
+    g_subprocess_send_signal(program, signal);
+    g_subprocess_wait(program, nullptr, nullptr);
+    g_object_unref(program);
+    g_object_unref(launcher);
+    std::ifstream in(log);
+    said.assign(std::istreambuf_iterator<char>(in), {});
+  };
+  live(SIGKILL);
+  EXPECT_EQ(said.find("recalled"), std::string::npos);
+  live(SIGTERM);
+  EXPECT_NE(said.find("recalled what was learned 0 s ago of "), std::string::npos) << said;
+  std::ofstream(folder + "/key") << std::string(40, 'x');
+  live(SIGTERM);
+  EXPECT_NE(said.find("its hash is not of this key"), std::string::npos) << said;
+  EXPECT_EQ(said.find("recalled what"), std::string::npos) << said;
+  live(SIGTERM);
+  EXPECT_NE(said.find("recalled what"), std::string::npos)
+      << "the clean end kept it under the new key";
+  std::filesystem::remove_all(folder);
+}
+
 TEST(Story, ATermAnswersWhatWasTakenAndClosesTheRest) {
   Rig rig;
   Server worker(Accept);
