Hand the listener over to a node's next process, and its late words to the old one

Change: src/handover, a socket in the file system between the two: the next process takes the listener's descriptor and what was learned, accepts once it has its list, and the old one stops accepting, answers what it took and ends. Words of jobs go to the one that has them. Where the link ends before the old one has ended, it accepts again. Of the two only one writes the knowledge file. Off unless the operator's file names a path; refused together with durable jobs (both would need the one store).

Found by its own test (either process killed 0 to 28 ms into the hand-over): a third process that came in the milliseconds in which the path changes hands saw nobody there, met the address in use and ended. It asks again now while the address is in use.

--- a/lab/base/process.cpp
+++ b/lab/base/process.cpp
@@ -51,6 +51,8 @@
   pid_ = 0;
 }
 
+bool Process::over() const { return pid_ == 0 || g_subprocess_get_identifier(process_) == nullptr; }
+
 bool Process::Stop() {
   if (pid_ == 0) return false;
   g_subprocess_send_signal(process_, SIGTERM);
--- a/lab/base/process.h
+++ b/lab/base/process.h
@@ -31,7 +31,8 @@
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
-  int pid() const { return pid_; }  // 0: it is over
+  int pid() const { return pid_; }  // 0: it was killed or stopped
+  bool over() const;                // so or by itself
   void Kill();                      // SIGKILL, and waits for its end
   bool Stop();                      // SIGTERM, then SIGKILL after 15 s; true: it ended with 0
   void Freeze();                    // SIGSTOP
--- a/src/base/io.cpp
+++ b/src/base/io.cpp
@@ -1,7 +1,10 @@
 #include "base/io.h"
 
+#include <gio/gunixfdmessage.h>
+#include <gio/gunixsocketaddress.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/stat.h>
 
 #include <algorithm>
 #include <utility>
@@ -151,6 +154,17 @@
   return false;
 }
 
+bool Stream::WriteWith(std::string_view bytes, int descriptor) {
+  if (socket_ == nullptr || unsent() > 0) return false;
+  GSocketControlMessage* with = g_unix_fd_message_new();
+  GOutputVector part{bytes.data(), bytes.size()};
+  const bool good = g_unix_fd_message_append_fd(G_UNIX_FD_MESSAGE(with), descriptor, nullptr) &&
+                    g_socket_send_message(socket_, nullptr, &part, 1, &with, 1, 0, nullptr,
+                                          nullptr) == static_cast<gssize>(bytes.size());
+  g_object_unref(with);
+  return good;
+}
+
 bool Stream::Flush() {
   while (unsent() > 0) {
     GError* error = nullptr;
@@ -213,21 +227,46 @@
 std::string Listener::Open(const std::string& address) {
   GSocketAddress* at = ParseAddress(address);
   if (at == nullptr) return "'" + address + "' is no address";
+  return Bind(at, true);
+}
+
+std::string Listener::OpenPath(const std::string& path) {
+  const mode_t before = umask(0177);
+  std::string wrong = Bind(g_unix_socket_address_new(path.c_str()), false);
+  umask(before);
+  return wrong;
+}
+
+std::string Listener::Bind(GSocketAddress* at, bool reuse) {
   GError* error = nullptr;
   socket_ = g_socket_new(g_socket_address_get_family(at), G_SOCKET_TYPE_STREAM,
-                         G_SOCKET_PROTOCOL_TCP, &error);
+                         G_SOCKET_PROTOCOL_DEFAULT, &error);
   if (socket_ != nullptr) {
     g_socket_set_blocking(socket_, FALSE);
     g_socket_set_listen_backlog(socket_, kBacklog);
-    if (g_socket_bind(socket_, at, TRUE, &error)) g_socket_listen(socket_, &error);
+    if (g_socket_bind(socket_, at, reuse, &error)) g_socket_listen(socket_, &error);
   }
   g_object_unref(at);
   const std::string wrong = error == nullptr ? "" : error->message;
   g_clear_error(&error);
-  if (wrong.empty()) Resume();
+  if (wrong.empty())
+    Resume();
+  else
+    g_clear_object(&socket_);
   return wrong;
 }
 
+std::string Listener::Take(int descriptor) {
+  GError* error = nullptr;
+  socket_ = g_socket_new_from_fd(descriptor, &error);
+  const std::string wrong = error == nullptr ? "" : error->message;
+  g_clear_error(&error);
+  if (socket_ != nullptr) g_socket_set_blocking(socket_, FALSE);
+  return wrong;
+}
+
+int Listener::descriptor() const { return g_socket_get_fd(socket_); }
+
 int Listener::port() const {
   GSocketAddress* at = g_socket_get_local_address(socket_, nullptr);
   const int port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(at));
--- a/src/base/io.h
+++ b/src/base/io.h
@@ -66,6 +66,9 @@
   void Listen(Handlers handlers);  // for an adopted stream
   // False: the connection is broken and closed; `unsent` tells whether all had gone out.
   bool Write(std::string_view bytes);
+  // Sends `bytes` with a descriptor, over a socket in the file system: at once and whole, or not at
+  // all.
+  bool WriteWith(std::string_view bytes, int descriptor);
   std::size_t unsent() const { return out_.size() - sent_; }
   bool open() const { return socket_ != nullptr; }
   bool Quiet() const;  // open, and the peer has neither sent nor closed
@@ -100,12 +103,18 @@
   Listener& operator=(const Listener&) = delete;
 
   std::string Open(const std::string& address);  // empty, or what is wrong
+  std::string OpenPath(
+      const std::string& path);  // likewise, in the file system: for its owner alone
+  // A listening descriptor that was handed over, paused; it is this one's from now on.
+  std::string Take(int descriptor);
+  int descriptor() const;
   int port() const;
   void Pause();
   void Resume();
 
  private:
   static gboolean OnReady(GSocket*, GIOCondition, gpointer self);
+  std::string Bind(GSocketAddress* at, bool reuse);
 
   std::function<void(std::shared_ptr<Stream>)> accepted_;
   GSocket* socket_ = nullptr;
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <functional>
 #include <iostream>
+#include <optional>
 #include <utility>
 
 #include "cli/cli.h"
@@ -16,6 +17,7 @@
 #include "config/operator.h"
 #include "durable/keeper.h"
 #include "fronts/front.h"
+#include "handover/handover.h"
 #include "knowledge/saver.h"
 #include "node/node.h"
 
@@ -67,7 +69,24 @@
 // What the last process of this node left, and who keeps what this one learns; none: off. What
 // cannot be read is one line and costs no start.
 std::unique_ptr<knowledge::Saver> Remember(const OperatorSettings& settings, Node* node,
-                                           const std::string& name) {
+                                           const std::string& name, const std::string& handed) {
+  const auto use = [&](const knowledge::Memory& memory, std::string* why) {
+    const std::int64_t now = g_get_real_time();
+    auto recall = knowledge::ForNode(memory, node->site(), name, now, why);
+    if (!recall) return false;
+    const knowledge::Age age = knowledge::AgeOf(memory.written, now);
+    Log("recalled", {{"workers", std::to_string(recall->workers.size())}},
+        "recalled what was learned " +
+            (age.unknown ? std::string("at an unknown time")
+                         : std::to_string(age.age / kSecond) + " s ago") +
+            " of " + std::to_string(recall->workers.size()) + " workers");
+    node->Recall(std::move(*recall));
+    return true;
+  };
+  std::string why;
+  // What the process before this one has just said is younger than any file.
+  const knowledge::Decoded said = knowledge::Decode(handed, {});
+  bool known = said.memory && use(*said.memory, &why);
   if (!settings.knowledge) return nullptr;
   const KnowledgeSettings& k = *settings.knowledge;
   knowledge::Key key;
@@ -80,25 +99,116 @@
     Log("knowledge_passed_over", {{"file", path}}, path + ": " + why);
   };
   for (const auto& found : folder.Look()) {
-    std::string why = found.what.wrong;
-    if (found.what.memory) {
-      const std::int64_t now = g_get_real_time();
-      if (auto recall = knowledge::ForNode(*found.what.memory, node->site(), name, now, &why)) {
-        const knowledge::Age age = knowledge::AgeOf(found.what.memory->written, now);
-        Log("recalled", {{"workers", std::to_string(recall->workers.size())}},
-            "recalled what was learned " +
-                (age.unknown ? std::string("at an unknown time")
-                             : std::to_string(age.age / kSecond) + " s ago") +
-                " of " + std::to_string(recall->workers.size()) + " workers");
-        node->Recall(std::move(*recall));
-        break;
-      }
-    }
-    pass_over(found.path, why);
+    if (known) break;
+    why = found.what.wrong;
+    known = found.what.memory && use(*found.what.memory, &why);
+    if (!known) pass_over(found.path, why);
   }
   return std::make_unique<knowledge::Saver>(std::move(folder));
 }
 
+// This process's part in a hand-over, where the operator's file names a path; else it only opens
+// the listener.
+class Takeover {
+ public:
+  Takeover(const OperatorSettings& settings, const Config& config, Node* node, Front* front,
+           GMainLoop* loop)
+      : config_(config), node_(node), front_(front), loop_(loop), ready_([this] { Look(); }) {
+    if (!settings.handover) return;
+    over_.emplace(
+        settings.handover->path, config.name,
+        HandOver::Events{.listener = [this] { return front_->descriptor(); },
+                         .knowledge = [this] { return knowledge::Encode(node_->Learned(), 1, {}); },
+                         .leave = [this] { Leave(); },
+                         .stay = [this] { Stay(); },
+                         .alone = [this] { alone_ = true; },
+                         .news =
+                             [this](const std::string& json) {
+                               forwarded_ = true;  // and goes no further
+                               if (const auto news = ReadNews(json, config_.site))
+                                 node_->TellNode(*news);
+                               forwarded_ = false;
+                             }});
+    node_->OnOrphan([this](const News& news) {
+      if (forwarded_ || !over_->Forward(WriteNews(news))) return false;
+      Count("news_forwarded");
+      return true;
+    });
+  }
+
+  // Empty, or what is wrong.
+  std::string Begin() {
+    if (!over_) return front_->Open(config_.listen);
+    // A process may be about to serve at the path, or be taken up with another hand-over: while the
+    // address is in use, there is somebody to ask.
+    for (const Micros until = Now() + kAskAgainFor;; g_usleep(kAskEvery)) {
+      std::string why;
+      if (auto taken = over_->Ask(kAskFor, &why)) return Use(std::move(*taken));
+      const std::string wrong = front_->Open(config_.listen);
+      if (!wrong.empty() && Now() < until) continue;
+      if (!why.empty()) Log("not_handed_over", {{"why", why}}, "no hand-over: " + why);
+      return wrong;
+    }
+  }
+  const std::string& knowledge() const { return knowledge_; }
+  // This process is to end, whatever becomes of the next one.
+  void End() { ending_ = true; }
+  // Whether no other process of this node is at work.
+  bool alone() const { return alone_; }
+
+  void Serve() {
+    if (!over_) return;
+    if (taken_) return Look();
+    if (const std::string wrong = over_->Serve(); !wrong.empty())
+      CountFault("hand_over_path", wrong);
+  }
+
+ private:
+  static constexpr Micros kAskFor = 2 * kSecond, kAskEvery = 20 * kMs, kAskAgainFor = 10 * kSecond;
+  static constexpr Micros kLook = 5 * kMs;
+
+  std::string Use(HandOver::Taken taken) {
+    taken_ = true;
+    alone_ = false;
+    knowledge_ = std::move(taken.knowledge);
+    if (std::string wrong = front_->Take(taken.listener); !wrong.empty()) return wrong;
+    const std::string port = config_.listen.substr(config_.listen.rfind(':') + 1);
+    return port == "0" || port == std::to_string(front_->port())
+               ? ""
+               : "the process before listens at port " + std::to_string(front_->port());
+  }
+
+  // Accepts as soon as it has a list: until then the process before it does.
+  void Look() {
+    if (!node_->ready()) return ready_.Set(Now() + kLook);
+    front_->Accept(true);
+    Log("taken_over", {}, "accepting in place of the process before");
+    over_->Serve();
+  }
+  void Leave() {
+    alone_ = false;
+    front_->Accept(false);
+    Log("handing_over", {}, "the next process accepts: answering what was taken");
+    front_->Drain([this] { g_main_loop_quit(loop_); });
+  }
+  void Stay() {
+    alone_ = true;
+    if (ending_) return;
+    front_->StopDraining();
+    front_->Accept(true);
+    Log("taken_back", {}, "the next process is gone: accepting again");
+  }
+
+  const Config& config_;
+  Node* node_;
+  Front* front_;
+  GMainLoop* loop_;
+  Alarm ready_;
+  std::optional<HandOver> over_;
+  std::string knowledge_;
+  bool taken_ = false, alone_ = true, forwarded_ = false, ending_ = false;
+};
+
 int RunNode(Config config, const OperatorSettings& settings, const Sources& sources) {
   // The limit on descriptors is the system's to set; the budget keeps under whichever is less.
   rlimit limit{};
@@ -146,13 +256,14 @@
   Keeper keeper(&node, std::move(store), policy, store_path,
                 settings.jobs ? settings.jobs->callback_prefixes : std::vector<std::string>());
   Front front(&keeper, sockets);
-  if (const std::string wrong = front.Open(config.listen); !wrong.empty()) {
+  Takeover takeover(settings, config, &node, &front, loop);
+  if (const std::string wrong = takeover.Begin(); !wrong.empty()) {
     std::cerr << "pearreach: " << config.listen << ": " << wrong << '\n';
     return kNo;
   }
   std::unique_ptr<knowledge::Saver> saver;
   try {
-    saver = Remember(settings, &node, config.name);
+    saver = Remember(settings, &node, config.name, takeover.knowledge());
   } catch (const marlquay::Malformed& wrong) {
     std::cerr << "pearreach: knowledge: " << wrong.what() << '\n';
     return kUsage;
@@ -160,6 +271,7 @@
   reload = [&] { Reload(sources, &config, &node); };
   Apply(settings, &node);
   node.Start();
+  takeover.Serve();
   Log("serving", {{"listen", config.listen}, {"version", kVersion}},
       "serving at " + config.listen + ", version " + kVersion);
 
@@ -179,7 +291,8 @@
     if (figures.failed > std::exchange(failed, figures.failed))
       CountFault("knowledge_not_kept", figures.wrong);
     // Before the first list there is nothing that the file does not know better.
-    if (node.ready()) saver->Save(node.Learned());
+    // Of two processes only one writes.
+    if (node.ready() && takeover.alone()) saver->Save(node.Learned());
     keeps->Set(Now() + settings.knowledge->every);
   });
   keeps = &keep;
@@ -188,10 +301,12 @@
   struct End {
     Front* front;
     GMainLoop* loop;
-  } end{&front, loop};
+    Takeover* takeover;
+  } end{&front, loop, &takeover};
   const auto stop = [](gpointer data) -> gboolean {
     const End* e = static_cast<End*>(data);
     Log("ending", {}, "ending: answering what was taken");
+    e->takeover->End();
     e->front->Drain([loop = e->loop] { g_main_loop_quit(loop); });
     return G_SOURCE_CONTINUE;
   };
@@ -199,7 +314,7 @@
   g_unix_signal_add(SIGINT, stop, &end);
   g_main_loop_run(loop);
   if (saver != nullptr) {
-    if (node.ready()) saver->Save(node.Learned());
+    if (node.ready() && takeover.alone()) saver->Save(node.Learned());
     saver.reset();  // waits until it is kept
   }
   LogCounts();
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -136,11 +136,34 @@
   return d.HasParseError() ? std::nullopt : ListingOf(d);
 }
 
+static constexpr std::pair<std::string_view, News::State> kStates[] = {
+    {"started", News::State::kStarted},   {"running", News::State::kRunning},
+    {"done", News::State::kDone},         {"failed", News::State::kFailed},
+    {"returned", News::State::kReturned}, {"lost", News::State::kLost}};
+
+std::string WriteNews(const News& news) {
+  rapidjson::StringBuffer text;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(text);
+  const auto put = [&](const char* key, std::string_view value) {
+    writer.Key(key);
+    writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+  };
+  writer.StartObject();
+  put("id", news.job);
+  put("from", news.from);
+  put("state", std::find_if(std::begin(kStates), std::end(kStates), [&](const auto& s) {
+                 return s.second == news.state;
+               })->first);
+  put("result", news.result);
+  writer.Key("share");
+  writer.Double(news.share);
+  writer.Key("fence");
+  writer.Double(static_cast<double>(news.fence));
+  writer.EndObject();
+  return {text.GetString(), text.GetSize()};
+}
+
 std::optional<News> ReadNews(std::string_view json, const marlquay::Site& site) {
-  static constexpr std::pair<std::string_view, News::State> kStates[] = {
-      {"started", News::State::kStarted},   {"running", News::State::kRunning},
-      {"done", News::State::kDone},         {"failed", News::State::kFailed},
-      {"returned", News::State::kReturned}, {"lost", News::State::kLost}};
   rapidjson::Document d;
   d.Parse<kFlags>(json.data(), json.size());
   if (d.HasParseError() || !d.IsObject()) return std::nullopt;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -45,6 +45,7 @@
   marlquay::LoadReport load;
 };
 
+std::string WriteNews(const News& news);  // but for its load
 std::optional<News> ReadNews(std::string_view json, const marlquay::Site& site);
 
 // The header form of a load report: "TEXT name=value, name=value".
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -71,7 +71,16 @@
     if (element == "capture") settings.capture = ReadCapture(n, name);
     if (element == "jobs") settings.jobs = ReadJobs(n, name);
     if (element == "knowledge") settings.knowledge = ReadKnowledge(n, name);
+    if (element == "handover") {
+      settings.handover = HandOverSettings{Text(n, "path")};
+      if (settings.handover->path.front() != '/')
+        Fail(name, xml::Line(n),
+             "handover: path '" + settings.handover->path + "' is not absolute");
+    }
   });
+  // Two processes would need the one store at the same time.
+  if (settings.handover && settings.jobs)
+    Fail(name, xml::Line(xml::Root(document)), "handover and jobs exclude each other");
   return settings;
 }
 
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -47,11 +47,18 @@
   bool operator==(const KnowledgeSettings&) const = default;
 };
 
+// <handover>: docs/hand-over.md. Read at the start only.
+struct HandOverSettings {
+  std::string path;  // of the socket between the two processes
+  bool operator==(const HandOverSettings&) const = default;
+};
+
 struct OperatorSettings {
   LogFormat log_format = LogFormat::kText;
   std::optional<CaptureSettings> capture;      // none: off
   std::optional<JobsSettings> jobs;            // none: off
   std::optional<KnowledgeSettings> knowledge;  // none: off
+  std::optional<HandOverSettings> handover;    // none: off
 };
 
 // Throws marlquay::Malformed with "NAME:LINE: what".
--- a/src/fronts/front.cpp
+++ b/src/fronts/front.cpp
@@ -92,6 +92,16 @@
 
 std::string Front::Open(const std::string& address) { return listener_.Open(address); }
 
+std::string Front::Take(int descriptor) {
+  accepts_ = false;
+  return listener_.Take(descriptor);
+}
+
+void Front::Accept(bool accepts) {
+  accepts_ = accepts;
+  accepts_ ? listener_.Resume() : listener_.Pause();
+}
+
 void Front::OnAccepted(std::shared_ptr<Stream> stream) {
   auto owned = std::make_unique<Connection>();
   Connection* c = owned.get();
@@ -434,7 +444,7 @@
   }
   c->stream->Close();
   connections_.erase(c);
-  if (connections_.size() < budget_ + kSpare) listener_.Resume();
+  if (accepts_ && connections_.size() < budget_ + kSpare) listener_.Resume();
 }
 
 // Closes the client's connection that has been between requests for longest. Guards rule 1: one
@@ -496,6 +506,12 @@
   drain_.Set(drain_began_ + kAcceptLeast);
 }
 
+void Front::StopDraining() {
+  draining_ = refusing_ = false;
+  drained_ = nullptr;
+  drain_.Clear();
+}
+
 // The listener stays open to the end: the workers' call-backs come to it, and closing it would
 // reset what waits in its backlog.
 void Front::DrainStep() {
--- a/src/fronts/front.h
+++ b/src/fronts/front.h
@@ -26,10 +26,15 @@
   ~Front() override;
 
   std::string Open(const std::string& address);  // empty, or what is wrong
+  // Goes on with another process's listener; accepts once told to.
+  std::string Take(int descriptor);
+  int descriptor() const { return listener_.descriptor(); }
+  void Accept(bool accepts);
   int port() const { return listener_.port(); }
   // Goes on accepting for a moment, then closes connections between requests; calls `done` when
   // all that was taken is answered and written.
   void Drain(std::function<void()> done);
+  void StopDraining();
   std::size_t connections() const { return connections_.size(); }
 
   void OnAnswer(Ticket ticket, const Answer& answer) override;
@@ -83,7 +88,7 @@
   Listener listener_;
   Alarm sweep_, drain_;
   Connection* handling_ = nullptr;  // whose request is being taken
-  bool draining_ = false, refusing_ = false;
+  bool draining_ = false, refusing_ = false, accepts_ = true;
   Micros next_sweep_ = 0;  // 0: none is set
   Micros drain_began_ = 0, refuse_at_ = 0, stop_by_ = 0;
   std::function<void()> drained_;
--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -5,11 +5,13 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <filesystem>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "capture/segment.h"
+#include "knowledge/file.h"
 #include "lab/world/scenarios.h"
 #include "store/store.h"
 
@@ -145,6 +147,43 @@
   EXPECT_NE(r.out.find("\"sound\":false,\"wrong\":[\""), std::string::npos) << r.out;
 }
 
+TEST(Cli, KnowledgeToolsShowAndJudge) {
+  const std::string folder = testing::TempDir() + "cli-knowledge-" + std::to_string(getpid());
+  std::filesystem::create_directories(folder);
+  knowledge::Memory m;
+  m.node = "n0";
+  m.written = 1'790'000'000'000'000;
+  m.pools = {{"m", {0, 40, 30, 8, 200'000, 250'000, 900}}};
+  m.workers = {{"s-7", 1000, {}}};
+  ASSERT_EQ(knowledge::Folder(folder, "n0", {}).Save(m), "");
+  const std::string file = folder + "/n0.1.know";
+  Result r = Call("knowledge show " + file);
+  EXPECT_EQ(r.code, 0) << r.out;
+  EXPECT_NE(r.out.find("kind m: limit 40 slots, 30 found"), std::string::npos) << r.out;
+  r = Call("knowledge show --json " + file);
+  EXPECT_NE(r.out.find("\"id\":\"s-7\",\"started_ms\":1000"), std::string::npos) << r.out;
+  EXPECT_EQ(Call("knowledge verify " + file).out, file + ": sound\n");
+  const std::string config = File(
+      "cli-knowledge.json",
+      R"({"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{"RequestClasses":)"
+      R"([{"Name":"c","Effect":"once"}],"Models":["m"],"RoundMs":2.0}})");
+  r = Call("knowledge age " + file + " --by 300 --config " + config);
+  EXPECT_NE(r.out.find("limit 20 slots"), std::string::npos) << r.out;
+  std::string bytes = capture::ReadFile(file);
+  bytes.back() = static_cast<char>(bytes.back() ^ 1);
+  capture::WriteFile(file, bytes);
+  r = Call("knowledge verify --json " + file);
+  EXPECT_EQ(r.code, 1);
+  EXPECT_NE(r.out.find("\"sound\":false,\"wrong\":\"its hash does not hold\""), std::string::npos)
+      << r.out;
+  r = Call("knowledge show " + file);
+  EXPECT_EQ(r.code, 2);
+  EXPECT_EQ(r.out, "pearreach: " + file + ": its hash does not hold\n");
+  EXPECT_EQ(Call("knowledge drop " + folder + " --node n0").code, 0);
+  EXPECT_FALSE(std::filesystem::exists(file));
+  std::filesystem::remove_all(folder);
+}
+
 TEST(Cli, WrongUseIsOneLineAndCodeTwo) {
   const std::string day = File("day2.prcap", Day());
   for (const std::string& call :
@@ -167,6 +206,10 @@
                                 std::string("replay /"),
                                 std::string("serve --config /no/such"),
                                 std::string("check --operator /no/such"),
+                                std::string("knowledge"),
+                                std::string("knowledge show"),
+                                std::string("knowledge show /no/such"),
+                                std::string("knowledge drop /tmp"),
                                 std::string("serve extra words")}) {
     const Result r = Call(call);
     EXPECT_EQ(r.code, 2) << call << ": " << r.out;
--- a/tests/config/operator_test.cpp
+++ b/tests/config/operator_test.cpp
@@ -76,5 +76,30 @@
   EXPECT_EQ(Wrong(std::string(2 << 20, ' ')), "op.xml:1: longer than a mebibyte");
 }
 
+TEST(OperatorFile, KnowledgeAndHandOver) {
+  const auto good = ReadOperatorFile(
+      "<pearreach><knowledge folder='/k' every-ms='200' key-file='/key'/><handover "
+      "path='/s'/></pearreach>",
+      "f");
+  EXPECT_EQ(good.knowledge, (KnowledgeSettings{"/k", 200 * kMs, "/key"}));
+  EXPECT_EQ(good.handover, HandOverSettings{"/s"});
+  for (const auto& [text, line] : std::vector<std::pair<std::string, std::string>>{
+           {"<pearreach>\n<knowledge folder='k'/></pearreach>",
+            "f:2: knowledge: 'k' is not absolute"},
+           {"<pearreach>\n<knowledge folder='/k' key-file='x'/></pearreach>",
+            "f:2: knowledge: 'x' is not absolute"},
+           {"<pearreach>\n<handover path='s'/></pearreach>",
+            "f:2: handover: path 's' is not absolute"},
+           {"<pearreach><handover path='/s'/><jobs store='/j'/></pearreach>",
+            "f:1: handover and jobs exclude each other"}}) {
+    try {
+      ReadOperatorFile(text, "f");
+      ADD_FAILURE() << text;
+    } catch (const marlquay::Malformed& wrong) {
+      EXPECT_EQ(wrong.what(), line);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace pearreach
