Take a worker for alive that speaks of what it had before its connection broke

At fault: a job that had begun and ended in a reset, or a connection that was refused, made its worker cold for eight seconds. A process that dies resets all; here single connections were reset, and what else ran there went on.

Change: a word of an attempt that was sent before the supposed death ends the suspicion.

Cold.AWorkerThatSpeaksOfWhatItHadBeforeDidNotDie is red without the line.

--- a/src/module/policy.cpp
+++ b/src/module/policy.cpp
@@ -359,9 +359,10 @@
     if (w.blocked_until > 0) w.blocked_until = w.next_trial;
   }
 
-  void Hear(WorkerId id) {
+  void Hear(WorkerId id, Micros sent) {
     Worker& w = workers_[id];
     w.heard = now_;
+    if (sent < w.died_at) w.died_at = 0;  // what was there before is there still: it did not die
     if (!Sick(w)) w.blocked_until = w.trial_wait = 0;
     PoolOf(w).shut_until = 0;
     SetSilent(w, false);
@@ -542,7 +543,7 @@
     Request* r;
     Attempt* a = table_.FindOut(e.request, e.attempt, &r);
     if (a == nullptr) return nullptr;
-    Hear(a->worker);
+    Hear(a->worker, a->sent);
     Start(*r, *a);
     return r;
   }
@@ -589,7 +590,7 @@
       w.failures += weight * ((e.outcome == Outcome::kError ? 1 : 0) - w.failures);
       if (Sick(w) && e.outcome == Outcome::kGood) w.blocked_until = 0;  // the next trial at once
     }
-    if (e.outcome == Outcome::kGood || e.outcome == Outcome::kFull) Hear(a->worker);
+    if (e.outcome == Outcome::kGood || e.outcome == Outcome::kFull) Hear(a->worker, a->sent);
     if (e.outcome == Outcome::kFull) MarkFull(w, w.busy);
     if (e.outcome == Outcome::kFull || (e.outcome == Outcome::kTimeout && !a->late))
       CountRefusal(pool, a->sent);
@@ -660,7 +661,7 @@
   void On(const ProbeEnded& e) {
     if (e.worker >= workers_.size() || !e.good) return;
     Worker& w = workers_[e.worker];
-    Hear(e.worker);
+    Hear(e.worker, now_);
     Report(w, e.load);
     w.answered_at = now_;
   }
--- a/tests/module/rules_test.cpp
+++ b/tests/module/rules_test.cpp
@@ -220,6 +220,36 @@
   }
 }
 
+// Met on a day of resets: each broken connection made its worker cold for seconds, though all else
+// that ran there went on.
+TEST(Cold, AWorkerThatSpeaksOfWhatItHadBeforeDidNotDie) {
+  Driver d(BaseSettings());
+  d.now = 10 * kSecond;
+  d.Workers(1);
+  d.ServeTogether(10, 20);
+  const auto dead = [&] { return d.dispatcher.Learned(d.now).workers.at(0).died_at != 0; };
+  for (RequestId id = 1; id <= 2; ++id) {
+    d.Ask(id, 1);
+    d.Begin(id);
+  }
+  d.Run(50 * kMs);
+  d.End(2, Outcome::kReset);
+  EXPECT_TRUE(dead()) << "so it seems";
+  d.Run(50 * kMs);
+  d.Progress(1);
+  EXPECT_FALSE(dead()) << "the other job runs on";
+  d.Ask(3, 1);
+  d.Begin(3);
+  d.Run(50 * kMs);
+  d.End(1, Outcome::kReset);
+  EXPECT_TRUE(dead());
+  d.End(3, Outcome::kReset);
+  d.Run(500 * kMs);
+  d.Ask(4, 1);
+  d.Begin(4);
+  EXPECT_TRUE(dead()) << "what a new process has been sent says nothing of the old one";
+}
+
 TEST(Cold, IsWarmAfterTheStatedTime) {
   Settings s = BaseSettings();
   s.balancers = 50;
