Close streams to inheritance: clang warned of the destructor

Need: the fuzz build warned that a Stream with virtual functions is deleted through a destructor that is not virtual. Change: the class is final; nothing derives from it. Measured: the warning is gone from the header's users; no code changes.

--- a/src/base/io.h
+++ b/src/base/io.h
@@ -50,7 +50,7 @@
 GSocketAddress* ParseAddress(const std::string& text);  // "ip:port"; null: not one. Owned by caller
 
 // One non-blocking connection. No handler is called after Close, nor from inside Write.
-class Stream : public std::enable_shared_from_this<Stream>, private Poller::Client {
+class Stream final : public std::enable_shared_from_this<Stream>, private Poller::Client {
  public:
   struct Handlers {
     std::function<void()> connected;
