--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -1,5 +1,7 @@
 #include "config/operator.h"
 
+#include <cstdlib>
+
 #include "config/operator_schema.h"
 #include "config/xml.h"
 #include "site/site.h"
@@ -10,6 +12,31 @@
 using xml::Fail;
 using xml::Text;
 
+// A path as the file has it, with each ${NAME} replaced by that environment variable, as HAProxy's
+// configuration does: the platform's $TMPDIR is known only at the start. An unset or empty one,
+// or a "${" without its end, is the file's fault.
+std::string Path(const xmlNode* node, const char* attribute, const std::string& name) {
+  const std::string text = Text(node, attribute);
+  std::string path;
+  for (std::size_t at = 0; at < text.size();) {
+    const std::size_t open = text.find("${", at);
+    if (open == std::string::npos) {
+      path += text.substr(at);
+      break;
+    }
+    const std::size_t close = text.find('}', open);
+    if (close == std::string::npos)
+      Fail(name, xml::Line(node), std::string(attribute) + ": '" + text + "' has no '}'");
+    const std::string variable = text.substr(open + 2, close - open - 2);
+    const char* value = std::getenv(variable.c_str());
+    if (value == nullptr || *value == '\0')
+      Fail(name, xml::Line(node), std::string(attribute) + ": ${" + variable + "} is not set");
+    path += text.substr(at, open - at) + value;
+    at = close + 1;
+  }
+  return path;
+}
+
 // The schema has seen to it that a number is there, or nothing, and within its bounds.
 template <typename T>
 void Take(const xmlNode* node, const char* attribute, std::int64_t unit, T* to) {
@@ -20,7 +47,7 @@
 CaptureSettings ReadCapture(const xmlNode* node, const std::string& name) {
   CaptureSettings c;
   const int line = xml::Line(node);
-  c.folder = Text(node, "folder");
+  c.folder = Path(node, "folder", name);
   Take(node, "memory-kib", 1 << 10, &c.memory);
   Take(node, "segment-kib", 1 << 10, &c.segment_bytes);
   Take(node, "segment-seconds", kSecond, &c.segment_age);
@@ -35,7 +62,7 @@
 
 JobsSettings ReadJobs(const xmlNode* node, const std::string& name) {
   JobsSettings j;
-  j.store = Text(node, "store");
+  j.store = Path(node, "store", name);
   Take(node, "lease-ms", kMs, &j.lease);
   Take(node, "keep-seconds", kSecond, &j.keep);
   Take(node, "recovered-at-once", 1, &j.recovered_at_once);
@@ -51,8 +78,8 @@
 
 KnowledgeSettings ReadKnowledge(const xmlNode* node, const std::string& name) {
   KnowledgeSettings k;
-  k.folder = Text(node, "folder");
-  k.key_file = Text(node, "key-file");
+  k.folder = Path(node, "folder", name);
+  k.key_file = Path(node, "key-file", name);
   Take(node, "every-ms", kMs, &k.every);
   for (const std::string* path : {&k.folder, &k.key_file})
     if (!path->empty() && path->front() != '/')
@@ -72,7 +99,7 @@
     if (element == "jobs") settings.jobs = ReadJobs(n, name);
     if (element == "knowledge") settings.knowledge = ReadKnowledge(n, name);
     if (element == "handover") {
-      settings.handover = HandOverSettings{Text(n, "path")};
+      settings.handover = HandOverSettings{Path(n, "path", name)};
       if (settings.handover->path.front() != '/')
         Fail(name, xml::Line(n),
              "handover: path '" + settings.handover->path + "' is not absolute");
--- a/tests/config/operator_test.cpp
+++ b/tests/config/operator_test.cpp
@@ -76,6 +76,30 @@
   EXPECT_EQ(Wrong(std::string(2 << 20, ' ')), "op.xml:1: longer than a mebibyte");
 }
 
+// The platform's $TMPDIR is known only at the start: without ${NAME} no path could name it.
+TEST(OperatorFile, PathsNameEnvironmentVariables) {
+  setenv("PEARREACH_TEST_DIR", "/run/t", 1);
+  unsetenv("PEARREACH_TEST_UNSET");
+  const auto good = ReadOperatorFile(
+      "<pearreach><handover path='${PEARREACH_TEST_DIR}/h.sock'/>"
+      "<knowledge folder='${PEARREACH_TEST_DIR}'/></pearreach>",
+      "f");
+  EXPECT_EQ(good.handover, HandOverSettings{"/run/t/h.sock"});
+  EXPECT_EQ(good.knowledge->folder, "/run/t");
+  for (const auto& [text, line] : std::vector<std::pair<std::string, std::string>>{
+           {"<pearreach>\n<handover path='${PEARREACH_TEST_UNSET}/h'/></pearreach>",
+            "f:2: path: ${PEARREACH_TEST_UNSET} is not set"},
+           {"<pearreach>\n<handover path='/a/${PEARREACH_TEST_DIR'/></pearreach>",
+            "f:2: path: '/a/${PEARREACH_TEST_DIR' has no '}'"}}) {
+    try {
+      ReadOperatorFile(text, "f");
+      ADD_FAILURE() << text;
+    } catch (const marlquay::Malformed& wrong) {
+      EXPECT_EQ(wrong.what(), line);
+    }
+  }
+}
+
 TEST(OperatorFile, KnowledgeAndHandOver) {
   const auto good = ReadOperatorFile(
       "<pearreach><knowledge folder='/k' every-ms='200' key-file='/key'/><handover "
