Open the operators' door: /_ready, /_vars, detach and attach of a match worker

Change: src/admin, a second listener at 'operator' in the configuration or $EDGE_OPERATOR; HTTP/1.1, one call a connection, a deadline of 0.8 s for a whole call (then 408), at most 16 connections, the one nearest its end going for a newcomer. /_ready is yes once the node has its list and takes clients for itself. /_vars writes per class success, busy (with the front's own refusals) and failure, backend_calls (attempts written whole), inflight, hosts_listed and hosts_down, as statsd lines. Detach and attach ban a worker at the node, which tells the module of it as draining whatever the list says; an id that no list named is a 404. Wrong calls are 4xx and counted.

--- /dev/null
+++ b/src/admin/door.cpp
@@ -0,0 +1,184 @@
+#include "admin/door.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "base/log.h"
+
+namespace pearreach::admin {
+namespace {
+
+constexpr std::string_view kWorkers = "/_match-workers/";
+
+// The value of `name` in a query, percent-decoded; empty where it is not there or not text.
+std::string QueryValue(std::string_view query, std::string_view name) {
+  while (!query.empty()) {
+    const std::size_t amp = query.find('&');
+    const std::string_view pair = query.substr(0, amp);
+    query = amp == std::string_view::npos ? std::string_view() : query.substr(amp + 1);
+    const std::size_t eq = pair.find('=');
+    if (eq == std::string_view::npos || pair.substr(0, eq) != name) continue;
+    const std::string raw(pair.substr(eq + 1));
+    char* decoded = g_uri_unescape_string(raw.c_str(), nullptr);
+    if (decoded == nullptr) return {};
+    std::string value(decoded);
+    g_free(decoded);
+    return value;
+  }
+  return {};
+}
+
+Reply Text(int status, std::string body) { return {status, std::move(body) + "\n", {}}; }
+
+Reply Wrong(const char* why, int status, std::string body, std::vector<http::Header> headers = {}) {
+  Count(why);
+  return {status, std::move(body) + "\n", std::move(headers)};
+}
+
+}  // namespace
+
+std::string WriteVars(const Vars& vars) {
+  std::string out;
+  const auto line = [&](const std::string& name, std::uint64_t value, const char* type) {
+    out += "svc." + name + ":" + std::to_string(value) + "|" + type + "\n";
+  };
+  for (const Vars::Class& c : vars.classes) {
+    line("success." + c.name, c.success, "c");
+    line("busy." + c.name, c.busy, "c");
+    line("failure." + c.name, c.failure, "c");
+  }
+  line("backend_calls", vars.backend_calls, "c");
+  line("inflight", vars.inflight, "g");
+  line("hosts_listed", vars.hosts_listed, "g");
+  line("hosts_down", vars.hosts_down, "g");
+  return out;
+}
+
+Reply Route(const http::Message& call, const Calls& calls) {
+  const std::string_view target = call.target;
+  const std::size_t mark = target.find('?');
+  const std::string_view path = target.substr(0, mark);
+  const std::string_view query =
+      mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
+  if (path == "/_ready" || path == "/_vars") {
+    if (call.method != "GET" && call.method != "HEAD")
+      return Wrong("door_bad_method", 405, "GET only", {{"Allow", "GET, HEAD"}});
+    if (path == "/_vars") {
+      Reply reply{200, WriteVars(calls.vars()), {{"Content-Type", "text/plain"}}};
+      return reply;
+    }
+    return calls.ready() ? Text(200, "ready") : Text(503, "not ready");
+  }
+  if (path.starts_with(kWorkers)) {
+    const std::string_view verb = path.substr(kWorkers.size());
+    if (verb != "detach" && verb != "attach") return Wrong("door_bad_path", 404, "no such call");
+    if (call.method != "POST")
+      return Wrong("door_bad_method", 405, "POST only", {{"Allow", "POST"}});
+    const std::string id = QueryValue(query, "target");
+    if (id.empty()) return Wrong("door_bad_target", 400, "no target=ID");
+    const bool detach = verb == "detach";
+    if (!(detach ? calls.detach : calls.attach)(id))
+      return Wrong("door_unknown_target", 404, "no list has named " + id);
+    Log(detach ? "detached" : "attached", {{"worker", id}},
+        (detach ? "detached " : "attached ") + id + " by the operators' door");
+    return Text(200, (detach ? "detached " : "attached ") + id);
+  }
+  return Wrong("door_bad_path", 404, "no such call");
+}
+
+Door::Door(Calls calls)
+    : calls_(std::move(calls)),
+      listener_([this](std::shared_ptr<Stream> stream) { OnAccepted(std::move(stream)); }),
+      sweep_([this] { Sweep(); }) {}
+
+Door::~Door() {
+  for (auto& [c, owned] : connections_) c->stream->Close();
+}
+
+std::string Door::Open(const std::string& address) { return listener_.Open(address); }
+
+void Door::OnAccepted(std::shared_ptr<Stream> stream) {
+  Count("door_calls");
+  // Guards the descriptors that clients need, and the next caller against silent ones: beyond a
+  // few, the connection that is nearest its end goes now.
+  if (connections_.size() >= kMostConnections) {
+    Count("door_full");
+    Connection* first = connections_.begin()->first;
+    for (const auto& [c, owned] : connections_)
+      if (std::pair(!c->answered, c->until) < std::pair(!first->answered, first->until)) first = c;
+    if (!first->answered) {
+      Count("door_calls_incomplete");
+      first->stream->Write(http::WriteResponse(408, {}, "the call did not come whole\n", false));
+    }
+    Destroy(first);
+  }
+  auto owned = std::make_unique<Connection>();
+  Connection* c = owned.get();
+  c->stream = std::move(stream);
+  c->until = Now() + kPatience;
+  connections_[c] = std::move(owned);
+  c->stream->Listen(
+      {[] {}, [this, c](std::string_view bytes) { OnData(c, bytes); }, [this, c] { Destroy(c); }});
+  Sweep();
+}
+
+void Door::OnData(Connection* c, std::string_view bytes) {
+  if (c->answered) return;  // one call a connection: what else comes is dropped
+  c->parser.Feed(bytes);
+  switch (c->parser.Next()) {
+    case http::Parser::State::kMore:
+      return;
+    case http::Parser::State::kBad:
+      Count("door_bad_calls");
+      return Answer(c, Text(c->parser.error_status(), c->parser.error()));
+    case http::Parser::State::kMessage:
+      return Answer(c, Route(c->parser.Take(), calls_));
+  }
+}
+
+void Door::Answer(Connection* c, const Reply& reply) {
+  c->answered = true;
+  if (!c->stream->Write(http::WriteResponse(reply.status, reply.headers, reply.body, false)))
+    return Destroy(c);
+  c->stream->CloseAfterWrite();
+  c->until = Now() + kLinger;
+  if (!sweeping_) Sweep();
+}
+
+void Door::Destroy(Connection* c) {
+  const auto it = connections_.find(c);
+  if (it == connections_.end()) return;
+  c->stream->Close();
+  connections_.erase(it);
+}
+
+// Answers what is late and closes what has lingered; then waits for the next of those times.
+void Door::Sweep() {
+  sweeping_ = true;
+  const Micros now = Now();
+  Micros next = 0;
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    Connection* c = (it++)->first;
+    if (c->until > now) {
+      next = next == 0 ? c->until : std::min(next, c->until);
+      continue;
+    }
+    if (c->answered) {
+      Destroy(c);
+      continue;
+    }
+    Count("door_calls_incomplete");
+    Answer(c, Text(408, "the call did not come whole in time"));
+    next = next == 0 ? c->until : std::min(next, c->until);
+  }
+  sweeping_ = false;
+  if (next != 0)
+    sweep_.Set(next);
+  else
+    sweep_.Clear();
+}
+
+}  // namespace pearreach::admin
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <utility>
 
+#include "admin/door.h"
 #include "cli/cli.h"
 #include "config/config.h"
 #include "config/operator.h"
@@ -261,6 +262,32 @@
     std::cerr << "pearreach: " << config.listen << ": " << wrong << '\n';
     return kNo;
   }
+  // The operators' door comes after the listener: a process that does not serve is not ready.
+  admin::Door door(
+      {.ready = [&] { return node.ready() && front.serving(); },
+       .vars =
+           [&] {
+             admin::Vars vars;
+             for (std::size_t k = 0; k < node.site().classes.size(); ++k) {
+               const std::string& name = node.site().classes[k];
+               const Node::Tally& t = node.tally()[k];
+               vars.classes.push_back({name, t.success, t.busy + front.shed(name), t.failure});
+             }
+             vars.backend_calls = CountOf("backend_calls");
+             vars.inflight = node.open_jobs();
+             vars.hosts_listed = node.hosts_listed();
+             vars.hosts_down = node.hosts_down();
+             return vars;
+           },
+       .detach = [&](const std::string& id) { return node.Ban(id); },
+       .attach = [&](const std::string& id) { return node.Unban(id); }});
+  if (!config.operator_listen.empty()) {
+    if (const std::string wrong = door.Open(config.operator_listen); !wrong.empty())
+      CountFault("door_not_open", config.operator_listen + ": " + wrong);
+    else
+      Log("door_open", {{"operator", config.operator_listen}},
+          "the operators' door is open at " + config.operator_listen);
+  }
   std::unique_ptr<knowledge::Saver> saver;
   try {
     saver = Remember(settings, &node, config.name, takeover.knowledge());
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -219,6 +219,7 @@
   if (const std::string name = String(d, "name"); !name.empty()) c.name = name;
   c.listen = String(d, "listen");
   c.discovery = c.named_discovery = String(d, "discovery");
+  c.operator_listen = String(d, "operator");
   if (const std::string seed = String(d, "seed"); !seed.empty())
     c.seed = marlquay::Number<std::uint64_t>(seed, "seed", 16);
   if (const Value* limits = Member(d, "limits"); limits != nullptr && limits->IsObject())
@@ -257,8 +258,10 @@
     if (const std::string name = env("EDGE_NAME"); !name.empty()) c.name = name;
     if (const std::string listen = env("EDGE_LISTEN"); !listen.empty()) c.listen = listen;
     if (const std::string at = env("EDGE_DISCOVERY"); !at.empty()) c.discovery = at;
+    if (const std::string door = env("EDGE_OPERATOR"); !door.empty()) c.operator_listen = door;
     CheckAddress("listen", c.listen);
     CheckAddress("discovery", c.discovery);
+    if (!c.operator_listen.empty()) CheckAddress("operator", c.operator_listen);
     return c;
   } catch (const Malformed& wrong) {
     throw Malformed(file + ": " + wrong.what());
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -53,6 +53,7 @@
 
 struct Config {
   std::string name = "pearreach", listen, discovery;
+  std::string operator_listen;      // the operators' door; empty: none
   std::string named_discovery;      // as the file has it: a variable may have overridden it
   marlquay::Conf::Values settings;  // as the file has them, to see whether they have changed
   std::uint64_t seed = 0;
--- a/src/fronts/front.cpp
+++ b/src/fronts/front.cpp
@@ -301,6 +301,7 @@
   };
   if ((c->over_budget && connections_.size() > budget_) || refusing_) {
     Count("shed");
+    if (marlquay::IndexOf(site.classes, cls) >= 0) ++shed_[cls];
     return Refuse(c, false, site.settings.max_retry_after);
   }
   Job job;
--- a/src/fronts/front.h
+++ b/src/fronts/front.h
@@ -30,12 +30,18 @@
   std::string Take(int descriptor);
   int descriptor() const { return listener_.descriptor(); }
   void Accept(bool accepts);
+  bool serving() const { return accepts_ && !draining_; }  // takes new clients for itself
   int port() const { return listener_.port(); }
   // Goes on accepting for a moment, then closes connections between requests; calls `done` when
   // all that was taken is answered and written.
   void Drain(std::function<void()> done);
   void StopDraining();
   std::size_t connections() const { return connections_.size(); }
+  // Jobs of this class that the front has refused itself, before the node had them.
+  std::uint64_t shed(const std::string& cls) const {
+    const auto it = shed_.find(cls);
+    return it == shed_.end() ? 0 : it->second;
+  }
 
   void OnAnswer(Ticket ticket, const Answer& answer) override;
 
@@ -92,6 +98,7 @@
   Micros next_sweep_ = 0;  // 0: none is set
   Micros drain_began_ = 0, refuse_at_ = 0, stop_by_ = 0;
   std::function<void()> drained_;
+  std::unordered_map<std::string, std::uint64_t> shed_;  // by class, of those that are one
 };
 
 }  // namespace pearreach
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 #include <variant>
 
@@ -51,6 +52,7 @@
                 }}),
       discovery_(config.discovery, [this](const Listing& list) { OnListing(list); }),
       known_(config.known),
+      tally_(site_.classes.size()),
       lease_alarm_([this] { RunLeases(); }),
       turn_([this] { Turn(); }) {}
 
@@ -296,6 +298,12 @@
   if (!Must(!r.answered, "second_answer")) return;
   r.answered = true;
   --open_;
+  if (r.job.cls >= 0 && static_cast<std::size_t>(r.job.cls) < tally_.size()) {
+    Tally& t = tally_[static_cast<std::size_t>(r.job.cls)];
+    ++(answer.kind == Answer::Kind::kServed    ? t.success
+       : answer.kind == Answer::Kind::kRefused ? t.busy
+                                               : t.failure);
+  }
   r.client->OnAnswer(ticket, answer);
 }
 
@@ -506,6 +514,7 @@
   marlquay::WorkerList news;
   news.form =
       list.full ? marlquay::WorkerList::Form::kComplete : marlquay::WorkerList::Form::kChanges;
+  if (list.full) hosts_.clear();
   for (const ServerEntry& s : list.servers) {
     marlquay::WorkerEntry e;
     e.worker = IdOf(s.id);
@@ -523,6 +532,12 @@
     else
       workers_.SetAddress(e.worker, s.address);
     started_ms_[e.worker] = s.started_ms;
+    if (s.health == marlquay::Health::kGone) {
+      hosts_.erase(e.worker);
+    } else {
+      hosts_[e.worker] = e;
+      if (banned_.contains(s.id)) e.health = marlquay::Health::kDraining;
+    }
     news.entries.push_back(e);
   }
   Count("lists");
@@ -534,6 +549,55 @@
   if (first_list_) std::exchange(first_list_, nullptr)();
 }
 
+// ---------------------------------------------------------------- bans
+
+bool Node::Ban(const std::string& id) {
+  const auto it = ids_.find(id);
+  if (it == ids_.end()) return false;
+  if (banned_.insert(id).second) {
+    Count("bans");
+    PostHealth(it->second);
+  }
+  return true;
+}
+
+bool Node::Unban(const std::string& id) {
+  const auto it = ids_.find(id);
+  if (it == ids_.end() && !banned_.contains(id)) return false;
+  if (banned_.erase(id) > 0 && it != ids_.end()) {
+    Count("bans_ended");
+    PostHealth(it->second);
+  }
+  return true;
+}
+
+void Node::SetBans(const std::set<std::string>& ids) {
+  std::vector<std::string> changed;
+  std::set_symmetric_difference(ids.begin(), ids.end(), banned_.begin(), banned_.end(),
+                                std::back_inserter(changed));
+  banned_ = ids;
+  for (const std::string& id : changed)
+    if (const auto it = ids_.find(id); it != ids_.end()) PostHealth(it->second);
+}
+
+std::size_t Node::hosts_down() const {
+  std::size_t down = 0;
+  for (const auto& [worker, entry] : hosts_)
+    down += entry.health != marlquay::Health::kInService || banned_.contains(NameOf(worker));
+  return down;
+}
+
+// A change of one worker, as the list would tell it; nothing where no list names it now.
+void Node::PostHealth(marlquay::WorkerId worker) {
+  const auto it = hosts_.find(worker);
+  if (it == hosts_.end()) return;
+  marlquay::WorkerList news;
+  news.form = marlquay::WorkerList::Form::kChanges;
+  news.entries.push_back(it->second);
+  if (banned_.contains(NameOf(worker))) news.entries.back().health = marlquay::Health::kDraining;
+  Post(std::move(news));
+}
+
 void Node::LogFigures() const {
   const auto text = [](double value) {
     std::string t = std::to_string(value);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -89,6 +89,23 @@
   // Open jobs, workers, and limit and busy slots of each pool, as one event of the log.
   void LogFigures() const;
 
+  // ---- bans by operators. A banned worker is told to the module as draining, whatever the list
+  // says of it, until it is let back: the module decides as for any drain. False: no list has
+  // named that id in this process, and nothing changes.
+  bool Ban(const std::string& id);
+  bool Unban(const std::string& id);
+  // As another process of this node has them; ids that no list has named yet are kept for later.
+  void SetBans(const std::set<std::string>& ids);
+  const std::set<std::string>& bans() const { return banned_; }
+  std::size_t hosts_listed() const { return hosts_.size(); }  // named and not gone
+  std::size_t hosts_down() const;  // of those, banned or draining by the list
+
+  // The jobs of each class that were answered since the start, by kind of answer.
+  struct Tally {
+    std::uint64_t success = 0, busy = 0, failure = 0;
+  };
+  const std::vector<Tally>& tally() const { return tally_; }
+
   // Figures for tests and the log.
   std::size_t records() const { return records_.size(); }
   std::size_t links() const { return workers_.links(); }
@@ -135,6 +152,7 @@
   marlquay::WorkerId IdOf(const std::string& name);
   void RunDeadlines(Micros now);
   void Forget(Ticket ticket);
+  void PostHealth(marlquay::WorkerId worker);  // as listed, or draining where banned
   const std::string& NameOf(marlquay::WorkerId worker) const { return names_.at(worker); }
 
   marlquay::Site site_;
@@ -150,6 +168,10 @@
   std::optional<knowledge::Recall> recall_;  // what of it has not been handed over
   Micros recall_until_ = 0;                  // a worker named later than this is known by itself
 
+  std::unordered_map<marlquay::WorkerId, marlquay::WorkerEntry> hosts_;  // as the list says
+  std::set<std::string> banned_;
+  std::vector<Tally> tally_;
+
   std::unordered_map<std::string, marlquay::WorkerId> ids_;
   std::vector<std::int64_t> started_ms_;  // by id: of the process that the list names
   std::vector<std::string> names_;
--- a/src/node/workers.cpp
+++ b/src/node/workers.cpp
@@ -160,10 +160,18 @@
   link->state = State::kWaiting;
   // An attempt's wait is bounded by the node, which gives it up at the client's deadline.
   SetExpiry(link, link->bound ? 0 : Now() + kAnswerWait);
+  link->counted = !link->bound;
   if (!link->stream->Write(link->request)) return false;
+  if (link->stream->unsent() == 0) Written(link);
   return true;
 }
 
+// The operators' figure of attempts: those written whole, whatever became of them.
+void Workers::Written(Link* link) {
+  if (std::exchange(link->counted, true)) return;
+  Count("backend_calls");
+}
+
 void Workers::OnConnected(Link* link) {
   if (WriteOn(link)) return;
   Finish(link, Outcome::kNoConnection, {});
@@ -196,6 +204,7 @@
       if (link->parser.End() == http::Parser::State::kMessage)
         return OnMessage(link, link->parser.Take());
       if (link->rest >= 0) retire_.Note(link->rest, true, Now());
+      if (link->stream->unsent() == 0) Written(link);
       // Only what was broken before its last byte was written is sure not to have run.
       return Finish(link, link->stream->unsent() > 0 ? Outcome::kNoConnection : Outcome::kReset,
                     {});
@@ -203,6 +212,7 @@
 }
 
 void Workers::OnMessage(Link* link, const http::Message& message) {
+  Written(link);  // an answer is read only where the request was
   if (link->rest >= 0) retire_.Note(link->rest, false, Now());
   LoadReport load;
   if (const std::string* text = message.Find("X-Server-Load")) load = ReadLoadHeader(*text, site_);
--- a/src/node/workers.h
+++ b/src/node/workers.h
@@ -75,7 +75,8 @@
     marlquay::WorkerId worker = 0;
     State state = State::kConnecting;
     AttemptKey key;
-    bool bound = false;  // an attempt's, which is told of its end
+    bool bound = false;   // an attempt's, which is told of its end
+    bool counted = true;  // its request is an attempt's and counted as written whole
     std::string request;
     Micros expires = 0;  // 0: does not
     Micros idle_since = 0;
@@ -89,6 +90,7 @@
 
   void Send(AttemptKey key, bool bound, marlquay::WorkerId worker, std::string request);
   bool WriteOn(Link* link);
+  void Written(Link* link);  // its request's last byte has gone out, or was read
   void OnConnected(Link* link);
   void OnData(Link* link, std::string_view bytes);
   void OnClosed(Link* link);
