Keep bans across an upgrade: a file in $TMPDIR that both processes watch

The ban lived in the old process's memory only.

A process loads it before its first list, saves it whole by a rename on each detach or attach, and looks at it every 100 ms, so a ban taken by either process of an upgrade binds both.

--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <utility>
 
+#include "admin/bans.h"
 #include "admin/door.h"
 #include "cli/cli.h"
 #include "config/config.h"
@@ -26,6 +27,7 @@
 namespace {
 
 constexpr Micros kCountsEvery = 10 * kSecond;
+constexpr Micros kLookAtBansEvery = 100 * kMs;  // a ban reaches the other process so soon
 
 // What a node is started with and looks at again on SIGHUP.
 struct Sources {
@@ -262,6 +264,29 @@
     std::cerr << "pearreach: " << config.listen << ": " << wrong << '\n';
     return kNo;
   }
+  // Bans outlive a process, and reach the other one while two run: both look at the file often.
+  std::optional<admin::BanFile> bans;
+  if (settings.bans) {
+    bans.emplace(settings.bans->file);
+    node.SetBans(bans->Load());
+  }
+  const auto look_at_bans = [&] {
+    if (bans && bans->Changed()) node.SetBans(bans->Load());
+  };
+  const auto ban = [&](const std::string& id, bool detach) {
+    look_at_bans();
+    if (!(detach ? node.Ban(id) : node.Unban(id))) return false;
+    if (bans) bans->Save(node.bans());
+    return true;
+  };
+  Alarm* looks = nullptr;
+  Alarm look([&] {
+    look_at_bans();
+    looks->Set(Now() + kLookAtBansEvery);
+  });
+  looks = &look;
+  if (bans) look.Set(Now() + kLookAtBansEvery);
+
   // The operators' door comes after the listener: a process that does not serve is not ready.
   admin::Door door(
       {.ready = [&] { return node.ready() && front.serving(); },
@@ -279,8 +304,8 @@
              vars.hosts_down = node.hosts_down();
              return vars;
            },
-       .detach = [&](const std::string& id) { return node.Ban(id); },
-       .attach = [&](const std::string& id) { return node.Unban(id); }});
+       .detach = [&](const std::string& id) { return ban(id, true); },
+       .attach = [&](const std::string& id) { return ban(id, false); }});
   if (!config.operator_listen.empty()) {
     if (const std::string wrong = door.Open(config.operator_listen); !wrong.empty())
       CountFault("door_not_open", config.operator_listen + ": " + wrong);
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -98,6 +98,11 @@
     if (element == "capture") settings.capture = ReadCapture(n, name);
     if (element == "jobs") settings.jobs = ReadJobs(n, name);
     if (element == "knowledge") settings.knowledge = ReadKnowledge(n, name);
+    if (element == "bans") {
+      settings.bans = BanSettings{Path(n, "file", name)};
+      if (settings.bans->file.front() != '/')
+        Fail(name, xml::Line(n), "bans: file '" + settings.bans->file + "' is not absolute");
+    }
     if (element == "handover") {
       settings.handover = HandOverSettings{Path(n, "path", name)};
       if (settings.handover->path.front() != '/')
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -53,12 +53,19 @@
   bool operator==(const HandOverSettings&) const = default;
 };
 
+// <bans>: docs/operators-door.md. Read at the start only.
+struct BanSettings {
+  std::string file;  // of the ids detached at the operators' door
+  bool operator==(const BanSettings&) const = default;
+};
+
 struct OperatorSettings {
   LogFormat log_format = LogFormat::kText;
   std::optional<CaptureSettings> capture;      // none: off
   std::optional<JobsSettings> jobs;            // none: off
   std::optional<KnowledgeSettings> knowledge;  // none: off
   std::optional<HandOverSettings> handover;    // none: off
+  std::optional<BanSettings> bans;             // none: bans end with the process
 };
 
 // Throws marlquay::Malformed with "NAME:LINE: what".
--- a/tests/node/stories_test.cpp
+++ b/tests/node/stories_test.cpp
@@ -847,5 +847,49 @@
   EXPECT_TRUE(done);
 }
 
+// A worker detached by the operators is a drain for the module, whatever later lists say of it,
+// until it is attached again; an id that no list has named is no.
+TEST(Story, ABannedWorkerIsADrainThatNoListEnds) {
+  Server first(Accept), second(Accept);
+  const auto entry = [](const std::string& id, const std::string& at) {
+    return R"({"id":")" + id + R"(","addr":")" + at + R"(","zone":"a","kind":"m","state":"up"})";
+  };
+  bool told = false;
+  Server discovery([&](const Message&) {
+    if (std::exchange(told, true)) return std::string();
+    return http::WriteResponse(200, {},
+                               R"({"version":4,"full":true,"servers":[)" +
+                                   entry("s-0", first.address()) + "," +
+                                   entry("s-1", second.address()) + "]}",
+                               true);
+  });
+  Config config = BaseConfig();
+  config.discovery = discovery.address();
+  config.known =
+      Listing{3, true, {{"s-0", first.address(), "a", "m"}, {"s-1", second.address(), "a", "m"}}};
+  Rig rig(config);
+  EXPECT_FALSE(rig.node.Ban("s-9")) << "never listed";
+  rig.node.Start();
+  ASSERT_TRUE(rig.node.Ban("s-0"));
+  ASSERT_TRUE(rig.node.Ban("s-0")) << "again: harmless";
+  EXPECT_EQ(rig.node.hosts_listed(), 2u);
+  EXPECT_EQ(rig.node.hosts_down(), 1u);
+  RunUntil([&] { return told; });  // a whole list that names s-0 as up
+  // One job at a time, each served: the limit grows, and the module might choose either worker.
+  Caller client(rig.port()), news(rig.port());
+  for (std::size_t i = 0; i < 6; ++i) {
+    const std::string id = "j" + std::to_string(i);
+    client.Ask(id);
+    RunUntil([&] { return second.got.size() > i || !first.got.empty(); });
+    ASSERT_EQ(second.got.size(), i + 1);
+    news.News(id, "s-1", "done");
+    EXPECT_EQ(client.Status(i), 200);
+  }
+  EXPECT_TRUE(first.got.empty()) << "banned, whatever the list said";
+  EXPECT_TRUE(rig.node.Unban("s-0"));
+  EXPECT_EQ(rig.node.hosts_down(), 0u);
+  EXPECT_FALSE(rig.node.Unban("s-9"));
+}
+
 }  // namespace
 }  // namespace pearreach
