Hand the clients' idle connections to an upgrade's next process, not close them

Change: the hand-over's link carries a CONNECTION frame with a descriptor; while it drains after the next process accepts, the old front passes each client's connection that is between requests with nothing read of the next (workers' call-backs stay), and the next front adopts it as one that has carried requests. A Stream takes descriptors that come with its data where asked to (TakeDescriptors).

--- a/src/base/io.cpp
+++ b/src/base/io.cpp
@@ -204,7 +204,26 @@
 void Stream::OnReadable() {
   static char buffer[kReadSize];
   GError* error = nullptr;
-  const gssize n = g_socket_receive(socket_, buffer, sizeof buffer, nullptr, &error);
+  gssize n = 0;
+  if (descriptors_) {
+    GInputVector part{buffer, sizeof buffer};
+    GSocketControlMessage** messages = nullptr;
+    gint count = 0;
+    n = g_socket_receive_message(socket_, nullptr, &part, 1, &messages, &count, nullptr, nullptr,
+                                 &error);
+    for (gint i = 0; i < count; ++i) {
+      if (G_IS_UNIX_FD_MESSAGE(messages[i])) {
+        gint taken = 0;
+        gint* fds = g_unix_fd_message_steal_fds(G_UNIX_FD_MESSAGE(messages[i]), &taken);
+        for (gint k = 0; k < taken; ++k) descriptors_(fds[k]);
+        g_free(fds);
+      }
+      g_object_unref(messages[i]);
+    }
+    g_free(messages);
+  } else {
+    n = g_socket_receive(socket_, buffer, sizeof buffer, nullptr, &error);
+  }
   const bool blocked = n < 0 && IsBlocked(error);
   g_clear_error(&error);
   if (blocked) return;
--- a/src/base/io.h
+++ b/src/base/io.h
@@ -64,6 +64,9 @@
   ~Stream();
 
   void Listen(Handlers handlers);  // for an adopted stream
+  // From now on, descriptors that come with the data, over a socket in the file system, are the
+  // handler's: each is told before the bytes that carry it.
+  void TakeDescriptors(std::function<void(int)> taken) { descriptors_ = std::move(taken); }
   // False: the connection is broken and closed; `unsent` tells whether all had gone out.
   bool Write(std::string_view bytes);
   // Sends `bytes` with a descriptor, over a socket in the file system: at once and whole, or not at
@@ -71,6 +74,7 @@
   bool WriteWith(std::string_view bytes, int descriptor);
   std::size_t unsent() const { return out_.size() - sent_; }
   bool open() const { return socket_ != nullptr; }
+  int descriptor() const { return socket_ == nullptr ? -1 : g_socket_get_fd(socket_); }
   bool Quiet() const;  // open, and the peer has neither sent nor closed
   void Close();
   // Sends what is left and ends this side; what still comes is dropped until the peer closes too,
@@ -89,6 +93,7 @@
   GSocket* socket_ = nullptr;
   bool wants_in_ = false, wants_out_ = false;
   Handlers handlers_;
+  std::function<void(int)> descriptors_;
   std::string out_;
   std::size_t sent_ = 0;
   bool connecting_ = false, refused_ = false, closing_ = false;
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -131,7 +131,8 @@
                                if (const auto news = ReadNews(json, config_.site))
                                  node_->TellNode(*news);
                                forwarded_ = false;
-                             }});
+                             },
+                         .connection = [this](int fd) { front_->Adopt(fd); }});
     node_->OnOrphan([this](const News& news) {
       if (forwarded_ || !over_->Forward(WriteNews(news))) return false;
       Count("news_forwarded");
@@ -192,11 +193,13 @@
     alone_ = false;
     front_->Accept(false);
     Log("handing_over", {}, "the next process accepts: answering what was taken");
+    front_->HandOff([this](int fd) { return over_->Pass(fd); });
     front_->Drain([this] { g_main_loop_quit(loop_); });
   }
   void Stay() {
     alone_ = true;
     if (ending_) return;
+    front_->HandOff(nullptr);
     front_->StopDraining();
     front_->Accept(true);
     Log("taken_back", {}, "the next process is gone: accepting again");
--- a/src/fronts/front.cpp
+++ b/src/fronts/front.cpp
@@ -1,5 +1,7 @@
 #include "fronts/front.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdio>
 #include <utility>
@@ -97,14 +99,46 @@
   return listener_.Take(descriptor);
 }
 
+void Front::Adopt(int descriptor) {
+  GSocket* socket = g_socket_new_from_fd(descriptor, nullptr);
+  if (socket == nullptr) {
+    close(descriptor);
+    return CountFault("connection_not_taken_over", "a descriptor that is no socket");
+  }
+  Count("connections_taken_over");
+  // It has carried requests before: it is held as long as any connection that has.
+  OnAccepted(Stream::Adopt(socket), /*answered=*/true);
+}
+
+void Front::HandOff(std::function<bool(int)> pass) {
+  pass_ = std::move(pass);
+  if (pass_) PassIdle();
+}
+
+// Guards the clients against a connection that ends with this process: what is on its way stays
+// in the kernel's buffer and is read by the next one.
+void Front::PassIdle() {
+  std::vector<Connection*> idle;
+  for (const auto& [c, owned] : connections_)
+    if (!c->is_worker && c->ticket == 0 && c->promise == 0 && !c->closing && c->parser.Between() &&
+        c->stream->unsent() == 0)
+      idle.push_back(c);
+  for (Connection* c : idle) {
+    if (!pass_(c->stream->descriptor())) return;  // the link is full: at the next step
+    Count("connections_handed_over");
+    Destroy(c);
+  }
+}
+
 void Front::Accept(bool accepts) {
   accepts_ = accepts;
   accepts_ ? listener_.Resume() : listener_.Pause();
 }
 
-void Front::OnAccepted(std::shared_ptr<Stream> stream) {
+void Front::OnAccepted(std::shared_ptr<Stream> stream, bool answered) {
   auto owned = std::make_unique<Connection>();
   Connection* c = owned.get();
+  c->answered = answered;
   c->over_budget = connections_.size() >= budget_ && !EvictQuiet();
   if (c->over_budget) Count("over_budget");
   c->stream = std::move(stream);
@@ -516,6 +550,7 @@
 // The listener stays open to the end: the workers' call-backs come to it, and closing it would
 // reset what waits in its backlog.
 void Front::DrainStep() {
+  if (pass_) PassIdle();
   refusing_ = Now() >= refuse_at_;
   if (refusing_) core_->EndWaits();  // their jobs outlive this process
   bool clients = false, written = true;
--- a/src/fronts/front.h
+++ b/src/fronts/front.h
@@ -30,6 +30,11 @@
   std::string Take(int descriptor);
   int descriptor() const { return listener_.descriptor(); }
   void Accept(bool accepts);
+  // A client's connection that another process of this node had; it is this one's now.
+  void Adopt(int descriptor);
+  // From now on, each client's connection that is between two requests, with nothing read of the
+  // next, goes to `pass`, and is closed here where it took it. Null: none goes.
+  void HandOff(std::function<bool(int)> pass);
   bool serving() const { return accepts_ && !draining_; }  // takes new clients for itself
   int port() const { return listener_.port(); }
   // Goes on accepting for a moment, then closes connections between requests; calls `done` when
@@ -61,7 +66,7 @@
     std::list<Connection*>::iterator quiet;  // in quiet_, if it has no ticket
   };
 
-  void OnAccepted(std::shared_ptr<Stream> stream);
+  void OnAccepted(std::shared_ptr<Stream> stream, bool answered = false);
   void Read(Connection* c);
   void Handle(Connection* c, http::Message message);
   void HandleNews(Connection* c, const http::Message& message);
@@ -82,6 +87,7 @@
   void SweepBy(Micros at);
   void Sweep();
   void DrainStep();
+  void PassIdle();
 
   Core* core_;
   std::size_t budget_;
@@ -98,6 +104,7 @@
   Micros next_sweep_ = 0;  // 0: none is set
   Micros drain_began_ = 0, refuse_at_ = 0, stop_by_ = 0;
   std::function<void()> drained_;
+  std::function<bool(int)> pass_;
   std::unordered_map<std::string, std::uint64_t> shed_;  // by class, of those that are one
 };
 
--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr char kTake = 'T', kListener = 'L', kKnowledge = 'K', kReady = 'R', kYours = 'Y',
-               kNews = 'N';
+               kNews = 'N', kConnection = 'C';
 constexpr std::size_t kHead = 5;               // type, length
 constexpr std::size_t kMostFrame = 40u << 20;  // knowledge is the longest
 
@@ -45,6 +45,7 @@
     : path_(std::move(path)), name_(std::move(name)), events_(std::move(events)) {}
 
 HandOver::~HandOver() {
+  for (const int fd : came_) ::close(fd);
   Drop(&before_);
   Drop(&next_);
   if (listener_ != nullptr) ::unlink(path_.c_str());
@@ -106,6 +107,7 @@
       if (socket == nullptr) return *why = "its link is of no use", std::nullopt;
       link.Take();
       before_.stream = Stream::Adopt(socket);
+      before_.stream->TakeDescriptors([this](int fd) { came_.push_back(fd); });
       before_.stream->Listen({[] {}, [this](std::string_view b) { OnData(&before_, b); },
                               [this] { OnClosed(&before_); }});
       return Taken{listener.Take(), std::move(payload)};
@@ -154,6 +156,11 @@
   return false;
 }
 
+bool HandOver::Pass(int descriptor) {
+  if (!leaving_ || next_.stream == nullptr) return false;
+  return next_.stream->WriteWith(Frame(kConnection, ""), descriptor);
+}
+
 void HandOver::OnData(Link* link, std::string_view bytes) {
   link->in.append(bytes);
   while (link->stream != nullptr && link->in.size() >= kHead) {
@@ -173,6 +180,14 @@
 void HandOver::OnFrame(Link* link, char type, std::string payload) {
   const bool from_next = link == &next_;
   if (type == kNews) return events_.news(payload);
+  if (!from_next && type == kConnection) {
+    if (!Must(!came_.empty(), "hand_over_connection_without_descriptor")) return;
+    const int fd = came_.front();
+    came_.erase(came_.begin());
+    if (events_.connection) return events_.connection(fd);
+    ::close(fd);
+    return;
+  }
   if (from_next && type == kTake) {
     if (payload != name_) {
       CountFault("hand_over_odd", "node " + payload + " wants this one's listener");
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -8,6 +8,7 @@
 //   next: READY              it accepts from now on
 //   old:  YOURS              it accepts no more, answers what it took, and has left the path
 //   both: NEWS               a word of a job that the sender does not have
+//   old:  CONNECTION (with the descriptor)   a client's, between two requests
 //
 // The old one goes back to accepting where the link ends before it has answered all that it took.
 #ifndef PEARREACH_SRC_HANDOVER_HANDOVER_H_
@@ -18,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/io.h"
 
@@ -32,6 +34,8 @@
     std::function<void()> stay;              // it has died: accept again
     std::function<void()> alone;             // the one before has left, or there was none
     std::function<void(const std::string&)> news;
+    // A client's connection from the process before, the caller's now; none: it is closed.
+    std::function<void(int)> connection;
   };
   // `path`: of the socket, for this node alone. `name`: the node's; another is not served.
   HandOver(std::string path, std::string name, Events events);
@@ -51,6 +55,9 @@
   std::string Serve();
   // To the other process, if there is one.
   bool Forward(const std::string& news);
+  // A client's connection to the next process, once it accepts. True: it has it, and this one's
+  // descriptor may be closed.
+  bool Pass(int descriptor);
 
   bool leaving() const { return leaving_; }
 
@@ -68,7 +75,8 @@
 
   std::string path_, name_;
   Events events_;
-  Link before_, next_;  // the process before this one, and the one after it
+  Link before_, next_;     // the process before this one, and the one after it
+  std::vector<int> came_;  // descriptors from the one before, for the frames that carry them
   bool leaving_ = false, serving_ = false;
   std::unique_ptr<Listener> listener_;
 };
--- a/tests/handover/handover_test.cpp
+++ b/tests/handover/handover_test.cpp
@@ -112,6 +112,28 @@
   EXPECT_TRUE(Serves("third"));
 }
 
+// A client keeps its connection to the old process across the hand-over: it is the next one's then,
+// and carries the client's next job after the old one has ended.
+TEST_F(Handing, AClientsConnectionGoesOverToTheNextProcess) {
+  auto before = Begin();
+  ASSERT_TRUE(before->Ready(20 * kSecond));
+  Caller kept(port());
+  kept.stream->Write("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_EQ(kept.Status(), 200);
+  auto after = Begin();
+  ASSERT_TRUE(Logged("the next process accepts"));
+  RunUntil([&] { return before->over(); });
+  ASSERT_TRUE(before->over()) << "the old one waits for no client that it has handed over";
+  EXPECT_FALSE(kept.closed);
+  kept.Ask("j1");
+  RunUntil([&] { return !worker.got.empty() || kept.closed; });
+  ASSERT_FALSE(kept.closed) << "closed with the old process" << log();
+  ASSERT_EQ(worker.got.size(), 1u);
+  Caller agent(port());
+  agent.News("j1", "s-0", "done");
+  EXPECT_EQ(kept.Status(1), 200);
+}
+
 // Killed at some moment between its start and its service, the next one leaves the old one serving;
 // the old one killed, the next one serves.
 TEST_F(Handing, WhicheverIsKilledTheOtherServes) {
@@ -163,7 +185,8 @@
           .leave = [] {},
           .stay = [] {},
           .alone = [] {},
-          .news = [](const std::string&) {}};
+          .news = [](const std::string&) {},
+          .connection = [](int fd) { close(fd); }};
 }
 
 TEST(HandOverLink, OddPeersAreLetGo) {
