Reproduce in the module alone why a worker put back draws no job for 5 s

Checked and ruled out: the cold part fixed while the worker was out (setting it only once in service left the test red; reverted), the set of used workers (it steers the periodic check, not the choice).

--- a/tests/module/policy_test.cpp
+++ b/tests/module/policy_test.cpp
@@ -679,6 +679,34 @@
   EXPECT_LE(sent, 3);  // half of 4 x 0.3 slots x 1.5 s is 0.9 s of work, on one worker of the two
 }
 
+// Met on the operators' days: a worker that served here is detached, restarts while it is out and
+// is heard of again as draining; once it is put back it should draw jobs within seconds. Open: it
+// draws none of 100 over 5 s (the day `hand` pays its whole left_unused price for this). Disabled
+// until the module is mended; --gtest_also_run_disabled_tests shows it red.
+TEST(Home, DISABLED_AWorkerPutBackAfterARestartWhileOutDrawsJobs) {
+  Settings s = BaseSettings();
+  Driver d(s);
+  d.now = 20 * kSecond;
+  d.List({Driver::Entry(0), Driver::Entry(1), Driver::Entry(2)});
+  RequestId id = 1;
+  for (; id <= 30; ++id) d.Serve(id, 20 * kMs);
+  d.List({Driver::Entry(0, Health::kDraining)}, WorkerList::Form::kChanges);
+  d.Run(500 * kMs);
+  d.List({Driver::Entry(0, Health::kGone)}, WorkerList::Form::kChanges);
+  d.Run(500 * kMs);
+  const Micros restarted = d.now;
+  d.List({Driver::Entry(0, Health::kDraining, restarted)}, WorkerList::Form::kChanges);
+  d.Run(kSecond);
+  d.List({Driver::Entry(0, Health::kInService, restarted)}, WorkerList::Form::kChanges);
+  int to_it = 0;
+  for (const RequestId last = id + 100; id < last; ++id) {
+    d.Serve(id, 20 * kMs);
+    to_it += d.last_worker[id] == 0;
+    d.Run(30 * kMs);
+  }
+  EXPECT_GE(to_it, 1);
+}
+
 // A worker that starts each job and fails it at once looked idle and drew most jobs.
 TEST(Errors, AWorkerThatFailsEverythingAtOnceDrawsFewJobs) {
   Driver d(BaseSettings());
