Fix a restarted worker's cold part once it is in service: put back, it drew no job

Reproduced in the module alone, then found with its observer: the worker was never in the sample. It had restarted while detached and was first heard of as draining, when this node's part of it was 0; that part stood as its share of the cold budget (cold_part), so every job was over budget until it was warm. Ruled out before: the set of used workers, the price of a connection.

Test: Home.AWorkerPutBackAfter- ARestartWhileOutDrawsJobs, red without the change.

--- a/src/module/policy.cpp
+++ b/src/module/policy.cpp
@@ -262,8 +262,9 @@
         if (workers_[id].named != lists_) Place(id, false);
     for (Pool& p : pools_)
       if (std::exchange(p.changed, false)) Split(p);
-    for (const WorkerEntry& e : list.entries)
-      if (e.worker < workers_.size() && workers_[e.worker].cold_part < 0)
+    for (const WorkerEntry& e : list.entries)  // once in service: drained, its part is nothing
+      if (e.worker < workers_.size() && workers_[e.worker].cold_part < 0 &&
+          workers_[e.worker].member)
         workers_[e.worker].cold_part = workers_[e.worker].part;
   }
 
