--- a/tests/admin/bans_test.cpp
+++ b/tests/admin/bans_test.cpp
@@ -24,9 +24,8 @@
 
 // Two processes of a node in an upgrade: what one saves, the other sees as changed and loads.
 TEST(BanFile, WhatOneProcessSavesTheOtherSees) {
-  char folder[] = "/tmp/pearreach-bans-XXXXXX";
-  ASSERT_NE(mkdtemp(folder), nullptr);
-  const std::string path = std::string(folder) + "/bans";
+  const std::string path = testing::TempDir() + "pearreach_bans_" + std::to_string(getpid());
+  unlink(path.c_str());
   BanFile old_one(path), next_one(path);
   EXPECT_TRUE(next_one.Load().empty()) << "none yet, and no fault";
   EXPECT_EQ(CountOf("bans_not_read"), 0u);
@@ -42,7 +41,6 @@
   EXPECT_EQ(old_one.Load(), Bans{"s-1"});
   EXPECT_GE(CountOf("bad_ban_line"), 1u);
   unlink(path.c_str());
-  rmdir(folder);
 }
 
 // A file that cannot be written costs the node nothing but a count.
--- a/tests/config/config_test.cpp
+++ b/tests/config/config_test.cpp
@@ -89,6 +89,28 @@
   std::remove(path.c_str());
 }
 
+// The operators' door: where the file says, unless $EDGE_OPERATOR says otherwise; none without.
+TEST(Config, TheOperatorsDoorIsInTheFileOrEdgeOperator) {
+  const std::string path = testing::TempDir() + "pearreach_door_" + std::to_string(getpid());
+  const auto write = [&](const std::string& door) {
+    std::ofstream(path) << R"({"listen":"127.0.0.1:0","discovery":"127.0.0.1:1",)" + door +
+                               R"("settings":{"RequestClasses":[{"Name":"c","Effect":"once"}],)" +
+                               R"("Models":["m"],"RoundMs":2.0}})";
+  };
+  write("");
+  EXPECT_EQ(LoadConfig(path).operator_listen, "");
+  write(R"("operator":"127.0.0.1:9",)");
+  EXPECT_EQ(LoadConfig(path).operator_listen, "127.0.0.1:9");
+  setenv("EDGE_OPERATOR", "127.0.0.1:8", 1);
+  EXPECT_EQ(LoadConfig(path).operator_listen, "127.0.0.1:8");
+  setenv("EDGE_OPERATOR", "nowhere", 1);
+  EXPECT_THROW(LoadConfig(path), Malformed);
+  unsetenv("EDGE_OPERATOR");
+  write(R"("operator":"nowhere",)");
+  EXPECT_THROW(LoadConfig(path), Malformed);
+  std::remove(path.c_str());
+}
+
 TEST(Listing, ABadEntryIsLeftOutAndTheRestKept) {
   const auto list = ReadListing(
       R"({"version":7,"full":true,"servers":[
--- a/tests/config/operator_test.cpp
+++ b/tests/config/operator_test.cpp
@@ -76,6 +76,18 @@
   EXPECT_EQ(Wrong(std::string(2 << 20, ' ')), "op.xml:1: longer than a mebibyte");
 }
 
+// Each file is refused with its line, "f:LINE: what".
+void ExpectWrong(const std::vector<std::pair<std::string, std::string>>& cases) {
+  for (const auto& [text, line] : cases) {
+    try {
+      ReadOperatorFile(text, "f");
+      ADD_FAILURE() << text;
+    } catch (const marlquay::Malformed& wrong) {
+      EXPECT_EQ(wrong.what(), line);
+    }
+  }
+}
+
 // The platform's $TMPDIR is known only at the start: without ${NAME} no path could name it.
 TEST(OperatorFile, PathsNameEnvironmentVariables) {
   setenv("PEARREACH_TEST_DIR", "/run/t", 1);
@@ -86,18 +98,10 @@
       "f");
   EXPECT_EQ(good.handover, HandOverSettings{"/run/t/h.sock"});
   EXPECT_EQ(good.knowledge->folder, "/run/t");
-  for (const auto& [text, line] : std::vector<std::pair<std::string, std::string>>{
-           {"<pearreach>\n<handover path='${PEARREACH_TEST_UNSET}/h'/></pearreach>",
-            "f:2: path: ${PEARREACH_TEST_UNSET} is not set"},
-           {"<pearreach>\n<handover path='/a/${PEARREACH_TEST_DIR'/></pearreach>",
-            "f:2: path: '/a/${PEARREACH_TEST_DIR' has no '}'"}}) {
-    try {
-      ReadOperatorFile(text, "f");
-      ADD_FAILURE() << text;
-    } catch (const marlquay::Malformed& wrong) {
-      EXPECT_EQ(wrong.what(), line);
-    }
-  }
+  ExpectWrong({{"<pearreach>\n<handover path='${PEARREACH_TEST_UNSET}/h'/></pearreach>",
+                "f:2: path: ${PEARREACH_TEST_UNSET} is not set"},
+               {"<pearreach>\n<handover path='/a/${PEARREACH_TEST_DIR'/></pearreach>",
+                "f:2: path: '/a/${PEARREACH_TEST_DIR' has no '}'"}});
 }
 
 TEST(OperatorFile, KnowledgeAndHandOver) {
@@ -107,22 +111,13 @@
       "f");
   EXPECT_EQ(good.knowledge, (KnowledgeSettings{"/k", 200 * kMs, "/key"}));
   EXPECT_EQ(good.handover, HandOverSettings{"/s"});
-  for (const auto& [text, line] : std::vector<std::pair<std::string, std::string>>{
-           {"<pearreach>\n<knowledge folder='k'/></pearreach>",
-            "f:2: knowledge: 'k' is not absolute"},
-           {"<pearreach>\n<knowledge folder='/k' key-file='x'/></pearreach>",
-            "f:2: knowledge: 'x' is not absolute"},
-           {"<pearreach>\n<handover path='s'/></pearreach>",
-            "f:2: handover: path 's' is not absolute"},
-           {"<pearreach><handover path='/s'/><jobs store='/j'/></pearreach>",
-            "f:1: handover and jobs exclude each other"}}) {
-    try {
-      ReadOperatorFile(text, "f");
-      ADD_FAILURE() << text;
-    } catch (const marlquay::Malformed& wrong) {
-      EXPECT_EQ(wrong.what(), line);
-    }
-  }
+  ExpectWrong(
+      {{"<pearreach>\n<knowledge folder='k'/></pearreach>", "f:2: knowledge: 'k' is not absolute"},
+       {"<pearreach>\n<knowledge folder='/k' key-file='x'/></pearreach>",
+        "f:2: knowledge: 'x' is not absolute"},
+       {"<pearreach>\n<handover path='s'/></pearreach>", "f:2: handover: path 's' is not absolute"},
+       {"<pearreach><handover path='/s'/><jobs store='/j'/></pearreach>",
+        "f:1: handover and jobs exclude each other"}});
 }
 
 }  // namespace
