--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -7,18 +7,23 @@
 namespace {
 
 constexpr Micros kWatch = 5 * kSecond;   // asked of discovery: answer by then at the latest
-constexpr Micros kOverdue = 1500 * kMs;  // silence beyond it: the connection is given up
-constexpr Micros kLeastGap = 50 * kMs;   // between two calls of which the first told nothing
-constexpr Micros kFirstWait = 20 * kMs;  // before another try; doubles up to the last
+constexpr Micros kOverdue = 3 * kSecond;  // silence beyond it: a busy discovery has its turn by then
+constexpr Micros kLeastGap = 50 * kMs;    // between two calls of which the first told nothing
+constexpr Micros kFirstWait = 20 * kMs;   // before another try; doubles up to the last
 constexpr Micros kLastWait = 1000 * kMs;
+constexpr Micros kBusyWait = 1000 * kMs;  // the first one where discovery has too much to do
+constexpr Micros kNodeGap = 50 * kMs;    // the last wait lets all nodes together call so often
+constexpr Micros kLongestWait = 8 * kSecond;
 
 }  // namespace
 
-Discovery::Discovery(std::string address, std::function<void(const Listing&)> heard)
+Discovery::Discovery(std::string address, int nodes, std::uint64_t seed,
+                     std::function<void(const Listing&)> heard)
     : address_(std::move(address)),
       heard_(std::move(heard)),
       next_([this] { Call(); }),
-      overdue_([this] { Again("no answer"); }) {}
+      overdue_([this] { Again("no answer"); }),
+      backoff_(kFirstWait, std::clamp(nodes * kNodeGap, kLastWait, kLongestWait), seed) {}
 
 void Discovery::Start(std::optional<std::uint64_t> version) {
   version_ = version;
@@ -28,7 +33,7 @@
 void Discovery::MoveTo(const std::string& address) {
   address_ = address;
   version_.reset();
-  wait_ = 0;
+  backoff_.Succeed();
   next_.Clear();
   // Guards the new watch against a late word of the old one.
   if (stream_ != nullptr) stream_->Close();
@@ -72,6 +77,12 @@
 }
 
 void Discovery::OnMessage(const http::Message& message) {
+  // Guards the fleet: a discovery that fails a call for want of time says nothing of the version
+  // held, and the whole list would cost it more than what has changed.
+  if (message.status >= 500) {
+    CountFault("discovery_busy", "status " + std::to_string(message.status));
+    return Again("it has too much to do", kBusyWait);
+  }
   const auto list = message.status == 200 ? ReadListing(message.body) : std::nullopt;
   if (!list) {
     CountFault("bad_discovery_answer", "status " + std::to_string(message.status));
@@ -84,7 +95,7 @@
     version_.reset();
     return Again("unknown list");
   }
-  wait_ = 0;
+  backoff_.Succeed();
   overdue_.Clear();
   const bool news = list->full || !list->servers.empty();
   version_ = list->version;
@@ -96,15 +107,14 @@
   Call();
 }
 
-void Discovery::Again(const char* why) {
+void Discovery::Again(const char* why, Micros least) {
   Count("discovery_retries");
-  if (wait_ == 0)
+  if (!backoff_.failing())
     Log("list_retried", {{"why", why}}, std::string("worker list: ") + why + ", trying again");
   if (stream_ != nullptr) stream_->Close();
   stream_ = nullptr;
   overdue_.Clear();
-  wait_ = std::clamp(2 * wait_, kFirstWait, kLastWait);
-  next_.Set(Now() + wait_);
+  next_.Set(Now() + backoff_.Next(least));
 }
 
 }  // namespace pearreach
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -1,6 +1,7 @@
 // The watch of the worker list. It owns one connection to discovery and the version held; it must
 // never end because of what comes back, and never lets more than a moment pass between an answer
-// and the next call, for then the watch would start anew.
+// and the next call, for then the watch would start anew. Discovery serves the whole fleet: a node
+// whose calls fail must not come again in step with the others, nor ask for more than it lacks.
 #ifndef PEARREACH_SRC_NODE_DISCOVERY_H_
 #define PEARREACH_SRC_NODE_DISCOVERY_H_
 
@@ -9,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "base/backoff.h"
 #include "base/io.h"
 #include "config/config.h"
 #include "http/http.h"
@@ -17,7 +19,10 @@
 
 class Discovery {
  public:
-  Discovery(std::string address, std::function<void(const Listing&)> heard);
+  // `nodes` is how many watch the list, and `seed` this one's own: together they set how far apart
+  // its calls are while discovery has too much to do.
+  Discovery(std::string address, int nodes, std::uint64_t seed,
+            std::function<void(const Listing&)> heard);
 
   // Begins the watch behind a list that is held already, if any.
   void Start(std::optional<std::uint64_t> version);
@@ -28,7 +33,8 @@
   void Call();
   void OnData(std::string_view bytes);
   void OnMessage(const http::Message& message);
-  void Again(const char* why);  // drops the connection and calls again after a wait
+  // Drops the connection and calls again after a wait, of which `least` is the first.
+  void Again(const char* why, Micros least = 0);
 
   std::string address_;
   std::function<void(const Listing&)> heard_;
@@ -36,7 +42,8 @@
   std::shared_ptr<Stream> stream_;
   http::Parser parser_{http::Parser::Kind::kResponse, {16 << 10, 100, 1 << 20}};
   Alarm next_, overdue_;
-  Micros wait_ = 0, called_ = 0;
+  Backoff backoff_;
+  Micros called_ = 0;
 };
 
 }  // namespace pearreach
--- a/tests/node/stories_test.cpp
+++ b/tests/node/stories_test.cpp
@@ -523,6 +523,28 @@
   EXPECT_TRUE(first.got.empty()) << "it drains";
 }
 
+// A whole fleet that is told 503 and then asks for the whole list again and again keeps discovery
+// busy for good: a node goes on from the version that it holds.
+TEST(Story, ABusyDiscoveryIsAskedForNoMoreThanWhatHasChanged) {
+  int busy = 2;
+  Server discovery([&](const Message&) {
+    return busy-- > 0 ? http::WriteResponse(503, {}, "", true) : std::string();
+  });
+  Config config = BaseConfig();
+  config.discovery = discovery.address();
+  Listing known;
+  known.version = 3;
+  known.full = true;
+  known.servers = {{"s-0", "127.0.0.1:1", "a", "m"}};
+  config.known = known;
+  Rig rig(config);
+  rig.node.Start();
+  RunUntil([&] { return discovery.got.size() == 3; });
+  ASSERT_EQ(discovery.got.size(), 3u);
+  for (const Message& m : discovery.got)
+    EXPECT_EQ(m.target, "/v1/endpoints?since=3&timeout_ms=5000");
+}
+
 std::string ListOf(int version, const std::string& id, const std::string& at) {
   return R"({"version":)" + std::to_string(version) + R"(,"full":true,"servers":[{"id":")" + id +
          R"(","addr":")" + at + R"(","zone":"a","kind":"m","state":"up"}]})";
