--- a/tests/node/stories_test.cpp
+++ b/tests/node/stories_test.cpp
@@ -545,6 +545,26 @@
     EXPECT_EQ(m.target, "/v1/endpoints?since=3&timeout_ms=5000");
 }
 
+// A hundred nodes start in one moment, where each watch is work for discovery: those that hold a
+// list do not all ask at once. One that holds none cannot wait, nor can those that are told anyway.
+TEST(Story, NodesWithAListBeginTheirWatchesApart) {
+  Server discovery(Silent);
+  const auto start = [&](int sharers, std::optional<std::uint64_t> version, Micros most) {
+    std::vector<std::unique_ptr<Discovery>> nodes;
+    const std::size_t before = discovery.got.size();
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+      nodes.push_back(
+          std::make_unique<Discovery>(discovery.address(), sharers, seed, [](const Listing&) {}));
+      nodes.back()->Start(version);
+    }
+    RunUntil([&] { return discovery.got.size() - before == 20; }, most);
+    return discovery.got.size() - before;
+  };
+  EXPECT_LT(start(100, 3, 200 * kMs), 20u);
+  EXPECT_EQ(start(100, std::nullopt, 20 * kSecond), 20u);
+  EXPECT_EQ(start(0, 3, 20 * kSecond), 20u);
+}
+
 std::string ListOf(int version, const std::string& id, const std::string& at) {
   return R"({"version":)" + std::to_string(version) + R"(,"full":true,"servers":[{"id":")" + id +
          R"(","addr":")" + at + R"(","zone":"a","kind":"m","state":"up"}]})";
