Start several nodes as processes, cut their links, and check the history: the trial

Need: what the operators ask for next (shared state, zones, versions) is to be proven by several processes with faults between them; nothing in the laboratory started more than one node.

pearreach-lab trial starts 3 to 30 real nodes, emulated match workers, a discovery whose agent may hold back each node's list, and open-loop clients; by a file (XML with a schema) or with faults drawn from a seed it cuts and holds connections, stalls, kills and restarts processes and workers, and gathers what all of them saw into one history. Faults of words are read and drawn, but nothing carries words yet.

--- a/lab/base/process.cpp
+++ b/lab/base/process.cpp
@@ -69,13 +69,12 @@
          g_subprocess_get_exit_status(process_) == 0;
 }
 
-void Process::Freeze() {
-  if (pid_ != 0) g_subprocess_send_signal(process_, SIGSTOP);
+void Process::Signal(int number) {
+  if (pid_ != 0) g_subprocess_send_signal(process_, number);
 }
 
-void Process::Thaw() {
-  if (pid_ != 0) g_subprocess_send_signal(process_, SIGCONT);
-}
+void Process::Freeze() { Signal(SIGSTOP); }
+void Process::Thaw() { Signal(SIGCONT); }
 
 std::uint64_t Process::cpu_ns(bool without_the_loop) const {
   std::uint64_t sum = 0;
--- a/lab/base/process.h
+++ b/lab/base/process.h
@@ -35,8 +35,9 @@
   bool over() const;                // so or by itself
   void Kill();                      // SIGKILL, and waits for its end
   bool Stop();                      // SIGTERM, then SIGKILL after 15 s; true: it ended with 0
-  void Freeze();                    // SIGSTOP
-  void Thaw();                      // SIGCONT
+  void Signal(int number);
+  void Freeze();  // SIGSTOP
+  void Thaw();    // SIGCONT
 
   // Nanoseconds of processor time of all its threads so far, and bytes resident, now and at most.
   std::uint64_t cpu_ns(bool without_the_loop = false) const;
--- a/lab/base/standins.cpp
+++ b/lab/base/standins.cpp
@@ -200,13 +200,29 @@
               folder + "/" + name + ".log"),
       address_(address) {}
 
-// Writes the node's configuration, too.
+NodeProcess::NodeProcess(const std::string& program, const std::string& name,
+                         const std::string& folder, const Own& own,
+                         const std::string& operator_file, const std::string& address)
+    : Process(Written(program, name, folder, own.config, operator_file),
+              folder + "/" + name + ".log"),
+      address_(address) {}
+
+std::vector<std::string> NodeProcess::Written(const std::string& program, const std::string& name,
+                                              const std::string& folder, const std::string& config,
+                                              const std::string& operator_file) {
+  const std::string file = folder + "/" + name + ".json";
+  std::ofstream(file) << config;
+  std::vector<std::string> words = {program, "serve", "--config", file};
+  if (!operator_file.empty()) words.insert(words.end(), {"--operator", operator_file});
+  return words;
+}
+
 std::vector<std::string> NodeProcess::Words(const std::string& program, const std::string& name,
                                             const std::string& folder, const std::string& discovery,
                                             const std::string& operator_file,
                                             const std::string& address) {
-  const std::string config = folder + "/" + name + ".json";
-  std::ofstream(config)
+  std::ostringstream config;
+  config
       << R"({"name":")" << name << R"(","listen":")" << address << R"(","discovery":")" << discovery
       << R"(","seed":"8c1f30d27a5be964","limits":{"sockets":4096},"settings":{)"
       << R"("Balancers":1,"Ordinal":0,"Locality":"here","Zones":["here"],"Models":["standin"],)"
@@ -219,9 +235,7 @@
       << R"("ConnIdleMs":60000.0,"ConnectTimeoutMs":200.0,"MaxRetryAfterMs":2000.0,)"
       << R"("MayDuplicate":true,"TryLimit":3},"Contract":{"ColdMs":8000.0,"ColdShare":0.32,)"
       << R"("FallMs":1000.0,"FallMultiple":2.5,"StopSendingWithinMs":1000.0}}})";
-  std::vector<std::string> words = {program, "serve", "--config", config};
-  if (!operator_file.empty()) words.insert(words.end(), {"--operator", operator_file});
-  return words;
+  return Written(program, name, folder, config.str(), operator_file);
 }
 
 bool NodeProcess::Ready(Micros most) {
--- a/lab/base/standins.h
+++ b/lab/base/standins.h
@@ -121,6 +121,12 @@
   NodeProcess(const std::string& program, const std::string& name, const std::string& folder,
               const std::string& discovery, const std::string& operator_file,
               const std::string& address = "");
+  // With a configuration of the caller's own, a JSON text, which names `address`.
+  struct Own {
+    std::string config;
+  };
+  NodeProcess(const std::string& program, const std::string& name, const std::string& folder,
+              const Own& own, const std::string& operator_file, const std::string& address);
   ~NodeProcess() { Stop(); }  // SIGTERM; SIGKILL if it does not end
   const std::string& address() const { return address_; }
   bool Ready(Micros most);  // waits until it answers
@@ -130,6 +136,9 @@
                                         const std::string& folder, const std::string& discovery,
                                         const std::string& operator_file,
                                         const std::string& address);
+  static std::vector<std::string> Written(const std::string& program, const std::string& name,
+                                          const std::string& folder, const std::string& config,
+                                          const std::string& operator_file);
   NodeProcess(const std::string& program, const std::string& name, const std::string& folder,
               const std::string& discovery, const std::string& operator_file,
               const std::string& address, int);
--- a/lab/cli/commands.h
+++ b/lab/cli/commands.h
@@ -23,6 +23,7 @@
 int ReportCommand(int argc, char** argv);
 int SimulateCommand(int argc, char** argv);
 int TopCommand(int argc, char** argv);
+int TrialCommand(int argc, char** argv);
 int Try(int argc, char** argv);
 
 }  // namespace pearreach::lab
--- a/lab/cli/main.cpp
+++ b/lab/cli/main.cpp
@@ -67,6 +67,7 @@
     {"report", {ReportCommand, "a page with plots of results or of a capture"}},
     {"simulate", {SimulateCommand, "many nodes and their fleet in virtual time"}},
     {"top", {TopCommand, "nodes' logs or an experiment's progress in a terminal"}},
+    {"trial", {TrialCommand, "many nodes as processes, faults between them, and checkers"}},
     {"try", {Try, "start a node with stand-ins, send it jobs, say what became of them"}},
 };
 
--- a/lab/emulate/fleet.cpp
+++ b/lab/emulate/fleet.cpp
@@ -22,8 +22,10 @@
 // The list as one node is told it: changes come later to some than to others.
 class EmulatedFleet::Discovery {
  public:
-  Discovery(const std::string& listen)
-      : alarm_([this] { Answer(); }),
+  using Told = std::function<void(const std::string& id, const std::string& entry)>;
+  Discovery(const std::string& listen, Told told)
+      : told_(std::move(told)),
+        alarm_([this] { Answer(); }),
         server_(
             [this](const http::Message& m, const std::shared_ptr<Stream>& s) { return Take(m, s); },
             listen + ":0") {}
@@ -33,6 +35,10 @@
     coming_.insert({at, {id, entry}});
     alarm_.Set(coming_.begin()->first);
   }
+  void Hold(bool held) {
+    held_ = held;
+    Answer();
+  }
 
  private:
   struct Entry {
@@ -46,8 +52,11 @@
   };
   std::string Body(std::uint64_t since, bool full) const {
     std::string servers;
-    for (const auto& [id, entry] : entries_)
-      if (full || entry.version > since) servers += (servers.empty() ? "" : ",") + entry.json;
+    for (const auto& [id, entry] : entries_) {
+      if (!full && entry.version <= since) continue;
+      servers += (servers.empty() ? "" : ",") + entry.json;
+      if (told_) told_(id, entry.json);
+    }
     return R"({"version":)" + std::to_string(version_) + R"(,"full":)" + (full ? "true" : "false") +
            R"(,"servers":[)" + servers + "]}";
   }
@@ -62,14 +71,15 @@
     watches_.push_back({stream, static_cast<std::uint64_t>(since),
                         Now() + std::min<Micros>(wait * kMs, kMostWatch)});
     alarm_.Set(std::min(watches_.back().until,
-                        coming_.empty() ? watches_.back().until : coming_.begin()->first));
+                        coming_.empty() || held_ ? watches_.back().until : coming_.begin()->first));
     return "";
   }
   // Takes what has become known by now, and answers the watches that it or their time concerns.
   void Answer() {
-    for (; !coming_.empty() && coming_.begin()->first <= Now(); coming_.erase(coming_.begin()))
+    for (; !held_ && !coming_.empty() && coming_.begin()->first <= Now();
+         coming_.erase(coming_.begin()))
       entries_[coming_.begin()->second.first] = {++version_, coming_.begin()->second.second};
-    Micros next = coming_.empty() ? 0 : coming_.begin()->first;
+    Micros next = coming_.empty() || held_ ? 0 : coming_.begin()->first;
     for (auto it = watches_.begin(); it != watches_.end();) {
       if (it->since < version_ || it->until <= Now()) {
         if (const auto stream = it->stream.lock(); stream != nullptr && stream->open())
@@ -83,6 +93,8 @@
     if (next != 0) alarm_.Set(next);
   }
 
+  Told told_;
+  bool held_ = false;
   std::uint64_t version_ = 0;
   std::map<std::string, Entry> entries_;
   std::multimap<Micros, std::pair<std::string, std::string>> coming_;
@@ -105,6 +117,7 @@
   double busy_sum = 0;
   std::vector<std::unique_ptr<NewsAgent>> agents;    // by node
   std::vector<std::unique_ptr<HttpServer>> servers;  // likewise
+  std::vector<std::string> told_at;                  // likewise: the address that the list names
   std::unique_ptr<Alarm> next, back;
 };
 
@@ -115,7 +128,14 @@
       later_alarm_([this] { TellLater(); }) {
   const Scenario& s = options_.scenario;
   for (std::size_t n = 0; n < options_.nodes.size(); ++n)
-    discoveries_.push_back(std::make_unique<Discovery>(options_.listen));
+    discoveries_.push_back(std::make_unique<Discovery>(
+        options_.listen, [this, n](const std::string& id, const std::string& entry) {
+          if (!options_.tell) return;
+          const bool draining = entry.find(R"("state":"draining")") != std::string::npos;
+          const std::size_t at = entry.find(R"("started_ms":)");
+          options_.tell({"told", id, "", std::to_string(n), draining ? "draining" : "up",
+                         std::atoll(entry.c_str() + at + 13)});
+        }));
   double parts = 0;
   for (const KindSpec& k : s.kinds) parts += k.part;
   for (int i = 0; i < s.workers; ++i) {
@@ -135,6 +155,7 @@
       w->silent = false;
       w->model.Start(Now());
       w->started_ms = g_get_real_time() / 1000;
+      Say("started", *w);
       Changed(w);
     });
     w->busy_since = Now();
@@ -145,6 +166,8 @@
             return Take(w, n, m, stream);
           },
           options_.listen + ":0"));
+      const std::string at = w->servers.back()->address();
+      w->told_at.push_back(options_.via ? options_.via(w->index, n, at) : at);
     }
     Changed(w);
   }
@@ -166,7 +189,7 @@
 void EmulatedFleet::Changed(Worker* w) {
   for (std::size_t n = 0; n < discoveries_.size(); ++n) {
     const std::string entry =
-        R"({"id":")" + w->id + R"(","addr":")" + w->servers[n]->address() + R"(","zone":"z)" +
+        R"({"id":")" + w->id + R"(","addr":")" + w->told_at[n] + R"(","zone":"z)" +
         std::to_string(w->zone) + R"(","kind":")" + w->kind + R"(","cell":0,"state":")" +
         (w->draining ? "draining" : "up") + R"(","weight":1.0,"started_ms":)" +
         std::to_string(w->started_ms) + "}";
@@ -233,9 +256,11 @@
       break;
     case WorkerModel::Offered::kFull:
       ++figures_.full;
+      Say("full", *w, *id, node);
       return http::WriteResponse(503, {{"X-Not-Processed", "1"}}, "", true);
     case WorkerModel::Offered::kFell:
       ++figures_.falls;
+      Say("fell", *w, *id, node);
       Restart(w->index, kFallDown);
       return "";
     case WorkerModel::Offered::kDown:
@@ -243,6 +268,7 @@
       return "";
   }
   ++figures_.taken;
+  Say("took", *w, *id, node);
   w->jobs[key] = {*id, node, key, false};
   w->by_id[*id] = key;
   // The 202 goes first: its news may come before it, but need not.
@@ -272,6 +298,7 @@
     w->by_id.erase(job.id);
     const bool fails = chance_.Uniform() < options_.errors;
     ++(fails ? figures_.failed : figures_.done);
+    Say(fails ? "failed" : "done", *w, job.id, job.node);
     Tell(w, job, fails ? "failed" : "done",
          (fails ? "" : R"(,"result":"matched )" + job.id + "\"") + Load(*w));
   }
@@ -306,7 +333,15 @@
   }
 }
 
+void EmulatedFleet::Say(const char* what, const Worker& w, const std::string& job,
+                        std::size_t node) {
+  if (options_.tell) options_.tell({what, w.id, job, std::to_string(node), "", w.started_ms});
+}
+
+void EmulatedFleet::HoldList(std::size_t node, bool held) { discoveries_.at(node)->Hold(held); }
+
 void EmulatedFleet::Die(Worker* w, bool tells) {
+  Say("died", *w);
   figures_.lost += w->jobs.size();
   const auto jobs = std::exchange(w->jobs, {});
   w->by_id.clear();
@@ -327,6 +362,7 @@
   Worker* w = workers_.at(worker).get();
   Catch(w);
   w->silent = true;
+  Say("silent", *w);
   for (const auto& agent : w->agents) agent->Drop();
 }
 
--- a/lab/emulate/fleet.h
+++ b/lab/emulate/fleet.h
@@ -5,6 +5,7 @@
 #ifndef PEARREACH_LAB_EMULATE_FLEET_H_
 #define PEARREACH_LAB_EMULATE_FLEET_H_
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,6 +28,17 @@
   double news_lost = 0;  // part of the news whose first telling is lost on its way
   Micros news_late = 0;  // all of it comes so much later
   double errors = 0;     // part of the jobs that end as failed
+  // The address that a node is told in place of a worker's own, say of a relay between them.
+  std::function<std::string(std::size_t worker, std::size_t node, const std::string& address)> via;
+  // What workers and discovery do: "took", "full", "done", "failed", "fell", "silent", "died",
+  // "started" and, of a change of the list as a node was told it, "told".
+  struct Word {
+    const char* what = "";
+    std::string worker, job, node;  // the node's number
+    std::string detail;             // the list's state of it
+    std::int64_t started_ms = 0;
+  };
+  std::function<void(const Word&)> tell;
 };
 
 class EmulatedFleet {
@@ -44,6 +56,8 @@
   void Silence(std::size_t worker);
   void Restart(std::size_t worker, Micros down);
   void Drain(std::size_t worker, bool draining);
+  // No change of the list reaches this node's agent until it is called with false.
+  void HoldList(std::size_t node, bool held);
 
   struct Figures {
     std::uint64_t taken = 0, full = 0, done = 0, failed = 0, cancelled = 0, lost = 0, falls = 0;
@@ -73,6 +87,7 @@
   void TellLater();
   Micros DrawWork(const std::string& cls);
   std::string Load(const Worker& w) const;
+  void Say(const char* what, const Worker& w, const std::string& job = "", std::size_t node = 0);
 
   FleetOptions options_;
   Chance chance_;
--- a/lab/load/sender.cpp
+++ b/lab/load/sender.cpp
@@ -40,7 +40,10 @@
   dropped_.clear();
   const Micros now = Now();
   for (const std::uint64_t ticket : book_->GiveUp(now))
-    if (const auto it = busy_.find(ticket); it != busy_.end()) Drop(it->second);
+    if (const auto it = busy_.find(ticket); it != busy_.end()) {
+      if (tell) tell({"gave_up", it->second->id, it->second->node});
+      Drop(it->second);
+    }
   for (const LoadBook::Send& send : book_->Due(now)) Send(send);
   // Clients give up by the millisecond; arrivals are kept to as closely as the loop can.
   const Micros next = book_->Next().value_or(now + 100 * kMs);
@@ -101,7 +104,9 @@
         {"X-Tenant-Id", plan_.accounts[static_cast<std::size_t>(send.job->account)].name});
   if (send.attempt > 1) headers.push_back({"X-Retried", "1"});
   link->ticket = send.ticket;
+  link->id = id;
   busy_[send.ticket] = link;
+  if (tell) tell({"sent", id, node, send.job->cls, 0, send.left});
   if (!link->stream->Write(
           http::WriteRequest("POST", "/" + c.name + path_, headers, "a job of the laboratory")))
     Over(link, nullptr);
@@ -123,7 +128,12 @@
         after = static_cast<Micros>(std::clamp(std::strtod(seconds->c_str(), nullptr), 0.0, 60.0) *
                                     1e6);
     }
+    if (tell)
+      tell({answer != nullptr ? "answered" : "broken", link->id, link->node, 0,
+            answer != nullptr ? answer->status : 0});
     book_->Answer(ticket, Now(), status, after);
+  } else if (answer != nullptr && tell) {
+    tell({"answered", link->id, link->node, 0, answer->status});  // one that nobody asked for
   }
   if (answer == nullptr || !answer->keep_alive || ticket == 0) return Drop(link);
   link->idle_since = Now();
--- a/lab/load/sender.h
+++ b/lab/load/sender.h
@@ -5,6 +5,7 @@
 #define PEARREACH_LAB_LOAD_SENDER_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -25,6 +26,16 @@
   // Runs until every job has its end.
   void Run();
 
+  // What clients saw: "sent", "answered" (with its status), "broken", "gave_up".
+  struct Word {
+    const char* what = "";
+    std::string id;
+    std::size_t node = 0;
+    int cls = 0, status = 0;
+    Micros left = 0;  // "sent": until its client gives up
+  };
+  std::function<void(const Word&)> tell;
+
   std::size_t most_open = 0;  // connections at once
   std::uint64_t without = 0;  // jobs that found none
   double cpu_seconds = 0;     // of this process, over the run
@@ -35,6 +46,7 @@
     http::Parser parser{http::Parser::Kind::kResponse};
     std::size_t node = 0;
     std::uint64_t ticket = 0;  // 0: idle
+    std::string id;            // of its request
     bool used = false;         // has carried an answer
     Micros idle_since = 0;
   };
--- /dev/null
+++ b/lab/trial/trial.cpp
@@ -0,0 +1,378 @@
+#include "lab/trial/trial.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <set>
+#include <stdexcept>
+#include <vector>
+
+#include "lab/base/relay.h"
+#include "lab/base/standins.h"
+#include "lab/emulate/fleet.h"
+#include "lab/load/sender.h"
+
+namespace pearreach::lab {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr Micros kLook = 50 * kMs;  // at the processes and the trial's own lateness
+constexpr Micros kMostReady = 30 * kSecond;
+constexpr Micros kMostEnding = 15 * kSecond;  // after SIGTERM
+
+std::string NodeName(std::size_t n) { return "n" + std::to_string(n); }
+
+// A free port at an address of the node's own.
+std::string AddressOf(std::size_t node) {
+  const std::string ip = "127.0." + std::to_string(node + 1) + ".1";
+  Listener listener([](std::shared_ptr<Stream>) {});
+  if (const std::string wrong = listener.Open(ip + ":0"); !wrong.empty())
+    throw std::runtime_error(ip + ": " + wrong);
+  return ip + ":" + std::to_string(listener.port());
+}
+
+Scenario ScenarioOf(const TrialPlan& plan) {
+  Scenario s;
+  s.nodes = plan.nodes;
+  s.workers = plan.workers;
+  s.zones = plan.zones;
+  s.load = plan.load;
+  s.notice_least = 100 * kMs;
+  s.notice_most = kSecond;
+  s.classes.resize(2);
+  s.classes[0].name = "commit";
+  s.classes[0].share = 2;
+  s.classes[0].work = 100 * kMs;
+  s.classes[0].deadline = 3 * kSecond;
+  s.classes[1] = s.classes[0];
+  s.classes[1].name = "sync";
+  s.classes[1].effect = "by_key";
+  s.classes[1].share = 1;
+  s.kinds[0].worker.cold_time = 3 * kSecond;
+  return s;
+}
+
+class Trial {
+ public:
+  explicit Trial(const TrialOptions& o)
+      : o_(o),
+        plan_(o.plan),
+        scenario_(ScenarioOf(o.plan)),
+        began_(Now()),
+        began_unix_(g_get_real_time()),
+        look_([this] { Look(); }) {
+    if (!o_.keep.empty()) fs::create_directories(o_.keep);
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+      limit.rlim_cur = limit.rlim_max;
+      setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    nodes_.resize(static_cast<std::size_t>(plan_.nodes));
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      nodes_[n].name = NodeName(n);
+      nodes_[n].address = AddressOf(n);
+    }
+    MakeFleet();
+    std::ofstream(path() + "/operator.xml") << "<pearreach><log format='json'/></pearreach>";
+  }
+
+  History Run() {
+    Say("trial", "plan",
+        {{"nodes", std::to_string(plan_.nodes)},
+         {"zones", std::to_string(plan_.zones)},
+         {"workers", std::to_string(plan_.workers)},
+         {"seed", std::to_string(plan_.seed)},
+         {"faults", std::to_string(plan_.faults.size())}});
+    for (std::size_t n = 0; n < nodes_.size(); ++n) StartNode(n);
+    for (Member& m : nodes_)
+      if (!m.process->Ready(kMostReady))
+        throw std::runtime_error(m.name + " did not get ready; its log is in " + path());
+    turn_due_ = Now();
+    Look();
+    LoadPlan load;
+    load.classes = scenario_.classes;
+    load.seed = plan_.seed;
+    Draw({.per_second = scenario_.load * JobsPerSecond(scenario_),
+          .length = plan_.length,
+          .phases = {}},
+         &load);
+    const Micros begin = Now() + 10 * kMs;
+    LoadBook book(load, begin);
+    std::vector<std::string> addresses;
+    for (const Member& m : nodes_) addresses.push_back(m.address);
+    Sender sender(&book, load, addresses, "", 4096);
+    sender.tell = [&](const Sender::Word& w) {
+      std::map<std::string, std::string> more = {{"job", w.id}, {"node", NodeName(w.node)}};
+      if (std::string_view(w.what) == "sent") {
+        more["left_us"] = std::to_string(w.left);
+        more["class"] = load.classes[static_cast<std::size_t>(w.cls)].name;
+        more["effect"] = load.classes[static_cast<std::size_t>(w.cls)].effect;
+      }
+      if (w.status != 0) more["status"] = std::to_string(w.status);
+      Say("client", w.what, std::move(more));
+    };
+    Say("trial", "load", {{"jobs", std::to_string(load.jobs.size())}});
+    for (std::size_t i = 0; i < plan_.faults.size(); ++i) {
+      alarms_.push_back(std::make_unique<Alarm>([this, i] { Begin(i); }));
+      alarms_.back()->Set(begin + plan_.faults[i].at);
+    }
+    sender.Run();
+    RunUntil([this] { return open_faults_ == 0 && begun_ == plan_.faults.size(); }, 60 * kSecond);
+    Say("trial", "quiet", {});  // no fault is at work any more
+    for (Member& m : nodes_) {
+      if (m.process == nullptr) continue;
+      m.ending = true;
+      m.process->Signal(SIGTERM);
+      Say("trial", "ending", {{"node", m.name}});
+    }
+    over_ = true;
+    RunUntil(
+        [this] {
+          return std::all_of(nodes_.begin(), nodes_.end(),
+                             [](const Member& m) { return m.process == nullptr; });
+        },
+        kMostEnding);
+    for (Member& m : nodes_) m.process.reset();
+    Say("trial", "over", {});
+    ReadLogs();
+    Sort(&history_);
+    return std::move(history_);
+  }
+
+ private:
+  struct Member {
+    std::string name, address;
+    std::unique_ptr<NodeProcess> process;
+    int stalls = 0, deaths = 0;  // faults that hold it so
+    bool ending = false;         // SIGTERM was sent and its end is awaited
+    std::vector<std::unique_ptr<Relay>> to_workers;
+    std::unique_ptr<Relay> to_discovery;
+  };
+
+  std::string path() const { return o_.keep.empty() ? folder_.path() : o_.keep; }
+  Micros At() const { return Now() - began_; }
+  void Say(const std::string& who, const std::string& what,
+           std::map<std::string, std::string> more) {
+    history_.push_back({At(), who, what, std::move(more)});
+  }
+
+  void MakeFleet() {
+    FleetOptions f;
+    for (const Member& m : nodes_) f.nodes.push_back(m.address);
+    f.scenario = scenario_;
+    f.seed = plan_.seed;
+    f.via = [this](std::size_t, std::size_t node, const std::string& address) {
+      nodes_[node].to_workers.push_back(std::make_unique<Relay>(address));
+      return nodes_[node].to_workers.back()->address();
+    };
+    f.tell = [this](const FleetOptions::Word& w) {
+      std::map<std::string, std::string> more;
+      if (!w.job.empty()) more["job"] = w.job;
+      if (!w.job.empty() || std::string_view(w.what) == "told") more["node"] = "n" + w.node;
+      if (!w.detail.empty()) more["state"] = w.detail;
+      if (w.started_ms != 0) more["started_ms"] = std::to_string(w.started_ms);
+      if (std::string_view(w.what) == "told") {
+        more["worker"] = w.worker;
+        return Say("discovery", w.what, std::move(more));
+      }
+      Say(w.worker, w.what, std::move(more));
+    };
+    fleet_ = std::make_unique<EmulatedFleet>(f);
+    for (std::size_t n = 0; n < nodes_.size(); ++n)
+      nodes_[n].to_discovery = std::make_unique<Relay>(fleet_->discovery(n));
+  }
+
+  std::string ConfigOf(std::size_t n) const {
+    const Member& m = nodes_[n];
+    std::string text = R"({"name":")" + m.name + R"(","listen":")" + m.address +
+                       R"(","discovery":")" + m.to_discovery->address() + R"(","seed":")" +
+                       std::to_string(1000 + n + plan_.seed % 1000 * 1000) +
+                       R"(","limits":{"sockets":1024},"settings":{)";
+    bool first = true;
+    for (const auto& [name, value] : SettingsOf(scenario_, static_cast<int>(n))) {
+      text += std::string(first ? "" : ",") + "\"" + name + "\":\"" + value + "\"";
+      first = false;
+    }
+    return text + "}}";
+  }
+
+  void StartNode(std::size_t n) {
+    Member& m = nodes_[n];
+    m.ending = false;
+    m.process =
+        std::make_unique<NodeProcess>(o_.program, m.name, path(), NodeProcess::Own{ConfigOf(n)},
+                                      path() + "/operator.xml", m.address);
+    Say("trial", "started", {{"node", m.name}, {"pid", std::to_string(m.process->pid())}});
+    if (m.stalls > 0) Stall(&m);
+  }
+  void Stall(Member* m) {
+    m->process->Freeze();
+    Say("trial", "stalled", {{"node", m->name}});
+  }
+
+  // Looks after the processes, and measures how late the trial itself is.
+  void Look() {
+    const Micros late = Now() - turn_due_;
+    if (late > 20 * kMs) Say("trial", "turn", {{"late_us", std::to_string(late)}});
+    for (std::size_t n = 0; n < nodes_.size(); ++n) {
+      Member& m = nodes_[n];
+      if (m.process == nullptr || !m.process->over()) continue;
+      Say("trial", "ended", {{"node", m.name}, {"how", m.ending ? "term" : "itself"}});
+      m.process.reset();
+      if (!over_ && m.deaths == 0) StartNode(n);
+    }
+    turn_due_ = Now() + kLook;
+    look_.Set(turn_due_);
+  }
+
+  std::vector<std::size_t> Nodes(const std::string& selector) const {
+    std::vector<std::size_t> all;
+    for (std::size_t n = 0; n < nodes_.size(); ++n)
+      if (Selects(selector, nodes_[n].name, plan_.zones)) all.push_back(n);
+    return all;
+  }
+  std::vector<std::size_t> Workers(const std::string& selector) const {
+    std::vector<std::size_t> all;
+    for (std::size_t w = 0; w < static_cast<std::size_t>(plan_.workers); ++w)
+      if (Selects(selector, "s-" + std::to_string(w), plan_.zones)) all.push_back(w);
+    return all;
+  }
+
+  void Begin(std::size_t number) {
+    const Fault& f = plan_.faults[number];
+    ++begun_;
+    ++open_faults_;
+    Say("trial", "fault",
+        {{"number", std::to_string(number)},
+         {"kind", NameOf(f.what)},
+         {"from", f.from},
+         {"to", f.to},
+         {"length_us", std::to_string(f.length)}});
+    std::function<void()> mend = Befall(f);
+    alarms_.push_back(std::make_unique<Alarm>([this, number, mend = std::move(mend)] {
+      if (mend) mend();
+      --open_faults_;
+      Say("trial", "mended", {{"number", std::to_string(number)}});
+    }));
+    alarms_.back()->Set(Now() + f.length);
+  }
+
+  // Does it; what is returned undoes it.
+  std::function<void()> Befall(const Fault& f) {
+    using What = Fault::What;
+    const std::vector<std::size_t> nodes = Nodes(f.from);
+    switch (f.what) {
+      case What::kLose:
+      case What::kLate:
+      case What::kDouble:
+      case What::kDamage:
+        return {};
+      case What::kCutTcp:
+      case What::kHoldTcp: {
+        std::vector<Relay*> relays;
+        for (const std::size_t n : nodes) {
+          if (f.to == "discovery" || f.to == "*") relays.push_back(nodes_[n].to_discovery.get());
+          if (f.to == "discovery") continue;
+          for (const std::size_t w : Workers(f.to)) relays.push_back(nodes_[n].to_workers[w].get());
+        }
+        for (Relay* r : relays)
+          if (f.what == What::kCutTcp)
+            r->Cut();
+          else
+            r->Hold();
+        return [relays] {
+          for (Relay* r : relays) r->Mend();
+        };
+      }
+      case What::kLateList:
+        for (const std::size_t n : nodes) fleet_->HoldList(n, true);
+        return [this, nodes] {
+          for (const std::size_t n : nodes) fleet_->HoldList(n, false);
+        };
+      case What::kStall:
+        for (const std::size_t n : nodes)
+          if (++nodes_[n].stalls == 1 && nodes_[n].process != nullptr) Stall(&nodes_[n]);
+        return [this, nodes] {
+          for (const std::size_t n : nodes) {
+            if (--nodes_[n].stalls > 0 || nodes_[n].process == nullptr) continue;
+            nodes_[n].process->Thaw();
+            Say("trial", "resumed", {{"node", nodes_[n].name}});
+          }
+        };
+      case What::kKill:
+        for (const std::size_t n : nodes) {
+          Member& m = nodes_[n];
+          ++m.deaths;
+          if (m.process == nullptr) continue;
+          m.process->Kill();
+          Say("trial", "ended", {{"node", m.name}, {"how", "kill"}});
+          m.process.reset();
+        }
+        return [this, nodes] {
+          for (const std::size_t n : nodes)
+            if (--nodes_[n].deaths == 0 && nodes_[n].process == nullptr) StartNode(n);
+        };
+      case What::kRestart:
+        for (const std::size_t n : nodes) {
+          Member& m = nodes_[n];
+          if (m.process == nullptr || m.ending) continue;
+          m.ending = true;
+          m.process->Signal(SIGTERM);
+          Say("trial", "ending", {{"node", m.name}});
+        }
+        return {};
+      case What::kTwin:
+      case What::kReload:
+        return {};
+      case What::kSilence:
+        for (const std::size_t w : Workers(f.from)) fleet_->Silence(w);
+        return [this, f] {
+          for (const std::size_t w : Workers(f.from)) fleet_->Restart(w, 0);
+        };
+      case What::kDie:
+        for (const std::size_t w : Workers(f.from)) fleet_->Restart(w, f.length);
+        return {};
+      case What::kDrain:
+        for (const std::size_t w : Workers(f.from)) fleet_->Drain(w, true);
+        return [this, f] {
+          for (const std::size_t w : Workers(f.from)) fleet_->Drain(w, false);
+        };
+    }
+    return {};
+  }
+
+  void ReadLogs() {
+    for (const auto& entry : fs::directory_iterator(path())) {
+      if (entry.path().extension() != ".log") continue;
+      std::ifstream in(entry.path());
+      Moment m;
+      for (std::string line; std::getline(in, line);)
+        if (ReadLogLine(line, began_unix_, &m)) history_.push_back(m);
+    }
+  }
+
+  TrialOptions o_;
+  TrialPlan plan_;
+  Scenario scenario_;
+  Micros began_, began_unix_;
+  Folder folder_;
+  std::vector<Member> nodes_;
+  std::unique_ptr<EmulatedFleet> fleet_;
+  History history_;
+  std::vector<std::unique_ptr<Alarm>> alarms_;
+  std::size_t begun_ = 0, open_faults_ = 0;
+  Micros turn_due_ = 0;
+  bool over_ = false;
+  Alarm look_;
+};
+
+}  // namespace
+
+History RunTrial(const TrialOptions& options) { return Trial(options).Run(); }
+
+}  // namespace pearreach::lab
