--- a/lab/base/process.cpp
+++ b/lab/base/process.cpp
@@ -1,6 +1,7 @@
 #include "lab/base/process.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -34,6 +35,9 @@
   // Not by path: that would cut off what an earlier life wrote.
   const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0640);
   if (file >= 0) g_subprocess_launcher_take_stderr_fd(launcher, file);
+  // A laboratory that is killed takes what it has started with it.
+  g_subprocess_launcher_set_child_setup(
+      launcher, [](gpointer) { prctl(PR_SET_PDEATHSIG, SIGKILL); }, nullptr, nullptr);
   process_ = g_subprocess_launcher_spawnv(launcher, argv.data(), nullptr);
   g_object_unref(launcher);
   if (process_ != nullptr) pid_ = std::atoi(g_subprocess_get_identifier(process_));
--- a/lab/trial/links.h
+++ b/lab/trial/links.h
@@ -35,6 +35,10 @@
   Chance chance_;
   std::vector<Fault> active_;
 };
+// The address of a node's own in 127.0.0.0/8, and of the relays beside it: others for each process
+// of the laboratory, so that trials side by side do not take each other's ports.
+std::string HostOf(int node, bool relay);
+
 // Whether a fault of words touches that direction. A zone against all is the zone's edge.
 bool Touches(const Fault& fault, int from, int to, int zones);
 
--- a/lab/trial/trial.cpp
+++ b/lab/trial/trial.cpp
@@ -32,7 +32,7 @@
 
 // A free port at an address of the node's own.
 std::string AddressOf(std::size_t node) {
-  const std::string ip = "127.0." + std::to_string(node + 1) + ".1";
+  const std::string ip = HostOf(static_cast<int>(node), false);
   Listener listener([](std::shared_ptr<Stream>) {});
   if (const std::string wrong = listener.Open(ip + ":0"); !wrong.empty())
     throw std::runtime_error(ip + ": " + wrong);
--- a/lab/trial/virtual.h
+++ b/lab/trial/virtual.h
@@ -16,7 +16,7 @@
 
 struct VirtualOptions {
   TrialPlan plan;                             // of its faults, those of words and of nodes
-  members::Options members = {};               // self, nodes and period are the plan's
+  members::Options members = {};              // self, nodes and period are the plan's
   Micros way_least = 500, way_most = 18'000;  // of a word, by the platform's protocol
   double lost = 0;                            // of all words, all the time
   Micros extra = 0;                           // after the faults; 0: the stated time to agree
