Trials say what words cost; words for the module are captured and replay the same

Need: a node's price for words, with and without them, and proof that a capture with them replays.

trial --no-words plays the same without words; each play prints service, times, processor time and memory. A node process with capture on is sent words for its module: pearreach replay says identical.

--- a/lab/cli/trial.cpp
+++ b/lab/cli/trial.cpp
@@ -109,6 +109,7 @@
       "  trial figures                 what knowing who is there costs and gives, in virtual time\n"
       "Exit codes: 0 nothing is violated, 1 something is, 2 wrong use or a bad file.");
   options.add_options()("words", "", value<std::vector<std::string>>())(
+      "no-words", "nodes without words between them")(
       "virtual", "the machines alone in virtual time, 3 to 300 nodes")(
       "period-ms", "between two probes; processes: 200, figures: 500",
       value<int>()->default_value("0"))("shrink", "plays to make what failed smaller, 0: none",
@@ -160,14 +161,18 @@
                                : "a trial of processes has 3 to 30 nodes");
   const std::string program = NodeProgram((*args)["node"].as<std::string>());
   std::string keep = (*args)["keep"].as<std::string>();
+  const bool with_words = args->count("no-words") == 0;
   const Play play = [&](const TrialPlan& p) {
-    History history = is_virtual ? RunVirtual({.plan = p}).history : RunTrial({program, p, keep});
+    History history =
+        is_virtual ? RunVirtual({.plan = p}).history : RunTrial({program, p, with_words, keep});
     keep.clear();  // those of the first play
     return history;
   };
   const History history = play(plan);
   if (const std::string out = (*args)["history"].as<std::string>(); !out.empty())
     WriteFile(out, WriteHistory(history));
+  for (const Moment& m : history)
+    if (m.what == "cost") std::printf("%s\n", Words(m).c_str());
   const auto violations = CheckAll(history);
   Print(history, violations, plan.seed);
   if (const int most = (*args)["shrink"].as<int>(); !violations.empty() && most > 0) {
--- a/lab/trial/trial.cpp
+++ b/lab/trial/trial.cpp
@@ -82,10 +82,12 @@
       nodes_[n].address = AddressOf(n);
     }
     MakeFleet();
-    std::ofstream(path() + "/operator.xml")
-        << "<pearreach><log format='json'/><peers period-ms='" << plan_.period / kMs
-        << "' view-ms='" << kViewEvery / kMs
-        << "' lines-per-minute='1000000' bytes-per-second='100000'/></pearreach>";
+    std::ofstream operators(path() + "/operator.xml");
+    operators << "<pearreach><log format='json'/>";
+    if (o_.words)
+      operators << "<peers period-ms='" << plan_.period / kMs << "' view-ms='" << kViewEvery / kMs
+                << "' lines-per-minute='1000000' bytes-per-second='100000'/>";
+    operators << "</pearreach>";
   }
 
   History Run() {
@@ -95,7 +97,7 @@
          {"workers", std::to_string(plan_.workers)},
          {"seed", std::to_string(plan_.seed)},
          {"faults", std::to_string(plan_.faults.size())},
-         {"period_us", std::to_string(plan_.period)}});
+         {"period_us", std::to_string(o_.words ? plan_.period : 0)}});
     for (std::size_t n = 0; n < nodes_.size(); ++n) StartNode(n);
     for (Member& m : nodes_)
       if (!m.process->Ready(kMostReady))
@@ -131,6 +133,7 @@
     }
     sender.Run();
     RunUntil([this] { return open_faults_ == 0 && begun_ == plan_.faults.size(); }, 60 * kSecond);
+    SayCost(book);
     Say("trial", "quiet", {});  // no fault is at work any more
     const Micros agree = AgreementWithin(plan_.nodes, plan_.period) + 2 * kViewEvery;
     RunUntil([] { return false; }, agree);
@@ -165,6 +168,28 @@
     bool other = false;                                       // its file names the second
   };
 
+  // What the load got, and what the processes took for it so far.
+  void SayCost(const LoadBook& book) {
+    std::uint64_t cpu = 0, most = 0;
+    for (const Member& m : nodes_) {
+      if (m.process == nullptr) continue;
+      cpu += m.process->cpu_ns();
+      most = std::max(most, m.process->most_resident());
+    }
+    TimeHistogram times;
+    for (const TimeHistogram& t : book.times()) times.Merge(t);
+    Say("trial", "cost",
+        {{"service", std::to_string(book.all().service())},
+         {"p50_ms", std::to_string(times.Quantile(0.5) / 1000)},
+         {"p99_ms", std::to_string(times.Quantile(0.99) / 1000)},
+         {"cpu_us_a_node_and_second",
+          std::to_string(static_cast<double>(cpu) / 1000 / static_cast<double>(nodes_.size()) /
+                         (static_cast<double>(At()) / 1e6))},
+         {"resident_kib", std::to_string(most >> 10)},
+         {"words", std::to_string(links_.passed)},
+         {"words_lost", std::to_string(links_.lost)}});
+  }
+
   std::string path() const { return o_.keep.empty() ? folder_.path() : o_.keep; }
   Micros At() const { return Now() - began_; }
   void Say(const std::string& who, const std::string& what,
--- a/lab/trial/trial.h
+++ b/lab/trial/trial.h
@@ -15,7 +15,8 @@
 struct TrialOptions {
   std::string program;  // pearreach
   TrialPlan plan;
-  std::string keep;  // a folder for logs and files; empty: they are removed
+  bool words = true;  // between nodes; without them what is about them is not checked
+  std::string keep;   // a folder for logs and files; empty: they are removed
 };
 
 // Throws std::runtime_error where the processes cannot be brought up.
--- a/tests/config/operator_test.cpp
+++ b/tests/config/operator_test.cpp
@@ -120,5 +120,19 @@
         "f:1: handover and jobs exclude each other"}});
 }
 
+TEST(OperatorFile, Peers) {
+  const auto good = ReadOperatorFile(
+      "<pearreach><peers period-ms='200' bytes-per-second='900' lines-per-minute='5' "
+      "view-ms='1000'/></pearreach>",
+      "f");
+  EXPECT_EQ(good.peers, (PeerSettings{200 * kMs, 900, 5, kSecond}));
+  EXPECT_FALSE(ReadOperatorFile("<pearreach/>", "f").peers);
+  for (const char* bad :
+       {"period-ms='0'", "bytes-per-second='-1'", "lines-per-minute='many'", "views='1'"})
+    EXPECT_TRUE(Wrong(std::string("<pearreach>\n<peers ") + bad + "/></pearreach>")
+                    .starts_with("op.xml:2: "))
+        << bad;
+}
+
 }  // namespace
 }  // namespace pearreach
--- a/tests/peers/peers_test.cpp
+++ b/tests/peers/peers_test.cpp
@@ -5,6 +5,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+
 #include "fleet/fleet.h"
 #include "lab/base/standins.h"
 #include "peers/gate.h"
@@ -141,6 +145,56 @@
       lab::RunUntil([&] { return other.members()->entry(0).process > before; }, 20 * kSecond));
 }
 
+std::string TextOf(const std::string& path) {
+  std::ifstream in(path);
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+// Words for the module go in as its events: they are in the capture, which replays the same; and a
+// node says in one line why it cannot have words, and serves.
+TEST(Node, WordsForTheModuleAreInTheCaptureAndReplay) {
+  lab::Folder folder;
+  const std::vector<std::string> nodes = {FreeUdp(), FreeUdp()};
+  const std::string address = lab::FreeAddress(), list = lab::FreeAddress();
+  const auto config = [&](const std::string& peers) {
+    return R"({"name":"n0","listen":")" + address + R"(","discovery":")" + list +
+           R"(","known":{"version":1,"full":true,"servers":[]},)" + peers +
+           R"("settings":{"Balancers":2,"Ordinal":0,"RoundMs":2.0,"Zones":["z"],"Locality":"z","Models":["m"],)"
+           R"("RequestClasses":[{"Name":"a","Effect":"once","AimMs":1.0,"DeadlineMs":5.0,)"
+           R"("Credit":1.0}]}})";
+  };
+  const std::string file = folder.path() + "/op.xml";
+  std::ofstream(file) << "<pearreach><peers period-ms='50'/><capture folder='" << folder.path()
+                      << "/c' flush-ms='10'/></pearreach>";
+  {
+    lab::NodeProcess node(
+        PEARREACH_PROGRAM, "n0", folder.path(),
+        lab::NodeProcess::Own{config(R"("peer_listen":")" + nodes[0] + R"(","peers":[")" +
+                                     nodes[0] + "\",\"" + nodes[1] + "\"],")},
+        file, address);
+    ASSERT_TRUE(node.Ready(20 * kSecond)) << TextOf(folder.path() + "/n0.log");
+    Fleet other(Settings(nodes, 1));
+    other.Start();
+    ASSERT_TRUE(
+        lab::RunUntil([&] { return other.members()->view(Now()).alive == 1; }, 20 * kSecond));
+    for (int i = 0; i < 20; ++i) other.Tell(0, "word " + std::to_string(i));
+    lab::RunUntil([] { return false; }, 300 * kMs);
+    EXPECT_TRUE(node.Stop());
+  }
+  EXPECT_NE(TextOf(folder.path() + "/n0.log").find("peer_words_for_the_module=20"),
+            std::string::npos);
+  const std::string replay =
+      std::string(PEARREACH_PROGRAM) + " replay " + folder.path() + "/c/*.prcap";
+  EXPECT_EQ(std::system((replay + " >" + folder.path() + "/out").c_str()), 0)
+      << TextOf(folder.path() + "/out");
+  lab::NodeProcess without(PEARREACH_PROGRAM, "n1", folder.path(),
+                           lab::NodeProcess::Own{config("")}, file, address);
+  EXPECT_TRUE(without.Ready(20 * kSecond));
+  EXPECT_NE(TextOf(folder.path() + "/n1.log")
+                .find("peers_off (1): peers: the configuration has no peer_listen"),
+            std::string::npos);
+}
+
 // A storm of words is read in bounded parts: what else the loop has to do gets its turn.
 TEST(Peers, AStormOfWordsStarvesNobody) {
   const std::vector<std::string> nodes = {FreeUdp(), FreeUdp()};
