Nodes name whom they never heard of, so a fleet that starts at once agrees in time

Seen: a virtual trial of 300 nodes without any fault violated agreement 46 times: 17.6 s after the start (period 200 ms, 88 periods; stated are 74) the last nodes were still unknown to some. Cause: news of 300 nodes are told by chance, and the last name comes in one word of 25.

Change: a word names up to six nodes that its sender has never heard of, and the next word to it has them first.

--- a/src/members/members.cpp
+++ b/src/members/members.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 #include "members/members.pb.h"
 
@@ -24,6 +25,7 @@
 constexpr Micros kLeastStall = 100'000;
 constexpr int kNobody = 10;  // periods without any word: it hears nobody
 constexpr std::size_t kMostRelays = 64;
+constexpr int kWants = 6;                        // asked for in one word
 constexpr std::size_t kLatest = 3, kInTurn = 4;  // entries for one whose digest is another
 
 }  // namespace
@@ -379,6 +381,9 @@
             from);
   }
   p.differs = s.digest() != digest_;
+  p.wants.clear();
+  for (int i = 0; i < std::min(kWants, s.want_size()); ++i)
+    if (Valid(static_cast<int>(s.want(i)))) p.wants.push_back(static_cast<int>(s.want(i)));
   const int about = static_cast<int>(s.about()) - 1;
   switch (s.kind()) {
     case kPing:
@@ -448,6 +453,12 @@
   const View seen = view(now);
   s.set_asked(static_cast<std::uint32_t>(seen.asked));
   s.set_heard(static_cast<std::uint32_t>(seen.heard));
+  // A fleet that starts all at once would else wait for the last few names by chance.
+  const std::size_t first = random_() % peers_.size();
+  for (std::size_t i = 0; i < peers_.size() && s.want_size() < kWants; ++i) {
+    const std::size_t n = (first + i) % peers_.size();
+    if (peers_[n].entry.process == 0) s.add_want(static_cast<std::uint32_t>(n));
+  }
   std::vector<bool> said(peers_.size());
   // Columns cost a tag and a length each, then what the entry takes.
   std::size_t room = options_.bytes - std::min(options_.bytes, s.ByteSizeLong() + 10);
@@ -480,6 +491,7 @@
   // Whom it concerns hears it first: only it can refute it.
   if (receiver.entry.status != Status::kAlive || receiver.refused) add(to);
   receiver.refused = false;
+  for (const int n : std::exchange(receiver.wants, {})) add(n);
   // News, the least told first, so often that it reaches everybody.
   const int often = 4 * static_cast<int>(std::ceil(std::log10(options_.nodes + 1.0)));
   std::vector<std::pair<int, int>> news;
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -121,6 +121,7 @@
     bool refused = false;  // its words are of a replaced process
     int asked = 0, heard_of = 0;
     Micros suspected = 0, deadline = 0;
+    std::vector<int> wants;     // nodes that it has never heard of, as it said last
     std::vector<int> suspects;  // who suspects it, this node too
   };
   struct Probe {
