--- a/include/marlquay/dispatcher.h
+++ b/include/marlquay/dispatcher.h
@@ -113,6 +113,7 @@
   bool is_repeat = false;            // marked by the client as its own retry
   std::optional<Micros> hint;        // expected work on a standard core
   std::optional<std::uint64_t> key;  // requests with one key profit from one worker
+  std::optional<bool> over_share;    // its tenant's, where the nodes share that; none: own count
 };
 
 struct AttemptTaken {  // the worker has it; it may wait there. Only if Settings::tells_taken
@@ -223,9 +224,20 @@
   std::vector<TenantKnowledge> tenants;
 };
 
+// What several nodes of the tier have seen of a worker, weighed elsewhere: evidence as far as this
+// node has none that is fresher. It holds until the next one of the worker.
+struct Judgement {
+  WorkerId worker = 0;
+  bool out = false;            // not to be used
+  bool trial = false;          // but for one job of this node, now
+  bool cold = false;           // its process has died, whatever the list says yet
+  Micros at = 0;               // of the latest word that it rests on
+  std::vector<int> witnesses;  // nodes, for people
+};
+
 using Event = std::variant<WorkerList, RequestArrived, AttemptTaken, AttemptStarted,
                            AttemptProgress, StreamBegan, AttemptEnded, RequestLapsed, TimerFired,
-                           ProbeEnded, PeerMessage, AttemptAdopted, Knowledge>;
+                           ProbeEnded, PeerMessage, AttemptAdopted, Knowledge, Judgement>;
 
 // ---------------------------------------------------------------- actions
 
--- a/lab/cli/trial.cpp
+++ b/lab/cli/trial.cpp
@@ -97,6 +97,32 @@
   return 0;
 }
 
+int SharedTable(const cxxopts::ParseResult& args) {
+  const std::vector<int> sizes = args.count("nodes") > 0 ? std::vector<int>{args["nodes"].as<int>()}
+                                                         : std::vector<int>{3, 9, 30, 100, 300};
+  std::printf("%5s %5s %-14s %8s %8s | %7s %7s | %8s %8s | %9s | %6s %5s\n", "nodes", "lost", "way",
+              "words/s", "bytes/s", "width", "off", "in share", "ceiling", "lost/node", "parts",
+              "viol.");
+  for (const int nodes : sizes)
+    for (const double lost : {0.0, 0.2, 0.5})
+      for (const int way : {0, 1, 2}) {
+        SharedCase c;
+        c.nodes = nodes;
+        c.lost = lost;
+        c.seed = args["seed"].as<std::uint64_t>();
+        c.lends = c.judges = way != 1;
+        c.cut_off = way == 2;
+        const SharedFigures f = Measure(c);
+        constexpr const char* kWays[] = {"shared", "each alone", "a third cut off"};
+        std::printf(
+            "%5d %5.2f %-14.14s %8.1f %8.0f | %7.3f %7.3f | %8.3f %8.4f | %9.2f | %6.3f %5zu\n",
+            nodes, lost, kWays[way], f.words, f.bytes, f.width, f.off, f.in_share, f.over_ceiling,
+            f.sends_lost, f.most_parts, f.violations);
+        std::fflush(stdout);
+      }
+  return 0;
+}
+
 }  // namespace
 
 int TrialCommand(int argc, char** argv) {
@@ -106,7 +132,9 @@
       "them and checks what must hold:\n"
       "  trial [FILE.xml | --seed N]   by a file, or with faults drawn from a seed\n"
       "  trial check HISTORY           judges a history again\n"
-      "  trial figures                 what knowing who is there costs and gives, in virtual time\n"
+      "  trial figures [shared]        what knowing who is there, or sharing state, costs and "
+      "gives,\n"
+      "                                in virtual time\n"
       "Exit codes: 0 nothing is violated, 1 something is, 2 wrong use or a bad file.");
   options.add_options()("words", "", value<std::vector<std::string>>())(
       "no-words", "nodes without words between them")(
@@ -137,6 +165,7 @@
     std::printf("trial: %zu lines, %zu violations\n", history.size(), violations.size());
     return violations.empty() ? 0 : 1;
   }
+  if (words.size() == 2 && words[0] == "figures" && words[1] == "shared") return SharedTable(*args);
   if (!words.empty() && words[0] == "figures") return Figures(*args);
   if (words.size() > 1) throw Malformed("trial wants one FILE.xml at most");
   TrialPlan plan;
@@ -148,7 +177,6 @@
     plan.length = static_cast<Micros>((*args)["seconds"].as<double>() * 1e6);
     DrawOptions draw;
     draw.faults = (*args)["faults"].as<int>();
-    draw.workers = args->count("virtual") == 0;
     if (draw.faults < 0 || plan.length < 1'000'000)
       throw Malformed("no time, or fewer than no faults");
     DrawFaults(draw, &plan);
@@ -162,9 +190,15 @@
   const std::string program = NodeProgram((*args)["node"].as<std::string>());
   std::string keep = (*args)["keep"].as<std::string>();
   const bool with_words = args->count("no-words") == 0;
+  SharedLoad shared;  // in virtual time
+  shared.options.shares = {70, 40, 20};
+  shared.asked = {60, 30, 10};
+  shared.flood_from = plan.length / 4;
+  shared.flood_until = plan.length / 2;
+  shared.sends = std::min(4.0, 400.0 / plan.nodes);
   const Play play = [&](const TrialPlan& p) {
-    History history =
-        is_virtual ? RunVirtual({.plan = p}).history : RunTrial({program, p, with_words, keep});
+    History history = is_virtual ? RunVirtual({.plan = p, .shared = &shared}).history
+                                 : RunTrial({program, p, with_words, keep});
     keep.clear();  // those of the first play
     return history;
   };
--- a/lab/trial/checkers.cpp
+++ b/lab/trial/checkers.cpp
@@ -529,6 +529,129 @@
 
 // ---------------------------------------------------------------- what nodes share
 
+constexpr Micros kSecondOfTruth = 1'000'000;
+
+struct Share {
+  double whole = 0, burst = 0;
+  Micros window = 0;
+};
+std::vector<Share> SharesOf(const History& history) {
+  std::vector<Share> shares;
+  for (const Moment& m : history)
+    if (m.who == "trial" && m.what == "share")
+      shares.push_back({std::atof(m.Of("whole").c_str()), std::atof(m.Of("burst").c_str()),
+                        m.Number("window_us")});
+  return shares;
+}
+
+// What processes said of one account, each of its own.
+struct Figures {
+  Micros at = 0;
+  double counted = 0, spent = 0, least = 0, most = 0;
+  std::size_t line = 0;
+};
+struct Process {
+  std::string node;
+  Micros began = 0;
+  std::vector<Figures> lines;  // by time
+};
+std::vector<Process> ProcessesOf(const History& history, std::size_t account) {
+  std::vector<Process> all;
+  std::map<std::string, std::size_t> at;  // by node and process
+  std::map<std::string, Micros> began;
+  for (std::size_t i = 0; i < history.size(); ++i) {
+    const Moment& m = history[i];
+    if (m.what == "peers_open") began[m.who] = m.at;
+    if (m.what != "shared" || m.Of("accounts").empty()) continue;
+    const auto [it, fresh] = at.emplace(m.who + " " + m.Of("process"), all.size());
+    if (fresh) all.push_back({m.who, began.contains(m.who) ? began[m.who] : m.at, {}});
+    const std::string accounts = m.Of("accounts");
+    for (const marlquay::Text entry : marlquay::Split(accounts, ' ')) {
+      const auto parts = marlquay::Split(entry, ':');
+      if (parts.size() < 7 || std::string(parts[0]) != std::to_string(account)) continue;
+      const auto number = [&](std::size_t k) { return std::atof(std::string(parts[k]).c_str()); };
+      all[it->second].lines.push_back({m.at, number(1), number(2), number(4), number(5), i});
+    }
+  }
+  return all;
+}
+
+// In any second, and in any four, what all processes say that they spent of a budget within its
+// share is no more than that share of the time and what may have been saved up.
+std::vector<Violation> BudgetSpent(const History& history) {
+  std::vector<Violation> wrong;
+  const std::vector<Share> shares = SharesOf(history);
+  for (std::size_t k = 0; k < shares.size(); ++k) {
+    const std::vector<Process> processes = ProcessesOf(history, k);
+    for (const Micros length : {1'000'000, 4'000'000})
+      for (Micros from = 0; !history.empty() && from < history.back().at; from += 200'000) {
+        double spent = 0;
+        for (const Process& p : processes) {
+          const Figures *first = nullptr, *last = nullptr;
+          for (const Figures& f : p.lines) {
+            if (f.at < from + kLogClock || f.at > from + length) continue;
+            if (first == nullptr) first = &f;
+            last = &f;
+          }
+          if (first != nullptr) spent += last->spent - first->spent;
+        }
+        const double most =
+            shares[k].whole * (static_cast<double>(length) / 1e6 + shares[k].burst) + 1;
+        if (spent <= most) continue;
+        wrong.push_back({"budget-spent",
+                         from + length,
+                         "account " + std::to_string(k) + ": " + std::to_string(spent) +
+                             " spent within its share in " + std::to_string(length / 1'000'000) +
+                             " s, and " + std::to_string(most) + " are the most",
+                         {}});
+        break;
+      }
+  }
+  return wrong;
+}
+
+// The true total lies between what lines before and after the edges of the window let it be; no
+// reading may exclude all of that.
+std::vector<Violation> CountTrue(const History& history) {
+  std::vector<Violation> wrong;
+  const std::vector<Share> shares = SharesOf(history);
+  for (std::size_t k = 0; k < shares.size(); ++k) {
+    const std::vector<Process> processes = ProcessesOf(history, k);
+    for (const Process& reader : processes)
+      for (const Figures& r : reader.lines) {
+        const Micros from = r.at - shares[k].window;
+        double low = 0, high = 0;
+        bool known = true;
+        for (const Process& p : processes) {
+          const Figures *first = nullptr, *last = nullptr, *before = nullptr, *after = nullptr;
+          for (const Figures& f : p.lines) {
+            if (f.at <= from - kLogClock) before = &f;
+            if (f.at >= from + kLogClock && first == nullptr) first = &f;
+            if (f.at <= r.at - kLogClock) last = &f;
+            if (f.at >= r.at + kLogClock && after == nullptr) after = &f;
+          }
+          if (first != nullptr && last != nullptr && last->at > first->at)
+            low += last->counted - first->counted;
+          if (p.began > r.at) continue;
+          // Of one that ended, what it did after its last line is not known.
+          if (after == nullptr && !p.lines.empty() && p.lines.back().at > from - kSecondOfTruth)
+            known = false;
+          const double until = after != nullptr ? after->counted : p.lines.back().counted;
+          high += until - (before != nullptr ? before->counted : 0);
+        }
+        if (r.most + 0.1 < low || (known && r.least - 0.1 > high))
+          wrong.push_back({"count-true",
+                           r.at,
+                           reader.node + " reads " + std::to_string(r.least) + " to " +
+                               std::to_string(r.most) + " of account " + std::to_string(k) +
+                               ", and it is " + std::to_string(low) + " to " +
+                               (known ? std::to_string(high) : std::string("more")),
+                           {r.line}});
+      }
+  }
+  return wrong;
+}
+
 // The parts of a budget that all processes hold together are no more than its whole, and nor is
 // what they spent, with what they may have saved up.
 std::vector<Violation> BudgetSum(const History& history) {
@@ -573,6 +696,35 @@
 constexpr Micros kJudgementGone = 12'000'000;  // a word fades within 10 s, and one is on its way
 constexpr double kMostOut = 0.3;
 
+// The same of processes, by the lines in which they say whom they do without and by whose word.
+std::vector<Violation> HearsaySaid(const History& history) {
+  std::vector<Violation> wrong;
+  std::int64_t zones = 1, workers = 0;
+  Micros quiet = -1;
+  for (std::size_t i = 0; i < history.size(); ++i) {
+    const Moment& m = history[i];
+    if (m.what == "plan") zones = m.Number("zones"), workers = m.Number("workers");
+    if (m.who == "trial" && m.what == "quiet") quiet = m.at;
+    if (m.what != "shared" || m.Of("out").empty()) continue;
+    const auto say = [&](const std::string& what) {
+      wrong.push_back({"hearsay-said", m.at, m.who + " does without " + what, {i}});
+    };
+    const std::string out = m.Of("out");
+    const auto all = marlquay::Split(out, ' ');
+    for (const marlquay::Text one : all) {
+      const auto parts = marlquay::Split(one, ':');
+      std::set<int> from;
+      for (std::size_t k = 2; k < parts.size(); ++k)
+        from.insert(std::atoi(std::string(parts[k]).c_str()) % static_cast<int>(zones));
+      if (zones > 1 && from.size() < 2) say(std::string(parts[0]) + " by the word of one zone");
+    }
+    if (workers > 0 && static_cast<double>(all.size()) > kMostOut * static_cast<double>(workers))
+      say(std::to_string(all.size()) + " of " + std::to_string(workers) + " workers");
+    if (quiet >= 0 && m.at > quiet + kJudgementGone) say(out + " though all faults are over");
+  }
+  return wrong;
+}
+
 // No worker is out of use by the hearsay of one zone, nor more than the stated share of them, nor
 // long after what caused it is over.
 std::vector<Violation> Hearsay(const History& history) {
@@ -611,6 +763,8 @@
   return static_cast<Micros>((6 * least + 15) * static_cast<double>(period));
 }
 
+Micros JudgementsGoneWithin() { return kJudgementGone + 500'000; }
+
 Micros AgreementWithin(int nodes, Micros period) {
   const double least = members::Members::SuspicionLeast({.nodes = nodes});
   return static_cast<Micros>((6 * least + 15) * static_cast<double>(period));
@@ -630,6 +784,9 @@
       {"agreement", "all agree, and on the truth, once faults are over", Agreement},
       {"budget-sum", "all parts of a budget are no more than its whole", BudgetSum},
       {"count-bound", "no count leaves the bound that comes with it", CountBound},
+      {"budget-spent", "no more is spent within a share than the share", BudgetSpent},
+      {"count-true", "no count's bound excludes what processes counted", CountTrue},
+      {"hearsay-said", "processes too leave no worker by one zone's word, or long", HearsaySaid},
       {"hearsay", "no worker is out by one zone's word, too many, or too long", Hearsay},
   };
   return all;
--- a/lab/trial/checkers.h
+++ b/lab/trial/checkers.h
@@ -29,6 +29,8 @@
 // node has gone, and by when all agree once no fault is at work.
 Micros NoticeWithin(int nodes, Micros period);
 Micros AgreementWithin(int nodes, Micros period);
+// No worker is out of use by what others say so long after the last fault.
+Micros JudgementsGoneWithin();
 
 // By time. `history` must be sorted.
 std::vector<Violation> CheckAll(const History& history);
--- a/lab/trial/figures.cpp
+++ b/lab/trial/figures.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "lab/stats/stats.h"
+#include "lab/trial/checkers.h"
 
 namespace pearreach::lab {
 namespace {
@@ -147,4 +148,57 @@
   return w;
 }
 
+SharedFigures Measure(const SharedCase& c) {
+  SharedLoad load;
+  load.options.shares = {70, 40, 20};
+  load.asked = {60, 30, 10};
+  load.flood_from = 4'000'000;
+  load.flood_until = 14'000'000;
+  if (!c.lends) load.options.floor = 1;
+  if (!c.judges) load.options.judgements.witnesses = 1'000'000;
+  load.sends = std::min(4.0, 400.0 / c.nodes);
+  VirtualOptions o;
+  o.plan.nodes = c.nodes;
+  o.plan.zones = 3;
+  o.plan.workers = 12;
+  o.plan.length = 20'000'000;
+  o.plan.seed = c.seed;
+  Fault silence;
+  silence.what = Fault::What::kSilence;
+  silence.at = 5'000'000;
+  silence.length = 8'000'000;
+  silence.from = "s-1";
+  o.plan.faults.push_back(silence);
+  if (c.cut_off) {
+    Fault cut;
+    cut.at = 6'000'000;
+    cut.length = 10'000'000;
+    cut.from = "z1";
+    o.plan.faults.push_back(cut);
+  }
+  o.lost = c.lost;
+  o.extra = 5'000'000;
+  o.views = false;
+  o.shared = &load;
+  const VirtualResult r = RunVirtual(o);
+  SharedFigures f;
+  const double seconds = static_cast<double>(r.length) / 1e6;
+  const double node_seconds = seconds * c.nodes;
+  f.words = static_cast<double>(r.shared_words) / node_seconds;
+  f.bytes = static_cast<double>(r.shared_bytes) / node_seconds;
+  f.width = r.width / static_cast<double>(std::max<std::uint64_t>(1, r.readings));
+  f.off = r.off / static_cast<double>(std::max<std::uint64_t>(1, r.readings));
+  // The shares allow the flood 70 a second while it lasts, and all else that was asked.
+  const double flood = 10;
+  const double allowed = 70 * flood + 60 * (seconds - flood) + 40 * seconds;
+  f.in_share = static_cast<double>(r.in_share) / allowed;
+  f.over_ceiling =
+      static_cast<double>(r.over_ceiling) / static_cast<double>(std::max<std::uint64_t>(1, r.jobs));
+  f.sends_lost = static_cast<double>(r.sends_lost) / c.nodes;
+  f.most_parts = r.most_parts;
+  for (const Violation& v : CheckAll(r.history))
+    f.violations += v.rule == "budget-sum" || v.rule == "count-bound" || v.rule == "hearsay";
+  return f;
+}
+
 }  // namespace pearreach::lab
--- a/lab/trial/figures.h
+++ b/lab/trial/figures.h
@@ -34,6 +34,27 @@
 };
 WayFigures Measure(const FiguresOptions& options);
 
+// What sharing state costs and gives, in virtual time: three accounts, of which the first floods
+// and the busiest node sees three times the mean; a worker of twelve falls silent for a while.
+struct SharedFigures {
+  double words = 0, bytes = 0;  // sent by a node in a second
+  double width = 0, off = 0;    // of a count: its bound, the estimate's error; over the true total
+  double in_share = 0;          // jobs taken at full worth, over what the shares allow
+  double over_ceiling = 0;      // jobs refused by a ceiling, of all
+  double sends_lost = 0;        // jobs sent to the silent worker, by a node
+  double most_parts = 0;        // of a whole, the most that all held together
+  std::size_t violations = 0;
+};
+struct SharedCase {
+  int nodes = 9;
+  double lost = 0;
+  bool lends = true;     // else each node has its even part for good
+  bool judges = true;    // else each node learns of workers alone
+  bool cut_off = false;  // a third of the nodes, for 10 s
+  std::uint64_t seed = 1;
+};
+SharedFigures Measure(const SharedCase& c);
+
 }  // namespace pearreach::lab
 
 #endif  // PEARREACH_LAB_TRIAL_FIGURES_H_
--- a/lab/trial/trial.cpp
+++ b/lab/trial/trial.cpp
@@ -17,6 +17,7 @@
 #include "lab/load/sender.h"
 #include "lab/trial/checkers.h"
 #include "lab/trial/links.h"
+#include "shared/shared.h"
 
 namespace pearreach::lab {
 namespace {
@@ -58,6 +59,10 @@
   s.classes[1].effect = "by_key";
   s.classes[1].share = 1;
   s.kinds[0].worker.cold_time = 3 * kSecond;
+  // The first account asks for more than its share, and floods for a while.
+  s.tenants = {
+      {"ahmad", 3, 0.4 * plan.load}, {"bela", 2, 0.4 * plan.load}, {"chen", 1, 0.3 * plan.load}};
+  s.phases = {{plan.length / 4, plan.length / 2, 3, 3, "ahmad"}};
   return s;
 }
 
@@ -87,7 +92,8 @@
     operators << "<pearreach><log format='json'/>";
     if (o_.words)
       operators << "<peers period-ms='" << plan_.period / kMs << "' view-ms='" << kViewEvery / kMs
-                << "' lines-per-minute='1000000' bytes-per-second='100000'/>";
+                << "' lines-per-minute='1000000' bytes-per-second='100000'/>"
+                << "<shared every-ms='100' lease-ms='1000'/>";
     operators << "</pearreach>";
   }
 
@@ -105,13 +111,15 @@
         throw std::runtime_error(m.name + " did not get ready; its log is in " + path());
     turn_due_ = Now();
     Look();
+    if (o_.words) SayShared();
     LoadPlan load;
     load.classes = scenario_.classes;
+    load.accounts = scenario_.tenants;
     for (ClassSpec& c : load.classes) c.deadline += kGrace;
     load.seed = plan_.seed;
     Draw({.per_second = scenario_.load * JobsPerSecond(scenario_),
           .length = plan_.length,
-          .phases = {}},
+          .phases = scenario_.phases},
          &load);
     const Micros begin = Now() + 10 * kMs;
     LoadBook book(load, begin);
@@ -139,7 +147,7 @@
     SayCost(book);
     Say("trial", "quiet", {});  // no fault is at work any more
     const Micros agree = AgreementWithin(plan_.nodes, plan_.period) + 2 * kViewEvery;
-    RunUntil([] { return false; }, agree);
+    RunUntil([] { return false; }, std::max(agree, o_.words ? JudgementsGoneWithin() : 0));
     for (Member& m : nodes_) {
       if (m.process == nullptr) continue;
       m.ending = true;
@@ -171,6 +179,22 @@
     bool other = false;                                       // its file names the second
   };
 
+  // What the nodes share, as the checkers are to know it.
+  void SayShared() {
+    shared::SharedOptions options;
+    shared::BudgetsOptions budgets;
+    budgets.nodes = plan_.nodes;
+    for (const TenantSpec& t : scenario_.tenants)
+      budgets.wholes.push_back(t.quota * JobsPerSecond(scenario_));
+    const shared::Budgets b(budgets, 1, 1, 0);
+    for (int k = 0; k < b.budgets(); ++k)
+      Say("trial", "share",
+          {{"account", std::to_string(k)},
+           {"whole", std::to_string(budgets.wholes[static_cast<std::size_t>(k)])},
+           {"burst", std::to_string(b.burst(k))},
+           {"window_us", std::to_string(options.window)}});
+  }
+
   // What the load got, and what the processes took for it so far.
   void SayCost(const LoadBook& book) {
     std::uint64_t cpu = 0, most = 0;
--- a/lab/trial/virtual.cpp
+++ b/lab/trial/virtual.cpp
@@ -181,7 +181,11 @@
       for (int n = 0; n < plan_.nodes; ++n) NextJob(n, static_cast<int>(k));
     for (int n = 0; n < plan_.nodes; ++n)
       for (std::size_t w = 0; w < workers_.size(); ++w) NextSend(n, w);
-    At(20'000, [this] { Sums(); });
+    At(SumsEvery(), [this] { Sums(); });
+  }
+  // A look costs the square of the nodes.
+  Micros SumsEvery() const {
+    return std::max<Micros>(20'000, Micros{10} * plan_.nodes * plan_.nodes);
   }
   void StartShared(int n) {
     Node& node = Of(n);
@@ -371,7 +375,7 @@
         Say(Name(n), "workers_out",
             {{"out", std::to_string(out)}, {"of", std::to_string(workers_.size())}});
     }
-    At(now_ + 20'000, [this] { Sums(); });
+    At(now_ + SumsEvery(), [this] { Sums(); });
   }
 
   void Arrive(int from, int to, const std::string& bytes) {
--- a/src/capture/audit.cpp
+++ b/src/capture/audit.cpp
@@ -198,6 +198,7 @@
   void On(const ProbeEnded&) {}
   void On(const PeerMessage&) {}
   void On(const Knowledge&) {}
+  void On(const Judgement&) {}
 
   // ------------------------------------------------------------ what it decided
 
--- a/src/capture/record.cpp
+++ b/src/capture/record.cpp
@@ -65,6 +65,7 @@
     out->set_is_repeat(e.is_repeat);
     if (e.hint) out->set_hint(*e.hint);
     if (e.key) out->set_key(*e.key);
+    if (e.over_share) out->set_over_share(*e.over_share);
   }
   void operator()(const marlquay::AttemptTaken& e) { Attempt(e.request, e.attempt, e.worker); }
   void operator()(const marlquay::AttemptStarted& e) { Attempt(e.request, e.attempt, e.worker); }
@@ -97,6 +98,14 @@
     out->set_started(e.started);
     out->set_was(static_cast<std::uint32_t>(e.was));
   }
+  void operator()(const marlquay::Judgement& e) {
+    out->set_worker(e.worker);
+    out->set_out(e.out);
+    out->set_trial(e.trial);
+    out->set_cold(e.cold);
+    out->set_judged_ago(now - e.at);
+    for (const int witness : e.witnesses) out->add_witnesses(witness);
+  }
   void operator()(const marlquay::Knowledge& e) {
     wire::Knowledge* to = out->mutable_knowledge();
     for (const marlquay::PoolKnowledge& p : e.pools) {
@@ -180,6 +189,7 @@
         if (in.has_hint()) e.hint = in.hint();
         Must(Within(e.hint.value_or(0), kMostHint), "a hint out of range");
         if (in.has_key()) e.key = in.key();
+        if (in.has_over_share()) e.over_share = in.over_share();
         return e;
       }
       case wire::ATTEMPT_TAKEN:
@@ -225,6 +235,16 @@
       }
       case wire::KNOWLEDGE:
         return Knowledge(in.knowledge());
+      case wire::JUDGEMENT: {
+        marlquay::Judgement e;
+        e.worker = Worker(in.worker());
+        e.out = in.out();
+        e.trial = in.trial();
+        e.cold = in.cold();
+        e.at = Ago(in.judged_ago());
+        e.witnesses.assign(in.witnesses().begin(), in.witnesses().end());
+        return e;
+      }
       default:
         Must(false, "an event of a kind not known here");
         return marlquay::TimerFired{};
@@ -536,7 +556,8 @@
   std::string operator()(const marlquay::RequestArrived& e) const {
     return "arrived: job " + std::to_string(e.request) + (note.id.empty() ? "" : " " + note.id) +
            " of " + NameOf(site.classes, e.cls) + " for " + NameOf(site.tenants, e.tenant) + ", " +
-           Figure(e.slots) + " slots, due in " + Ms(e.due - note.seen);
+           Figure(e.slots) + " slots, due in " + Ms(e.due - note.seen) +
+           (e.over_share.value_or(false) ? ", over its share" : "");
   }
   std::string operator()(const marlquay::AttemptTaken& e) const {
     return Attempt("taken", e.request, e.attempt, e.worker);
@@ -572,6 +593,20 @@
     return "knowledge of an earlier process: " + std::to_string(e.pools.size()) + " pools, " +
            std::to_string(e.workers.size()) + " workers";
   }
+  // "left out because n3 and n7 ..."
+  std::string operator()(const marlquay::Judgement& e) const {
+    std::string nodes;
+    for (std::size_t i = 0; i < e.witnesses.size(); ++i)
+      nodes += (i == 0                        ? "n"
+                : i + 1 == e.witnesses.size() ? " and n"
+                                              : ", n") +
+               std::to_string(e.witnesses[i]);
+    const std::string name = NameOf(workers, e.worker);
+    if (!e.out && !e.cold) return name + " is in use again: no word of others stands against it";
+    return name + (e.out ? " left out because " : " taken for cold because ") + nodes +
+           (e.cold ? " saw its process die " : " heard nothing good of it since ") +
+           Ms(note.seen - e.at) + " ago" + (e.trial ? "; this node tries it with one job" : "");
+  }
   std::string operator()(const marlquay::PeerMessage& e) const {
     return "message of node " + std::to_string(e.from) + ", " + std::to_string(e.data.size()) +
            " bytes";
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -122,6 +122,25 @@
     return nullptr;
   }
   const PeerSettings& p = *settings.peers;
+  std::optional<shared::SharedOptions> shares;
+  const marlquay::Site& site = node->site();
+  if (settings.shared) {
+    const SharedSettings& s = *settings.shared;
+    shares.emplace();
+    shares->zone = std::max(0, site.settings.zone);
+    shares->zones = std::max<int>(1, static_cast<int>(site.zones.size()));
+    if (s.counts)
+      for (const marlquay::TenantSettings& t : site.settings.tenants)
+        shares->shares.push_back(t.quota_per_s);
+    shares->repeats = s.repeats;
+    shares->every = s.every;
+    shares->lease = s.lease;
+    shares->window = s.window;
+    shares->skew = s.skew;
+    shares->floor = s.floor;
+    if (site.settings.progress_every > 0)
+      shares->judgements.silent_after = site.settings.progress_every * 5 / 2;
+  }
   auto fleet = std::make_unique<Fleet>(FleetSettings{.listen = config.peer_listen,
                                                      .nodes = config.peers,
                                                      .all = config.peers_all,
@@ -130,12 +149,57 @@
                                                      .bytes_per_second = p.bytes_per_second,
                                                      .lines_per_minute = p.lines_per_minute,
                                                      .view_every = p.view_every,
-                                                     .seed = config.seed});
+                                                     .seed = config.seed,
+                                                     .shared = std::move(shares),
+                                                     .accounts = site.tenants});
   fleet->OnTold(
       [node](int from, std::string bytes) { node->OnPeerMessage(from, std::move(bytes)); });
+  if (!settings.shared) return fleet;
+  node->OnAdmit([f = fleet.get(), counts = settings.shared->counts](int tenant, bool is_repeat) {
+    Admission to;
+    if (const auto a = f->Admit(tenant, is_repeat)) {
+      to.refused = a->refused;
+      to.retry_after = a->wait;
+      if (counts && tenant >= 0) to.over_share = a->over_share;
+    }
+    return to;
+  });
+  if (settings.shared->judgements)
+    fleet->OnJudged([node](const std::string& worker, const shared::Standing& s) {
+      node->OnJudgement(worker, {0, s.out, s.trial, s.cold, s.at, s.witnesses});
+    });
   return fleet;
 }
 
+// What the node sees of workers, told to the fleet.
+class FleetWitness : public Witness {
+ public:
+  explicit FleetWitness(Fleet* fleet) : fleet_(fleet) {}
+  void OnListed(const std::string& worker, int kind, std::int64_t started_ms,
+                bool in_service) override {
+    fleet_->WorkerListed(worker, kind, started_ms, in_service);
+  }
+  void OnGone(const std::string& worker) override { fleet_->WorkerGone(worker); }
+  void OnSent(const std::string& worker) override { fleet_->WorkerSent(worker); }
+  void OnHeard(const std::string& worker) override { fleet_->WorkerHeard(worker); }
+  void OnEnded(const std::string& worker, marlquay::Outcome outcome, int cls, Micros run) override {
+    using End = shared::Judgements::End;
+    using marlquay::Outcome;
+    // A cancel is this node's own; a job turned away was answered, which is life.
+    if (outcome == Outcome::kFull) fleet_->WorkerHeard(worker);
+    fleet_->WorkerEnded(worker,
+                        outcome == Outcome::kGood           ? End::kServed
+                        : outcome == Outcome::kError        ? End::kFailed
+                        : outcome == Outcome::kNoConnection ? End::kNoConnection
+                        : outcome == Outcome::kReset        ? End::kReset
+                                                            : End::kTimedOut,
+                        cls, run);
+  }
+
+ private:
+  Fleet* fleet_;
+};
+
 // This process's part in a hand-over, where the operator's file names a path; else it only opens
 // the listener.
 class Takeover {
@@ -355,6 +419,8 @@
   }
   const std::unique_ptr<Fleet> fleet = MakeFleet(settings, config, &node);
   takeover.SpeakFor(fleet.get());
+  FleetWitness witness(fleet.get());
+  if (fleet != nullptr && settings.shared) node.Watch(&witness);
   reload = [&] { Reload(sources, &config, &node); };
   Apply(settings, &node);
   node.Start();
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -96,6 +96,25 @@
   return p;
 }
 
+SharedSettings ReadShared(const xmlNode* node, const std::string& name) {
+  SharedSettings s;
+  Take(node, "every-ms", kMs, &s.every);
+  Take(node, "lease-ms", kMs, &s.lease);
+  Take(node, "window-ms", kMs, &s.window);
+  Take(node, "skew-ms", kMs, &s.skew);
+  std::int64_t percent = 50;
+  Take(node, "floor-percent", 1, &percent);
+  s.floor = static_cast<double>(percent) / 100;
+  Take(node, "repeats-per-second", 1, &s.repeats);
+  s.counts = Text(node, "counts") != "off";
+  s.judgements = Text(node, "judgements") != "off";
+  if (s.lease < 4 * s.skew)
+    Fail(name, xml::Line(node), "shared: lease-ms is less than four times skew-ms");
+  if (s.lease < 2 * s.every)
+    Fail(name, xml::Line(node), "shared: lease-ms is less than twice every-ms");
+  return s;
+}
+
 }  // namespace
 
 OperatorSettings ReadOperatorFile(std::string_view text, const std::string& name) {
@@ -108,6 +127,7 @@
     if (element == "jobs") settings.jobs = ReadJobs(n, name);
     if (element == "knowledge") settings.knowledge = ReadKnowledge(n, name);
     if (element == "peers") settings.peers = ReadPeers(n);
+    if (element == "shared") settings.shared = ReadShared(n, name);
     if (element == "bans") {
       settings.bans = BanSettings{Path(n, "file", name)};
       if (settings.bans->file.front() != '/')
@@ -120,6 +140,8 @@
              "handover: path '" + settings.handover->path + "' is not absolute");
     }
   });
+  if (settings.shared && !settings.peers)
+    Fail(name, xml::Line(xml::Root(document)), "shared needs peers: there is no way to others");
   // Two processes would need the one store at the same time.
   if (settings.handover && settings.jobs)
     Fail(name, xml::Line(xml::Root(document)), "handover and jobs exclude each other");
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -68,6 +68,18 @@
   bool operator==(const PeerSettings&) const = default;
 };
 
+// <shared>: docs/shared-state.md. Read at the start only; needs <peers>.
+struct SharedSettings {
+  Micros every = 250 * kMs;      // between two words to others
+  Micros lease = 2 * kSecond;    // of a part that was lent
+  Micros window = 10 * kSecond;  // that counts are about
+  Micros skew = 50 * kMs;        // two machines' clocks differ by no more
+  double floor = 0.5;            // of an even part: never lent
+  double repeats = 0;            // clients' own retries a second, all nodes; 0: without a limit
+  bool counts = true, judgements = true;
+  bool operator==(const SharedSettings&) const = default;
+};
+
 struct OperatorSettings {
   LogFormat log_format = LogFormat::kText;
   std::optional<CaptureSettings> capture;      // none: off
@@ -75,6 +87,7 @@
   std::optional<KnowledgeSettings> knowledge;  // none: off
   std::optional<HandOverSettings> handover;    // none: off
   std::optional<PeerSettings> peers;           // none: off
+  std::optional<SharedSettings> shared;        // none: off
   std::optional<BanSettings> bans;             // none: bans end with the process
 };
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1,6 +1,9 @@
 #include "fleet/fleet.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cstdio>
 #include <utility>
 
 namespace pearreach {
@@ -12,8 +15,20 @@
 
 constexpr Micros kOpenEvery = 100 * kMs;
 
+constexpr double kRunLearn = 0.05;  // weight of one job in what is usual of its class
+
 std::string Name(int node) { return std::to_string(node); }
 
+shared::WorkerKey KeyOf(const std::string& worker) {
+  return XXH32(worker.data(), worker.size(), 0);
+}
+
+std::string Figure(double value) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.1f", value);
+  return text;
+}
+
 }  // namespace
 
 Fleet::Fleet(FleetSettings settings)
@@ -26,7 +41,8 @@
       lines_at_(Now()),
       turn_([this] { Turn(); }),
       open_([this] { Open(); }),
-      view_([this] { ReportView(); }) {
+      view_([this] { ReportView(); }),
+      shared_turn_([this] { SharedTurn(); }) {
   peers_.Register(
       Topic::kMembers,
       {0, nullptr, [this](int from, std::uint64_t process, bool late, std::string_view bytes) {
@@ -39,6 +55,15 @@
                      Count("peer_words_for_the_module");
                      if (told_) told_(from, std::string(bytes));
                    }});
+  if (settings_.shared)
+    peers_.Register(
+        Topic::kShared,
+        {1, nullptr, [this](int from, std::uint64_t process, bool, std::string_view bytes) {
+           if (shared_ == nullptr) return;
+           std::vector<shared::Shared::Out> out;
+           shared_->Hear(Unix(), from, process, bytes, &out);
+           SendShared(&out);
+         }});
 }
 
 Fleet::~Fleet() = default;
@@ -65,6 +90,7 @@
       "words with " + std::to_string(settings_.nodes.size() - 1) + " nodes at " + settings_.listen);
   turn_.Set(members_->next());
   view_.Set(Now() + settings_.view_every);
+  OpenShared();
 }
 
 void Fleet::Turn() {
@@ -92,6 +118,8 @@
   turn_.Clear();
   open_.Clear();
   view_.Clear();
+  shared_turn_.Clear();
+  shared_.reset();
 }
 
 void Fleet::Resume() {
@@ -190,7 +218,160 @@
           std::to_string(of) + " alive " + std::to_string(v.alive) + ", suspect " +
           std::to_string(v.suspect) + ", unreachable " + std::to_string(v.unreachable) + ", left " +
           std::to_string(v.left) + ", never heard of " + std::to_string(v.unknown));
+  if (shared_ != nullptr) ReportShared();
   view_.Set(Now() + settings_.view_every);
 }
 
+// ---------------------------------------------------------------- what the fleet shares
+
+void Fleet::OpenShared() {
+  if (!settings_.shared) return;
+  unix_offset_ = g_get_real_time() - Now();
+  shared::SharedOptions options = *settings_.shared;
+  options.self = settings_.self;
+  options.nodes = static_cast<int>(settings_.nodes.size());
+  shared_ = std::make_unique<shared::Shared>(std::move(options), members_->process(),
+                                             settings_.seed, Unix());
+  shared_reported_ = {};
+  for (const auto& [key, w] : listed_)
+    shared_->judgements().Listed(key, w.kind, w.started_ms, w.in_service);
+  SharedTurn();
+}
+
+std::vector<int> Fleet::Alive() const {
+  std::vector<int> alive;
+  for (int n = 0; n < static_cast<int>(settings_.nodes.size()); ++n)
+    if (n != settings_.self && members_->entry(n).status == Status::kAlive) alive.push_back(n);
+  return alive;
+}
+
+void Fleet::SharedTurn() {
+  if (shared_ == nullptr) return;
+  const Micros now = Unix();
+  const std::vector<int> alive = Alive();
+  for (const shared::Standing& s : shared_->judgements().Look(now, alive)) Judged(s);
+  std::vector<shared::Shared::Out> out;
+  shared_->Tick(now, alive, &out);
+  SendShared(&out);
+  shared_turn_.Set(shared_->next() - unix_offset_);
+}
+
+void Fleet::SendShared(std::vector<shared::Shared::Out>* out) {
+  for (const shared::Shared::Out& o : *out) peers_.Say(o.to, Topic::kShared, o.section);
+  const shared::SharedCounts& n = shared_->figures();
+  const auto count = [](const char* name, std::uint64_t now, std::uint64_t* before) {
+    if (now > *before) Count(name, now - std::exchange(*before, now));
+  };
+  count("shared_words", n.words, &shared_reported_.words);
+  count("shared_words_malformed", n.malformed, &shared_reported_.malformed);
+  count("shared_news", n.news, &shared_reported_.news);
+  count("shared_asks", n.asks, &shared_reported_.asks);
+  count("shared_grants", n.grants, &shared_reported_.grants);
+  count("shared_grants_got", n.grants_got, &shared_reported_.grants_got);
+  count("shared_left_out", n.left_out, &shared_reported_.left_out);
+  count("shared_over_ceiling", n.over_ceiling, &shared_reported_.over_ceiling);
+  count("shared_over_repeats", n.over_repeats, &shared_reported_.over_repeats);
+}
+
+std::optional<shared::Shared::Admission> Fleet::Admit(int account, bool is_repeat) {
+  if (!settings_.shared) return std::nullopt;
+  // Accounts' use may not be shared at all.
+  if (account >= static_cast<int>(settings_.shared->shares.size())) account = -1;
+  if (shared_ != nullptr) return shared_->Admit(Unix(), account, is_repeat);
+  shared::Shared::Admission nothing;
+  nothing.over_share = account >= 0;
+  return nothing;
+}
+
+void Fleet::WorkerListed(const std::string& worker, int kind, std::int64_t started_ms,
+                         bool in_service) {
+  const shared::WorkerKey key = KeyOf(worker);
+  Listed& w = listed_[key];
+  if (!w.name.empty() && w.name != worker) return Count("shared_worker_keys_alike");
+  w = {worker, kind, started_ms, in_service};
+  if (shared_ != nullptr) shared_->judgements().Listed(key, kind, started_ms, in_service);
+}
+
+void Fleet::WorkerGone(const std::string& worker) {
+  const shared::WorkerKey key = KeyOf(worker);
+  listed_.erase(key);
+  if (shared_ != nullptr) shared_->judgements().Unlisted(key);
+}
+
+void Fleet::WorkerSent(const std::string& worker) {
+  if (shared_ != nullptr) shared_->judgements().Sent(Unix(), KeyOf(worker));
+}
+
+void Fleet::WorkerHeard(const std::string& worker) {
+  if (shared_ != nullptr) shared_->judgements().Heard(Unix(), KeyOf(worker));
+}
+
+void Fleet::WorkerEnded(const std::string& worker, shared::Judgements::End end, int cls,
+                        Micros run) {
+  if (shared_ == nullptr) return;
+  double slowness = 0;
+  if (run > 0 && end == shared::Judgements::End::kServed) {
+    double& usual = runs_[cls];
+    if (usual > 0) slowness = static_cast<double>(run) / usual;
+    usual += (usual > 0 ? kRunLearn : 1) * (static_cast<double>(run) - usual);
+  }
+  shared_->judgements().Ended(Unix(), KeyOf(worker), end, slowness);
+}
+
+// One line a change, and the module's event.
+void Fleet::Judged(const shared::Standing& s) {
+  const auto it = listed_.find(s.worker);
+  if (it == listed_.end()) return;
+  if (judged_) judged_(it->second.name, s);
+  if (!MayLog()) return;
+  std::string witnesses;
+  for (const int n : s.witnesses) witnesses += (witnesses.empty() ? "" : " ") + Name(n);
+  Log("judgement",
+      {{"worker", it->second.name},
+       {"out", s.out ? "1" : "0"},
+       {"cold", s.cold ? "1" : "0"},
+       {"trial", s.trial ? "1" : "0"},
+       {"verdict", NameOf(s.verdict)},
+       {"witnesses", witnesses}},
+      it->second.name +
+          (s.out || s.cold
+               ? std::string(s.out ? " is left out: " : " counts as cold: ") + NameOf(s.verdict) +
+                     " by nodes " + witnesses + (s.trial ? "; this node is to try it" : "")
+               : std::string(" is in use again")));
+}
+
+// What this node shares, as figures: of each account what it counted and spent here, its part of
+// the budget, and what the fleet uses within its bound.
+void Fleet::ReportShared() {
+  const Micros now = Unix();
+  std::string accounts, line;
+  for (int k = 0; k < shared_->counts().accounts(); ++k) {
+    const shared::Reading r = shared_->counts().Read(now, k);
+    const std::string part = std::to_string(shared_->budgets().part(now, k));
+    accounts += (k > 0 ? " " : "") + std::to_string(k) + ":" +
+                std::to_string(shared_->counts().value(k)) + ":" +
+                Figure(shared_->budgets().spent(k)) + ":" + part + ":" + Figure(r.least) + ":" +
+                Figure(r.most) + ":" + Figure(r.estimate);
+    const auto at = static_cast<std::size_t>(k);
+    line += (k > 0 ? "; " : "") +
+            (at < settings_.accounts.size() ? settings_.accounts[at] : std::to_string(k)) + " " +
+            Figure(r.estimate) + " (" + Figure(r.least) + " to " + Figure(r.most) + "), part " +
+            Figure(static_cast<double>(shared_->budgets().part(now, k)) / 1000) + "/s";
+  }
+  std::string out;
+  for (const auto& [key, s] : shared_->judgements().standing()) {
+    const auto it = listed_.find(key);
+    if (!s.out || it == listed_.end()) continue;
+    out += (out.empty() ? "" : " ") + it->second.name + ":" + NameOf(s.verdict);
+    for (const int n : s.witnesses) out += ":" + Name(n);
+  }
+  Log("shared",
+      {{"process", std::to_string(shared_->process())},
+       {"settling", shared_->budgets().settling(now) ? "1" : "0"},
+       {"accounts", accounts},
+       {"out", out}},
+      "the fleet's use in the last " + std::to_string(settings_.shared->window / kSecond) +
+          " s: " + line + (out.empty() ? "" : "; left out: " + out));
+}
+
 }  // namespace pearreach
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -5,12 +5,15 @@
 #define PEARREACH_SRC_FLEET_FLEET_H_
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "members/members.h"
 #include "peers/peers.h"
+#include "shared/shared.h"
 
 namespace pearreach {
 
@@ -24,6 +27,8 @@
   int lines_per_minute = 60;
   Micros view_every = 10 * kSecond;  // a line with what this node hears
   std::uint64_t seed = 0;
+  std::optional<shared::SharedOptions> shared;  // self, nodes are the ones above; none: off
+  std::vector<std::string> accounts;            // their names, for lines
 };
 
 class Fleet {
@@ -49,12 +54,34 @@
   void OnTold(std::function<void(int from, std::string bytes)> told) { told_ = std::move(told); }
   const members::Members* members() const { return members_.get(); }
 
+  // ---- state that the fleet shares
+  // What the limits say of a job; none: nothing is shared. A process that does not speak for its
+  // node counts nothing and has no part of any budget: the one that speaks has them.
+  std::optional<shared::Shared::Admission> Admit(int account, bool is_repeat);
+  void OnJudged(std::function<void(const std::string&, const shared::Standing&)> judged) {
+    judged_ = std::move(judged);
+  }
+  // What this node sees of a worker.
+  void WorkerListed(const std::string& worker, int kind, std::int64_t started_ms, bool in_service);
+  void WorkerGone(const std::string& worker);
+  void WorkerSent(const std::string& worker);
+  void WorkerHeard(const std::string& worker);
+  void WorkerEnded(const std::string& worker, shared::Judgements::End end, int cls, Micros run);
+  const shared::Shared* shared() const { return shared_.get(); }
+
  private:
   void Open();
   void Turn();
   void Send(std::vector<members::Out>* out);
   void Report();
   void ReportView();
+  Micros Unix() const { return Now() + unix_offset_; }
+  std::vector<int> Alive() const;
+  void OpenShared();
+  void SharedTurn();
+  void SendShared(std::vector<shared::Shared::Out>* out);
+  void Judged(const shared::Standing& standing);
+  void ReportShared();
   bool MayLog();
 
   FleetSettings settings_;
@@ -65,7 +92,20 @@
   double lines_ = 0;  // that may be written now
   Micros lines_at_ = 0;
   members::Counts reported_;
-  Alarm turn_, open_, view_;
+  Alarm turn_, open_, view_, shared_turn_;
+
+  struct Listed {
+    std::string name;
+    int kind = 0;
+    std::int64_t started_ms = 0;
+    bool in_service = false;
+  };
+  std::unique_ptr<shared::Shared> shared_;  // while this process speaks for its node
+  std::map<shared::WorkerKey, Listed> listed_;
+  std::map<int, double> runs_;  // by class: fading mean of running times, microseconds
+  std::function<void(const std::string&, const shared::Standing&)> judged_;
+  Micros unix_offset_ = 0;  // taken once: a clock that is set must not make leases longer
+  shared::SharedCounts shared_reported_;
 };
 
 }  // namespace pearreach
--- a/src/module/checkpoint.cpp
+++ b/src/module/checkpoint.cpp
@@ -60,12 +60,12 @@
                   due, hint, key, attempts, out, asked_at)
   MARLQUAY_FIELDS(WorkerEntry, worker, identity, zone, kind, cell, health, weight, ready_at)
   MARLQUAY_FIELDS(Worker, blocked_until, next_trial, full_until, full_level, busy, slowness,
-                  waiting, idle, failures, silent, member, used, known, recalled, named, entry,
-                  idle_since, probed_at, answered_at, others, taken, part, running, heard,
+                  waiting, idle, failures, silent, member, used, known, recalled, judged, named,
+                  entry, idle_since, probed_at, answered_at, others, taken, part, running, heard,
                   full_wait, trial_wait, died_at, cold_part, cold_sends, out)
   MARLQUAY_FIELDS(Pool, members, local, home, used, changed, limit, busy, found, price, refusals,
                   last_refusal, last_cut, wanted, shut_until, shut_slots, ran, worked, slowdown,
-                  told, slots_seen, tell)
+                  told, slots_seen, tell, repeats)
   // The index is made again from the slab: it is only looked up, never walked.
   MARLQUAY_FIELDS(RequestTable, slab, free, index)
   MARLQUAY_FIELDS(State, random, now, table, workers, pools, classes, queues, due, looks, lists,
--- a/src/module/policy.cpp
+++ b/src/module/policy.cpp
@@ -102,6 +102,7 @@
       classes_[c].work = static_cast<double>(std::max<Micros>(s_.classes[c].aim, kMs));
     queues_.resize(kQueuesPerClass * classes_.size());
     for (Pool& p : pools_) p.ran = p.worked = classes_[0].work;
+    NoteRepeats(s_);
     for (const TenantSettings& t : s_.tenants) {
       const double rate = t.quota_per_s / s_.balancers, burst = std::max(1.0, kQuotaBurst * rate);
       quota_.push_back({burst, burst, rate, now});
@@ -224,6 +225,18 @@
     }
   }
 
+  // What several nodes have seen: evidence as far as this one has none that is fresher. The worker
+  // is out until another word, but for one job when it is this node's turn to try it.
+  void On(const Judgement& j) {
+    Worker* w = Numbered(workers_, j.worker);
+    if (w == nullptr || !w->known) return;
+    if (j.cold && w->heard < j.at) w->died_at = std::max(w->died_at, j.at);
+    w->judged = j.out && w->heard < j.at;
+    if (w->judged) SetSilent(*w, true);
+    w->next_trial = w->judged && !j.trial ? kNever : now_;
+    PoolOf(*w).shut_until = 0;
+  }
+
   // The one final answer that this node itself gives.
   void Finish(Request& r, bool hopeless) {
     const Permit p = PermitFor(r);
@@ -345,6 +358,7 @@
   void SetSilent(Worker& w, bool silent) {
     if (w.silent == silent) return;
     w.silent = silent;
+    w.judged = w.judged && silent;
     PoolOf(w).busy += silent ? -w.busy : w.busy;
     if (silent) {
       w.trial_wait = 0;
@@ -356,8 +370,8 @@
 
   void BackOff(Worker& w) {
     w.trial_wait = std::clamp(2 * w.trial_wait, kTrialFirst, kTrialLast);
-    w.next_trial = now_ + w.trial_wait;
-    if (w.blocked_until > 0) w.blocked_until = w.next_trial;
+    w.next_trial = w.judged ? kNever : now_ + w.trial_wait;
+    if (w.blocked_until > 0) w.blocked_until = now_ + w.trial_wait;
   }
 
   void Hear(WorkerId id, Micros sent) {
@@ -411,14 +425,6 @@
     return r.hint ? static_cast<double>(std::max<Micros>(*r.hint, kMs)) : classes_[r.cls].work;
   }
 
-  double FastestSlowdown(int cls) const {
-    if (const Pool* p = Numbered(pools_, s_.classes[cls].kind)) return p->slowdown;
-    double best = kNever;
-    for (const Pool& p : pools_)
-      if (!p.members.empty()) best = std::min(best, p.slowdown);
-    return best == kNever ? 1.0 : best;
-  }
-
   Micros AimAt(const Request& r) const {
     const ClassSettings& c = s_.classes[r.cls];
     return std::min(r.due, r.arrived + c.aim + static_cast<Micros>(c.aim_stretch * Work(r)));
@@ -428,7 +434,9 @@
   Micros LatestStart(const Request& r, double slowdown) const {
     return std::max(AimAt(r) - static_cast<Micros>(Work(r) * slowdown), r.arrived + kFirstTry);
   }
-  Micros LatestStart(const Request& r) const { return LatestStart(r, FastestSlowdown(r.cls)); }
+  Micros LatestStart(const Request& r) const {
+    return LatestStart(r, FastestSlowdown(s_.classes[r.cls].kind));
+  }
 
   bool Hopeless(const Request& r) const {
     return s_.classes[r.cls].late_value <= 0 && now_ > LatestStart(r);
@@ -443,7 +451,8 @@
     r.due = e.due;
     r.hint = e.hint;
     r.key = e.key;
-    r.over_share = OverShare(e.tenant);
+    Bucket* quota = Numbered(quota_, e.tenant);
+    r.over_share = e.over_share.value_or(quota != nullptr && !quota->Take(now_));
     gap_.Tick(now_, kLearn);
     if (r.key) keys_.Add(*r.key, Work(r) * r.slots, now_, kKeyMemory);
     Hold(r);
@@ -506,10 +515,6 @@
     return std::clamp(static_cast<Micros>(kPriceJobs * gap_.mean), kPriceFirst, kPriceLast);
   }
 
-  bool OverShare(int tenant) {
-    return tenant >= 0 && tenant < static_cast<int>(quota_.size()) && !quota_[tenant].Take(now_);
-  }
-
   // Worth gained by a slot-second spent on this request.
   double Value(const Request& r) const {
     const ClassSettings& c = s_.classes[r.cls];
@@ -549,8 +554,7 @@
     return r;
   }
   void On(const AttemptTaken& e) {
-    Request* r;
-    if (Attempt* a = table_.FindOut(e.request, e.attempt, &r)) a->taken = true;
+    if (Request * r; Attempt* a = table_.FindOut(e.request, e.attempt, &r)) a->taken = true;
   }
   void On(const AttemptStarted& e) { Heard(e); }
   void On(const AttemptProgress& e) { Heard(e); }
@@ -880,6 +884,8 @@
   bool Usable(Worker& w, const Request& r) {
     ++looks_;
     if (now_ < OpensAt(w, r.slots)) return false;
+    // Whoever tries it for all, does so with a job that may be sent again if there is such a class.
+    if (w.judged && PoolOf(w).repeats && s_.classes[r.cls].effect == Effect::kOnce) return false;
     for (const Attempt& a : r.attempts)
       if (a.ran == Ran::kOut && &workers_[a.worker] == &w) return false;
     if (!r.late && now_ > LatestStart(r, PoolOf(w).slowdown * w.slowness))
@@ -1004,15 +1010,6 @@
   void On(const TimerFired&) {}
   void On(const PeerMessage&) {}
 
-  Pool& PoolOf(const Worker& w) { return pools_[w.entry.kind]; }
-  const Pool& PoolOf(const Worker& w) const { return pools_[w.entry.kind]; }
-
-  // Frees an ended request once no attempt of it is out.
-  void Forget(Request& r) {
-    if (!r.ended || r.out > 0) return;
-    table_.Remove(r);
-  }
-
   void Act(Action a) { actions_->push_back(std::move(a)); }
 
   bool Log(LogLine line) {
--- a/src/module/state.h
+++ b/src/module/state.h
@@ -109,6 +109,7 @@
   bool used = false;        // in its pool's used
   bool known = false;       // on the list now
   bool recalled = false;    // what is known of its speed and failures is an earlier process's word
+  bool judged = false;      // out by what several nodes have seen
   std::uint64_t named = 0;  // the number of the last list that named it
   WorkerEntry entry;
   Micros idle_since = 0;                                // the last time a connection became idle
@@ -133,6 +134,7 @@
   // Forgets what was held against a process that is no more.
   void Renew() {
     blocked_until = trial_wait = died_at = 0;
+    judged = false;
     cold_sends.Clear();
     cold_part = -1;
     waiting = 0;
@@ -253,6 +255,7 @@
   bool told = false;           // a worker told its free slots
   double slots_seen = 1;       // most slots seen in use or free on one worker
   double tell = 0;             // microseconds from a send to the word of its start, at least
+  bool repeats = false;        // some class that runs here may be sent again
 };
 
 struct ClassState {
@@ -403,6 +406,30 @@
   friend class Dispatcher;
   static constexpr Micros kNever = std::numeric_limits<Micros>::max();
 
+  Pool& PoolOf(const Worker& w) { return pools_[static_cast<std::size_t>(w.entry.kind)]; }
+  const Pool& PoolOf(const Worker& w) const {
+    return pools_[static_cast<std::size_t>(w.entry.kind)];
+  }
+  // Of the kind, or of the fastest one that has workers.
+  double FastestSlowdown(int kind) const {
+    if (const Pool* p = Numbered(pools_, kind)) return p->slowdown;
+    double best = kNever;
+    for (const Pool& p : pools_)
+      if (!p.members.empty()) best = std::min(best, p.slowdown);
+    return best == kNever ? 1.0 : best;
+  }
+  // Which pools have a class whose jobs may be sent again.
+  void NoteRepeats(const Settings& s) {
+    for (const ClassSettings& c : s.classes)
+      for (std::size_t k = 0; k < pools_.size(); ++k)
+        if (c.effect != Effect::kOnce && (c.kind < 0 || c.kind == static_cast<int>(k)))
+          pools_[k].repeats = true;
+  }
+  // Frees an ended request once no attempt of it is out.
+  void Forget(Request& r) {
+    if (r.ended && r.out == 0) table_.Remove(r);
+  }
+
   std::uint64_t random_ = 0;
   Micros now_ = 0;
   RequestTable table_;
--- a/src/node/core.h
+++ b/src/node/core.h
@@ -32,6 +32,13 @@
   std::string callback;     // where a durable job's end is told; empty: nowhere
 };
 
+// What is decided of a job before the module sees it, where the fleet shares budgets.
+struct Admission {
+  bool refused = false;            // a limit is reached: the module never hears of the job
+  Micros retry_after = 0;          // refused: until there is room
+  std::optional<bool> over_share;  // beyond what its account may use in full worth; none: not known
+};
+
 struct Answer {
   enum class Kind { kServed, kRefused, kRejected, kFailed };  // kRejected: the job itself is bad
   Kind kind = Kind::kFailed;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -79,7 +79,7 @@
 // after the last, so that the module is handed what is ready in one go and not in crumbs.
 void Node::ArmTurn() {
   Micros at = std::numeric_limits<Micros>::max();
-  if (!events_.empty()) at = 0;
+  if (!events_.empty() || !denied_.empty()) at = 0;
   if (!timers_.empty()) at = std::min(at, timers_.top());
   if (!deadlines_.empty()) at = std::min(at, deadlines_.begin()->first);
   if (at == std::numeric_limits<Micros>::max()) return turn_.Clear();
@@ -93,6 +93,7 @@
   for (; !timers_.empty() && timers_.top() <= now; rang = true) timers_.pop();
   if (rang) events_.push_back(marlquay::TimerFired{});
   RunDeadlines(now);
+  Deny();
   const std::vector<marlquay::Event> events = std::exchange(events_, {});
   const std::vector<capture::Note> notes = std::exchange(notes_, {});
   actions_.clear();
@@ -103,6 +104,27 @@
   ArmTurn();
 }
 
+// Jobs beyond a limit: refused at once, and the module never hears of them.
+void Node::Deny() {
+  for (const auto& [ticket, wait] : std::exchange(denied_, {})) {
+    const auto it = records_.find(ticket);
+    if (it == records_.end() || it->second.answered) continue;
+    Count("refused_by_limit");
+    Reply(ticket, it->second,
+          {Answer::Kind::kRefused, "", std::min(wait, site_.settings.max_retry_after), false});
+    Forget(ticket);
+  }
+}
+
+void Node::OnJudgement(const std::string& worker, marlquay::Judgement judgement) {
+  const auto it = ids_.find(worker);
+  if (it == ids_.end()) return;
+  judgement.worker = it->second;
+  judgement.at -= clock_offset_;
+  Count(judgement.out ? "judged_out" : judgement.cold ? "judged_cold" : "judged_well");
+  Post(std::move(judgement));
+}
+
 void Node::Capture(const std::optional<CaptureSettings>& settings, const std::string& build,
                    std::uint64_t policy_hash) {
   if (settings == recording_) return;
@@ -256,6 +278,9 @@
   e.is_repeat = job.is_repeat;
   e.key = job.key;
   e.due = job.received + job.patience - std::min(kWayHere, job.patience / 2);
+  Admission admission;
+  if (admit_ && guard == nullptr) admission = admit_(job.tenant, job.is_repeat);
+  e.over_share = admission.over_share;
   capture::Note note;
   if (recorder_ != nullptr) note.id = job.id;
   Record& r = records_[ticket];
@@ -265,6 +290,11 @@
   r.due = e.due;
   ++open_;
   deadlines_.insert({r.due, ticket});
+  if (admission.refused) {
+    denied_.push_back({ticket, admission.retry_after});
+    ArmTurn();
+    return ticket;
+  }
   Post(e, std::move(note));
   for (const Adopted& a : attempts) {
     marlquay::AttemptAdopted adopted{ticket, IdOf(a.worker), a.sent, a.started, a.was};
@@ -356,6 +386,8 @@
 
 void Node::Launch(AttemptKey key) {
   const Record& r = records_.at(key.job);
+  if (witness_ != nullptr)
+    witness_->OnSent(NameOf(r.attempts[static_cast<std::size_t>(key.number)].worker));
   workers_.Start(key, r.attempts[static_cast<std::size_t>(key.number)].worker, r.job,
                  r.due - Now());
 }
@@ -363,6 +395,8 @@
 // A word of an attempt renews its lease.
 void Node::Hear(Ticket ticket, Attempt& a, AttemptState state) {
   a.heard = Now();
+  if (state == AttemptState::kStarted && a.started == 0) a.started = a.heard;
+  if (witness_ != nullptr) witness_->OnHeard(NameOf(a.worker));
   const auto it = records_.find(ticket);
   if (it != records_.end() && it->second.guard != nullptr)
     it->second.guard->OnAttempt(ticket, NameOf(a.worker), state);
@@ -423,6 +457,9 @@
   }
   Count((std::string("ended_") + kNames[static_cast<int>(outcome)]).c_str());
   if (load.free_slots || load.in_flight) Count("load_reports");
+  // What never went out says nothing of the worker.
+  if (witness_ != nullptr && outcome != Outcome::kMoot)
+    witness_->OnEnded(NameOf(a.worker), outcome, r.job.cls, a.started > 0 ? Now() - a.started : 0);
   marlquay::AttemptEnded e;
   e.request = key.job;
   e.attempt = key.number;
@@ -533,6 +570,9 @@
     else
       workers_.SetAddress(e.worker, s.address);
     started_ms_[e.worker] = s.started_ms;
+    if (witness_ != nullptr && s.health == marlquay::Health::kGone) witness_->OnGone(s.id);
+    if (witness_ != nullptr && s.health != marlquay::Health::kGone)
+      witness_->OnListed(s.id, e.kind, s.started_ms, s.health == marlquay::Health::kInService);
     if (s.health == marlquay::Health::kGone) {
       hosts_.erase(e.worker);
     } else {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -39,6 +39,20 @@
   virtual void OnAttempt(Ticket ticket, const std::string& worker, AttemptState state) = 0;
 };
 
+// Sees what this node sees of the match workers: evidence for those who judge them together.
+class Witness {
+ public:
+  virtual ~Witness() = default;
+  virtual void OnListed(const std::string& worker, int kind, std::int64_t started_ms,
+                        bool in_service) = 0;
+  virtual void OnGone(const std::string& worker) = 0;
+  virtual void OnSent(const std::string& worker) = 0;
+  virtual void OnHeard(const std::string& worker) = 0;  // any word of an attempt there
+  // `run`: from its start on; 0: not known.
+  virtual void OnEnded(const std::string& worker, marlquay::Outcome outcome, int cls,
+                       Micros run) = 0;
+};
+
 class Node : public Core {
  public:
   // An attempt of a job that another process of this node made.
@@ -82,6 +96,15 @@
     Post(marlquay::PeerMessage{from, std::move(bytes)});
   }
 
+  // ---- for state that the fleet shares
+  // Asked of each new job of a client; durable jobs were admitted when they were taken on.
+  void OnAdmit(std::function<Admission(int tenant, bool is_repeat)> ask) {
+    admit_ = std::move(ask);
+  }
+  void Watch(Witness* witness) { witness_ = witness; }
+  // What several nodes have seen of a worker; `judgement.at` is Unix time in microseconds.
+  void OnJudgement(const std::string& worker, marlquay::Judgement judgement);
+
   // ---- for the keeper of durable jobs
   std::optional<Ticket> SubmitGuarded(Job job, Client* client, Guard* guard,
                                       const std::vector<Adopted>& attempts);
@@ -126,6 +149,7 @@
     bool out = true;     // its outcome has not been passed on
     bool taken = false;  // the worker has answered 202
     bool held = false;   // its intent is not durable yet: nothing of it has gone out
+    Micros started = 0;  // the word of its start; 0: none
     Micros heard = 0;    // the last word of it, where it has a lease
   };
   struct Record {
@@ -139,6 +163,7 @@
   };
 
   void Post(marlquay::Event event, capture::Note note = {});
+  void Deny();
   void Turn();
   void ArmTurn();
   void Carry(const marlquay::Action& action);
@@ -186,6 +211,10 @@
   std::size_t open_ = 0;
   std::set<std::pair<Micros, Ticket>> deadlines_;
 
+  std::function<Admission(int, bool)> admit_;
+  Witness* witness_ = nullptr;
+  std::vector<std::pair<Ticket, Micros>> denied_;  // to be refused in the next turn; come back in
+
   std::set<std::pair<Micros, AttemptKey>> leases_;
   std::function<void()> first_list_;
   std::function<bool(const News&)> orphan_;
--- a/tests/config/operator_test.cpp
+++ b/tests/config/operator_test.cpp
@@ -39,6 +39,24 @@
   EXPECT_EQ(*s.capture, wanted);
 }
 
+TEST(OperatorFile, SharedStateNeedsPeersAndLeasesThatClocksAllow) {
+  const OperatorSettings s = ReadOperatorFile(
+      "<pearreach><peers/><shared every-ms='100' lease-ms='1000' skew-ms='20' floor-percent='40' "
+      "repeats-per-second='7' judgements='off'/></pearreach>",
+      "op.xml");
+  ASSERT_TRUE(s.shared);
+  EXPECT_EQ(*s.shared,
+            (SharedSettings{100 * kMs, kSecond, 10 * kSecond, 20 * kMs, 0.4, 7, true, false}));
+  EXPECT_FALSE(ReadOperatorFile("<pearreach><peers/></pearreach>", "f").shared);
+  EXPECT_EQ(Wrong("<pearreach>\n<shared/></pearreach>"),
+            "op.xml:1: shared needs peers: there is no way to others");
+  EXPECT_EQ(Wrong("<pearreach><peers/>\n<shared lease-ms='200' every-ms='50' skew-ms='60'/>"
+                  "</pearreach>"),
+            "op.xml:2: shared: lease-ms is less than four times skew-ms");
+  EXPECT_EQ(Wrong("<pearreach><peers/>\n<shared floor-percent='0'/></pearreach>").substr(0, 9),
+            "op.xml:2:");
+}
+
 TEST(OperatorFile, WhatIsWrongIsOneLineWithItsPlace) {
   const char* cases[][2] = {
       {"<pearreach>\n<log format='xml'/>\n</pearreach>", "op.xml:2: "},
--- a/tests/module/policy_test.cpp
+++ b/tests/module/policy_test.cpp
@@ -1,6 +1,7 @@
 // The mechanism, and one small test for each failure found.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 #include "driver.h"
@@ -1059,6 +1060,103 @@
   EXPECT_EQ(again, 1);
 }
 
+// ---------------------------------------------------------------- what several nodes have seen
+
+Judgement Out(WorkerId worker, Micros at, bool trial = false) {
+  return {worker, true, trial, false, at, {1, 2}};
+}
+
+TEST(Judged, AWorkerThatOthersFoundSilentDrawsNoJobUntilTheyTakeItBack) {
+  Driver d(BaseSettings());
+  d.Workers(2);
+  d.now = 10 * kSecond;
+  d.Give({Out(0, d.now)});
+  d.Serve(1);
+  for (RequestId id = 2; id <= 20; ++id) d.Serve(id);
+  for (const Send& s : d.all_sends) EXPECT_EQ(s.worker, 1u);
+  Judgement back;
+  back.worker = 0;
+  back.at = d.now;
+  d.Give({back});
+  d.ServeTogether(100, 40);
+  EXPECT_TRUE(std::any_of(d.all_sends.begin(), d.all_sends.end(),
+                          [](const Send& s) { return s.worker == 0; }));
+}
+
+TEST(Judged, TheTrialIsOneJobAndNotAOnceJobWhereAnotherCanBe) {
+  Driver d(BaseSettings());
+  d.Workers(1);
+  d.now = 10 * kSecond;
+  d.Give({Out(0, d.now)});
+  d.Ask(1, 1);  // once
+  d.Ask(2, 0);  // may be repeated
+  d.Run(kSecond);
+  EXPECT_TRUE(d.all_sends.empty());
+  d.Give({Out(0, d.now, true)});
+  ASSERT_EQ(d.all_sends.size(), 1u);
+  EXPECT_EQ(d.all_sends[0].request, 2u);
+  d.Ask(3, 0);
+  d.Run(2 * kSecond);
+  EXPECT_EQ(d.all_sends.size(), 1u) << "one job; the next is another node's";
+  d.Begin(2);  // it lives
+  d.Run(100 * kMs);
+  d.End(2, Outcome::kGood);
+  d.Run(100 * kMs);
+  EXPECT_GT(d.all_sends.size(), 1u) << "own evidence is fresher than what was said";
+}
+
+TEST(Judged, WhatThisNodeHasHeardSinceOutweighsIt) {
+  Driver d(BaseSettings());
+  d.Workers(1);
+  d.now = 10 * kSecond;
+  d.Serve(1);
+  d.Give({Out(0, d.now - kSecond)});
+  d.Serve(2);
+  EXPECT_EQ(d.all_sends.size(), 2u);
+}
+
+// A worker that others saw die is cold when it answers, though the list has not told of its new
+// process: without their word this node gives it all it has.
+TEST(Judged, ADeathThatOthersSawMakesItColdBeforeTheListSaysSo) {
+  Settings s = BaseSettings();
+  s.balancers = 4;
+  Driver with(s), without(s);
+  for (Driver* d : {&with, &without}) {
+    d->Workers(1);
+    d->now = 20 * kSecond;
+  }
+  with.Give({Judgement{0, false, false, true, with.now, {1, 2}}});
+  for (Driver* d : {&with, &without}) {
+    std::vector<Event> all;
+    for (RequestId id = 1; id <= 60; ++id) all.push_back(d->Request(id));
+    d->Give(all);
+    for (int round = 0; round < 20; ++round) {
+      for (RequestId id = 1; id <= 60; ++id)
+        if (d->attempts[id] == 1) d->Begin(id);
+      d->Run(25 * kMs);
+    }
+  }
+  EXPECT_LT(with.all_sends.size() + 3, without.all_sends.size());
+}
+
+TEST(Shared, OverItsShareIsWhatTheNodesSayTogether) {
+  Settings s = BaseSettings();
+  s.tenants = {{1000}};
+  s.over_share_worth = 0.05;
+  Driver d(s);
+  d.Workers(1);
+  std::vector<Event> all;
+  for (RequestId id = 1; id <= 2; ++id) {
+    RequestArrived e = d.Request(id);
+    e.tenant = 0;
+    e.over_share = id == 2;  // the newest would go first
+    all.push_back(e);
+  }
+  d.Give(all);
+  ASSERT_EQ(d.sends.size(), 1u);
+  EXPECT_EQ(d.sends[0].request, 1u);
+}
+
 TEST(Misuse, UnknownThingsArePassedOver) {
   Driver d(BaseSettings());
   d.Workers(1);
@@ -1066,7 +1164,7 @@
   ended.request = 9;
   ended.worker = 44;
   d.Give({AttemptStarted{9, 0, 0}, AttemptProgress{9, 3, 55, 0.5}, ended, RequestLapsed{9},
-          ProbeEnded{99, true, {}}, d.Request(1, 77)});
+          ProbeEnded{99, true, {}}, Judgement{98, true, true, true, 1, {}}, d.Request(1, 77)});
   d.Ask(1);
   d.Ask(1);  // the same id again
   EXPECT_EQ(d.all_sends.size(), 1u);
--- a/tests/node/stories_test.cpp
+++ b/tests/node/stories_test.cpp
@@ -249,6 +249,58 @@
   rig.ExpectClean();
 }
 
+// A limit that the fleet shares decides before the module: the client hears at once, with when
+// there will be room, and no worker sees the job.
+TEST(Story, AJobBeyondALimitIsRefusedAtOnceAndToldWhenThereWillBeRoom) {
+  Config config = BaseConfig();
+  config.site.settings.max_retry_after = 5 * kSecond;
+  Rig rig(config);
+  Server worker(Accept);
+  rig.Workers({worker.address()});
+  int tenant = -2;
+  rig.node.OnAdmit([&](int t, bool) {
+    tenant = t;
+    return Admission{true, 250 * kMs, {}};
+  });
+  Caller client(rig.port());
+  client.Ask("j", "commit", "5000m", "X-Tenant-Id: acme\r\n");
+  EXPECT_EQ(client.Status(), 503);
+  EXPECT_EQ(tenant, 0);
+  ASSERT_NE(client.answers[0].Find("Retry-After"), nullptr);
+  EXPECT_EQ(*client.answers[0].Find("Retry-After"), "0.250");
+  EXPECT_TRUE(worker.got.empty());
+  rig.ExpectClean();
+}
+
+TEST(Story, AWitnessHearsOfEveryAttemptAndWhatOthersSawReachesTheModule) {
+  struct Seen : Witness {
+    void OnListed(const std::string& w, int, std::int64_t, bool) override { all += "+" + w + " "; }
+    void OnGone(const std::string& w) override { all += "-" + w + " "; }
+    void OnSent(const std::string& w) override { all += "sent:" + w + " "; }
+    void OnHeard(const std::string&) override { ++heard; }
+    void OnEnded(const std::string& w, marlquay::Outcome o, int, Micros) override {
+      all += "ended:" + w + ":" + std::to_string(static_cast<int>(o)) + " ";
+    }
+    std::string all;
+    int heard = 0;
+  } seen;
+  Rig rig;
+  rig.node.Watch(&seen);
+  Server first(Accept), second(Accept);
+  rig.Workers({first.address(), second.address()});
+  // Both have been out since before this node was told: it sends to the other one alone.
+  rig.node.OnJudgement("s-0", {0, true, false, false, g_get_real_time(), {3, 7}});
+  Caller client(rig.port()), news(rig.port());
+  client.Ask("j");
+  RunUntil([&] { return !second.got.empty(); });
+  EXPECT_TRUE(first.got.empty());
+  news.News("j", "s-1", "done");
+  EXPECT_EQ(client.Status(), 200);
+  EXPECT_EQ(seen.all, "+s-0 +s-1 sent:s-1 ended:s-1:0 ");
+  EXPECT_GT(seen.heard, 0);
+  rig.ExpectClean();
+}
+
 TEST(Story, AClientThatLeavesTakesItsJobAlong) {
   Rig rig;
   Server worker(Accept);
