Nodes of a trial know their zones: a list in the settings is one, not a name with commas

Cause: the trial wrote "Zones":"z0,z1,z2" as one string into a node's JSON, which is one zone of that name; every node took itself for the only zone's, and asked for one zone's word as it should then. At fault: lab/trial/trial.cpp, ConfigOf.

Change: Zones and Models are written as lists. Ruled out: that words carried a wrong zone (the encoding is held by a property) and that membership's zones were meant (it knows none).

--- a/lab/trial/trial.cpp
+++ b/lab/trial/trial.cpp
@@ -265,7 +265,15 @@
                        R"(],"settings":{)";
     bool first = true;
     for (const auto& [name, value] : SettingsOf(scenario_, static_cast<int>(n))) {
-      text += std::string(first ? "" : ",") + "\"" + name + "\":\"" + value + "\"";
+      // A list is a list in JSON: a string with commas is one name.
+      std::string written = "\"" + value + "\"";
+      if (name == "Zones" || name == "Models") {
+        written.clear();
+        for (const marlquay::Text one : marlquay::Split(value, ','))
+          written += (written.empty() ? "[\"" : ",\"") + std::string(one) + "\"";
+        written += "]";
+      }
+      text += std::string(first ? "" : ",") + "\"" + name + "\":" + written;
       first = false;
     }
     return text + "}}";
