--- a/lab/experiment/settings.cpp
+++ b/lab/experiment/settings.cpp
@@ -202,6 +202,8 @@
     Take(n, "nodes", 1, &v.nodes);
     Take(n, "workers", 1, &v.workers);
     Take(n, "load", 1, &v.load);
+    Take(n, "words-lost", 1, &v.words_lost);
+    Take(n, "cut-off", 1, &v.cut_off);
     if (const std::string recall = Text(n, "recall"); !recall.empty()) {
       v.recall = ReadRecall(recall);
       Take(n, "recall-age", 1e6, &v.recall_age);
@@ -235,6 +237,8 @@
   if (v.nodes > 0) s.nodes = v.nodes;
   if (v.workers > 0) s.workers = v.workers;
   if (v.load > 0) s.load = v.load;
+  if (v.words_lost > 0) s.words_lost = v.words_lost;
+  if (v.cut_off > 0) s.cut_off = v.cut_off;
   if (v.recall) s.recall = *v.recall, s.recall_age = v.recall_age;
   s.settings.insert(s.settings.end(), v.settings.begin(), v.settings.end());
   return s;
--- a/lab/experiment/settings.h
+++ b/lab/experiment/settings.h
@@ -23,6 +23,7 @@
   double load = 0;                                            // likewise
   std::optional<Scenario::Recall> recall;                     // none: the scenario's
   Micros recall_age = 0;
+  double words_lost = 0, cut_off = 0;  // of words between nodes, of the nodes
 };
 
 struct Experiment {
--- a/lab/sim/decider.cpp
+++ b/lab/sim/decider.cpp
@@ -199,12 +199,13 @@
 
 std::unique_ptr<Decider> MakeDecider(const std::string& policy, const Settings& settings,
                                      std::uint64_t seed, Micros now) {
-  if (policy == "module") return std::make_unique<Module>(settings, seed, now);
+  if (policy == "module" || policy == "shared")
+    return std::make_unique<Module>(settings, seed, now);
   if (policy == "random") return std::make_unique<Plain>(settings, Plain::Pick::kRandom, seed);
   if (policy == "least") return std::make_unique<Plain>(settings, Plain::Pick::kLeast, seed);
   if (policy == "two") return std::make_unique<Plain>(settings, Plain::Pick::kTwo, seed);
   if (policy == "greedy") return std::make_unique<Plain>(settings, Plain::Pick::kGreedy, seed);
-  throw Malformed("no policy " + Quote(policy) + ": module, random, least, two or greedy");
+  throw Malformed("no policy " + Quote(policy) + ": module, shared, random, least, two or greedy");
 }
 
 }  // namespace pearreach::lab
--- a/lab/sim/scenario.h
+++ b/lab/sim/scenario.h
@@ -79,7 +79,9 @@
   Micros client_backoff = 40'000;                          // mean before the second; doubled
   std::vector<std::pair<std::string, std::string>>
       settings;                   // over those that follow from the rest
-  std::string policy = "module";  // or random, least, two, greedy
+  std::string policy = "module";  // or shared (the module, and nodes share state), random, least,
+                                  // two, greedy
+  double words_lost = 0, cut_off = 0;  // of words between nodes; of the nodes, from the warm-up on
   // What a node that was down is told of what it had learned: nothing, that, or that with the speed
   // of every worker the wrong way round; so much older than the node was down.
   enum class Recall { kNothing, kLearned, kSwapped } recall = Recall::kNothing;
--- a/lab/sim/simulation.cpp
+++ b/lab/sim/simulation.cpp
@@ -14,6 +14,7 @@
 
 #include "knowledge/memory.h"
 #include "lab/sim/decider.h"
+#include "shared/shared.h"
 
 namespace pearreach::lab {
 namespace {
@@ -27,8 +28,10 @@
 constexpr Micros kProgress = 1'000'000;
 constexpr Micros kLateBy = 50'000;  // the rules' slack for an answer
 constexpr Micros kJustBack = 10'000'000, kLongBack = 60'000'000;
-constexpr double kLimitBack = 0.8;         // of what it was
-constexpr Micros kAfterwards = 8'000'000;  // the run goes on until all is answered
+constexpr double kLimitBack = 0.8;               // of what it was
+constexpr Micros kAfterwards = 8'000'000;        // the run goes on until all is answered
+constexpr Micros kUnix = 1'800'000'000'000'000;  // of the run's begin
+constexpr Micros kWordWay = 5'000;               // between two nodes
 constexpr int kAttemptBits = 4, kNodeShift = 48;
 
 // A job at a worker, named the same at both ends.
@@ -48,6 +51,7 @@
   kEnded,
   kList,
   kClient,
+  kWord,  // of another node, about what they share
   // an entity's own
   kTimer,
   kTurn,
@@ -56,6 +60,7 @@
   kSample,
   kScript,
   kModel,
+  kShare,
 };
 
 struct Job {  // of a client, with all its tries
@@ -75,7 +80,8 @@
   float slots = 1;        // of a job; free ones, in an outcome
   std::uint8_t code = 0;  // an outcome; a health
   std::uint8_t cls = 0;
-  Job job;  // kClient
+  Job job;                                   // kClient
+  std::shared_ptr<const std::string> bytes;  // kWord
   bool operator>(const Item& o) const {
     if (at != o.at) return at > o.at;
     if (from != o.from) return from > o.from;
@@ -377,7 +383,8 @@
       : world_(world),
         s_(*world->scenario),
         site_(marlquay::ReadSite(marlquay::Conf(SettingsOf(s_, static_cast<int>(index))))),
-        chance_(SeedOf(world->seed, 1, index)) {
+        chance_(SeedOf(world->seed, 1, index)),
+        word_chance_(SeedOf(world->seed, 7, index)) {
     self = index;
     classes.resize(s_.classes.size());
     times.resize(s_.classes.size());
@@ -413,6 +420,7 @@
       case Kind::kList:
         known_[static_cast<marlquay::WorkerId>(item.key)] = {
             static_cast<marlquay::Health>(item.code), item.work, now_};
+        if (shared_ != nullptr) ListShared(static_cast<marlquay::WorkerId>(item.key));
         if (up_) {
           marlquay::WorkerList list{marlquay::WorkerList::Form::kChanges, {}};
           list.entries.push_back(Entry(static_cast<marlquay::WorkerId>(item.key)));
@@ -422,6 +430,16 @@
       case Kind::kTimer:
         if (up_) Tell(marlquay::TimerFired{});
         break;
+      case Kind::kWord:
+        if (shared_ != nullptr && !CutOff(self)) {
+          std::vector<shared::Shared::Out> out;
+          shared_->Hear(kUnix + now_, static_cast<int>(item.from), item.key, *item.bytes, &out);
+          SendWords(out);
+        }
+        break;
+      case Kind::kShare:
+        if (shared_ != nullptr && item.key == life_) Share();
+        break;
       case Kind::kTurn:
         if (up_ && item.key == life_) Turn();
         break;
@@ -448,7 +466,7 @@
   std::vector<NodeSample> samples;
   std::uint64_t sends_to_drained = 0, late_answers = 0, unanswered = 0;
   double cpu_us = 0;
-  std::uint64_t requests_seen = 0;
+  std::uint64_t requests_seen = 0, words_bytes = 0;
   std::uint64_t looks() const { return looks_ + (decider_ != nullptr ? decider_->Looks() : 0); }
   std::size_t open() const { return requests_.size(); }
 
@@ -497,6 +515,7 @@
     marlquay::WorkerList list{marlquay::WorkerList::Form::kComplete, {}};
     for (std::uint32_t w = 0; w < world_->workers; ++w) list.entries.push_back(Entry(w));
     Tell(std::move(list));
+    if (s_.policy == "shared") BeginShared();
     if (life_ == 1) return;
     back_at_ = now_;
     limit_awaited_ = true;
@@ -544,12 +563,81 @@
     limit_before_ = Limits();
     looks_ += decider_->Looks();
     decider_.reset();
+    shared_.reset();
     events_.clear();
     for (auto& [id, r] : requests_)
       if (!r.answered) Close(r.job, What::kFailed);
     requests_.clear();
   }
 
+  // ---- what the nodes share
+
+  // The first so many nodes neither hear nor are heard, from the warm-up on.
+  bool CutOff(std::uint32_t node) const {
+    return now_ >= s_.warm_up && node < s_.cut_off * s_.nodes;
+  }
+  void BeginShared() {
+    shared::SharedOptions o;
+    o.self = static_cast<int>(self);
+    o.nodes = s_.nodes;
+    o.zone = world_->zone(self);
+    o.zones = s_.zones;
+    for (const marlquay::TenantSettings& t : site_.settings.tenants)
+      o.shares.push_back(t.quota_per_s);
+    const auto process = static_cast<std::uint64_t>((kUnix + now_) / 1000);
+    shared_ =
+        std::make_unique<shared::Shared>(o, process, SeedOf(world_->seed, 8, self), kUnix + now_);
+    for (std::uint32_t w = 0; w < world_->workers; ++w) ListShared(w);
+    Own(now_ + static_cast<Micros>(word_chance_.Uniform() * 250'000), Kind::kShare, life_);
+  }
+  void ListShared(marlquay::WorkerId id) {
+    const marlquay::WorkerEntry e = Entry(id);
+    shared_->judgements().Listed(id, e.kind, e.ready_at > 0 ? (kUnix + e.ready_at) / 1000 : 0,
+                                 e.health == marlquay::Health::kInService);
+  }
+  void Share() {
+    std::vector<int> alive;
+    for (int n = 0; n < s_.nodes; ++n)
+      if (n != static_cast<int>(self)) alive.push_back(n);
+    for (const shared::Standing& s : shared_->judgements().Look(kUnix + now_, alive)) {
+      marlquay::Judgement j;
+      j.worker = s.worker;
+      j.out = s.out;
+      j.trial = s.trial;
+      j.cold = s.cold;
+      j.at = s.at - kUnix;
+      j.witnesses = s.witnesses;
+      Tell(std::move(j));
+    }
+    std::vector<shared::Shared::Out> out;
+    shared_->Tick(kUnix + now_, alive, &out);
+    SendWords(out);
+    Own(std::max(now_ + 1, shared_->next() - kUnix), Kind::kShare, life_);
+  }
+  void SendWords(const std::vector<shared::Shared::Out>& out) {
+    for (const shared::Shared::Out& o : out) {
+      words_bytes += o.section.size();
+      if (CutOff(self) || word_chance_.Uniform() < s_.words_lost) continue;
+      Item item;
+      item.kind = Kind::kWord;
+      item.key = shared_->process();
+      item.bytes = std::make_shared<const std::string>(o.section);
+      Post(item, static_cast<std::uint32_t>(o.to), kWordWay);
+    }
+  }
+  void EndShared(marlquay::WorkerId worker, Outcome outcome) {
+    using End = shared::Judgements::End;
+    if (shared_ == nullptr) return;
+    if (outcome == Outcome::kFull) shared_->judgements().Heard(kUnix + now_, worker);
+    shared_->judgements().Ended(kUnix + now_, worker,
+                                outcome == Outcome::kGood           ? End::kServed
+                                : outcome == Outcome::kError        ? End::kFailed
+                                : outcome == Outcome::kNoConnection ? End::kNoConnection
+                                : outcome == Outcome::kReset        ? End::kReset
+                                                                    : End::kTimedOut,
+                                0);
+  }
+
   // ---- clients
 
   void Arrive() {
@@ -588,6 +676,12 @@
     const Micros due = job.first + c.deadline;
     if (now_ >= due - 20'000) return Close(job, What::kRefused);
     if (!up_) return Again(job, (self + 1) % world_->nodes);  // connections to it are refused
+    shared::Shared::Admission admission;
+    if (shared_ != nullptr) admission = shared_->Admit(kUnix + now_, job.tenant, job.tries > 1);
+    if (admission.refused) {  // before the module
+      if (now_ >= s_.warm_up) ++At(now_).refusals;
+      return Again(job, self);
+    }
     const std::uint64_t id = life_ << 36 | ++last_id_;
     Request& r = requests_[id];
     r.job = job;
@@ -599,6 +693,7 @@
     e.due = due - 5'000;
     e.slots = c.slots;
     e.is_repeat = job.tries > 1;
+    if (shared_ != nullptr && job.tenant >= 0) e.over_share = admission.over_share;
     Tell(e);
     Own(due, Kind::kDeadline, id);
   }
@@ -687,6 +782,7 @@
       r.attempts.push_back({send->worker, now_, true});
       ++r.job.attempts;
       if (now_ >= s_.warm_up) ++At(now_).attempts;
+      if (shared_ != nullptr) shared_->judgements().Sent(kUnix + now_, send->worker);
       Post(item, world_->nodes + send->worker, world_->Way(self, send->worker));
     } else if (const auto* refuse = std::get_if<marlquay::Refuse>(&action)) {
       Answer(refuse->request, What::kRefused);
@@ -728,6 +824,8 @@
     Request& r = it->second;
     const Attempt& a = r.attempts[static_cast<std::size_t>(number)];
     if (!a.out) return;
+    if (shared_ != nullptr && item.kind != Kind::kEnded)
+      shared_->judgements().Heard(kUnix + now_, a.worker);
     if (item.kind == Kind::kTaken) return Tell(marlquay::AttemptTaken{id, number, a.worker});
     if (item.kind == Kind::kStarted) return Tell(marlquay::AttemptStarted{id, number, a.worker});
     if (item.kind == Kind::kProgressed)
@@ -748,6 +846,7 @@
     e.latency = now_ - a.sent;
     e.settled = r.answered || outcome == Outcome::kGood;
     if (free >= 0) e.load.free_slots = static_cast<double>(free);
+    EndShared(a.worker, outcome);
     Tell(e);
     const auto it = requests_.find(id);
     if (it != requests_.end()) Forget(it);
@@ -767,6 +866,7 @@
         e.outcome = Outcome::kTimeout;
         e.latency = now_ - r.attempts[i].sent;
         e.settled = r.answered;
+        EndShared(e.worker, e.outcome);
         Tell(e);
       }
     if (r.answered) {
@@ -803,6 +903,8 @@
   const Scenario& s_;
   marlquay::Site site_;
   Chance chance_;
+  Chance word_chance_;  // of its own: words change no arrival
+  std::unique_ptr<shared::Shared> shared_;
   double class_shares_ = 0, tenant_shares_ = 0, most_factor_ = 1, rate_ = 0;
   bool up_ = false, turn_set_ = false;
   std::uint64_t life_ = 0, last_id_ = 0, looks_ = 0;
@@ -970,6 +1072,8 @@
     f.events += n->events;
     f.looks += n->looks();
     cpu += n->cpu_us;
+    f.word_bytes += static_cast<double>(n->words_bytes) /
+                    (static_cast<double>(scenario.length) / 1e6) / scenario.nodes;
     requests += n->requests_seen;
   }
   if (restarts > 0) f.limits_back_s /= static_cast<double>(restarts);
--- a/lab/sim/simulation.h
+++ b/lab/sim/simulation.h
@@ -71,6 +71,7 @@
   double imbalance = 0;     // standard deviation of the busy share between workers, on average
   double limit_spread = 0;  // between nodes, over its mean, on average
   std::uint64_t events = 0, looks = 0;
+  double word_bytes = 0;  // about what nodes share: sent by a node in a second
   // Measured, so not the same twice.
   double cpu_us_a_job = 0, seconds_taken = 0;
 
