A worker's first job after a pause is no silence: the judgement counts from when jobs run

Cause: Judgements::Look, "jobs run there and nothing was heard for 2.5 s" counted from the last word of any job. A node that sends to a worker every few seconds looked within the 30 ms of such a job now and then, and at 300 nodes two of two zones did so within ten seconds.

Change: it counts from the last word or from when jobs began to run there, whichever is later. The checker's line now names the verdict and its witnesses. Ruled out: words of a worker's earlier process (the workers named were never restarted).

--- a/lab/trial/checkers.cpp
+++ b/lab/trial/checkers.cpp
@@ -743,7 +743,8 @@
         wrong.push_back({"hearsay",
                          m.at,
                          m.who + " does without " + m.Of("worker") + ", which is well for " +
-                             std::to_string(m.Number("well_us") / 1000) + " ms",
+                             std::to_string(m.Number("well_us") / 1000) +
+                             " ms: " + m.Of("verdict") + " by " + m.Of("witnesses"),
                          {i}});
     }
     if (m.what == "workers_out" &&
--- a/lab/trial/virtual.cpp
+++ b/lab/trial/virtual.cpp
@@ -373,6 +373,9 @@
             {{"worker", "s-" + std::to_string(key - 0x9000)},
              {"gone", w.faults > 0 ? "1" : "0"},
              {"well_us", std::to_string(w.faults > 0 ? 0 : now_ - w.back)},
+             {"verdict", NameOf(s.verdict)},
+             {"witnesses", std::to_string(s.witnesses.size())},
+             {"seen_ago_us", std::to_string(Unix() - s.at)},
              {"zones", zones}});
       }
       if (out > 0)
--- a/src/shared/judgements.cpp
+++ b/src/shared/judgements.cpp
@@ -71,7 +71,7 @@
 void Judgements::Sent(Micros now, WorkerKey key) {
   const auto it = workers_.find(key);
   if (it == workers_.end()) return;
-  ++it->second.out;
+  if (it->second.out++ == 0) it->second.busy_since = now;
   if (it->second.unheard_since == 0) it->second.unheard_since = now;
 }
 
@@ -164,7 +164,9 @@
       w.said.erase(options_.self);
     }
     const bool untaken = w.unheard_since > 0 && now - w.unheard_since > options_.taken_within;
-    const bool quiet = w.out > 0 && w.heard > 0 && now - w.heard > options_.silent_after;
+    // A worker that had nothing to say of is not silent at the first job after that.
+    const bool quiet =
+        w.out > 0 && w.heard > 0 && now - std::max(w.heard, w.busy_since) > options_.silent_after;
     if ((untaken || quiet) && w.mine.verdict != Verdict::kDead)
       Judge(now, key, &w, Verdict::kSilent);
   }
--- a/src/shared/judgements.h
+++ b/src/shared/judgements.h
@@ -101,6 +101,7 @@
     std::int64_t start = 0;
     // Own evidence of this start.
     Micros heard = 0, unheard_since = 0;  // the first send since the last word
+    Micros busy_since = 0;                // jobs run there without a break
     int out = 0, refused = 0, jobs = 0;
     double failures = 0, slowness = 1;
     Micros died = 0;
--- a/tests/shared/shared_test.cpp
+++ b/tests/shared/shared_test.cpp
@@ -340,6 +340,21 @@
   EXPECT_FALSE(j.standing().contains(3)) << "it is another process by now";
 }
 
+// Seen at 300 nodes: a look within the 30 ms that a job took after a pause called the worker
+// silent.
+TEST(SharedJudgements, TheFirstJobAfterAPauseIsNoSilence) {
+  Judgements j({.self = 0, .nodes = 5, .zone = 0, .zones = 2}, 1);
+  j.Listed(7, 0, 0, true);
+  const Micros at = 1'800'000'000'000'000;
+  j.Sent(at, 7);
+  j.Ended(at + 30'000, 7, Judgements::End::kServed, 1);
+  j.Sent(at + 9'000'000, 7);
+  j.Look(at + 9'010'000, {});
+  EXPECT_EQ(j.own(7), Verdict::kWell);
+  j.Look(at + 9'600'000, {});
+  EXPECT_EQ(j.own(7), Verdict::kSilent);
+}
+
 TEST(SharedJudgements, OneTrierAtATimeForTheWholeFleet) {
   std::vector<std::unique_ptr<Judgements>> nodes;
   for (int n = 0; n < 6; ++n) {
