Zones that fail are left as a fleet and come back by steps: the machine in virtual time

Change: src/zones, pure, not yet in a node. Each node reports what share of a zone's workers it has tried of late and found bad (silent, dead, failing, slow against the other zones). Seen so from two zones of nodes and denied by none, whoever knows it raises a verdict under the next number; from one zone alone it holds for that zone's nodes. Guards: two holders or own evidence before a zone in use is left, the rest must bear it by weighed worth, a node that hears no other zone is the one that is away, old words are passed over. Return: two workers a second tried by one node each, then an eighth, a quarter, a half of all pairs of node and worker, drawn alike by a hash; a step that fails goes back and waits twice as long. Orders by hand stand before verdicts; the loser of two is kept to be shown. The trial's plan has the faults fail, slow, leave-zone, return-zone and five checkers.

Found by the checkers on the way: a process that had just begun believed one node's verdict; one that woke acted on words from before its stall; a step that one node alone held kept the fleet apart (19 s at 30 nodes), so steps are taken from one node and an unbelieved verdict is taken back.

--- a/lab/emulate/fleet.cpp
+++ b/lab/emulate/fleet.cpp
@@ -112,6 +112,7 @@
   std::unordered_map<std::uint64_t, Job> jobs;
   std::unordered_map<std::string, std::uint64_t> by_id;
   bool silent = false, draining = false;
+  double errors = 0, times = 1;
   Micros drained_at = 0, busy_since = 0;
   std::int64_t started_ms = 0;
   double busy_sum = 0;
@@ -251,7 +252,8 @@
       slots = std::max(1.0, std::strtod(attrs->c_str() + at + 6, nullptr));
   const std::string cls = m.target.substr(1, m.target.find('/', 1) - 1);
   const std::uint64_t key = ++last_key_;
-  switch (w->model.Offer(Now(), key, slots, DrawWork(cls))) {
+  switch (w->model.Offer(Now(), key, slots,
+                         static_cast<Micros>(w->times * static_cast<double>(DrawWork(cls))))) {
     case WorkerModel::Offered::kTaken:
       break;
     case WorkerModel::Offered::kFull:
@@ -296,7 +298,7 @@
     const Job job = it->second;
     w->jobs.erase(it);
     w->by_id.erase(job.id);
-    const bool fails = chance_.Uniform() < options_.errors;
+    const bool fails = chance_.Uniform() < std::max(options_.errors, w->errors);
     ++(fails ? figures_.failed : figures_.done);
     Say(fails ? "failed" : "done", *w, job.id, job.node);
     Tell(w, job, fails ? "failed" : "done",
@@ -366,6 +368,11 @@
   for (const auto& agent : w->agents) agent->Drop();
 }
 
+void EmulatedFleet::Grey(std::size_t worker, double errors, double times) {
+  workers_.at(worker)->errors = errors;
+  workers_.at(worker)->times = times;
+}
+
 void EmulatedFleet::Drain(std::size_t worker, bool draining) {
   Worker* w = workers_.at(worker).get();
   w->draining = draining;
--- a/lab/emulate/fleet.h
+++ b/lab/emulate/fleet.h
@@ -56,6 +56,8 @@
   void Silence(std::size_t worker);
   void Restart(std::size_t worker, Micros down);
   void Drain(std::size_t worker, bool draining);
+  // From now on so large a part of its jobs fails, and each takes so many times as long.
+  void Grey(std::size_t worker, double errors, double times);
   // No change of the list reaches this node's agent until it is called with false.
   void HoldList(std::size_t node, bool held);
 
--- a/lab/trial/checkers.cpp
+++ b/lab/trial/checkers.cpp
@@ -8,6 +8,7 @@
 
 #include "lab/trial/fault.h"
 #include "lab/trial/links.h"
+#include "lab/trial/zone_checkers.h"
 #include "members/members.h"
 #include "site/site.h"
 
@@ -789,6 +790,11 @@
       {"count-true", "no count's bound excludes what processes counted", CountTrue},
       {"hearsay-said", "processes too leave no worker by one zone's word, or long", HearsaySaid},
       {"hearsay", "no worker is out by one zone's word, too many, or too long", Hearsay},
+      {"zones-never-all", "no node leaves all zones", ZonesNeverAll},
+      {"zones-founded", "no zone is left that no fault touched", ZonesFounded},
+      {"zones-in-time", "a zone that is gone is left by all in time", ZonesInTime},
+      {"zones-agreed", "no two nodes use a zone differently for long", ZonesAgreed},
+      {"zones-whole", "all zones are whole once faults are over", ZonesWhole},
   };
   return all;
 }
--- a/lab/trial/fault.cpp
+++ b/lab/trial/fault.cpp
@@ -13,9 +13,10 @@
 namespace pearreach::lab {
 namespace {
 
-constexpr const char* kNames[] = {"lose",     "late",      "double",  "damage", "cut-tcp",
-                                  "hold-tcp", "late-list", "stall",   "kill",   "restart",
-                                  "twin",     "reload",    "silence", "die",    "drain"};
+constexpr const char* kNames[] = {"lose",     "late",      "double",     "damage",     "cut-tcp",
+                                  "hold-tcp", "late-list", "stall",      "kill",       "restart",
+                                  "twin",     "reload",    "silence",    "die",        "drain",
+                                  "fail",     "slow",      "leave-zone", "return-zone"};
 
 template <typename T>
 void Take(const xmlNode* node, const char* attribute, double unit, T* to) {
@@ -69,6 +70,8 @@
           (party[0] == 'z' && number(party, 1) >= p.zones))
         xml::Fail(name, xml::Line(n), "there is no " + party);
     }
+    if (f.what >= Fault::What::kLeaveZone && (f.from[0] != 'n' || f.to[0] != 'z'))
+      xml::Fail(name, xml::Line(n), what + " wants a node and a zone");
     if (f.at + f.length > p.length) xml::Fail(name, xml::Line(n), "a fault outlasts the trial");
     p.faults.push_back(f);
   });
@@ -157,6 +160,22 @@
       f.from = worker();
       f.length = ms(500, 5000);
     }
+    // In place of one worker, a whole zone.
+    if (options.zones && f.what >= What::kSilence && below(2) == 0) {
+      f.from = "z" + std::to_string(below(plan->zones));
+      constexpr What kZoneFaults[] = {What::kSilence, What::kSilence, What::kDie, What::kFail,
+                                      What::kSlow};
+      f.what = kZoneFaults[below(5)];
+      f.share = f.what == What::kFail ? 0.4 : 1;
+      f.length = ms(1500, 8000);
+    } else if (options.zones && f.what == What::kLateList && below(2) == 0) {
+      f.what = below(3) > 0 ? What::kLeaveZone : What::kReturnZone;
+      f.to = "z" + std::to_string(below(plan->zones));
+    } else if (options.zones && f.what == What::kCutTcp && below(2) == 0) {
+      f.from = f.to = "z" + std::to_string(below(plan->zones));  // a zone against one other
+      while (f.to == f.from && plan->zones > 1) f.to = "z" + std::to_string(below(plan->zones));
+      f.length = ms(1500, 6000);
+    }
     const Micros room = plan->length * 4 / 5;
     f.length = std::min(f.length, room / 2);
     f.at =
--- a/lab/trial/fault.h
+++ b/lab/trial/fault.h
@@ -32,6 +32,10 @@
     kSilence,   // worker `from` says and hears nothing; back cold
     kDie,       // worker `from` dies; back cold
     kDrain,     // worker `from` drains meanwhile
+    kFail,      // worker `from` fails a share of its jobs meanwhile
+    kSlow,      // worker `from` takes five times as long meanwhile
+    kLeaveZone,   // at node `from` an operator orders zone `to` to be left, and takes it back after
+    kReturnZone,  // the same, that it is in use whatever is seen of it
   };
   What what = What::kLose;
   Micros at = 0, length = 0;         // since the load began
@@ -63,6 +67,7 @@
   int faults = 12;
   bool processes = true;  // stalls, kills, restarts, twins, reloads
   bool workers = true;    // workers, their links and lists
+  bool zones = false;     // whole zones of workers, and operators' orders
 };
 // Fills in the faults, from the plan's seed: any overlap, all over by four fifths of its length.
 void DrawFaults(const DrawOptions& options, TrialPlan* plan);
--- a/lab/trial/trial.cpp
+++ b/lab/trial/trial.cpp
@@ -450,6 +450,20 @@
       case What::kDie:
         for (const std::size_t w : Workers(f.from)) fleet_->Restart(w, f.length);
         return {};
+      case What::kFail:
+      case What::kSlow:
+        for (const std::size_t w : Workers(f.from))
+          fleet_->Grey(w, f.what == What::kFail ? f.share : 0, f.what == What::kSlow ? 5 : 1);
+        return [this, f] {
+          for (const std::size_t w : Workers(f.from)) fleet_->Grey(w, 0, 1);
+        };
+      case What::kLeaveZone:
+      case What::kReturnZone:
+        for (const std::size_t n : nodes)
+          Order(n, f.to, f.what == What::kLeaveZone ? "leave" : "return");
+        return [this, nodes, f] {
+          for (const std::size_t n : nodes) Order(n, f.to, "clear");
+        };
       case What::kDrain:
         for (const std::size_t w : Workers(f.from)) fleet_->Drain(w, true);
         return [this, f] {
@@ -459,6 +473,8 @@
     return {};
   }
 
+  void Order(std::size_t, const std::string&, const char*) {}
+
   void ReadLogs() {
     for (const auto& entry : fs::directory_iterator(path())) {
       if (entry.path().extension() != ".log") continue;
--- a/lab/trial/virtual.cpp
+++ b/lab/trial/virtual.cpp
@@ -16,6 +16,7 @@
 
 constexpr Micros kViewEvery = 200'000;
 constexpr Micros kUnix = 1'800'000'000'000'000;  // of the trial's begin
+constexpr Micros kCold = 3'000'000;              // a worker that came back
 constexpr Micros kReturn = 300'000;              // a restarted process speaks again
 
 class World {
@@ -37,6 +38,8 @@
          {"zones", std::to_string(plan_.zones)},
          {"seed", std::to_string(plan_.seed)},
          {"faults", std::to_string(plan_.faults.size())},
+         {"workers", std::to_string(plan_.workers)},
+         {"leaves_zones", o_.zones != nullptr ? "1" : "0"},
          {"period_us", std::to_string(plan_.period)}});
     for (int n = 0; n < plan_.nodes; ++n)
       At(static_cast<Micros>(chance_.Uniform() * 100'000), [this, n] { Start(n); });
@@ -59,6 +62,8 @@
     now_ = end;
     for (int n = 0; n < plan_.nodes; ++n) Say("trial", "ending", {{"node", Name(n)}});
     result_.length = end;
+    for (const Node& node : nodes_)
+      if (node.zones != nullptr) result_.held_back += node.zones->figures().held_back;
     result_.history = std::move(history_);
     return std::move(result_);
   }
@@ -79,12 +84,15 @@
     std::uint64_t life = 0;
     bool doubts = false;
     std::unique_ptr<shared::Shared> shared;
+    std::unique_ptr<zones::Zones> zones;
     std::vector<int> jobs;  // accounts' jobs that came while it was stopped
     double weight = 1;      // of the load
   };
   struct Worker {
     int faults = 0;  // silent or dead
     bool dead = false;
+    double errors = 0, times = 1;
+    std::deque<Micros> cold_sends;
     std::int64_t start = 0;
     Micros back = 0;  // the last time that it was well again
   };
@@ -203,6 +211,84 @@
     for (std::size_t w = 0; w < workers_.size(); ++w)
       node.shared->judgements().Listed(KeyOf(w), 0, workers_[w].start, true);
     ArmShared(n);
+    if (o_.zones != nullptr) StartZones(n);
+  }
+  void StartZones(int n) {
+    Node& node = Of(n);
+    zones::Options options = o_.zones->options;
+    options.self = n;
+    options.nodes = plan_.nodes;
+    options.zone = n % plan_.zones;
+    for (int z = 0; z < plan_.zones; ++z) options.zones.push_back("z" + std::to_string(z));
+    node.zones = std::make_unique<zones::Zones>(options, node.machine->process(), Unix());
+    node.zones->Leave(o_.zones->without);
+    for (std::size_t w = 0; w < workers_.size(); ++w) ListZone(n, w);
+    ArmZones(n);
+  }
+  void ListZone(int n, std::size_t w) {
+    if (Of(n).zones == nullptr) return;
+    const int zone = static_cast<int>(w) % plan_.zones;
+    const bool lone = o_.zones->lone_kind && zone == plan_.zones - 1;
+    Of(n).zones->Listed(KeyOf(w), zone, lone ? 1 : 0, 1, true);
+  }
+  void ArmZones(int n) {
+    Node& node = Of(n);
+    At(std::max(now_, node.zones->next() - kUnix), [this, n, life = node.life] {
+      Node& node = Of(n);
+      if (node.life != life || node.zones == nullptr || node.stalls > 0) return;
+      ZonesTurn(n);
+      ArmZones(n);
+    });
+  }
+  void ZonesTurn(int n) {
+    Node& node = Of(n);
+    for (std::size_t w = 0; w < workers_.size(); ++w)
+      node.zones->Seen(KeyOf(w),
+                       static_cast<zones::Cause>(node.shared->judgements().own(KeyOf(w))));
+    std::vector<zones::Zones::Out> out;
+    node.zones->Tick(Unix(), AliveFor(n), node.machine->view(now_).doubts_itself, &out);
+    if (n == o_.zones->liar) Lie(n, &out);
+    SendZones(n, out);
+  }
+  // A node that claims of all other zones that they are gone.
+  void Lie(int n, std::vector<zones::Zones::Out>* out) {
+    zones::Word w;
+    w.zone = n % plan_.zones;
+    w.at = Unix() / 1000 * 1000;
+    for (int z = 0; z < plan_.zones; ++z)
+      if (z != w.zone)
+        w.verdicts.push_back({zones::KeyOf("z" + std::to_string(z)), -1, 50, zones::kLeft,
+                              zones::Cause::kDead, n, w.at, 1});
+    for (int other = 0; other < plan_.nodes; ++other)
+      if (other != n) out->push_back({other, zones::Encode(w, 180, nullptr)});
+  }
+  void SendZones(int n, const std::vector<zones::Zones::Out>& out) {
+    Node& node = Of(n);
+    for (const zones::Zones::Out& o : out) {
+      peers::Writer writer(n, node.machine->process(), ++node.number);
+      writer.Add(peers::Topic::kZones, o.section);
+      const std::string bytes = writer.Take();
+      ++result_.zone_words;
+      result_.zone_bytes += bytes.size();
+      Pass(n, o.to, bytes);
+    }
+    SayZones(n);
+  }
+  void SayZones(int n) {
+    for (const zones::Standing& s : Of(n).zones->TakeChanges()) {
+      std::string witnesses;
+      for (const int w : s.witnesses)
+        witnesses += (witnesses.empty() ? "" : " ") + std::to_string(w);
+      Say(Name(n), "zone",
+          {{"zone", "z" + std::to_string(s.zone)},
+           {"step", std::to_string(s.step)},
+           {"number", std::to_string(s.number)},
+           {"cause", NameOf(s.cause)},
+           {"by_hand", s.by_hand ? "1" : "0"},
+           {"own", s.own ? "1" : "0"},
+           {"whose", s.whose < 0 ? "all" : "z" + std::to_string(s.whose)},
+           {"witnesses", witnesses}});
+    }
   }
   void ArmShared(int n) {
     Node& node = Of(n);
@@ -276,19 +362,36 @@
     Node& node = Of(n);
     shared::Judgements& judge = node.shared->judgements();
     const auto it = judge.standing().find(KeyOf(w));
-    if (it != judge.standing().end() && it->second.out) {
+    const zones::Use use =
+        node.zones == nullptr ? zones::Use::kOpen : node.zones->use(Unix(), KeyOf(w));
+    if (use == zones::Use::kShut) return;
+    if (use == zones::Use::kTrial) ++result_.trials;
+    if (use == zones::Use::kOpen && it != judge.standing().end() && it->second.out) {
       if (!it->second.trial) return;
       ++result_.trials;
     }
     Worker& worker = workers_[w];
     judge.Sent(Unix(), KeyOf(w));
+    if (node.zones != nullptr) node.zones->Sent(Unix(), KeyOf(w));
     ++result_.sends;
+    if (worker.back > 0 && now_ - worker.back < kCold) {
+      worker.cold_sends.push_back(now_);
+      const auto recent = static_cast<double>(Within(&worker.cold_sends, 1'000'000));
+      result_.most_cold = std::max(result_.most_cold, recent / (plan_.nodes * o_.shared->sends));
+    }
     const bool gone = worker.faults > 0, cut = Cut(n, w);
     result_.sends_lost += gone ? 1 : 0;
     const auto later = [this, n, w, life = node.life](Micros after, End end) {
-      At(now_ + after, [this, n, w, life, end] {
+      At(now_ + after, [this, n, w, life, end, after] {
         if (Of(n).life != life || Of(n).shared == nullptr) return;
         Of(n).shared->judgements().Ended(Unix(), KeyOf(w), end, 1);
+        using ZoneEnd = zones::Zones::End;
+        if (Of(n).zones != nullptr)
+          Of(n).zones->Ended(Unix(), KeyOf(w),
+                             end == End::kServed   ? ZoneEnd::kServed
+                             : end == End::kFailed ? ZoneEnd::kFailed
+                                                   : ZoneEnd::kNoWord,
+                             0, end == End::kServed ? after : 0);
       });
     };
     if (gone && worker.dead)
@@ -296,7 +399,8 @@
     else if (gone || cut)
       later(1'000'000, End::kTimedOut);
     else
-      later(30'000, End::kServed);
+      later(static_cast<Micros>(30'000 * worker.times),
+            worker.errors > 0 && chance_.Uniform() < worker.errors ? End::kFailed : End::kServed);
   }
   // A worker that comes back is another process, as its list says to each node some time later.
   void Mended(std::size_t w) {
@@ -308,6 +412,7 @@
       At(now_ + 100'000 + static_cast<Micros>(chance_.Uniform() * 900'000), [this, n, w] {
         if (Of(n).shared != nullptr)
           Of(n).shared->judgements().Listed(KeyOf(w), 0, workers_[w].start, true);
+        ListZone(n, w);
       });
   }
   std::size_t Within(std::deque<Micros>* times, Micros window) const {
@@ -407,6 +512,13 @@
         SendShared(to, said);
         continue;
       }
+      if (s.topic == static_cast<std::uint8_t>(peers::Topic::kZones)) {
+        if (node.zones == nullptr) continue;
+        std::vector<zones::Zones::Out> said;
+        node.zones->Hear(Unix(), from, word->datagram.process, s.bytes, &said);
+        SendZones(to, said);
+        continue;
+      }
       node.machine->Hear(now_, from, word->datagram.process, word->late, s.bytes, &out);
     }
     Send(to, out);
@@ -457,6 +569,8 @@
     if (node.machine == nullptr) return;
     node.machine.reset();
     node.shared.reset();
+    if (node.zones != nullptr) result_.held_back += node.zones->figures().held_back;
+    node.zones.reset();
     node.jobs.clear();
     node.waiting.clear();
     ++node.life;
@@ -483,6 +597,21 @@
       return At(now_ + f.length,
                 [this, f] { cuts_.erase(std::find(cuts_.begin(), cuts_.end(), f)); });
     }
+    if (f.what == What::kFail || f.what == What::kSlow) {
+      for (std::size_t w = 0; w < workers_.size(); ++w) {
+        if (!Selects(f.from, "s-" + std::to_string(w), plan_.zones)) continue;
+        const bool fails = f.what == What::kFail;
+        (fails ? workers_[w].errors : workers_[w].times) = fails ? f.share : 5;
+        At(now_ + f.length,
+           [this, w, fails] { (fails ? workers_[w].errors : workers_[w].times) = fails ? 0 : 1; });
+      }
+      return;
+    }
+    if (f.what == What::kLeaveZone || f.what == What::kReturnZone) {
+      Order(f,
+            f.what == What::kLeaveZone ? zones::Order::What::kLeave : zones::Order::What::kReturn);
+      return At(now_ + f.length, [this, f] { Order(f, zones::Order::What::kNone); });
+    }
     if (f.what == What::kSilence || f.what == What::kDie) {
       for (std::size_t w = 0; w < workers_.size(); ++w) {
         if (!Selects(f.from, "s-" + std::to_string(w), plan_.zones)) continue;
@@ -517,6 +646,15 @@
       }
     }
   }
+  void Order(const Fault& f, zones::Order::What what) {
+    for (int n = 0; n < plan_.nodes; ++n) {
+      Node& node = Of(n);
+      if (!Selects(f.from, Name(n), plan_.zones) || node.zones == nullptr) continue;
+      node.zones->Command(Unix(), f.to, what);
+      Say(Name(n), "ordered", {{"zone", f.to}, {"what", NameOf(what)}});
+      SayZones(n);
+    }
+  }
   // As of a real process: what came meanwhile lies in its socket, and may be read before its own
   // clock rings.
   void Thaw(int n) {
@@ -536,6 +674,7 @@
     if (node.shared == nullptr) return;
     for (const int account : std::exchange(node.jobs, {})) Job(n, account);
     ArmShared(n);
+    if (node.zones != nullptr) ArmZones(n);
   }
 
   VirtualOptions o_;
--- a/lab/trial/virtual.h
+++ b/lab/trial/virtual.h
@@ -12,6 +12,7 @@
 #include "lab/trial/history.h"
 #include "members/members.h"
 #include "shared/shared.h"
+#include "zones/zones.h"
 
 namespace pearreach::lab {
 
@@ -30,6 +31,14 @@
   int liar = -1;  // this node says of all workers that they are silent
 };
 
+// Zones that are left and come back, beside shared state, of which they take their evidence.
+struct ZoneLoad {
+  zones::Options options = {};  // self, nodes, zone and zones are the plan's
+  zones::Zones::Without without = {};
+  int liar = -1;           // this node holds verdicts that all zones but its own are gone
+  bool lone_kind = false;  // the last zone has a kind of worker that no other has
+};
+
 struct VirtualOptions {
   TrialPlan plan;                             // of its faults, those of words and of nodes
   members::Options members = {};              // self, nodes and period are the plan's
@@ -38,6 +47,7 @@
   Micros extra = 0;                           // after the faults; 0: the stated time to agree
   bool views = true;                          // lines with what nodes hear
   const SharedLoad* shared = nullptr;         // null: membership alone
+  const ZoneLoad* zones = nullptr;            // null: each node for itself; wants `shared`
 };
 
 struct VirtualResult {
@@ -52,6 +62,10 @@
   double most_parts = 0;  // of a budget's whole, the most that was ever held
   std::uint64_t sends = 0, sends_lost = 0, trials = 0;  // jobs to workers, to those that were gone
   std::uint64_t shared_words = 0, shared_bytes = 0;
+  // Of zones: words, jobs that a worker got within a second while it was cold, over what it gets
+  // when all is well (the most), and verdicts not raised for want of room in the rest.
+  std::uint64_t zone_words = 0, zone_bytes = 0, held_back = 0;
+  double most_cold = 0;
 };
 VirtualResult RunVirtual(const VirtualOptions& options);
 
--- /dev/null
+++ b/src/zones/words.cpp
@@ -0,0 +1,166 @@
+#include "zones/words.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+
+#include "zones/zones.pb.h"
+
+namespace pearreach::zones {
+namespace {
+
+constexpr std::int64_t kEpochMs = 1'767'225'600'000;  // 2026-01-01, Unix ms
+constexpr int kMostEntries = 64;                      // of one column: a datagram holds fewer
+constexpr std::uint64_t kMostFigure = 1'000'000'000'000'000;
+constexpr std::uint32_t kMostNode = 1'000'000;
+
+std::int64_t AgeMs(const wire::Section& s, Micros at) {
+  return kEpochMs + static_cast<std::int64_t>(s.at()) - at / 1000;
+}
+
+void Put(const Verdict& v, wire::Section* to) {
+  to->add_verdict_target(v.target);
+  to->add_verdict_for(static_cast<std::uint32_t>(v.whose + 1));
+  to->add_verdict_number(v.number);
+  to->add_verdict_step(v.step);
+  to->add_verdict_cause(static_cast<std::uint32_t>(v.cause));
+  to->add_verdict_by(static_cast<std::uint32_t>(v.by));
+  to->add_verdict_age(AgeMs(*to, v.at));
+  to->add_verdict_leaves(v.leaves);
+}
+void Put(const Order& o, wire::Section* to) {
+  to->add_order_target(o.target);
+  to->add_order_number(o.number);
+  to->add_order_what(static_cast<std::uint32_t>(o.what));
+  to->add_order_by(static_cast<std::uint32_t>(o.by));
+  to->add_order_age(AgeMs(*to, o.at));
+}
+void Put(const Report& r, wire::Section* to) {
+  to->add_report_target(r.target);
+  to->add_report_node(static_cast<std::uint32_t>(r.witness));
+  to->add_report_zone(static_cast<std::uint32_t>(r.zone));
+  to->add_report_process(r.process > static_cast<std::uint64_t>(kEpochMs) ? r.process - kEpochMs
+                                                                          : 0);
+  to->add_report_number(r.number);
+  to->add_report_seen(r.tried | (r.bad << 8) | (static_cast<std::uint32_t>(r.cause) << 16) |
+                      (r.pressed ? 1u << 24 : 0));
+  to->add_report_age(AgeMs(*to, r.at));
+  to->add_report_about(r.about);
+  to->add_report_good(r.good);
+  to->add_report_failed(r.failed);
+}
+
+// Columns of one entry stand or fall together.
+template <class... Column>
+bool Even(const Column&... columns) {
+  const int sizes[] = {columns.size()...};
+  return sizes[0] <= kMostEntries &&
+         std::all_of(std::begin(sizes), std::end(sizes), [&](int s) { return s == sizes[0]; });
+}
+bool Bounded(std::uint64_t figure) { return figure <= kMostFigure; }
+bool BoundedAge(std::int64_t age) {
+  return age <= static_cast<std::int64_t>(kMostFigure / 1000) &&
+         age >= -static_cast<std::int64_t>(kMostFigure / 1000);
+}
+
+}  // namespace
+
+const char* NameOf(Cause cause) {
+  static constexpr const char* kNames[] = {"none", "slow", "failing", "silent", "dead"};
+  return kNames[static_cast<std::size_t>(cause)];
+}
+const char* NameOf(Order::What what) {
+  static constexpr const char* kNames[] = {"none", "leave", "return"};
+  return kNames[static_cast<std::size_t>(what)];
+}
+
+bool Later(const Verdict& a, const Verdict& b) {
+  // Of one number the stricter: left before any step, a lower step before a higher one, whole last.
+  const auto strict = [](const Verdict& v) { return v.step == kWhole ? 0 : 100 - v.step; };
+  return std::tuple(a.number, strict(a), b.by, a.at, a.leaves, a.cause) >
+         std::tuple(b.number, strict(b), a.by, b.at, b.leaves, b.cause);
+}
+bool Later(const Order& a, const Order& b) {
+  const auto strict = [](const Order& o) {
+    return o.what == Order::What::kLeave ? 2 : o.what == Order::What::kNone ? 1 : 0;
+  };
+  return std::tuple(a.number, strict(a), b.by, a.at) > std::tuple(b.number, strict(b), a.by, b.at);
+}
+bool Later(const Report& a, const Report& b) {
+  return std::tie(a.process, a.number) > std::tie(b.process, b.number);
+}
+
+std::string Encode(const Word& word, std::size_t room, int* left_out) {
+  wire::Section s;
+  s.set_zone(static_cast<std::uint32_t>(word.zone));
+  s.set_at(static_cast<std::uint64_t>(std::max<std::int64_t>(0, word.at / 1000 - kEpochMs)));
+  s.set_asks(word.asks);
+  int left = 0;
+  std::string bytes = s.SerializeAsString();
+  // What an entry costs is known once it is there: one too many is taken back with the bytes.
+  const auto add = [&](const auto& entry) {
+    if (left > 0) return void(++left);
+    Put(entry, &s);
+    if (s.ByteSizeLong() > room)
+      ++left;
+    else
+      s.SerializeToString(&bytes);
+  };
+  for (const Order& o : word.orders) add(o);
+  for (const Verdict& v : word.verdicts) add(v);
+  for (const Report& r : word.reports) add(r);
+  if (left_out != nullptr) *left_out = left;
+  return bytes.size() <= room ? bytes : std::string();
+}
+
+std::optional<Word> Decode(std::string_view bytes) {
+  wire::Section s;
+  if (!s.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
+  if (!Even(s.verdict_target(), s.verdict_for(), s.verdict_number(), s.verdict_step(),
+            s.verdict_cause(), s.verdict_by(), s.verdict_age(), s.verdict_leaves()) ||
+      !Even(s.order_target(), s.order_number(), s.order_what(), s.order_by(), s.order_age()) ||
+      !Even(s.report_target(), s.report_node(), s.report_zone(), s.report_process(),
+            s.report_number(), s.report_seen(), s.report_age(), s.report_about(), s.report_good(),
+            s.report_failed()) ||
+      !Bounded(s.at()) || s.at() > kMostFigure / 1000 || s.zone() > 10'000)
+    return std::nullopt;
+  Word w;
+  w.zone = static_cast<int>(s.zone());
+  w.at = (kEpochMs + static_cast<Micros>(s.at())) * 1000;
+  w.asks = s.asks();
+  for (int i = 0; i < s.verdict_target_size(); ++i) {
+    if (s.verdict_for(i) > 10'000 || !Bounded(s.verdict_number(i)) ||
+        s.verdict_step(i) > kLastStep || s.verdict_cause(i) > 4 || s.verdict_by(i) > kMostNode ||
+        !BoundedAge(s.verdict_age(i)) || s.verdict_leaves(i) > 255)
+      return std::nullopt;
+    w.verdicts.push_back({s.verdict_target(i), static_cast<int>(s.verdict_for(i)) - 1,
+                          s.verdict_number(i), static_cast<std::uint8_t>(s.verdict_step(i)),
+                          static_cast<Cause>(s.verdict_cause(i)), static_cast<int>(s.verdict_by(i)),
+                          w.at - s.verdict_age(i) * 1000,
+                          static_cast<std::uint8_t>(s.verdict_leaves(i))});
+  }
+  for (int i = 0; i < s.order_target_size(); ++i) {
+    if (!Bounded(s.order_number(i)) || s.order_what(i) > 2 || s.order_by(i) > kMostNode ||
+        !BoundedAge(s.order_age(i)))
+      return std::nullopt;
+    w.orders.push_back({s.order_target(i), s.order_number(i),
+                        static_cast<Order::What>(s.order_what(i)), static_cast<int>(s.order_by(i)),
+                        w.at - s.order_age(i) * 1000});
+  }
+  for (int i = 0; i < s.report_target_size(); ++i) {
+    const std::uint32_t seen = s.report_seen(i);
+    if (s.report_node(i) > kMostNode || s.report_zone(i) > 10'000 ||
+        !Bounded(s.report_process(i)) || seen >> 25 != 0 || ((seen >> 16) & 0xff) > 4 ||
+        !BoundedAge(s.report_age(i)) || !Bounded(s.report_about(i)))
+      return std::nullopt;
+    w.reports.push_back(
+        {s.report_target(i), static_cast<int>(s.report_node(i)), static_cast<int>(s.report_zone(i)),
+         kEpochMs + s.report_process(i), s.report_number(i), static_cast<std::uint8_t>(seen & 0xff),
+         static_cast<std::uint8_t>((seen >> 8) & 0xff), static_cast<Cause>((seen >> 16) & 0xff),
+         (seen >> 24) != 0, w.at - s.report_age(i) * 1000, s.report_about(i), s.report_good(i),
+         s.report_failed(i)});
+  }
+  return w;
+}
+
+}  // namespace pearreach::zones
