Histories by hand that each checker of shared state and zones must refuse

Need: a checker that refuses nothing is a defect; the eleven checkers of shared state and zones had no histories of their own. Change: each is given one that keeps its rule and at least one that breaks it.

--- a/tests/lab/trial_test.cpp
+++ b/tests/lab/trial_test.cpp
@@ -186,6 +186,150 @@
   EXPECT_EQ(Found("agreement", silent), 1u);
 }
 
+Moment Said(Micros at, const std::string& who, const std::string& what, More more) {
+  return {at, who, what, std::move(more)};
+}
+
+TEST(Checkers, SharedStateRefusesWhatBreaksIt) {
+  const auto plan = Said(0, "trial", "plan", {{"nodes", "9"}, {"zones", "3"}, {"workers", "10"}});
+  const auto parts = [&](const char* sum) {
+    return Said(1, "trial", "parts", {{"budget", "0"}, {"parts", sum}, {"whole", "1000"}});
+  };
+  EXPECT_EQ(Found("budget-sum", {parts("1000")}), 0u);
+  EXPECT_EQ(Found("budget-sum", {parts("1001")}), 1u);
+  const auto spent = [&](const char* much) {
+    return Said(1, "trial", "spent", {{"budget", "0"}, {"spent", much}, {"most", "21"}});
+  };
+  EXPECT_EQ(Found("budget-sum", {spent("21")}), 0u);
+  EXPECT_EQ(Found("budget-sum", {spent("22")}), 1u);
+  const auto reading = [&](const char* is) {
+    return Said(1, "n1", "reading",
+                {{"account", "0"}, {"least", "10"}, {"most", "20"}, {"true", is}});
+  };
+  EXPECT_EQ(Found("count-bound", {reading("10"), reading("20")}), 0u);
+  EXPECT_EQ(Found("count-bound", {reading("9"), reading("21")}), 2u);
+  // Processes: number:counted:spent within the share:part:least:most:estimate.
+  const auto line = [&](Micros at, const char* node, const char* accounts) {
+    return Said(at, node, "shared", {{"process", "7"}, {"accounts", accounts}, {"out", ""}});
+  };
+  const auto share =
+      Said(0, "trial", "share",
+           {{"account", "0"}, {"whole", "10"}, {"burst", "1"}, {"window_us", "10000000"}});
+  EXPECT_EQ(Found("budget-spent", {share, line(200'000, "n1", "0:0:0:5000:0:90:0"),
+                                   line(900'000, "n1", "0:20:20:5000:0:90:20")}),
+            0u);
+  EXPECT_GT(Found("budget-spent", {share, line(200'000, "n1", "0:0:0:5000:0:90:0"),
+                                   line(900'000, "n1", "0:60:60:5000:0:90:60")}),
+            0u);
+  const History counted = {share, line(100'000, "n1", "0:0:0:5000:0:90:0"),
+                           line(500'000, "n1", "0:50:0:5000:0:90:50"),
+                           line(900'000, "n2", "0:0:0:5000:40:60:50")};
+  EXPECT_EQ(Found("count-true", counted), 0u);
+  History narrow = counted;
+  narrow[3] = line(900'000, "n2", "0:0:0:5000:0:30:20");
+  EXPECT_EQ(Found("count-true", narrow), 1u);
+  const auto out = [&](const char* zones, const char* gone, const char* well) {
+    return Said(5, "n1", "worker_out",
+                {{"worker", "s-1"}, {"zones", zones}, {"gone", gone}, {"well_us", well}});
+  };
+  EXPECT_EQ(Found("hearsay", {plan, out("02", "1", "0"), out("01", "0", "11000000")}), 0u);
+  EXPECT_EQ(Found("hearsay", {plan, out("2", "1", "0")}), 1u);
+  EXPECT_EQ(Found("hearsay", {plan, out("02", "0", "13000000")}), 1u);
+  const auto outs = [&](const char* many) {
+    return Said(5, "n1", "workers_out", {{"out", many}, {"of", "10"}});
+  };
+  EXPECT_EQ(Found("hearsay", {plan, outs("3")}), 0u);
+  EXPECT_EQ(Found("hearsay", {plan, outs("4")}), 1u);
+  const auto without = [&](Micros at, const char* workers) {
+    return Said(at, "n1", "shared", {{"process", "7"}, {"accounts", ""}, {"out", workers}});
+  };
+  const auto quiet = Said(10, "trial", "quiet", {});
+  EXPECT_EQ(Found("hearsay-said", {plan, without(5, "s-1:silent:0:1"), quiet}), 0u);
+  EXPECT_EQ(Found("hearsay-said", {plan, without(5, "s-1:silent:0:3"), quiet}), 1u);
+  EXPECT_EQ(Found("hearsay-said", {plan, without(5,
+                                                 "s-1:silent:0:1 s-2:silent:0:1 s-3:silent:0:1 "
+                                                 "s-4:silent:0:1")}),
+            1u);
+  EXPECT_EQ(Found("hearsay-said", {plan, quiet, without(13'000'000, "s-1:silent:0:1")}), 1u);
+}
+
+TEST(Checkers, ZonesRefuseWhatBreaksThem) {
+  const auto plan =
+      Said(0, "trial", "plan",
+           {{"nodes", "2"}, {"zones", "3"}, {"workers", "12"}, {"leaves_zones", "1"}});
+  const auto fault = [&](Micros at, const char* kind, const char* from, Micros length) {
+    return Said(at, "trial", "fault",
+                {{"number", "0"},
+                 {"kind", kind},
+                 {"from", from},
+                 {"to", "*"},
+                 {"length_us", std::to_string(length)}});
+  };
+  const auto zone = [&](Micros at, const char* node, const char* name, const char* step,
+                        More more = {}) {
+    more["zone"] = name;
+    more["step"] = step;
+    more.emplace("whose", "all");
+    return Said(at, node, "zone", std::move(more));
+  };
+  const Micros s = 1'000'000;
+  const auto serving = [&](const char* node) { return Said(0, node, "serving", {}); };
+  const auto gone = fault(5 * s, "silence", "z1", 10 * s);
+
+  EXPECT_EQ(Found("zones-never-all", {plan, zone(1, "n0", "z0", "1"), zone(2, "n0", "z1", "1"),
+                                      zone(3, "n1", "z2", "1")}),
+            0u);
+  EXPECT_EQ(Found("zones-never-all", {plan, zone(1, "n0", "z0", "1"), zone(2, "n0", "z1", "1"),
+                                      zone(3, "n0", "z2", "1")}),
+            1u);
+
+  EXPECT_EQ(Found("zones-founded", {plan, gone, zone(6 * s, "n0", "z1", "1")}), 0u);
+  EXPECT_EQ(Found("zones-founded", {plan, gone, zone(6 * s, "n0", "z2", "1")}), 1u);
+  EXPECT_EQ(Found("zones-founded", {plan, gone, zone(24 * s, "n0", "z1", "1")}), 1u);
+  EXPECT_EQ(Found("zones-founded",
+                  {plan, fault(5 * s, "silence", "s-1", 10 * s), zone(6 * s, "n0", "z1", "1")}),
+            1u)
+      << "one worker of four is no zone";
+  EXPECT_EQ(Found("zones-founded", {plan, zone(6 * s, "n0", "z1", "1", {{"by_hand", "1"}})}), 0u);
+
+  const auto end = Said(30 * s, "trial", "over", {});
+  const History in_time = {plan,
+                           serving("n0"),
+                           serving("n1"),
+                           gone,
+                           zone(7 * s, "n0", "z1", "1"),
+                           zone(8 * s, "n1", "z1", "1"),
+                           end};
+  EXPECT_EQ(Found("zones-in-time", in_time), 0u);
+  History late = in_time;
+  late[5] = zone(12 * s, "n1", "z1", "1");
+  EXPECT_EQ(Found("zones-in-time", late), 1u);
+
+  const auto apart = [&](Micros until, More more = {}) {
+    return History{plan,
+                   serving("n0"),
+                   serving("n1"),
+                   gone,
+                   zone(7 * s, "n0", "z1", "1"),
+                   zone(until, "n1", "z1", "1", std::move(more)),
+                   end};
+  };
+  EXPECT_EQ(Found("zones-agreed", apart(10 * s)), 0u);
+  EXPECT_EQ(Found("zones-agreed", apart(12 * s)), 1u);
+  History touched = apart(12 * s);
+  touched.insert(touched.begin() + 4, fault(6 * s, "lose", "n1", 5 * s));
+  EXPECT_EQ(Found("zones-agreed", touched), 0u);
+
+  const auto last = [&](const char* step, Micros ending) {
+    return History{plan, serving("n0"), zone(7 * s, "n0", "z1", step),
+                   Said(10 * s, "trial", "quiet", {}),
+                   Said(ending, "trial", "ending", {{"node", "n0"}})};
+  };
+  EXPECT_EQ(Found("zones-whole", last("0", 50 * s)), 0u);
+  EXPECT_EQ(Found("zones-whole", last("2", 50 * s)), 1u);
+  EXPECT_EQ(Found("zones-whole", last("2", 30 * s)), 0u) << "too soon to be judged";
+}
+
 TEST(Shrinks, ToWhatIsNeeded) {
   TrialPlan plan;
   plan.seed = 3;
