The trial's report draws zones over time; a bad region is told with its file and line

Need: who left a zone when, and how it came back, could be read in lines only; a region that names no zone of the platform's was told as "operator's file:1".

Change: a row a zone in the report, a line of it a node, coloured by left, step and served from inside. The refusal names the file.

--- a/lab/report/trial_page.cpp
+++ b/lab/report/trial_page.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdarg>
 #include <cstdio>
+#include <cstdlib>
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -52,6 +54,49 @@
   std::map<std::string, Band> open_;
 };
 
+// A row a zone, a line of it a node: when that node did not use the zone whole. Gives their height.
+double ZoneRows(const History& history, const std::vector<std::string>& nodes,
+                const std::function<double(Micros)>& x, double y,
+                const std::function<void(const std::string&, double)>& label, std::string* svg) {
+  constexpr double kZoneRow = 40;
+  std::map<std::string, Bands> zones;  // by zone; the key is the node
+  const auto state = [](const Moment& m) -> std::string {
+    const std::string& step = m.Of("step");
+    const std::string hand = m.Of("by_hand") == "1" ? " by hand" : "";
+    if (m.Of("own") == "1") return "served from inside";
+    if (step == "0") return "";
+    return step == "1" ? "left" + hand
+                       : "step " + std::to_string(std::atoi(step.c_str()) - 1) + hand;
+  };
+  const Micros end = history.empty() ? 0 : history.back().at;
+  for (const Moment& m : history) {
+    if (m.what == "serving" || (m.who == "trial" && m.what == "ended"))
+      for (auto& [zone, bands] : zones) bands.Close(m.who == "trial" ? m.Of("node") : m.who, m.at);
+    if (m.what != "zone" || m.Of("zone").empty()) continue;
+    Bands& bands = zones[m.Of("zone")];
+    bands.Close(m.who, m.at);
+    if (const std::string is = state(m); !is.empty()) bands.Open(m.who, m.at, is);
+  }
+  double height = 0;
+  for (auto& [zone, bands] : zones) {
+    bands.CloseAll(end);
+    label("zone " + zone, y + height);
+    const double line =
+        (kZoneRow - 6) / static_cast<double>(std::max<std::size_t>(1, nodes.size()));
+    for (std::size_t n = 0; n < nodes.size(); ++n)
+      for (const Band& b : bands.all[nodes[n]])
+        *svg += Format("<rect x='%.1f' y='%.1f' width='%.1f' height='%.1f' fill='%s'><title>",
+                       x(b.from), y + height + 3 + line * static_cast<double>(n),
+                       std::max(1.0, x(b.until) - x(b.from)), std::max(0.5, line - 0.5),
+                       b.what.starts_with("left")     ? "#b8402a"
+                       : b.what.starts_with("served") ? "#4a78a8"
+                                                      : "#d9b65a") +
+                Escape(nodes[n] + ": " + b.what) + "</title></rect>";
+    height += kZoneRow;
+  }
+  return height;
+}
+
 }  // namespace
 
 std::string ReportOfTrial(const History& history, const std::string& title) {
@@ -92,10 +137,11 @@
   std::map<std::string, double> row;
   double y = kTop;
   std::string svg;
-  const auto label = [&](const std::string& text) {
-    svg += Format("<text x='%.0f' y='%.1f' text-anchor='end'>", kLeft - 6, y + 13) + Escape(text) +
+  const auto label_of = [&](const std::string& text, double at) {
+    svg += Format("<text x='%.0f' y='%.1f' text-anchor='end'>", kLeft - 6, at + 13) + Escape(text) +
            "</text>";
   };
+  const auto label = [&](const std::string& text) { label_of(text, y); };
   for (const std::string& number : fault_order) {
     label(faults.all[number].front().what);
     for (const Band& b : faults.all[number])
@@ -116,6 +162,7 @@
              Escape(b.what) + "</title></rect>";
     y += kRow;
   }
+  y += ZoneRows(history, nodes, x, y, label_of, &svg);
   // What each hears, as the height of a mark; who is alive for it, as its shade.
   for (const Moment& m : history) {
     if (m.what != "view" || !row.contains(m.who) || m.Of("asked").empty()) continue;
@@ -145,7 +192,9 @@
       "<p>" + Escape(what) +
       ". Bands above: faults. Rows: nodes; grey: stopped, white: not there; "
       "the height of the marks is the part of the nodes asked that it hears, the redder the fewer "
-      "are alive for it; red triangles: violations.</p><figure>" +
+      "are alive for it; red triangles: violations. Zones: a line a node; red: left, yellow: a "
+      "step of "
+      "its return, blue: served from inside.</p><figure>" +
       Format(
           "<svg viewBox='0 0 %.0f %.0f' width='%.0f' height='%.0f' role='img' "
           "xmlns='http://www.w3.org/2000/svg'>",
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -113,15 +113,16 @@
   return std::make_unique<knowledge::Saver>(std::move(folder));
 }
 
-std::string RegionWrong(const ZoneSettings::Region& region, const std::string& what) {
-  return "operator's file:" + std::to_string(region.line) + ": region " + region.name + ": " + what;
+std::string RegionWrong(const std::string& file, const ZoneSettings::Region& region,
+                        const std::string& what) {
+  return file + ":" + std::to_string(region.line) + ": region " + region.name + ": " + what;
 }
 
 // Words with other nodes, where the operator's file asks for them and the configuration and the
 // platform's settings give what they need; else one line says what is missing, and the node serves
 // without.
-std::unique_ptr<Fleet> MakeFleet(const OperatorSettings& settings, const Config& config,
-                                 Node* node) {
+std::unique_ptr<Fleet> MakeFleet(const OperatorSettings& settings, const std::string& file,
+                                 const Config& config, Node* node) {
   if (!settings.peers) return nullptr;
   if (const std::string wrong = PeersWrong(config); !wrong.empty()) {
     CountFault("peers_off", wrong);
@@ -161,13 +162,13 @@
       zones::Target region{r.name, {}};
       for (const std::string& zone : r.zones) {
         const int at = marlquay::IndexOf(site.zones, zone);
-        if (at < 0) throw marlquay::Malformed(RegionWrong(r, "there is no zone " + zone));
+        if (at < 0) throw marlquay::Malformed(RegionWrong(file, r, "there is no zone " + zone));
         region.zones.push_back(at);
       }
       if (marlquay::IndexOf(site.zones, r.name) >= 0)
-        throw marlquay::Malformed(RegionWrong(r, "a zone has that name"));
+        throw marlquay::Malformed(RegionWrong(file, r, "a zone has that name"));
       if (region.zones.size() >= site.zones.size())
-        throw marlquay::Malformed(RegionWrong(r, "it has all zones: none would be left"));
+        throw marlquay::Malformed(RegionWrong(file, r, "it has all zones: none would be left"));
       zoned->regions.push_back(std::move(region));
     }
   }
@@ -493,7 +494,7 @@
   }
   std::unique_ptr<Fleet> fleet;
   try {
-    fleet = MakeFleet(settings, config, &node);
+    fleet = MakeFleet(settings, sources.operator_file, config, &node);
   } catch (const marlquay::Malformed& wrong) {
     std::cerr << "pearreach: " << wrong.what() << '\n';
     return kUsage;
