--- a/src/shared/judgements.cpp
+++ b/src/shared/judgements.cpp
@@ -177,7 +177,9 @@
   };
   std::vector<Case> cases;
   std::map<int, int> of_kind;
-  for (const auto& [key, w] : workers_) {
+  for (const auto& entry : workers_) {
+    const WorkerKey key = entry.first;
+    const Worker& w = entry.second;
     if (!w.listed || !w.in_service) continue;
     ++of_kind[w.kind];
     Case c{0, {.worker = key}, w.kind};
