What a stopped node waited for in vain is forgotten, so that its word on a worker fades

Cause: Judgements::Ended kept the first send without a word after a time-out, and Look renewed the judgement by it every 2.5 s though nothing had been sent since.

Change: a time-out judges once, and with nothing out nothing is waited for. Ruled out: zones (the line comes from judgements alone; none was left).

--- a/src/shared/judgements.cpp
+++ b/src/shared/judgements.cpp
@@ -99,7 +99,12 @@
       w.died = now;
       return Judge(now, key, &w, Verdict::kDead);
     case End::kTimedOut:
-      return;  // Look sees how long nothing was heard
+      // What was waited for in vain counts once: with nothing out there is nothing to wait for.
+      if (w.unheard_since > 0 && now - w.unheard_since > options_.taken_within &&
+          w.mine.verdict != Verdict::kDead)
+        Judge(now, key, &w, Verdict::kSilent);
+      if (w.out == 0) w.unheard_since = 0;
+      return;
     case End::kServed:
     case End::kFailed:
       break;
--- a/tests/shared/shared_test.cpp
+++ b/tests/shared/shared_test.cpp
@@ -355,6 +355,20 @@
   EXPECT_EQ(j.own(7), Verdict::kSilent);
 }
 
+// Seen in a trial of processes (seed 90030): two nodes that had been stopped called a worker silent
+// for good, since the job that they had waited for in vain was never forgotten.
+TEST(SharedJudgements, WhatWasWaitedForInVainFades) {
+  Judgements j({.self = 0, .nodes = 5, .zone = 0, .zones = 2}, 1);
+  j.Listed(7, 0, 0, true);
+  const Micros at = 1'800'000'000'000'000;
+  j.Sent(at, 7);
+  j.Ended(at + 1'000'000, 7, Judgements::End::kTimedOut, 0);
+  j.Look(at + 1'100'000, {});
+  EXPECT_EQ(j.own(7), Verdict::kSilent);
+  for (Micros t = 2'000'000; t < 13'000'000; t += 250'000) j.Look(at + t, {});
+  EXPECT_EQ(j.own(7), Verdict::kWell);
+}
+
 TEST(SharedJudgements, OneTrierAtATimeForTheWholeFleet) {
   std::vector<std::unique_ptr<Judgements>> nodes;
   for (int n = 0; n < 6; ++n) {
