--- a/src/capture/recorder.cpp
+++ b/src/capture/recorder.cpp
@@ -18,7 +18,7 @@
 
 namespace fs = std::filesystem;
 
-constexpr std::size_t kBlockBytes = 64 << 10;
+constexpr std::size_t kTurnBlockBytes = 64 << 10;
 constexpr char kSuffix[] = ".prcap";
 
 // One file of the node; it knows nothing of turns.
@@ -173,7 +173,7 @@
   if (checkpoint != nullptr)
     state = {Task::Kind::kBlock, BlockType::kCheckpoint, 0,
              marlquay::Checkpoint::Save(*checkpoint)};
-  if (head.bytes.size() + state.bytes.size() + kBlockBytes > settings_.memory) {
+  if (head.bytes.size() + state.bytes.size() + kTurnBlockBytes > settings_.memory) {
     Suspend("a checkpoint of " + std::to_string(state.bytes.size()) + " bytes is too large", now);
     return false;
   }
@@ -221,7 +221,7 @@
   ++ending_.turns;
   ending_.events += events.size();
   ending_.actions += actions.size();
-  if (turns_.size() >= kBlockBytes || now - block_began_ >= settings_.flush_every) Flush();
+  if (turns_.size() >= kTurnBlockBytes || now - block_began_ >= settings_.flush_every) Flush();
   if (!open_) return;
   if (report.segment_bytes >= settings_.segment_bytes ||
       now - segment_began_ >= settings_.segment_age) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,7 +14,7 @@
 // The deadline runs from when the client sent; the way here is not told, so it is allowed for.
 constexpr Micros kWayHere = 5 * kMs;
 // The module answers by the deadline. What is still unanswered so long after it is failed here.
-constexpr Micros kOverdue = 10 * kMs;
+constexpr Micros kAnswerGrace = 10 * kMs;
 constexpr Micros kRecallFor = 60 * kSecond;  // for a worker's first mention by the list
 constexpr int kWorkerShare = 8;  // a part of so many of the descriptors leads to workers
 
@@ -180,9 +180,9 @@
     const auto it = records_.find(ticket);
     if (it == records_.end()) continue;
     Record& r = it->second;
-    if (now < r.due + kOverdue) {
+    if (now < r.due + kAnswerGrace) {
       // Before this one is failed here, the module has a turn to answer it.
-      deadlines_.insert({r.due + kOverdue, ticket});
+      deadlines_.insert({r.due + kAnswerGrace, ticket});
       std::vector<std::pair<AttemptKey, Attempt>> out;  // End may take the record with it
       for (std::size_t i = 0; i < r.attempts.size(); ++i)
         if (r.attempts[i].out) out.push_back({{ticket, static_cast<int>(i)}, r.attempts[i]});
@@ -348,7 +348,7 @@
     return;
   }
   deadlines_.erase({r.due, ticket});
-  deadlines_.erase({r.due + kOverdue, ticket});
+  deadlines_.erase({r.due + kAnswerGrace, ticket});
   by_id_.erase(r.job.id);
   records_.erase(it);
 }
