--- /dev/null
+++ b/src/rules/words.cpp
@@ -0,0 +1,83 @@
+#include "rules/words.h"
+
+#include <algorithm>
+
+#include "rules/document.h"
+#include "rules/rules.pb.h"
+
+namespace pearreach::rules {
+namespace {
+
+constexpr std::int64_t kMostAgeMs = 60'000'000;
+constexpr std::uint64_t kMostFigure = 1ull << 50;
+constexpr int kMostParts = kMostDocument / kPartBytes + 1;
+constexpr std::size_t kMostHave = 125;  // 1,000 nodes
+
+}  // namespace
+
+std::string Encode(const Word& word) {
+  wire::Section s;
+  s.set_epoch(word.head.epoch);
+  s.set_number(word.head.number);
+  s.set_hash(word.head.hash);
+  s.set_age(static_cast<std::uint64_t>(std::clamp<std::int64_t>(word.age_ms, 0, kMostAgeMs)));
+  s.set_schema(word.schema);
+  s.set_refuses(word.refuses);
+  s.set_ask(word.ask);
+  s.set_answer(word.answer);
+  s.set_clean(word.clean);
+  s.set_recovering(word.recovering);
+  s.set_promised(word.promised);
+  s.set_accepted(word.accepted);
+  s.set_accepted_hash(word.accepted_hash);
+  s.set_have(word.have.substr(0, kMostHave));
+  s.set_step(static_cast<std::uint32_t>(word.step));
+  s.set_ballot(word.ballot);
+  s.set_value_ballot(word.value_ballot);
+  s.set_value(word.value);
+  s.set_want(word.want);
+  s.set_want_part(static_cast<std::uint32_t>(word.want_part));
+  s.set_part_of(word.part_of);
+  s.set_part(static_cast<std::uint32_t>(word.part));
+  s.set_parts(static_cast<std::uint32_t>(word.parts));
+  s.set_bytes(word.bytes);
+  return s.SerializeAsString();
+}
+
+std::optional<Word> DecodeWord(std::string_view bytes) {
+  wire::Section s;
+  if (!s.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
+  if (s.epoch() > kMostFigure || s.number() > kMostFigure || s.schema() < 1 ||
+      s.age() > static_cast<std::uint64_t>(kMostAgeMs) || s.promised() > kMostFigure ||
+      s.accepted() > kMostFigure || s.ballot() > kMostFigure || s.value_ballot() > kMostFigure ||
+      s.step() > static_cast<std::uint32_t>(Step::kRefused) || s.have().size() > kMostHave ||
+      s.want_part() > kMostParts || s.part() > kMostParts || s.parts() > kMostParts ||
+      s.bytes().size() > kPartBytes || (s.part_of() != 0 && s.part() >= s.parts()))
+    return std::nullopt;
+  Word w;
+  w.head = {s.epoch(), s.number(), s.hash()};
+  w.age_ms = static_cast<std::int64_t>(s.age());
+  w.schema = s.schema();
+  w.refuses = s.refuses();
+  w.ask = s.ask();
+  w.answer = s.answer();
+  w.clean = s.clean();
+  w.recovering = s.recovering();
+  w.promised = s.promised();
+  w.accepted = s.accepted();
+  w.accepted_hash = s.accepted_hash();
+  w.have = s.have();
+  w.step = static_cast<Step>(s.step());
+  w.ballot = s.ballot();
+  w.value_ballot = s.value_ballot();
+  w.value = s.value();
+  w.want = s.want();
+  w.want_part = static_cast<int>(s.want_part());
+  w.part_of = s.part_of();
+  w.part = static_cast<int>(s.part());
+  w.parts = static_cast<int>(s.parts());
+  w.bytes = s.bytes();
+  return w;
+}
+
+}  // namespace pearreach::rules
--- /dev/null
+++ b/src/rules/words.h
@@ -0,0 +1,47 @@
+// What one node says to another of the version of its rules, as values and as bytes. Pure and
+// bounded: it reads nothing that it has not checked, must never give more than the caller has room
+// for, and passes over what it does not know.
+#ifndef PEARREACH_SRC_RULES_WORDS_H_
+#define PEARREACH_SRC_RULES_WORDS_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pearreach::rules {
+
+// A version that was chosen. A later epoch begins where voters have lost what they knew.
+struct Head {
+  std::uint64_t epoch = 0, number = 0, hash = 0;
+  auto operator<=>(const Head&) const = default;
+};
+
+constexpr std::size_t kPartBytes = 100;  // of a document, in one word
+
+enum class Step : std::uint8_t { kNone, kPrepare, kPromise, kAccept, kAccepted, kRefused };
+
+struct Word {
+  Head head;
+  std::int64_t age_ms = 0;
+  std::uint32_t schema = 1;
+  bool refuses = false;
+  std::uint32_t ask = 0, answer = 0;
+  bool clean = false, recovering = false;
+  std::uint64_t promised = 0, accepted = 0, accepted_hash = 0;
+  std::string have;  // a bit a node
+  Step step = Step::kNone;
+  std::uint64_t ballot = 0, value_ballot = 0, value = 0;
+  std::uint64_t want = 0, part_of = 0;
+  int want_part = 0, part = 0, parts = 0;
+  std::string bytes;
+  bool operator==(const Word&) const = default;
+};
+
+std::string Encode(const Word& word);  // at most 220 bytes
+std::optional<Word> DecodeWord(std::string_view bytes);
+
+}  // namespace pearreach::rules
+
+#endif  // PEARREACH_SRC_RULES_WORDS_H_
--- /dev/null
+++ b/tests/rules/rules_test.cpp
@@ -0,0 +1,577 @@
+// Versions of the rules: how two compare, their forms, and the agreement of many nodes in virtual
+// time, with each of its guards and without.
+#include "rules/rules.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <limits>
+
+#include "lab/stats/stats.h"
+#include "lab/trial/rules_virtual.h"
+#include "site/site.h"
+
+namespace pearreach {
+namespace {
+
+using lab::Fault;
+using lab::RulesPlan;
+using lab::RulesResult;
+using lab::RunRules;
+using rules::Agreement;
+using rules::Document;
+using rules::Micros;
+using rules::Rules;
+
+rc::Gen<Rules> AnyRules() {
+  const auto rate = [] { return *rc::gen::inRange(0, 4) * 1.5; };
+  return rc::gen::exec([rate] {
+    Rules r;
+    for (const char* account : {"a", "b", "c"})
+      if (*rc::gen::arbitrary<bool>()) r.shares[account] = rate();
+    if (*rc::gen::arbitrary<bool>()) r.others = rate();
+    if (*rc::gen::arbitrary<bool>()) r.repeats = rate();
+    if (*rc::gen::arbitrary<bool>()) r.attempts = *rc::gen::inRange(1, 4);
+    if (*rc::gen::arbitrary<bool>()) r.nodes = *rc::gen::inRange(1, 4);
+    for (const char* worker : {"s-1", "s-2"})
+      if (*rc::gen::arbitrary<bool>()) r.bans.insert(worker);
+    for (const char* zone : {"z0", "z1"})
+      if (*rc::gen::arbitrary<bool>()) r.leaves[zone] = *rc::gen::arbitrary<bool>();
+    return r;
+  });
+}
+
+RC_GTEST_PROP(RulesCompare, TheStricterOfTwoIsOneWhateverTheOrder, ()) {
+  const Rules a = *AnyRules(), b = *AnyRules(), c = *AnyRules();
+  RC_ASSERT(StricterOf(a, b) == StricterOf(b, a));
+  RC_ASSERT(StricterOf(a, StricterOf(b, c)) == StricterOf(StricterOf(a, b), c));
+  RC_ASSERT(StricterOf(a, a) == a);
+  RC_ASSERT(Obeys(StricterOf(a, b), a));
+  RC_ASSERT(Obeys(StricterOf(a, b), b));
+  // And it is the loosest that does: what obeys both obeys it.
+  const bool both = Obeys(c, a) && Obeys(c, b);
+  RC_ASSERT(both == Obeys(c, StricterOf(a, b)));
+}
+
+RC_GTEST_PROP(RulesCompare, TheFloorObeysWhatItDoesNotKnow, ()) {
+  const Rules known = *AnyRules();
+  Rules any = *AnyRules();
+  const Rules floor = FloorOf(known);
+  RC_ASSERT(Obeys(floor, known));
+  // Bans, zones left and numbers of nodes it cannot guess.
+  any.bans.clear();
+  any.leaves.clear();
+  any.nodes.reset();
+  RC_ASSERT(Obeys(floor, any));
+}
+
+RC_GTEST_PROP(RulesForms, CanonicalIsOneFormAndXmlSaysTheSame, ()) {
+  Document d;
+  d.rules = *AnyRules();
+  d.rules.others.reset();
+  d.voters = {0, 2};
+  d.number = *rc::gen::inRange(0, 1000);
+  const std::string bytes = Encode(d);
+  const auto read = rules::Decode(bytes);
+  RC_ASSERT(read.has_value());
+  RC_ASSERT(*read == d);
+  const Document again = rules::ReadXml(WriteXml(d), "rules.xml", {1}, 3);
+  RC_ASSERT(again.rules == d.rules);
+  RC_ASSERT(again.voters == d.voters);
+  // What reads the same but is written otherwise is another document: it is not taken.
+  RC_ASSERT(!rules::Decode(bytes + std::string("\x08\x01", 2)).has_value());
+}
+
+TEST(RulesForms, WhatIsWrongIsNamedWithItsLine) {
+  const auto wrong = [](const std::string& text) {
+    try {
+      rules::ReadXml(text, "rules.xml", {0}, 3);
+    } catch (const marlquay::Malformed& e) {
+      return std::string(e.what());
+    }
+    return std::string();
+  };
+  EXPECT_NE(wrong("<rules>\n<account name='a' share='-1'/></rules>").find("rules.xml:2: "),
+            std::string::npos);
+  EXPECT_NE(wrong("<rules>\n<ban worker='x'/>\n<ban worker='x'/></rules>").find("rules.xml:3: "),
+            std::string::npos);
+  EXPECT_NE(wrong("<rules voters='0 3'/>").find("no node 3"), std::string::npos);
+  EXPECT_NE(wrong("<rules voters='1 1'/>").find("twice"), std::string::npos);
+  EXPECT_NE(wrong("<rules schema='9'/>").find("later"), std::string::npos);
+  EXPECT_NE(wrong("<rules").find("rules.xml:1: "), std::string::npos);
+  EXPECT_NE(wrong("<rules><zone name='z' order='stop'/></rules>"), "");
+  EXPECT_EQ(wrong("<rules/>"), "");
+}
+
+TEST(RulesForms, ADocumentOfALaterSchemaIsToldFromOneThatIsNone) {
+  Document d;
+  d.voters = {0};
+  d.schema = rules::kSchema + 1;
+  bool later = false;
+  EXPECT_FALSE(rules::Decode(Encode(d), &later));
+  EXPECT_TRUE(later);
+  EXPECT_FALSE(rules::Decode("nonsense", &later));
+  EXPECT_FALSE(later);
+}
+
+RC_GTEST_PROP(RulesWords, SurviveAndReadNoNonsense, (const std::string& noise)) {
+  rules::Word w;
+  w.head = {*rc::gen::inRange<std::uint64_t>(0, 1000), 7, 9};
+  w.ask = *rc::gen::arbitrary<std::uint32_t>();
+  w.have = std::string(38, '\xff');
+  w.part_of = 3;
+  w.part = 1;
+  w.parts = 2;
+  w.bytes = std::string(rules::kPartBytes, 'x');
+  const std::string bytes = rules::Encode(w);
+  RC_ASSERT(bytes.size() <= 220u);
+  RC_ASSERT(*rules::DecodeWord(bytes) == w);
+  if (const auto read = rules::DecodeWord(noise))
+    RC_ASSERT(read->bytes.size() <= rules::kPartBytes);
+  w.bytes += 'x';
+  RC_ASSERT(!rules::DecodeWord(rules::Encode(w)).has_value());
+}
+
+// ---------------------------------------------------------------- many nodes
+
+RulesPlan Fleet(std::uint64_t seed, int nodes) {
+  RulesPlan p;
+  p.plan.nodes = nodes;
+  p.plan.zones = 3;
+  p.plan.seed = seed;
+  p.plan.length = 60'000'000;
+  p.options.voters = nodes >= 5 ? std::vector<int>{0, 1, 2, 3, 4} : std::vector<int>{0, 1, 2};
+  p.options.lease = 1'500'000;
+  p.options.every = 200'000;
+  p.ahead = 200'000;
+  p.drift = 0.01;
+  return p;
+}
+Fault Of(Fault::What what, Micros at, Micros length, const char* from, const char* to = "*",
+         double share = 1) {
+  return {what, at, length, from, to, share, 0};
+}
+std::string Told(const RulesResult& r) {
+  std::string all;
+  for (std::size_t i = r.lines.size() > 60 ? r.lines.size() - 60 : 0; i < r.lines.size(); ++i)
+    all += r.lines[i] + "\n";
+  return all;
+}
+void Holds(const RulesPlan& p, const RulesResult& r) {
+  rules::Options o = p.options;
+  EXPECT_LE(r.longest, o.within()) << Told(r);
+  EXPECT_EQ(r.longest, 0) << Told(r);  // with all guards nobody acts on one of two alone
+  EXPECT_EQ(r.forks, 0) << Told(r);
+  EXPECT_TRUE(r.agreed) << Told(r);
+}
+
+struct Case {
+  const char* name;
+  std::function<void(RulesPlan*)> set;
+  bool forgets = false;  // all voters lose what they knew
+};
+const std::vector<Case>& Cases() {
+  using What = Fault::What;
+  static const std::vector<Case> cases = {
+      {"all is well", [](RulesPlan*) {}},
+      {"a fifth of the words lost", [](RulesPlan* p) { p->lost = 0.2; }},
+      {"half of the words lost",
+       [](RulesPlan* p) {
+         p->lost = 0.5;
+         p->options.lease = 4'000'000;
+         p->propose_every = 6'000'000;
+         p->settle = 20'000'000;
+       }},
+      {"halved again and again",
+       [](RulesPlan* p) {
+         for (Micros at = 8'000'000; at < 55'000'000; at += 6'000'000)
+           for (int a = 0; a < p->plan.nodes; ++a)
+             for (int b = 0; b < p->plan.nodes; ++b)
+               if (a % 2 != b % 2)
+                 p->plan.faults.push_back(Of(What::kLose, at, 4'000'000,
+                                             ("n" + std::to_string(a)).c_str(),
+                                             ("n" + std::to_string(b)).c_str()));
+       }},
+      {"links one way",
+       [](RulesPlan* p) {
+         for (Micros at = 8'000'000; at < 55'000'000; at += 5'000'000)
+           p->plan.faults.push_back(
+               Of(What::kLose, at, 4'000'000,
+                  ("n" + std::to_string(at / 1'000'000 % p->plan.nodes)).c_str()));
+       }},
+      {"a node stalls for 5 s",
+       [](RulesPlan* p) {
+         for (Micros at = 8'000'000; at < 50'000'000; at += 7'000'000)
+           p->plan.faults.push_back(
+               Of(What::kStall, at, 5'000'000,
+                  ("n" + std::to_string(at / 1'000'000 % p->plan.nodes)).c_str()));
+       }},
+      {"a third stalls for 5 s",
+       [](RulesPlan* p) {
+         for (Micros at = 8'000'000; at < 50'000'000; at += 9'000'000)
+           p->plan.faults.push_back(
+               Of(What::kStall, at, 5'000'000, ("z" + std::to_string(at / 1'000'000 % 3)).c_str()));
+       }},
+      {"killed and started without disks",
+       [](RulesPlan* p) {
+         for (Micros at = 8'000'000; at < 55'000'000; at += 4'000'000)
+           p->plan.faults.push_back(
+               Of(What::kKill, at, 500'000,
+                  ("n" + std::to_string(at / 1'000'000 % p->plan.nodes)).c_str()));
+       }},
+      {"killed and started with disks",
+       [](RulesPlan* p) {
+         p->disks = true;
+         for (Micros at = 8'000'000; at < 55'000'000; at += 2'000'000)
+           p->plan.faults.push_back(
+               Of(What::kKill, at, 300'000,
+                  ("n" + std::to_string(at / 1'000'000 % p->plan.nodes)).c_str()));
+       }},
+      {"the proposer dies after its first write",
+       [](RulesPlan* p) { p->kill_after = 1, p->propose_every = 4'000'000; }},
+      {"the proposer dies after its second write",
+       [](RulesPlan* p) { p->kill_after = 2, p->propose_every = 4'000'000; }},
+      {"the proposer dies after its third write, with disks",
+       [](RulesPlan* p) { p->kill_after = 3, p->propose_every = 4'000'000, p->disks = true; }},
+      {"many proposals at once", [](RulesPlan* p) { p->propose_every = 100'000; }},
+      {"all restarted at once with disks",
+       [](RulesPlan* p) {
+         p->disks = true;
+         p->plan.faults.push_back(Of(What::kKill, 20'000'000, 500'000, "*"));
+         p->plan.faults.push_back(Of(What::kKill, 40'000'000, 500'000, "*"));
+       }},
+      {"all restarted at once without disks",
+       [](RulesPlan* p) {
+         p->plan.faults.push_back(Of(What::kKill, 20'000'000, 500'000, "*"));
+         p->plan.faults.push_back(Of(What::kKill, 40'000'000, 500'000, "*"));
+       },
+       true},
+      {"back after long with an old file",
+       [](RulesPlan* p) {
+         p->disks = true;
+         p->plan.faults.push_back(Of(What::kKill, 10'000'000, 45'000'000, "n1"));
+         p->plan.faults.push_back(
+             Of(What::kKill, 12'000'000, 40'000'000, p->plan.nodes > 5 ? "n5" : "n1"));
+       }},
+  };
+  return cases;
+}
+class RulesCases : public ::testing::TestWithParam<std::size_t> {};
+TEST_P(RulesCases, NobodyContradicts) {
+  const Case& c = Cases()[GetParam()];
+  for (const int nodes : {3, 5, 9})
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+      RulesPlan p = Fleet(seed, nodes);
+      c.set(&p);
+      const RulesResult r = RunRules(p);
+      SCOPED_TRACE(std::string(c.name) + ", " + std::to_string(nodes) + " nodes, seed " +
+                   std::to_string(seed));
+      Holds(p, r);
+      EXPECT_GT(r.chosen, 0) << Told(r);
+      if (!c.forgets) {
+        EXPECT_EQ(r.forgotten, 0) << Told(r);
+      }
+      if (HasFailure()) return;
+    }
+}
+INSTANTIATE_TEST_SUITE_P(Rules, RulesCases, ::testing::Range<std::size_t>(0, Cases().size()),
+                         [](const auto& info) {
+                           std::string name = Cases()[info.param].name;
+                           for (char& c : name)
+                             if (!std::isalnum(static_cast<unsigned char>(c))) c = '_';
+                           return name;
+                         });
+
+// Faults of every kind at once, drawn.
+RulesPlan Drawn(std::uint64_t seed, int nodes, bool disks) {
+  using What = Fault::What;
+  RulesPlan p = Fleet(seed, nodes);
+  lab::Chance chance(lab::SeedOf(seed, 61, 0));
+  p.disks = disks;
+  p.lost = chance.Uniform() < 0.5 ? 0 : 0.2;
+  p.propose_every = 500'000 + static_cast<Micros>(chance.Uniform() * 4e6);
+  for (int i = 0; i < 14; ++i) {
+    const auto at = static_cast<Micros>(7e6 + chance.Uniform() * 45e6);
+    const auto length = static_cast<Micros>(2e5 + chance.Uniform() * 6e6);
+    const std::string node = "n" + std::to_string(chance.Below(static_cast<std::uint64_t>(nodes)));
+    const std::string other = "n" + std::to_string(chance.Below(static_cast<std::uint64_t>(nodes)));
+    const std::string zone = "z" + std::to_string(chance.Below(3));
+    Fault f;
+    switch (chance.Below(8)) {
+      case 0:
+        f = Of(What::kLose, at, length, node.c_str());
+        break;
+      case 1:
+        f = Of(What::kLose, at, length, "*", node.c_str());
+        break;
+      case 2:
+        f = Of(What::kLose, at, length, zone.c_str(), "*");
+        break;
+      case 3:
+        f = Of(What::kLate, at, length, node.c_str(), "*", 0.5);
+        break;
+      case 4:
+        f = Of(What::kDouble, at, length, "*", other.c_str(), 0.5);
+        break;
+      case 5:
+        f = Of(What::kStall, at, length, chance.Uniform() < 0.7 ? node.c_str() : zone.c_str());
+        break;
+      case 6:
+        f = Of(What::kKill, at, length, node.c_str());
+        break;
+      default:
+        f = Of(What::kRestart, at, 0, node.c_str());
+        break;
+    }
+    f.late = 800'000;
+    p.plan.faults.push_back(f);
+  }
+  p.settle = 20'000'000;
+  return p;
+}
+
+TEST(RulesDrawn, FaultsBreakNothing) {
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    const int nodes = seed % 3 == 0 ? 5 : seed % 3 == 1 ? 9 : 15;
+    const RulesPlan p = Drawn(seed, nodes, seed % 2 == 0);
+    const RulesResult r = RunRules(p);
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    Holds(p, r);
+    if (HasFailure()) return;
+  }
+}
+
+// What each guard is for: left out, some trial is over its bound, or has two nodes on versions that
+// contradict, or two versions under one number; with it none is.
+struct Found {
+  bool over = false, any = false, forked = false;
+};
+Found Try(RulesPlan p) {
+  const RulesResult r = RunRules(p);
+  return {r.longest > p.options.within(), r.longest > 0, r.forks > 0};
+}
+TEST(RulesGuards, WithoutLeasesANodeActsOnOldRulesForEver) {
+  RulesPlan p = Drawn(1, 9, false);
+  p.without.lease = true;
+  EXPECT_TRUE(Try(p).over);
+}
+TEST(RulesGuards, WithoutTheStricterOfBothTwoContradictWhileLeasesLast) {
+  RulesPlan p = Drawn(1, 9, false);
+  p.without.both = true;
+  EXPECT_TRUE(Try(p).any);
+}
+TEST(RulesGuards, WithoutPromisesTwoVersionsHaveOneNumber) {
+  bool found = false;
+  for (std::uint64_t seed = 1; seed <= 60 && !found; ++seed) {
+    RulesPlan p = Drawn(seed, seed % 2 == 0 ? 5 : 9, false);
+    p.without.promise = true;
+    found = Try(p).forked;
+  }
+  EXPECT_TRUE(found);
+}
+
+// Three voters and a fourth node; words take 10 ms; proposals at moments of their own.
+RulesPlan Four() {
+  RulesPlan p = Fleet(1, 4);
+  p.options.voters = {0, 1, 2};
+  p.options.lease = 1'500'000;
+  p.options.every = 200'000;
+  p.ahead = 0;
+  p.drift = 0;
+  p.way_least = p.way_most = 10'000;
+  p.propose_every = 0;
+  p.plan.length = 20'000'000;
+  return p;
+}
+RulesPlan::Call Proposes(int node, Micros at, double share) {
+  return {at,
+          [share](Agreement* machine, Micros now) {
+            Document d;
+            d.voters = {0, 1, 2};
+            d.rules.shares["a"] = share;
+            d.rules.bans.insert("s-" + std::to_string(static_cast<int>(share)));
+            std::string why;
+            EXPECT_NE(machine->Propose(now, d, std::nullopt, 0, &why), 0u) << why;
+          },
+          node};
+}
+
+// The proposer alone knows that its version is chosen; those who accepted it vouch on for the one
+// before, so that the fourth acts on that when the proposer is heard again.
+RulesPlan ChosenUnheard() {
+  using What = Fault::What;
+  RulesPlan p = Four();
+  p.calls = {Proposes(0, 8'000'000, 5), Proposes(0, 12'000'000, 3)};
+  p.plan.faults = {Of(What::kLose, 12'025'000, 1'725'000, "n0"),
+                   Of(What::kLose, 13'700'000, 4'000'000, "n3"),
+                   Of(What::kLose, 13'700'000, 4'000'000, "*", "n3")};
+  return p;
+}
+TEST(RulesGuards, WhoHasAcceptedANewerVersionVouchesNoMore) {
+  RulesPlan p = ChosenUnheard();
+  const RulesResult r = RunRules(p);
+  Holds(p, r);
+  EXPECT_EQ(r.versions, 2u) << Told(r);
+  p.without.clean = true;
+  EXPECT_TRUE(Try(p).any);
+}
+
+// A version is chosen by two of three; one of them forgets it at once, the other is cut off, and
+// the third proposes another.
+RulesPlan Forgotten() {
+  using What = Fault::What;
+  RulesPlan p = Four();
+  p.calls = {Proposes(0, 8'000'000, 5), Proposes(2, 13'000'000, 3)};
+  p.plan.faults = {
+      Of(What::kLose, 7'900'000, 200'000, "n0", "n2"), Of(What::kLose, 8'035'000, 8'000'000, "n0"),
+      Of(What::kLose, 8'035'000, 8'000'000, "*", "n0"), Of(What::kKill, 8'045'000, 50'000, "n1")};
+  return p;
+}
+TEST(RulesGuards, AVoterThatForgotTakesNoPartUntilItKnowsAgain) {
+  RulesPlan p = Forgotten();
+  const RulesResult r = RunRules(p);
+  EXPECT_EQ(r.forks, 0) << Told(r);
+  EXPECT_EQ(r.longest, 0) << Told(r);
+  EXPECT_EQ(r.forgotten, 0) << Told(r);
+  EXPECT_TRUE(r.agreed) << Told(r);
+  p.without.recovery = true;
+  EXPECT_TRUE(Try(p).forked) << Told(RunRules(p));
+}
+
+// ---------------------------------------------------------------- what operators meet
+
+TEST(RulesOperators, WithoutAMajorityNothingChangesAndForcingIsSaidAndRecorded) {
+  using What = Fault::What;
+  RulesPlan p = Four();
+  std::string refused, too_soon, forced;
+  bool done = false;
+  p.plan.faults = {Of(What::kKill, 9'000'000, 40'000'000, "n1"),
+                   Of(What::kKill, 9'000'000, 40'000'000, "n2")};
+  p.plan.length = 48'000'000;
+  const auto force = [](std::string* why, bool* done) {
+    return [why, done](Agreement* m, Micros now) { *done = m->Force(now, {0, 3}, 77, why); };
+  };
+  bool early = true;
+  p.calls = {Proposes(0, 8'000'000, 5),
+             {8'500'000, force(&too_soon, &early), 0},
+             {13'000'000,
+              [&](Agreement* m, Micros now) {
+                Document d;
+                d.voters = {0, 3};
+                std::string why;
+                EXPECT_EQ(m->Propose(now, d, std::nullopt, 0, &refused), 0u);
+                EXPECT_EQ(m->acting(now).basis, Agreement::Basis::kFloor);
+                EXPECT_EQ(m->acting(now).rules.shares.at("a"), 0);
+              },
+              0},
+             {14'000'000, force(&forced, &done), 0},
+             {20'000'000,
+              [&](Agreement* m, Micros now) {
+                EXPECT_EQ(m->acting(now).basis, Agreement::Basis::kVersion);
+                EXPECT_TRUE(m->current()->document.forced);
+                EXPECT_EQ(m->current()->document.rules.shares.at("a"), 5);
+                EXPECT_EQ(m->current()->document.before, m->Find(1)->head.hash);
+              },
+              3}};
+  const RulesResult r = RunRules(p);
+  EXPECT_FALSE(early);
+  EXPECT_NE(too_soon.find("propose instead"), std::string::npos) << too_soon;
+  EXPECT_NE(refused.find("hears 1 of 3 voters"), std::string::npos) << refused;
+  EXPECT_TRUE(done) << forced;
+  // Those that come back follow it.
+  EXPECT_TRUE(r.agreed) << Told(r);
+  EXPECT_EQ(r.versions, 2u) << Told(r);
+}
+
+TEST(RulesOperators, OfTwoAtOnceOneIsToldWhatStandsInItsWay) {
+  RulesPlan p = Four();
+  p.calls = {Proposes(0, 8'000'000, 5), Proposes(3, 8'000'500, 3)};
+  const RulesResult r = RunRules(p);
+  EXPECT_EQ(r.chosen, 1) << Told(r);
+  EXPECT_EQ(r.lost, 1) << Told(r);
+  EXPECT_NE(Told(r).find("stands in its way"), std::string::npos);
+  EXPECT_TRUE(r.agreed) << Told(r);
+}
+
+TEST(RulesOperators, WhatIsMadeForAnotherVersionOrChangesNothingIsRefused) {
+  RulesPlan p = Four();
+  std::string late, same, voter, old;
+  p.old_node = 3;
+  p.calls = {Proposes(0, 8'000'000, 5),
+             {12'000'000,
+              [&](Agreement* m, Micros now) {
+                Document d = m->current()->document;
+                EXPECT_EQ(m->Propose(now, d, 0, 0, &late), 0u);
+                EXPECT_EQ(m->Propose(now, d, 1, 0, &same), 0u);
+                d.voters = {0, 9};
+                EXPECT_EQ(m->Propose(now, d, 1, 0, &voter), 0u);
+                d.voters = {0, 1};
+                d.schema = 2;
+                EXPECT_EQ(m->Propose(now, d, 1, 0, &old), 0u);
+              },
+              0}};
+  RunRules(p);
+  EXPECT_NE(late.find("made after version 0"), std::string::npos) << late;
+  EXPECT_NE(same.find("already"), std::string::npos) << same;
+  EXPECT_NE(voter.find("no node 9"), std::string::npos) << voter;
+  EXPECT_NE(old.find("reads schema 1"), std::string::npos) << old;
+}
+
+// A node whose program cannot read the version that was chosen says so and acts on the floor.
+TEST(RulesOperators, AVersionThatAProgramCannotReadIsItsFloor) {
+  rules::Options o;
+  o.nodes = 2;
+  o.voters = {1};
+  Agreement m(o, 1, 1'000'000, std::nullopt);
+  Document d;
+  d.voters = {1};
+  d.number = 1;
+  d.schema = rules::kSchema + 1;
+  const std::string bytes = Encode(d);
+  rules::Word w;
+  w.head = {1024, 1, rules::HashOf(bytes)};
+  std::vector<Agreement::Out> out;
+  m.Hear(2'000'000, 1, rules::Encode(w), &out);
+  w.part_of = w.head.hash;
+  w.parts = 1;
+  w.bytes = bytes;
+  m.Hear(2'000'000, 1, rules::Encode(w), &out);
+  EXPECT_EQ(m.current(), nullptr);
+  EXPECT_EQ(m.acting(2'000'000).basis, Agreement::Basis::kFloor);
+  out.clear();
+  m.Tick(3'000'000, {1}, &out);
+  ASSERT_FALSE(out.empty());
+  EXPECT_TRUE(rules::DecodeWord(out.front().section)->refuses);
+  EXPECT_TRUE(m.ready(1'000'000 + o.ready_within));  // it serves on
+}
+
+RC_GTEST_PROP(RulesWords, NoiseDoesNoHarm, ()) {
+  rules::Options o;
+  o.nodes = 4;
+  o.voters = {0, 1, 2};
+  Agreement m(o, 1, 0, std::nullopt);
+  for (int i = 0; i < 30; ++i) {
+    rules::Word w;
+    w.head = {*rc::gen::inRange<std::uint64_t>(0, 3), *rc::gen::inRange<std::uint64_t>(0, 3),
+              *rc::gen::inRange<std::uint64_t>(0, 3)};
+    w.answer = *rc::gen::inRange<std::uint32_t>(0, 4);
+    w.clean = *rc::gen::arbitrary<bool>();
+    w.step = static_cast<rules::Step>(*rc::gen::inRange(0, 6));
+    w.ballot = *rc::gen::inRange<std::uint64_t>(0, 1 << 22);
+    w.value = *rc::gen::inRange<std::uint64_t>(0, 3);
+    w.part_of = *rc::gen::inRange<std::uint64_t>(0, 3);
+    w.parts = *rc::gen::inRange(1, 4);
+    w.part = *rc::gen::inRange(0, w.parts);
+    w.want = *rc::gen::inRange<std::uint64_t>(0, 3);
+    std::vector<Agreement::Out> out;
+    const Micros now = i * 300'000;
+    m.Hear(now, *rc::gen::inRange(-1, 6), rules::Encode(w), &out);
+    if (i % 3 == 0) m.Tick(now, {1, 2, 3}, &out);
+    m.acting(now);
+  }
+  RC_SUCCEED();
+}
+
+}  // namespace
+}  // namespace pearreach
