--- a/lab/cli/trial.cpp
+++ b/lab/cli/trial.cpp
@@ -162,6 +162,7 @@
       "Exit codes: 0 nothing is violated, 1 something is, 2 wrong use or a bad file.");
   options.add_options()("words", "", value<std::vector<std::string>>())(
       "no-words", "nodes without words between them")(
+      "no-rules", "nodes that agree on no rules, and no proposals")(
       "no-zones", "nodes that leave no zone, and no faults of whole zones")(
       "virtual", "the machines alone in virtual time, 3 to 300 nodes")(
       "period-ms", "between two probes; processes: 200, figures: 500",
@@ -204,6 +205,7 @@
     DrawOptions draw;
     draw.zones = args->count("no-zones") == 0;
     draw.faults = (*args)["faults"].as<int>();
+    draw.proposals = args->count("no-rules") > 0 ? 0 : 4;
     if (draw.faults < 0 || plan.length < 1'000'000)
       throw Malformed("no time, or fewer than no faults");
     DrawFaults(draw, &plan);
@@ -230,7 +232,7 @@
         is_virtual
             ? RunVirtual({.plan = p, .shared = &shared, .zones = with_zones ? &zones : nullptr})
                   .history
-            : RunTrial({program, p, with_words, with_zones, keep});
+            : RunTrial({program, p, with_words, with_zones, args->count("no-rules") == 0, keep});
     keep.clear();  // those of the first play
     return history;
   };
--- a/lab/trial/checkers.cpp
+++ b/lab/trial/checkers.cpp
@@ -8,6 +8,7 @@
 
 #include "lab/trial/fault.h"
 #include "lab/trial/links.h"
+#include "lab/trial/rules_checkers.h"
 #include "lab/trial/zone_checkers.h"
 #include "members/members.h"
 #include "site/site.h"
@@ -795,6 +796,10 @@
       {"zones-in-time", "a zone that is gone is left by all in time", ZonesInTime},
       {"zones-agreed", "no two nodes use a zone differently for long", ZonesAgreed},
       {"zones-whole", "all zones are whole once faults are over", ZonesWhole},
+      {"rules-within", "no two act on contradicting rules for longer than T", RulesWithin},
+      {"rules-one", "a version of the rules has one text", RulesOne},
+      {"rules-bans", "who acts on a ban sends nothing new there", RulesBans},
+      {"rules-settle", "all act on one version once faults are over", RulesSettle},
   };
   return all;
 }
--- a/lab/trial/fault.cpp
+++ b/lab/trial/fault.cpp
@@ -13,10 +13,10 @@
 namespace pearreach::lab {
 namespace {
 
-constexpr const char* kNames[] = {"lose",     "late",      "double",     "damage",     "cut-tcp",
-                                  "hold-tcp", "late-list", "stall",      "kill",       "restart",
-                                  "twin",     "reload",    "silence",    "die",        "drain",
-                                  "fail",     "slow",      "leave-zone", "return-zone"};
+constexpr const char* kNames[] = {"lose",     "late",      "double",     "damage",      "cut-tcp",
+                                  "hold-tcp", "late-list", "stall",      "kill",        "restart",
+                                  "twin",     "reload",    "silence",    "die",         "drain",
+                                  "fail",     "slow",      "leave-zone", "return-zone", "propose"};
 
 template <typename T>
 void Take(const xmlNode* node, const char* attribute, double unit, T* to) {
@@ -182,6 +182,13 @@
         static_cast<Micros>(chance.Uniform() * static_cast<double>(room - f.length)) / 1000 * 1000;
     plan->faults.push_back(f);
   }
+  for (int i = 0; i < options.proposals; ++i) {
+    const Micros length = ms(500, 6000);
+    const double at = chance.Uniform() * static_cast<double>(plan->length * 4 / 5);
+    Fault f{What::kPropose, static_cast<Micros>(at) / 1000 * 1000, length, node(), "*"};
+    f.share = (1 + below(99)) / 100.0;
+    plan->faults.push_back(f);
+  }
   std::stable_sort(plan->faults.begin(), plan->faults.end(),
                    [](const Fault& a, const Fault& b) { return a.at < b.at; });
 }
--- a/lab/trial/fault.h
+++ b/lab/trial/fault.h
@@ -36,6 +36,7 @@
     kSlow,      // worker `from` takes five times as long meanwhile
     kLeaveZone,   // at node `from` an operator orders zone `to` to be left, and takes it back after
     kReturnZone,  // the same, that it is in use whatever is seen of it
+    kPropose,     // at node `from` a version of the rules is proposed, and its end after
   };
   What what = What::kLose;
   Micros at = 0, length = 0;         // since the load began
@@ -68,6 +69,7 @@
   bool processes = true;  // stalls, kills, restarts, twins, reloads
   bool workers = true;    // workers, their links and lists
   bool zones = false;     // whole zones of workers, and operators' orders
+  int proposals = 0;      // versions of the rules
 };
 // Fills in the faults, from the plan's seed: any overlap, all over by four fifths of its length.
 void DrawFaults(const DrawOptions& options, TrialPlan* plan);
--- a/lab/trial/trial.cpp
+++ b/lab/trial/trial.cpp
@@ -24,9 +24,10 @@
 
 namespace fs = std::filesystem;
 
-constexpr Micros kLook = 50 * kMs;        // at the processes and the trial's own lateness
-constexpr Micros kViewEvery = 200 * kMs;  // a node's line with what it hears
-constexpr Micros kGrace = 200 * kMs;      // the platform's slack, and a busy machine's
+constexpr Micros kLook = 50 * kMs;            // at the processes and the trial's own lateness
+constexpr Micros kViewEvery = 200 * kMs;      // a node's line with what it hears
+constexpr Micros kGrace = 200 * kMs;          // the platform's slack, and a busy machine's
+constexpr Micros kRulesWithin = 2 * kSecond;  // T
 constexpr Micros kMostReady = 30 * kSecond;
 constexpr Micros kMostEnding = 15 * kSecond;  // after SIGTERM
 
@@ -99,6 +100,13 @@
       if (o_.words && o_.zones)
         operators << "<zones every-ms='100' trial-wait-ms='500' hold-ms='500' orders='" << path()
                   << "/" << m.name << ".orders'/>";
+      if (o_.words && o_.rules) {
+        operators << "<rules within-ms='" << kRulesWithin / kMs
+                  << "' every-ms='100' ready-ms='1000'";
+        if (KeepsRules(static_cast<std::size_t>(&m - nodes_.data())))
+          operators << " keep='" << path() << "/" << m.name << ".rules'";
+        operators << "/>";
+      }
       operators << "</pearreach>";
     }
   }
@@ -111,6 +119,7 @@
          {"seed", std::to_string(plan_.seed)},
          {"faults", std::to_string(plan_.faults.size())},
          {"leaves_zones", o_.words && o_.zones ? "1" : "0"},
+         {"rules_within_us", std::to_string(o_.words && o_.rules ? kRulesWithin : 0)},
          {"period_us", std::to_string(o_.words ? plan_.period : 0)}});
     for (std::size_t n = 0; n < nodes_.size(); ++n) StartNode(n);
     for (Member& m : nodes_)
@@ -319,6 +328,8 @@
     look_.Set(turn_due_);
   }
 
+  // In one trial of four nobody has a disk, in the others two of three nodes have.
+  bool KeepsRules(std::size_t n) const { return plan_.seed % 4 != 0 && (n + plan_.seed) % 3 != 0; }
   std::vector<std::size_t> Nodes(const std::string& selector) const {
     std::vector<std::size_t> all;
     for (std::size_t n = 0; n < nodes_.size(); ++n)
@@ -475,6 +486,13 @@
         return [this, nodes, f] {
           for (const std::size_t n : nodes) Order(n, f.to, "clear");
         };
+      case What::kPropose: {
+        if (!o_.words || !o_.rules) return {};
+        for (const std::size_t n : nodes) Propose(n, f.share);
+        return [this, nodes] {
+          for (const std::size_t n : nodes) Propose(n, 0);
+        };
+      }
       case What::kDrain:
         for (const std::size_t w : Workers(f.from)) fleet_->Drain(w, true);
         return [this, f] {
@@ -486,17 +504,40 @@
 
   // An operator's word at a node's door, said by the program's own sub-command.
   void Order(std::size_t n, const std::string& zone, const char* what) {
+    Run(n, {"zone", what, zone}, zone, what);
+  }
+  // A version of the rules; 0: one that says nothing.
+  void Propose(std::size_t n, double share) {
+    const std::string file = path() + "/proposal-" + std::to_string(++proposals_) + ".xml";
+    std::ofstream text(file);
+    text << "<rules>";
+    if (share > 0)
+      text << "<account name='ahmad' share='" << 3 * share << "'/><account name='bela' share='"
+           << 2 * (1 - share) << "'/><ban worker='s-" << static_cast<int>(share * plan_.workers)
+           << "'/>";
+    text << "</rules>";
+    text.close();
+    Run(n, {"rules", "propose", file, "--seconds", "6"}, file, "propose");
+  }
+  void Run(std::size_t n, std::vector<std::string> words, const std::string& of,
+           const std::string& what) {
     Member& m = nodes_[n];
     if (m.process == nullptr) return;
     struct Said {
       Trial* trial;
       std::string node, zone, what;
     };
-    GSubprocess* process = g_subprocess_new(
-        static_cast<GSubprocessFlags>(G_SUBPROCESS_FLAGS_STDOUT_SILENCE |
-                                      G_SUBPROCESS_FLAGS_STDERR_SILENCE),
-        nullptr, o_.program.c_str(), "zone", what, zone.c_str(), "--door", m.door.c_str(), nullptr);
-    if (process == nullptr) throw std::runtime_error(o_.program + " zone cannot be started");
+    words.insert(words.begin(), o_.program);
+    words.insert(words.end(), {"--door", m.door});
+    std::vector<const char*> argv;
+    for (const std::string& word : words) argv.push_back(word.c_str());
+    argv.push_back(nullptr);
+    GSubprocess* process =
+        g_subprocess_newv(argv.data(),
+                          static_cast<GSubprocessFlags>(G_SUBPROCESS_FLAGS_STDOUT_SILENCE |
+                                                        G_SUBPROCESS_FLAGS_STDERR_SILENCE),
+                          nullptr);
+    if (process == nullptr) throw std::runtime_error(o_.program + " cannot be started");
     ++orders_;
     g_subprocess_wait_async(
         process, nullptr,
@@ -514,7 +555,7 @@
           --said->trial->orders_;
           g_object_unref(ended);
         },
-        new Said{this, m.name, zone, what});
+        new Said{this, m.name, of, what});
   }
 
   void ReadLogs() {
@@ -537,7 +578,7 @@
   std::unique_ptr<EmulatedFleet> fleet_;
   History history_;
   std::vector<std::unique_ptr<Alarm>> alarms_;
-  std::size_t begun_ = 0, open_faults_ = 0, orders_ = 0;
+  std::size_t begun_ = 0, open_faults_ = 0, orders_ = 0, proposals_ = 0;
   Micros turn_due_ = 0;
   bool over_ = false;
   Alarm look_;
--- a/lab/trial/trial.h
+++ b/lab/trial/trial.h
@@ -17,6 +17,7 @@
   TrialPlan plan;
   bool words = true;  // between nodes; without them what is about them is not checked
   bool zones = true;  // zones that fail are left
+  bool rules = true;  // nodes agree on versions of rules; some keep them on a disk
   std::string keep;   // a folder for logs and files; empty: they are removed
 };
 
--- a/src/admin/door.cpp
+++ b/src/admin/door.cpp
@@ -11,7 +11,7 @@
 namespace pearreach::admin {
 namespace {
 
-constexpr std::string_view kWorkers = "/_match-workers/", kZones = "/_zones/";
+constexpr std::string_view kWorkers = "/_match-workers/", kZones = "/_zones/", kRules = "/_rules";
 
 // The value of `name` in a query, percent-decoded; empty where it is not there or not text.
 std::string QueryValue(std::string_view query, std::string_view name) {
@@ -103,6 +103,24 @@
       return Wrong("door_unknown_target", 404, "there is no zone or region " + target);
     return Text(200, verb + " " + target);
   }
+  if ((path == kRules || path.starts_with(std::string(kRules) + "/")) && calls.rules) {
+    const bool post = call.method == "POST";
+    if (!post && call.method != "GET" && call.method != "HEAD")
+      return Wrong("door_bad_method", 405, "GET or POST", {{"Allow", "GET, HEAD, POST"}});
+    Calls::RulesCall asked{post,
+                           "",
+                           call.body,
+                           QueryValue(query, "after"),
+                           QueryValue(query, "number"),
+                           QueryValue(query, "from"),
+                           QueryValue(query, "to"),
+                           QueryValue(query, "voters")};
+    if (path.size() > kRules.size()) asked.verb = path.substr(kRules.size() + 1);
+    const auto answer = calls.rules(asked);
+    if (!answer) return Wrong("door_bad_path", 404, "no such call");
+    if (answer->first >= 400) Count("door_rules_refused");
+    return Text(answer->first, answer->second);
+  }
   return Wrong("door_bad_path", 404, "no such call");
 }
 
--- a/src/admin/door.h
+++ b/src/admin/door.h
@@ -11,7 +11,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/io.h"
@@ -41,6 +43,14 @@
   // "return" or "clear"; false: no such zone or region. `zones`: a text for people.
   std::function<bool(const std::string& target, const std::string& what)> order = nullptr;
   std::function<std::string()> zones = nullptr;
+  // Rules that are agreed on, where the operator's file has them. `verb`: "" (what holds),
+  // "history", "have", "diff", "proposal"; with POST "propose", "force". None: no such call.
+  struct RulesCall {
+    bool post = false;
+    std::string verb, body;
+    std::string after, number, from, to, voters;  // of the query
+  };
+  std::function<std::optional<std::pair<int, std::string>>(const RulesCall&)> rules = nullptr;
 };
 
 struct Reply {
@@ -70,7 +80,7 @@
   struct Connection {
     std::shared_ptr<Stream> stream;
     http::Parser parser{http::Parser::Kind::kRequest,
-                        http::Limits{.head = 8 << 10, .headers = 50, .body = 4 << 10}};
+                        http::Limits{.head = 8 << 10, .headers = 50, .body = 32 << 10}};
     Micros until = 0;  // when it is answered late, or, once answered, closed
     bool answered = false;
   };
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -26,6 +26,7 @@
 int CaptureTools(int argc, char** argv);
 int JobsTools(int argc, char** argv);
 int KnowledgeTools(int argc, char** argv);
+int RulesTools(int argc, char** argv);
 int Zone(int argc, char** argv);
 
 // Reads the options of a sub-command; prints its help and sets `done` where that was asked for.
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -38,6 +38,7 @@
     {"capture", CaptureTools, "info, cut, anonymise, import-tap: look at captures, make others"},
     {"jobs", JobsTools, "list, show, export, resolve, verify, compact: durable jobs in a store"},
     {"knowledge", KnowledgeTools, "show, verify, age, drop: what a node has learned and keeps"},
+    {"rules", RulesTools, "propose, show, diff, wait: rules on which nodes agree, at a door"},
     {"zone", Zone, "leave, return, clear, show: zones and regions, at a node's door"},
 };
 
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -30,6 +30,7 @@
 
 constexpr Micros kCountsEvery = 10 * kSecond;
 constexpr Micros kHeardOfLate = 500 * kMs;      // a worker heard of within it is waited for
+constexpr Micros kRulesEveryNode = 8 * kMs;     // a round of questions lasts so long a node
 constexpr Micros kLookAtBansEvery = 100 * kMs;  // a ban reaches the other process so soon
 
 // What a node is started with and looks at again on SIGHUP.
@@ -172,6 +173,28 @@
       zoned->regions.push_back(std::move(region));
     }
   }
+  std::optional<RulesSettings> agreed;
+  if (settings.rules) {
+    const RuleSettings& r = *settings.rules;
+    const int nodes = static_cast<int>(config.peers.size());
+    const auto wrong = [&](const std::string& what) {
+      throw marlquay::Malformed(file + ":" + std::to_string(r.line) + ": rules: " + what);
+    };
+    agreed.emplace();
+    rules::Options& o = agreed->options;
+    o.voters = r.voters;
+    if (o.voters.empty())
+      for (int n = 0; n < (nodes >= 5 ? 5 : nodes >= 3 ? 3 : 1); ++n) o.voters.push_back(n);
+    if (o.voters.back() >= nodes)
+      wrong("there is no node " + std::to_string(o.voters.back()) + " of " + std::to_string(nodes));
+    o.every = r.every > 0 ? r.every : std::max<Micros>(250 * kMs, nodes * kRulesEveryNode);
+    o.lease = static_cast<Micros>(static_cast<double>(r.within - o.turn) / (1 + 2 * o.drift));
+    if (o.lease < 4 * o.every)
+      wrong("within-ms is too short for rounds of " + std::to_string(o.every / kMs) +
+            " ms: no lease would outlive three lost words");
+    o.ready_within = r.ready;
+    agreed->keep = r.keep;
+  }
   auto fleet =
       std::make_unique<Fleet>(FleetSettings{.listen = config.peer_listen,
                                             .nodes = config.peers,
@@ -185,6 +208,7 @@
                                             .shared = std::move(shares),
                                             .accounts = site.tenants,
                                             .zones = std::move(zoned),
+                                            .rules = std::move(agreed),
                                             .tells_use = settings.log_format == LogFormat::kJson});
   fleet->OnTold(
       [node](int from, std::string bytes) { node->OnPeerMessage(from, std::move(bytes)); });
@@ -425,17 +449,32 @@
   }
   // Bans outlive a process, and reach the other one while two run: both look at the file often.
   std::optional<admin::BanFile> bans;
+  // Those of the door hold whatever the rules say, and the other way round.
+  admin::Bans by_hand, by_rules;
+  const auto apply_bans = [&] {
+    admin::Bans all = by_hand;
+    all.insert(by_rules.begin(), by_rules.end());
+    node.SetBans(all);
+  };
   if (settings.bans) {
     bans.emplace(settings.bans->file);
-    node.SetBans(bans->Load());
+    by_hand = bans->Load();
+    apply_bans();
   }
   const auto look_at_bans = [&] {
-    if (bans && bans->Changed()) node.SetBans(bans->Load());
+    if (!bans || !bans->Changed()) return;
+    by_hand = bans->Load();
+    apply_bans();
   };
   const auto ban = [&](const std::string& id, bool detach) {
     look_at_bans();
     if (!(detach ? node.Ban(id) : node.Unban(id))) return false;
-    if (bans) bans->Save(node.bans());
+    if (detach)
+      by_hand.insert(id);
+    else
+      by_hand.erase(id);
+    apply_bans();
+    if (bans) bans->Save(by_hand);
     return true;
   };
   Alarm* looks = nullptr;
@@ -456,9 +495,34 @@
   const auto show_zones = [&] {
     return speaker == nullptr ? std::string("zones are off") : speaker->ZonesText();
   };
+  using RulesReply = std::optional<std::pair<int, std::string>>;
+  const auto rules_call = [&](const admin::Calls::RulesCall& call) -> RulesReply {
+    RulesPart* rules = speaker == nullptr ? nullptr : speaker->rules();
+    if (rules == nullptr)
+      return std::pair(409, "this process does not speak for its node: ask the other one");
+    const auto said = [](RulesPart::Reply reply) {
+      return RulesReply(std::pair(reply.status, std::move(reply.text)));
+    };
+    if (call.post) {
+      if (call.verb == "propose") return said(rules->Propose(call.body, call.after));
+      if (call.verb == "force") return said(rules->Force(call.voters));
+      return std::nullopt;
+    }
+    if (call.verb.empty()) return said(rules->Show());
+    if (call.verb == "history") return said(rules->History());
+    if (call.verb == "have") return said(rules->Have());
+    if (call.verb == "diff") return said(rules->Difference(call.from, call.to));
+    if (call.verb == "proposal") return said(rules->Proposal(call.number));
+    return std::nullopt;
+  };
+  // Where rules are agreed on, a process that has not
+  // learned them is not ready, but for a bounded time.
+  const auto knows_rules = [&] {
+    return speaker == nullptr || speaker->rules() == nullptr || speaker->rules()->ready();
+  };
   // The operators' door comes after the listener: a process that does not serve is not ready.
   admin::Door door(
-      {.ready = [&] { return node.ready() && front.serving(); },
+      {.ready = [&] { return node.ready() && front.serving() && knows_rules(); },
        .vars =
            [&] {
              admin::Vars vars;
@@ -477,7 +541,10 @@
        .attach = [&](const std::string& id) { return ban(id, false); },
        .order = settings.zones ? std::function<bool(const std::string&, const std::string&)>(order)
                                : nullptr,
-       .zones = settings.zones ? std::function<std::string()>(show_zones) : nullptr});
+       .zones = settings.zones ? std::function<std::string()>(show_zones) : nullptr,
+       .rules = settings.rules
+                    ? std::function<RulesReply(const admin::Calls::RulesCall&)>(rules_call)
+                    : nullptr});
   if (!config.operator_listen.empty()) {
     if (const std::string wrong = door.Open(config.operator_listen); !wrong.empty())
       CountFault("door_not_open", config.operator_listen + ": " + wrong);
@@ -503,6 +570,11 @@
   takeover.SpeakFor(fleet.get());
   FleetWitness witness(fleet.get());
   if (fleet != nullptr && settings.shared) node.Watch(&witness);
+  if (fleet != nullptr)
+    fleet->OnRuleBans([&](const std::set<std::string>& banned) {
+      by_rules = banned;
+      apply_bans();
+    });
   reload = [&] { Reload(sources, &config, &node); };
   Apply(settings, &node);
   node.Start();
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -1,5 +1,6 @@
 #include "config/operator.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <set>
 
@@ -147,6 +148,26 @@
   return z;
 }
 
+RuleSettings ReadRules(const xmlNode* node, const std::string& name) {
+  RuleSettings r;
+  r.line = xml::Line(node);
+  r.keep = Path(node, "keep", name);
+  if (!r.keep.empty() && r.keep.front() != '/')
+    Fail(name, r.line, "rules: keep '" + r.keep + "' is not absolute");
+  Take(node, "within-ms", kMs, &r.within);
+  Take(node, "every-ms", kMs, &r.every);
+  Take(node, "ready-ms", kMs, &r.ready);
+  const std::string voters = Text(node, "voters");  // outlives the views of it
+  for (const marlquay::Text voter : marlquay::Split(voters, ' ')) {
+    if (voter.empty()) continue;
+    r.voters.push_back(marlquay::Number<int>(voter, "voters"));
+  }
+  std::sort(r.voters.begin(), r.voters.end());
+  if (std::adjacent_find(r.voters.begin(), r.voters.end()) != r.voters.end())
+    Fail(name, r.line, "rules: a voter is there twice");
+  return r;
+}
+
 }  // namespace
 
 OperatorSettings ReadOperatorFile(std::string_view text, const std::string& name) {
@@ -161,6 +182,7 @@
     if (element == "peers") settings.peers = ReadPeers(n);
     if (element == "shared") settings.shared = ReadShared(n, name);
     if (element == "zones") settings.zones = ReadZones(n, name);
+    if (element == "rules") settings.rules = ReadRules(n, name);
     if (element == "bans") {
       settings.bans = BanSettings{Path(n, "file", name)};
       if (settings.bans->file.front() != '/')
@@ -175,6 +197,8 @@
   });
   if (settings.shared && !settings.peers)
     Fail(name, xml::Line(xml::Root(document)), "shared needs peers: there is no way to others");
+  if (settings.rules && !settings.peers)
+    Fail(name, settings.rules->line, "rules needs peers: there is no way to others");
   if (settings.zones && (!settings.shared || !settings.shared->judgements))
     Fail(name, xml::Line(xml::Root(document)),
          "zones needs shared with judgements: they are what a zone is seen by");
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -97,6 +97,17 @@
   bool operator==(const ZoneSettings&) const = default;
 };
 
+// <rules>: docs/rules.md. Read at the start only; needs <peers>.
+struct RuleSettings {
+  std::vector<int> voters;      // empty: the first five, three or one node
+  Micros within = 5 * kSecond;  // T
+  Micros every = 0;             // between two rounds of questions; 0: by the number of nodes
+  Micros ready = 3 * kSecond;   // a node is ready so long after its start at the latest
+  std::string keep;             // a file; empty: nothing outlives the process
+  int line = 0;                 // of the file
+  bool operator==(const RuleSettings&) const = default;
+};
+
 struct OperatorSettings {
   LogFormat log_format = LogFormat::kText;
   std::optional<CaptureSettings> capture;      // none: off
@@ -106,6 +117,7 @@
   std::optional<PeerSettings> peers;           // none: off
   std::optional<SharedSettings> shared;        // none: off
   std::optional<ZoneSettings> zones;           // none: off
+  std::optional<RuleSettings> rules;           // none: off
   std::optional<BanSettings> bans;             // none: bans end with the process
 };
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -65,6 +65,11 @@
            shared_->Hear(Unix(), from, process, bytes, &out);
            SendShared(&out);
          }});
+  if (settings_.rules)
+    peers_.Register(Topic::kRules,
+                    {0, nullptr, [this](int from, std::uint64_t, bool, std::string_view bytes) {
+                       if (rules_ != nullptr) rules_->Hear(from, bytes);
+                     }});
   if (settings_.zones)
     peers_.Register(
         Topic::kZones,
@@ -101,6 +106,7 @@
   turn_.Set(members_->next());
   view_.Set(Now() + settings_.view_every);
   OpenShared();
+  OpenRules();
 }
 
 void Fleet::Turn() {
@@ -131,6 +137,7 @@
   shared_turn_.Clear();
   zones_turn_.Clear();
   shared_.reset();
+  rules_.reset();  // what it held last holds here until the process ends
   // The process that takes over knows the orders; what is left stays left here until the end.
   zones_.reset();
 }
@@ -291,7 +298,14 @@
   if (!settings_.shared) return std::nullopt;
   // Accounts' use may not be shared at all.
   if (account >= static_cast<int>(settings_.shared->shares.size())) account = -1;
-  if (shared_ != nullptr) return shared_->Admit(Unix(), account, is_repeat);
+  if (shared_ != nullptr) {
+    // A process that was stopped looks at its lease before it acts.
+    const bool floor =
+        rules_ != nullptr && rules_->acting().basis == rules::Agreement::Basis::kFloor;
+    shared::Shared::Admission a = shared_->Admit(Unix(), account, is_repeat);
+    if (floor && account >= 0) a.over_share = true;
+    return a;
+  }
   shared::Shared::Admission nothing;
   nothing.over_share = account >= 0;
   return nothing;
@@ -401,6 +415,46 @@
           " s: " + line + (out.empty() ? "" : "; left out: " + out));
 }
 
+// ---------------------------------------------------------------- rules that are agreed on
+
+void Fleet::OpenRules() {
+  if (!settings_.rules) return;
+  RulesSettings settings = *settings_.rules;
+  settings.options.self = settings_.self;
+  settings.options.nodes = static_cast<int>(settings_.nodes.size());
+  rules_ = std::make_unique<RulesPart>(
+      settings, settings_.seed ^ static_cast<std::uint64_t>(g_get_real_time()),
+      [this](int to, const std::string& section) { peers_.Say(to, Topic::kRules, section); },
+      [this] { return Alive(); }, [this] { ApplyRules(); });
+  rules_->Begin();
+}
+
+// What holds now, put to use: bans at the node, shares and parts at the budgets, zones at their
+// next look, which is at once.
+void Fleet::ApplyRules() {
+  if (rules_ == nullptr) return;
+  const rules::Agreement::Acting& a = rules_->acting();
+  if (rule_bans_) rule_bans_(a.rules.bans);
+  if (shared_ != nullptr && settings_.shared) {
+    shared::Budgets& budgets = shared_->budgets();
+    const bool floor = a.basis == rules::Agreement::Basis::kFloor;
+    for (std::size_t k = 0; !floor && k < settings_.accounts.size(); ++k) {
+      if (k >= settings_.shared->shares.size()) break;
+      const auto it = a.rules.shares.find(settings_.accounts[k]);
+      budgets.SetWhole(Unix(), static_cast<int>(k),
+                       it != a.rules.shares.end() ? it->second : settings_.shared->shares[k]);
+    }
+    const auto repeats = static_cast<int>(settings_.shared->shares.size());
+    if (!floor && settings_.shared->repeats > 0 && budgets.budgets() > repeats)
+      budgets.SetWhole(
+          Unix(), repeats,
+          std::min(settings_.shared->repeats, a.rules.repeats.value_or(settings_.shared->repeats)));
+    budgets.SetParts(Unix(), a.rules.nodes.value_or(0));
+  }
+  uses_at_ = 0;
+  if (zones_ != nullptr) ApplyZones();
+}
+
 // ---------------------------------------------------------------- zones that are left
 
 void Fleet::OpenZones() {
@@ -523,7 +577,13 @@
   if (changes.empty() && now < uses_at_ + settings_.zones->every) return;
   uses_at_ = now;
   for (auto& [key, w] : listed_) {
-    const zones::Use use = zones_->use(now, key);
+    zones::Use use = zones_->use(now, key);
+    const auto named = static_cast<std::size_t>(w.as.zone);
+    if (rules_ != nullptr && named < settings_.zones->zones.size()) {
+      const auto& leaves = rules_->acting().rules.leaves;
+      if (const auto it = leaves.find(settings_.zones->zones[named]); it != leaves.end())
+        use = it->second ? zones::Use::kShut : zones::Use::kOpen;
+    }
     if (use == w.use) continue;
     w.use = use;
     const auto zone = static_cast<std::size_t>(w.as.zone);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -8,9 +8,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "fleet/rules_part.h"
 #include "members/members.h"
 #include "peers/peers.h"
 #include "shared/shared.h"
@@ -31,6 +33,7 @@
   std::optional<shared::SharedOptions> shared;  // self, nodes are the ones above; none: off
   std::vector<std::string> accounts;            // their names, for lines
   std::optional<zones::Options> zones;          // self, nodes are the ones above; none: off
+  std::optional<RulesSettings> rules;           // self, nodes are the ones above; none: off
   bool tells_use = false;  // a line whenever a worker may be used otherwise by its zone
 };
 
@@ -64,6 +67,13 @@
   void OnJudged(std::function<void(const std::string&, const shared::Standing&)> judged) {
     judged_ = std::move(judged);
   }
+  // ---- rules on which the nodes agree; null: off, or this process does not speak for its node
+  RulesPart* rules() { return rules_.get(); }
+  // Workers that the rules in force ban; told whenever they change.
+  void OnRuleBans(std::function<void(const std::set<std::string>&)> ban) {
+    rule_bans_ = std::move(ban);
+  }
+
   // ---- zones that are left
   // How this node may use a worker from now on, by the zone that it is in.
   void OnUse(std::function<void(const std::string& worker, zones::Use, bool gone)> use) {
@@ -115,6 +125,8 @@
   void SendZones(std::vector<zones::Zones::Out>* out);
   void ApplyZones();
   std::string WhyOf(const zones::Standing& standing) const;
+  void OpenRules();
+  void ApplyRules();
 
   FleetSettings settings_;
   std::unique_ptr<members::Members> members_;  // once the address is this process's
@@ -138,6 +150,9 @@
   Micros unix_offset_ = 0;  // taken once: a clock that is set must not make leases longer
   shared::SharedCounts shared_reported_;
 
+  std::unique_ptr<RulesPart> rules_;  // while this process speaks for its node
+  std::function<void(const std::set<std::string>&)> rule_bans_;
+
   std::unique_ptr<zones::Zones> zones_;  // while this process speaks for its node
   std::vector<zones::Order> recalled_;   // before it does
   std::function<void(const std::string&, zones::Use, bool)> use_;
--- a/src/peers/datagram.h
+++ b/src/peers/datagram.h
@@ -24,8 +24,8 @@
 constexpr std::uint8_t kVersion = 1;
 
 // What a section is about. Numbers are for good; those of later versions are passed over.
-enum class Topic : std::uint8_t { kMembers = 1, kModule = 2, kShared = 3, kZones = 4 };
-constexpr int kTopics = 4;
+enum class Topic : std::uint8_t { kMembers = 1, kModule = 2, kShared = 3, kZones = 4, kRules = 5 };
+constexpr int kTopics = 5;
 
 struct Section {
   std::uint8_t topic = 0;
--- a/src/rules/rules.cpp
+++ b/src/rules/rules.cpp
@@ -80,6 +80,7 @@
   }
   highest_ = std::max(promised_, accepted_);
   // Others may still act on the one before, whenever this one was chosen.
+  if (head_.number == 0) return;
   head_at_ = now;
   gap_until_ = now + options_.After();
 }
@@ -363,6 +364,7 @@
     const bool votes = current() != nullptr && IsVoter(options_.self);
     answer.clean = votes && !recovering_ && w.head == head_ && (Clean() || without_.clean);
     answer.recovering = recovering_;
+    answer.formed = formed_at_ >= 0 && now < formed_at_ + options_.lease;
     answer.promised = promised_;
     answer.accepted = accepted_;
     answer.accepted_hash = accepted_hash_;
@@ -407,6 +409,7 @@
   if (sent < o.answered_at) return;
   o.answered_at = sent;
   o.recovering = w.recovering;
+  o.formed = w.formed;
   o.answered_head = w.head;
   o.promised = w.promised;
   o.accepted = w.accepted;
@@ -433,6 +436,7 @@
   if (now < over) return;
   const std::vector<int> voters = this->voters();
   int sound = 0, answered = 0;
+  bool formed = false;
   std::uint64_t promised = 0, accepted = 0, accepted_hash = 0;
   for (const int voter : voters) {
     if (voter == options_.self || voter >= options_.nodes) continue;
@@ -440,6 +444,7 @@
     if (o.answered_at < over || !(o.answered_head == head_)) continue;
     ++answered;
     sound += o.recovering ? 0 : 1;
+    formed = formed || o.formed;
     promised = std::max(promised, o.promised);
     if (o.accepted > accepted) {
       accepted = o.accepted;
@@ -458,8 +463,12 @@
     accepted_at_ = now;
   }
   // All voters are here and too many of them know nothing: what was chosen last may be forgotten.
-  // What they choose from here on is of a later epoch, so that it can be told apart.
-  if (sound < enough) head_.epoch = (head_.epoch / kEpochStep + 1) * kEpochStep;
+  // What they choose from here on is of a later epoch, so that it can be told apart. One that was
+  // begun less than a lease ago was begun while this process waited: it is the same beginning.
+  if (sound < enough && !formed) {
+    head_.epoch = (head_.epoch / kEpochStep + 1) * kEpochStep;
+    formed_at_ = now;
+  }
   history_.back().head = head_;
   spread_ = 3;
 }
@@ -472,6 +481,7 @@
     return;
   }
   dirty_ = true;
+  formed_at_ = -1;
   if (head.number == head_.number && head.hash == head_.hash) {
     if (current() != nullptr) history_.back().head = head;
     head_ = head;
--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -151,7 +151,7 @@
     Micros vouched_at = -1;  // when this node asked
     // As a voter answered last: of a question asked then.
     Micros answered_at = -1;
-    bool recovering = false;
+    bool recovering = false, formed = false;
     Head answered_head;
     std::uint64_t promised = 0, accepted = 0, accepted_hash = 0;
     std::string have;
@@ -213,6 +213,7 @@
   std::uint64_t promised_ = 0, accepted_ = 0, accepted_hash_ = 0;
   Micros accepted_at_ = 0;
   bool recovering_ = false;
+  Micros formed_at_ = -1;  // began this epoch then; -1: did not
   // Documents on their way, and those not chosen, by hash.
   std::map<std::uint64_t, Fetch> fetches_;
   std::map<std::uint64_t, std::string> documents_;
--- a/src/rules/words.cpp
+++ b/src/rules/words.cpp
@@ -27,6 +27,7 @@
   s.set_answer(word.answer);
   s.set_clean(word.clean);
   s.set_recovering(word.recovering);
+  s.set_formed(word.formed);
   s.set_promised(word.promised);
   s.set_accepted(word.accepted);
   s.set_accepted_hash(word.accepted_hash);
@@ -63,6 +64,7 @@
   w.answer = s.answer();
   w.clean = s.clean();
   w.recovering = s.recovering();
+  w.formed = s.formed();
   w.promised = s.promised();
   w.accepted = s.accepted();
   w.accepted_hash = s.accepted_hash();
--- a/src/rules/words.h
+++ b/src/rules/words.h
@@ -28,7 +28,7 @@
   std::uint32_t schema = 1;
   bool refuses = false;
   std::uint32_t ask = 0, answer = 0;
-  bool clean = false, recovering = false;
+  bool clean = false, recovering = false, formed = false;
   std::uint64_t promised = 0, accepted = 0, accepted_hash = 0;
   std::string have;  // a bit a node
   Step step = Step::kNone;
--- a/src/shared/budgets.cpp
+++ b/src/shared/budgets.cpp
@@ -9,7 +9,8 @@
 
 constexpr double kDemandLeast = 1e6, kDemandMost = 30e6;  // microseconds over which wants fade
 constexpr double kDemandJobs = 4;  // and over so many of an even part: of few jobs none says much
-constexpr double kLeastGrant = 0.05;  // of an even part: less is not worth a word
+constexpr double kLeastGrant = 0.05;   // of an even part: less is not worth a word
+constexpr double kLeastWhole = 0.001;  // a second
 constexpr double kMostAmount = 1e15;
 
 std::int64_t Thousandths(double amount) { return static_cast<std::int64_t>(amount * 1000); }
@@ -20,6 +21,7 @@
     : options_(std::move(options)),
       process_(process),
       began_(now),
+      parts_(std::max(1, options_.nodes)),
       random_(seed),
       own_(options_.wholes.size()) {
   for (int k = 0; k < budgets(); ++k) {
@@ -34,15 +36,24 @@
   const double mine = options_.wholes[static_cast<std::size_t>(budget)];
   return o.stricter_until > now ? std::min(mine, o.stricter) : mine;
 }
+void Budgets::SetWhole(Micros now, int budget, double whole) {
+  if (!Valid(budget)) return;
+  Refill(now, budget);
+  options_.wholes[static_cast<std::size_t>(budget)] = std::max(whole, kLeastWhole);
+}
+void Budgets::SetParts(Micros now, int parts) {
+  for (int k = 0; k < budgets(); ++k) Refill(now, k);
+  parts_ = std::max({1, options_.nodes, parts});
+}
+
 // Rounded down, so that all together are no more than the whole.
 std::int64_t Budgets::even(Micros now, int budget) const {
-  return Thousandths(whole(now, budget)) / std::max(1, options_.nodes);
+  return Thousandths(whole(now, budget)) / parts_;
 }
 std::int64_t Budgets::floor(int budget) const {
   return static_cast<std::int64_t>(
       options_.floor *
-      static_cast<double>(Thousandths(options_.wholes[static_cast<std::size_t>(budget)]) /
-                          std::max(1, options_.nodes)));
+      static_cast<double>(Thousandths(options_.wholes[static_cast<std::size_t>(budget)]) / parts_));
 }
 
 // A floor saves up one whole amount at least: where nodes are many a part is less than one a
@@ -84,8 +95,7 @@
 }
 
 double Budgets::Memory(int budget) const {
-  const double even =
-      options_.wholes[static_cast<std::size_t>(budget)] / std::max(1, options_.nodes);
+  const double even = options_.wholes[static_cast<std::size_t>(budget)] / parts_;
   return std::clamp(kDemandJobs * 1e6 / std::max(even, 1e-3), kDemandLeast, kDemandMost);
 }
 
--- a/src/shared/budgets.h
+++ b/src/shared/budgets.h
@@ -79,6 +79,11 @@
   // said.
   void OnWhole(Micros now, int budget, double whole);
 
+  // By a version of the rules: another whole, or shared into more parts (never fewer than there are
+  // nodes). What was lent of a larger whole ends with its lease.
+  void SetWhole(Micros now, int budget, double whole);
+  void SetParts(Micros now, int parts);
+
   // Thousandths a second: this node's part now, what it has lent, what it was lent.
   std::int64_t part(Micros now, int budget) const;
   std::int64_t lent(Micros now, int budget) const;
@@ -128,6 +133,7 @@
   BudgetsOptions options_;
   std::uint64_t process_;
   Micros began_;
+  int parts_;
   std::mt19937_64 random_;
   std::vector<Own> own_;
   Without without_;
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -70,6 +70,7 @@
   Document d;
   d.rules = *AnyRules();
   d.rules.others.reset();
+  d.rules.attempts.reset();  // not in files yet
   d.voters = {0, 2};
   d.number = *rc::gen::inRange(0, 1000);
   const std::string bytes = Encode(d);
