--- a/lab/cli/trial.cpp
+++ b/lab/cli/trial.cpp
@@ -11,6 +11,7 @@
 #include "lab/cli/commands.h"
 #include "lab/trial/checkers.h"
 #include "lab/trial/figures.h"
+#include "lab/trial/rules_virtual.h"
 #include "lab/trial/shrink.h"
 #include "lab/trial/virtual.h"
 #include "site/site.h"
@@ -70,6 +71,44 @@
   for (const Fault& f : small.faults) std::printf("  %s\n", Words(f).c_str());
 }
 
+// What agreeing on rules takes: versions proposed one after another in virtual time.
+int RulesTable(const cxxopts::ParseResult& args) {
+  std::printf("%5s %5s %8s | %8s %8s %8s | %7s %10s %10s | %8s\n", "nodes", "lost", "versions",
+              "all s", "p90", "most", "floor %", "bytes/s", "busiest", "contra s");
+  const std::vector<int> sizes = args.count("nodes") > 0 ? std::vector<int>{args["nodes"].as<int>()}
+                                                         : std::vector<int>{3, 30, 100, 300};
+  for (const int nodes : sizes)
+    for (const double lost : {0.0, 0.2, 0.5}) {
+      RulesPlan p;
+      p.plan.nodes = nodes;
+      p.plan.seed = args["seed"].as<std::uint64_t>();
+      p.plan.length = 90'000'000;
+      p.lost = lost;
+      p.options.voters = nodes >= 5 ? std::vector<int>{0, 1, 2, 3, 4} : std::vector<int>{0, 1, 2};
+      p.options.every = std::max<Micros>(250'000, nodes * Micros{8'000});
+      p.options.lease = std::max<Micros>(4'700'000, 4 * p.options.every);
+      p.propose_every = 8'000'000;
+      p.ahead = 200'000;
+      p.drift = 0.01;
+      p.settle = 30'000'000;
+      RulesResult r = RunRules(p);
+      std::sort(r.to_all.begin(), r.to_all.end());
+      const auto at = [&](double share) {
+        if (r.to_all.empty()) return 0.0;
+        const auto i = static_cast<std::size_t>(share * static_cast<double>(r.to_all.size() - 1));
+        return static_cast<double>(r.to_all[i]) / 1e6;
+      };
+      const double seconds = static_cast<double>(r.length) / 1e6;
+      std::printf("%5d %5.0f %8llu | %8.2f %8.2f %8.2f | %7.2f %10.0f %10.0f | %8.2f\n", nodes,
+                  lost * 100, static_cast<unsigned long long>(r.versions), at(0.5), at(0.9), at(1),
+                  r.floors * 100, static_cast<double>(r.bytes) / seconds / nodes,
+                  static_cast<double>(r.busiest_bytes) / seconds,
+                  static_cast<double>(r.longest) / 1e6);
+      std::fflush(stdout);
+    }
+  return 0;
+}
+
 int Figures(const cxxopts::ParseResult& args) {
   const auto number = [&](const char* name) { return args[name].as<int>(); };
   const int period = number("period-ms") > 0 ? number("period-ms") : 500;
@@ -155,7 +194,8 @@
       "them and checks what must hold:\n"
       "  trial [FILE.xml | --seed N]   by a file, or with faults drawn from a seed\n"
       "  trial check HISTORY           judges a history again\n"
-      "  trial figures [shared|zones]  what knowing who is there, sharing state or leaving a zone "
+      "  trial figures [shared|zones|rules]  what knowing who is there, sharing state or leaving a "
+      "zone "
       "costs and "
       "gives,\n"
       "                                in virtual time\n"
@@ -193,6 +233,7 @@
   }
   if (words.size() == 2 && words[0] == "figures" && words[1] == "shared") return SharedTable(*args);
   if (words.size() == 2 && words[0] == "figures" && words[1] == "zones") return ZoneTable(*args);
+  if (words.size() == 2 && words[0] == "figures" && words[1] == "rules") return RulesTable(*args);
   if (!words.empty() && words[0] == "figures") return Figures(*args);
   if (words.size() > 1) throw Malformed("trial wants one FILE.xml at most");
   TrialPlan plan;
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -5,10 +5,15 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
+#include <unistd.h>
 
-#include <limits>
+#include <algorithm>
+#include <cerrno>
+#include <map>
 
+#include "fleet/rules_file.h"
 #include "lab/stats/stats.h"
+#include "lab/trial/rules_checkers.h"
 #include "lab/trial/rules_virtual.h"
 #include "site/site.h"
 
@@ -440,6 +445,163 @@
   EXPECT_TRUE(Try(p).forked) << Told(RunRules(p));
 }
 
+// ---------------------------------------------------------------- the file
+
+// A disk that dies before a given call, and keeps what was done until then; what was written and
+// not synced is lost.
+class DyingDisk : public knowledge::Disk {
+ public:
+  int Create(const std::string& path) override {
+    if (!Alive()) return -1;
+    files_[path] = {};
+    open_ = path;
+    return 3;
+  }
+  ssize_t Write(int, const char* bytes, std::size_t size) override {
+    if (!Alive()) return -1;
+    const std::size_t part = std::min<std::size_t>(size, 16);  // short writes
+    files_[open_].append(bytes, part);
+    return static_cast<ssize_t>(part);
+  }
+  int Sync(int) override {
+    if (!Alive()) return -1;
+    synced_[open_] = files_[open_];
+    return 0;
+  }
+  int Close(int) override { return Alive() ? 0 : -1; }
+  int Rename(const std::string& from, const std::string& to) override {
+    if (!Alive()) return -1;
+    files_[to] = files_[from];
+    synced_[to] = synced_[from];  // at worst what was synced of it
+    files_.erase(from);
+    return 0;
+  }
+  int SyncFolder(const std::string&) override { return Alive() ? 0 : -1; }
+  int Read(const std::string& path, std::size_t, std::string* bytes) override {
+    const auto it = synced_.find(path);
+    if (it == synced_.end()) {
+      errno = ENOENT;
+      return -1;
+    }
+    *bytes = it->second;
+    return 0;
+  }
+  int Remove(const std::string&) override { return 0; }
+
+  int calls = 0, dies_at = 1 << 30;
+
+ private:
+  bool Alive() {
+    errno = EIO;
+    return ++calls < dies_at;
+  }
+  std::map<std::string, std::string> files_, synced_;
+  std::string open_;
+};
+rules::Kept KeptOf(std::uint64_t ballot) {
+  Document d;
+  d.voters = {0, 1, 2};
+  d.number = 4;
+  rules::Kept k;
+  k.epoch = 1024;
+  k.promised = ballot;
+  k.documents = {Encode(d)};
+  return k;
+}
+TEST(RulesOnDisk, KilledAtEverySystemCallItIsTheOldOrTheNewWhole) {
+  DyingDisk whole;
+  ASSERT_EQ(RulesFile("/k/rules", &whole).Save(KeptOf(1)), "");
+  const int calls = whole.calls;
+  ASSERT_GT(calls, 6);
+  for (int dies = 1; dies <= calls + 1; ++dies) {
+    DyingDisk disk;
+    RulesFile file("/k/rules", &disk);
+    ASSERT_EQ(file.Save(KeptOf(1)), "");
+    disk.calls = 0;
+    disk.dies_at = dies;
+    const bool said = file.Save(KeptOf(2)).empty();
+    std::string wrong;
+    const auto found = file.Load(&wrong);
+    ASSERT_TRUE(found.has_value()) << "killed at call " << dies << ": " << wrong;
+    EXPECT_TRUE(*found == KeptOf(1) || *found == KeptOf(2)) << dies;
+    if (said) {
+      EXPECT_EQ(*found, KeptOf(2)) << dies;
+    }
+  }
+}
+TEST(RulesOnDisk, ADamagedFileIsSaidAndNotTaken) {
+  const std::string folder = testing::TempDir() + "/rules-file-" + std::to_string(getpid());
+  RulesFile file(folder);
+  std::string wrong;
+  EXPECT_FALSE(file.Load(&wrong));
+  EXPECT_EQ(wrong, "");
+  ASSERT_EQ(file.Save(KeptOf(3)), "");
+  EXPECT_EQ(*file.Load(&wrong), KeptOf(3));
+  std::string bytes;
+  ASSERT_EQ(knowledge::SystemDisk().Read(folder, 1 << 20, &bytes), 0);
+  bytes[bytes.size() / 2] ^= 1;
+  const int fd = knowledge::SystemDisk().Create(folder);
+  ASSERT_EQ(knowledge::SystemDisk().Write(fd, bytes.data(), bytes.size()),
+            static_cast<ssize_t>(bytes.size()));
+  knowledge::SystemDisk().Close(fd);
+  EXPECT_FALSE(file.Load(&wrong));
+  EXPECT_NE(wrong.find("damaged"), std::string::npos);
+  knowledge::SystemDisk().Remove(folder);
+}
+
+// ---------------------------------------------------------------- the checkers
+
+lab::Moment Says(Micros at, const char* node, const char* basis, const char* versions, int number,
+                 const char* hash = "aa", const char* bans = "") {
+  return {at,
+          node,
+          "rules",
+          {{"basis", basis},
+           {"versions", versions},
+           {"number", std::to_string(number)},
+           {"epoch", "1024"},
+           {"hash", hash},
+           {"has", "1"},
+           {"bans", bans}}};
+}
+TEST(RulesCheckers, RefuseWhatMustNotBe) {
+  const lab::Moment plan{0, "trial", "plan", {{"rules_within_us", "2000000"}}};
+  const lab::Moment over{20'000'000, "trial", "over", {}};
+  // n0 goes on acting on version 1 when n1 has given it up.
+  const lab::History apart = {plan, Says(1'000'000, "n0", "version", "1", 1),
+                              Says(2'000'000, "n1", "version", "2", 2, "bb"), over};
+  EXPECT_EQ(lab::RulesWithin(apart).size(), 1u);
+  // Not so where it is stopped, on its floor, or the other still acts on version 1 too.
+  lab::History stopped = apart;
+  stopped.insert(stopped.begin() + 2, {1'500'000, "trial", "stalled", {{"node", "n0"}}});
+  stopped.insert(stopped.end() - 1, {19'999'000, "trial", "resumed", {{"node", "n0"}}});
+  EXPECT_TRUE(lab::RulesWithin(stopped).empty());
+  EXPECT_TRUE(lab::RulesWithin({plan, Says(1, "n0", "floor", "1", 1),
+                                Says(2'000'000, "n1", "version", "2", 2, "bb"), over})
+                  .empty());
+  EXPECT_TRUE(lab::RulesWithin({plan, Says(1, "n0", "version", "1", 1),
+                                Says(2'000'000, "n1", "both", "1+2", 2, "bb"), over})
+                  .empty());
+  EXPECT_EQ(lab::RulesOne({plan, Says(1, "n0", "version", "2", 2, "aa"),
+                           Says(2, "n1", "version", "2", 2, "bb"), over})
+                .size(),
+            1u);
+  EXPECT_EQ(lab::RulesBans({plan,
+                            Says(1, "n0", "version", "2", 2, "aa", "s-1 s-3"),
+                            {9'000'000, "s-3", "took", {{"node", "n0"}}},
+                            over})
+                .size(),
+            1u);
+  EXPECT_EQ(lab::RulesSettle({plan,
+                              Says(1, "n0", "version", "1", 1),
+                              Says(2, "n1", "version", "2", 2, "bb"),
+                              {3'000'000, "trial", "quiet", {}},
+                              {15'000'000, "trial", "ending", {{"node", "n0"}}},
+                              over})
+                .size(),
+            1u);
+}
+
 // ---------------------------------------------------------------- what operators meet
 
 TEST(RulesOperators, WithoutAMajorityNothingChangesAndForcingIsSaidAndRecorded) {
