--- a/lab/trial/checkers.cpp
+++ b/lab/trial/checkers.cpp
@@ -616,6 +616,19 @@
 // reading may exclude all of that.
 std::vector<Violation> CountTrue(const History& history) {
   std::vector<Violation> wrong;
+  // Processes that ended before their first line about what they share, by when they began: nobody
+  // can tell what they counted.
+  std::map<std::string, Micros> silent;
+  std::vector<Micros> unknown;
+  for (const Moment& m : history) {
+    if (m.what == "peers_open") silent[m.who] = m.at;
+    if (m.what == "shared") silent.erase(m.who);
+    if (m.who != "trial" || m.what != "ended") continue;
+    if (const auto it = silent.find(m.Of("node")); it != silent.end()) {
+      unknown.push_back(it->second);
+      silent.erase(it);
+    }
+  }
   const std::vector<Share> shares = SharesOf(history);
   for (std::size_t k = 0; k < shares.size(); ++k) {
     const std::vector<Process> processes = ProcessesOf(history, k);
@@ -623,7 +636,9 @@
       for (const Figures& r : reader.lines) {
         const Micros from = r.at - shares[k].window;
         double low = 0, high = 0;
-        bool known = true;
+        bool known = std::none_of(unknown.begin(), unknown.end(), [&](Micros began) {
+          return began <= r.at && began > from - kSecondOfTruth;
+        });
         for (const Process& p : processes) {
           const Figures *first = nullptr, *last = nullptr, *before = nullptr, *after = nullptr;
           for (const Figures& f : p.lines) {
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -93,6 +93,11 @@
       std::string(name) + " (" + count + "): " + what);
 }
 
+void CountGrowth(const char* name, std::uint64_t now, std::uint64_t* before) {
+  if (now > *before) Count(name, now - *before);
+  *before = now;
+}
+
 std::uint64_t CountOf(const std::string& name) { return Counters()[name].count; }
 
 void LogCounts() {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -30,6 +30,8 @@
 void Count(const char* name, std::uint64_t by = 1);
 void CountFault(const char* name, const std::string& detail);
 std::uint64_t CountOf(const std::string& name);
+// Counts what a figure that only grows has grown by since `*before`, which becomes it.
+void CountGrowth(const char* name, std::uint64_t now, std::uint64_t* before);
 void LogCounts();
 
 // What must hold: asserted in debug builds, counted in release builds.
--- a/src/cli/call.cpp
+++ b/src/cli/call.cpp
@@ -2,6 +2,9 @@
 
 #include <gio/gio.h>
 
+#include <cstdlib>
+
+#include "cli/cli.h"
 #include "http/http.h"
 
 namespace pearreach::cli {
@@ -12,6 +15,22 @@
 
 }  // namespace
 
+bool ReadDoorCall(cxxopts::Options* options, int argc, char** argv, DoorCall* call) {
+  options->add_options()("words", "", cxxopts::value<std::vector<std::string>>())(
+      "door", "the operators' door of a node, ip:port; $EDGE_OPERATOR if not given",
+      cxxopts::value<std::string>()->default_value(""), "ADDRESS");
+  options->parse_positional({"words"});
+  bool done = false;
+  call->args = Parse(options, argc, argv, &done);
+  if (done) return false;
+  if (call->args.count("words") > 0)
+    call->words = call->args["words"].as<std::vector<std::string>>();
+  call->door = call->args["door"].as<std::string>();
+  if (const char* set = std::getenv("EDGE_OPERATOR"); call->door.empty() && set != nullptr)
+    call->door = set;
+  return true;
+}
+
 int CallDoor(const std::string& door, const std::string& method, const std::string& target,
              const std::string& said, std::string* body) {
   GError* error = nullptr;
--- a/src/cli/rules.cpp
+++ b/src/cli/rules.cpp
@@ -112,23 +112,17 @@
       "  rules wait VERSION          until every node that is heard has it, else names those\n"
       "  rules force NODE...         a majority of the voters is lost for good: these go on\n"
       "Exit codes: 0 done, 1 the node says no, 2 wrong use or no node there.");
-  options.add_options()("words", "", cxxopts::value<std::vector<std::string>>())(
-      "door", "the operators' door of a node, ip:port; $EDGE_OPERATOR if not given",
-      cxxopts::value<std::string>()->default_value(""), "ADDRESS")(
+  options.add_options()(
       "after", "the version that the proposal was made for: refused if another is in force",
       cxxopts::value<std::string>()->default_value(""),
       "VERSION")("seconds", "to wait for a proposal or a version",
                  cxxopts::value<int>()->default_value("15"), "N");
-  options.parse_positional({"words"});
   options.positional_help("propose|show|diff|history|wait|force [...]");
-  bool done = false;
-  const auto args = Parse(&options, argc, argv, &done);
-  if (done) return kGood;
-  const std::vector<std::string> words = args.count("words") > 0
-                                             ? args["words"].as<std::vector<std::string>>()
-                                             : std::vector<std::string>();
-  std::string door = args["door"].as<std::string>();
-  if (const char* set = std::getenv("EDGE_OPERATOR"); door.empty() && set != nullptr) door = set;
+  DoorCall call;
+  if (!ReadDoorCall(&options, argc, argv, &call)) return kGood;
+  const std::vector<std::string>& words = call.words;
+  const std::string& door = call.door;
+  const cxxopts::ParseResult& args = call.args;
   const std::string verb = words.empty() ? "" : words[0];
   const gint64 until =
       g_get_monotonic_time() + G_USEC_PER_SEC * static_cast<gint64>(args["seconds"].as<int>());
--- a/src/cli/zone.cpp
+++ b/src/cli/zone.cpp
@@ -2,7 +2,6 @@
 // that node holds of all zones.
 #include <glib.h>
 
-#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <string>
@@ -23,19 +22,11 @@
                            "  zone clear NAME    the nodes decide by what they see\n"
                            "  zone show          how this node uses each zone, and why\n"
                            "Exit codes: 0 done, 1 the node says no, 2 wrong use or no node there.");
-  options.add_options()("words", "", cxxopts::value<std::vector<std::string>>())(
-      "door", "the operators' door of a node, ip:port; $EDGE_OPERATOR if not given",
-      cxxopts::value<std::string>()->default_value(""), "ADDRESS");
-  options.parse_positional({"words"});
   options.positional_help("leave|return|clear|show [NAME]");
-  bool done = false;
-  const auto args = Parse(&options, argc, argv, &done);
-  if (done) return kGood;
-  const std::vector<std::string> words = args.count("words") > 0
-                                             ? args["words"].as<std::vector<std::string>>()
-                                             : std::vector<std::string>();
-  std::string door = args["door"].as<std::string>();
-  if (const char* set = std::getenv("EDGE_OPERATOR"); door.empty() && set != nullptr) door = set;
+  DoorCall call;
+  if (!ReadDoorCall(&options, argc, argv, &call)) return kGood;
+  const std::vector<std::string>& words = call.words;
+  const std::string& door = call.door;
   const bool show = words.size() == 1 && words[0] == "show";
   const bool order =
       words.size() == 2 && (words[0] == "leave" || words[0] == "return" || words[0] == "clear");
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -180,17 +180,14 @@
             (c.by == settings_.self ? "this node" : "node " + Name(c.by)));
   }
   const members::Counts& n = members_->counts();
-  const auto count = [](const char* name, std::uint64_t now, std::uint64_t* before) {
-    if (now > *before) Count(name, now - std::exchange(*before, now));
-  };
-  count("member_probes", n.probes, &reported_.probes);
-  count("member_probes_failed", n.failed, &reported_.failed);
-  count("member_asks", n.asks, &reported_.asks);
-  count("member_suspicions", n.suspicions, &reported_.suspicions);
-  count("member_suspicions_held_back", n.held_back, &reported_.held_back);
-  count("member_refutations", n.refutations, &reported_.refutations);
-  count("member_sections_malformed", n.malformed, &reported_.malformed);
-  count("member_stalls", n.stalls, &reported_.stalls);
+  CountGrowth("member_probes", n.probes, &reported_.probes);
+  CountGrowth("member_probes_failed", n.failed, &reported_.failed);
+  CountGrowth("member_asks", n.asks, &reported_.asks);
+  CountGrowth("member_suspicions", n.suspicions, &reported_.suspicions);
+  CountGrowth("member_suspicions_held_back", n.held_back, &reported_.held_back);
+  CountGrowth("member_refutations", n.refutations, &reported_.refutations);
+  CountGrowth("member_sections_malformed", n.malformed, &reported_.malformed);
+  CountGrowth("member_stalls", n.stalls, &reported_.stalls);
   const members::View v = members_->view(Now());
   if (v.doubts_itself != doubts_) {
     doubts_ = v.doubts_itself;
@@ -280,18 +277,15 @@
 void Fleet::SendShared(std::vector<shared::Shared::Out>* out) {
   for (const shared::Shared::Out& o : *out) peers_.Say(o.to, Topic::kShared, o.section);
   const shared::SharedCounts& n = shared_->figures();
-  const auto count = [](const char* name, std::uint64_t now, std::uint64_t* before) {
-    if (now > *before) Count(name, now - std::exchange(*before, now));
-  };
-  count("shared_words", n.words, &shared_reported_.words);
-  count("shared_words_malformed", n.malformed, &shared_reported_.malformed);
-  count("shared_news", n.news, &shared_reported_.news);
-  count("shared_asks", n.asks, &shared_reported_.asks);
-  count("shared_grants", n.grants, &shared_reported_.grants);
-  count("shared_grants_got", n.grants_got, &shared_reported_.grants_got);
-  count("shared_left_out", n.left_out, &shared_reported_.left_out);
-  count("shared_over_ceiling", n.over_ceiling, &shared_reported_.over_ceiling);
-  count("shared_over_repeats", n.over_repeats, &shared_reported_.over_repeats);
+  CountGrowth("shared_words", n.words, &shared_reported_.words);
+  CountGrowth("shared_words_malformed", n.malformed, &shared_reported_.malformed);
+  CountGrowth("shared_news", n.news, &shared_reported_.news);
+  CountGrowth("shared_asks", n.asks, &shared_reported_.asks);
+  CountGrowth("shared_grants", n.grants, &shared_reported_.grants);
+  CountGrowth("shared_grants_got", n.grants_got, &shared_reported_.grants_got);
+  CountGrowth("shared_left_out", n.left_out, &shared_reported_.left_out);
+  CountGrowth("shared_over_ceiling", n.over_ceiling, &shared_reported_.over_ceiling);
+  CountGrowth("shared_over_repeats", n.over_repeats, &shared_reported_.over_repeats);
 }
 
 std::optional<shared::Shared::Admission> Fleet::Admit(int account, bool is_repeat) {
@@ -508,17 +502,14 @@
   for (const zones::Zones::Out& o : *out) peers_.Say(o.to, Topic::kZones, o.section);
   ApplyZones();
   const zones::Figures& n = zones_->figures();
-  const auto count = [](const char* name, std::uint64_t now, std::uint64_t* before) {
-    if (now > *before) Count(name, now - std::exchange(*before, now));
-  };
-  count("zone_words", n.words, &zones_reported_.words);
-  count("zone_words_malformed", n.malformed, &zones_reported_.malformed);
-  count("zone_words_old", n.old, &zones_reported_.old);
-  count("zone_entries_left_out", n.left_out, &zones_reported_.left_out);
-  count("zone_verdicts_raised", n.raised, &zones_reported_.raised);
-  count("zone_verdicts_adopted", n.adopted, &zones_reported_.adopted);
-  count("zone_verdicts_doubted", n.doubted, &zones_reported_.doubted);
-  count("zone_held_back", n.held_back, &zones_reported_.held_back);
+  CountGrowth("zone_words", n.words, &zones_reported_.words);
+  CountGrowth("zone_words_malformed", n.malformed, &zones_reported_.malformed);
+  CountGrowth("zone_words_old", n.old, &zones_reported_.old);
+  CountGrowth("zone_entries_left_out", n.left_out, &zones_reported_.left_out);
+  CountGrowth("zone_verdicts_raised", n.raised, &zones_reported_.raised);
+  CountGrowth("zone_verdicts_adopted", n.adopted, &zones_reported_.adopted);
+  CountGrowth("zone_verdicts_doubted", n.doubted, &zones_reported_.doubted);
+  CountGrowth("zone_held_back", n.held_back, &zones_reported_.held_back);
 }
 
 std::string Fleet::WhyOf(const zones::Standing& s) const {
--- a/src/fleet/rules_part.cpp
+++ b/src/fleet/rules_part.cpp
@@ -114,15 +114,12 @@
     if (outcomes_.size() > kMostOutcomes) outcomes_.erase(outcomes_.begin());
   }
   const rules::Figures& n = machine_.figures();
-  const auto count = [](const char* name, std::uint64_t now, std::uint64_t* before) {
-    if (now > *before) Count(name, now - std::exchange(*before, now));
-  };
-  count("rules_words", n.words, &reported_.words);
-  count("rules_words_malformed", n.malformed, &reported_.malformed);
-  count("rules_ballots", n.ballots, &reported_.ballots);
-  count("rules_chosen", n.chosen, &reported_.chosen);
-  count("rules_learned", n.learned, &reported_.learned);
-  count("rules_refused", n.refused, &reported_.refused);
+  CountGrowth("rules_words", n.words, &reported_.words);
+  CountGrowth("rules_words_malformed", n.malformed, &reported_.malformed);
+  CountGrowth("rules_ballots", n.ballots, &reported_.ballots);
+  CountGrowth("rules_chosen", n.chosen, &reported_.chosen);
+  CountGrowth("rules_learned", n.learned, &reported_.learned);
+  CountGrowth("rules_refused", n.refused, &reported_.refused);
   if (n.forked > reported_.forked)
     CountFault("rules_forked", "another node has another version " +
                                    std::to_string(machine_.head().number) +
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -11,7 +11,9 @@
 #include <cerrno>
 #include <map>
 
+#include "base/log.h"
 #include "fleet/rules_file.h"
+#include "fleet/rules_part.h"
 #include "lab/stats/stats.h"
 #include "lab/trial/rules_checkers.h"
 #include "lab/trial/rules_virtual.h"
@@ -549,6 +551,28 @@
   knowledge::SystemDisk().Remove(folder);
 }
 
+// A node that cannot keep what it has accepted says nothing from then on.
+TEST(RulesOnDisk, WhatCannotBeKeptIsNotSaid) {
+  RulesSettings settings;
+  settings.options.nodes = 2;
+  settings.options.voters = {0};
+  settings.options.every = 1'000;
+  settings.keep = "/nonexistent-folder/rules";
+  int said = 0;
+  RulesPart part(
+      settings, 1, [&](int, const std::string&) { ++said; }, [] { return std::vector<int>{1}; },
+      [] {});
+  part.Begin();
+  EXPECT_GT(said, 0);
+  const auto chosen = [&] { return part.machine().head().number == 1; };
+  ASSERT_EQ(part.Propose("<rules><ban worker='s-1'/></rules>", "").status, 202);
+  while (!chosen()) g_main_context_iteration(nullptr, TRUE);
+  const int before = said;
+  const std::uint64_t failed = CountOf("rules_not_kept");
+  while (CountOf("rules_not_kept") < failed + 5) g_main_context_iteration(nullptr, TRUE);
+  EXPECT_EQ(said, before);
+}
+
 // ---------------------------------------------------------------- the checkers
 
 lab::Moment Says(Micros at, const char* node, const char* basis, const char* versions, int number,
