Say which version is the latest where rules wait asks for a later one

Cause: tried as a new user, `rules wait 9` on a fleet at version 1 ended with "heard and without it:" and nobody named.

Change: it says that version 9 is not there and which one is the latest at that node.

--- a/src/cli/rules.cpp
+++ b/src/cli/rules.cpp
@@ -88,7 +88,13 @@
     if (g_get_monotonic_time() >= until) {
       if (status == 0) return Say(door, 0, body);
       const std::string refuses = LineOf(body, "refuses");
-      std::cerr << "pearreach rules: version " << body.substr(0, body.find('\n'))
+      const std::string in_force = body.substr(0, body.find(' '));
+      if (marlquay::Number<std::uint64_t>(in_force, "version") < wanted) {
+        std::cerr << "pearreach rules: version " << wanted << " is not there; " << in_force
+                  << " is the latest at that node\n";
+        return kNo;
+      }
+      std::cerr << "pearreach rules: version " << in_force
                 << "; heard and without it: " << LineOf(body, "not")
                 << (refuses.empty() ? "" : "; cannot read it: " + refuses) << '\n';
       return kNo;
