--- a/lab/trial/rules_checkers.cpp
+++ b/lab/trial/rules_checkers.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "lab/trial/fault.h"
+
 namespace pearreach::lab {
 namespace {
 
@@ -157,8 +159,22 @@
   const Seen seen = Read(history);
   std::vector<Violation> wrong;
   std::map<std::pair<std::string, std::string>, std::vector<std::size_t>> took;
-  for (std::size_t i = 0; i < history.size(); ++i)
-    if (history[i].what == "took") took[{history[i].Of("node"), history[i].who}].push_back(i);
+  // What comes when a held connection is let go was sent before.
+  std::vector<const Moment*> holds;
+  int zones = 1;
+  const auto was_held = [&](const Moment& m) {
+    return std::any_of(holds.begin(), holds.end(), [&](const Moment* hold) {
+      return m.at >= hold->at && m.at <= hold->at + hold->Number("length_us") + kTurn &&
+             Selects(hold->Of("from"), m.Of("node"), zones) &&
+             Selects(hold->Of("to"), m.who, zones);
+    });
+  };
+  for (std::size_t i = 0; i < history.size(); ++i) {
+    const Moment& m = history[i];
+    if (m.who == "trial" && m.what == "plan") zones = std::max<int>(1, m.Number("zones"));
+    if (m.who == "trial" && m.what == "fault" && m.Of("kind") == "hold-tcp") holds.push_back(&m);
+    if (m.what == "took" && !was_held(m)) took[{m.Of("node"), m.who}].push_back(i);
+  }
   std::map<std::pair<std::string, std::string>, Micros> banned;  // since
   for (const Acts& a : seen.acts) {
     // A ban goes on from one line to the next that has it too.
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -616,6 +616,23 @@
                             over})
                 .size(),
             1u);
+  // What a held connection lets go was sent before the ban, as long as it may be so.
+  const auto held = [&](Micros length) {
+    return lab::RulesBans({plan,
+                           {500'000,
+                            "trial",
+                            "fault",
+                            {{"kind", "hold-tcp"},
+                             {"from", "n0"},
+                             {"to", "*"},
+                             {"length_us", std::to_string(length)}}},
+                           Says(1'000'000, "n0", "version", "2", 2, "aa", "s-3"),
+                           {9'000'000, "s-3", "took", {{"node", "n0"}}},
+                           over})
+        .size();
+  };
+  EXPECT_EQ(held(8'490'000), 0u);
+  EXPECT_EQ(held(5'000'000), 1u);
   EXPECT_EQ(lab::RulesSettle({plan,
                               Says(1, "n0", "version", "1", 1),
                               Says(2, "n1", "version", "2", 2, "bb"),
