Set out the contracts of the serving tier's packages

The vendor of the list service and the configuration tool ends both; the tier needs membership, control state, a registry of workers, admission on its own sockets and lots.

--- /dev/null
+++ b/src/batch/messages.h
@@ -0,0 +1,245 @@
+// Messages between edge nodes and store machines, and the table that places lots on stores.
+#ifndef PEARREACH_SRC_BATCH_MESSAGES_H_
+#define PEARREACH_SRC_BATCH_MESSAGES_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "codec/archive.h"
+
+namespace pearreach::batch {
+
+// ---------------------------------------------------------------- placement
+
+// A store: node name and identity of its disk's contents (coordination::ReplicaId).
+struct StoreId {
+  std::string name, disk_id;
+  auto operator<=>(const StoreId&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & name & disk_id;
+  }
+};
+
+struct Partition {
+  std::uint64_t epoch = 0;          // rises with each change of this partition
+  std::vector<StoreId> replicas;    // the first is the primary; each holds all that was acknowledged
+  std::vector<StoreId> joining;     // gets all new writes and is being filled; not counted yet
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & epoch & replicas & joining;
+  }
+};
+
+struct PlacementTable {
+  std::uint64_t epoch = 0;
+  std::vector<Partition> partitions;  // a lot belongs to PartitionOf(its id)
+  std::vector<std::string> retiring;  // node names that are to be emptied
+  std::vector<std::string> retired;   // emptied: they hold nothing that is needed
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & epoch & partitions & retiring & retired;
+  }
+};
+
+constexpr std::uint32_t kPartitions = 32;
+std::uint32_t PartitionOf(std::string_view lot_id);  // FNV-1a, the same on every node
+
+// ---------------------------------------------------------------- lots
+
+struct ItemSpec {
+  std::string item_id;  // the client's `worker_id` of the entry
+  std::string path;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;  // decoded
+  double tokens = 0;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & item_id & path & headers & body & tokens;
+  }
+};
+
+struct LotSpec {
+  std::string lot_id, route, host;
+  std::uint64_t fingerprint = 0;  // of the whole hand-in: the same lot sent again
+  double token_cap = 0, quota_excess = 0;
+  int tries = 1;
+  double due_ms = 0, retain_s = 0, status_s = 0;
+  std::vector<ItemSpec> items;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & lot_id & route & host & fingerprint & token_cap & quota_excess & tries & due_ms &
+        retain_s & status_s & items;
+  }
+};
+
+// Every call to a store carries the placement epoch that the caller knows. A store that is not the
+// active primary of the lot's partition answers FAILED_PRECONDITION or UNAVAILABLE: ask again.
+struct CreateLot {
+  std::uint64_t placement_epoch = 0;
+  LotSpec lot;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & placement_epoch & lot;
+  }
+};
+enum class CreateStatus : std::uint8_t { kAccepted, kOverQuota };  // kAccepted also when repeated
+struct CreateLotAnswer {
+  CreateStatus status = CreateStatus::kAccepted;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & status;
+  }
+};
+
+enum class ItemPhase : std::uint8_t { kComplete, kAbandoned };
+struct ItemOutput {
+  std::string item_id;
+  ItemPhase phase = ItemPhase::kComplete;
+  std::string content;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & item_id & phase & content;
+  }
+};
+
+struct ReadLot {
+  std::uint64_t placement_epoch = 0;
+  std::string lot_id;
+  std::uint64_t start_after = 0;
+  std::int64_t wait_ms = 0;  // hold the answer this long where nothing is there yet
+  std::uint64_t max_bytes = 1'000'000;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & placement_epoch & lot_id & start_after & wait_ms & max_bytes;
+  }
+};
+struct ReadLotAnswer {
+  bool found = false;  // false only where it is sure that no such lot was accepted
+  std::uint64_t total = 0;
+  std::vector<ItemOutput> outputs;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & found & total & outputs;
+  }
+};
+
+struct ReadItemBody {
+  std::uint64_t placement_epoch = 0;
+  std::string lot_id, item_id;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & placement_epoch & lot_id & item_id;
+  }
+};
+struct ReadItemBodyAnswer {
+  bool found = false;
+  std::string body;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & found & body;
+  }
+};
+
+struct CancelLot {
+  std::uint64_t placement_epoch = 0;
+  std::string lot_id;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & placement_epoch & lot_id;
+  }
+};
+struct CancelLotAnswer {
+  bool found = false;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & found;
+  }
+};
+
+// ---------------------------------------------------------------- leases of items
+
+struct TakeItems {
+  std::string node;             // name of the edge node
+  std::uint64_t process = 0;    // of its process: leases of an earlier one are void
+  std::uint64_t placement_epoch = 0;
+  std::map<std::string, int> room;  // by route name: how many items it would run now
+  std::int64_t wait_ms = 0;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & node & process & placement_epoch & room & wait_ms;
+  }
+};
+struct LeasedItem {
+  std::string lot_id, route, host;
+  std::uint64_t lease = 0;  // unique at its store process; results and renewals name it
+  std::int64_t expires_ms = 0;  // from now: give the item up by then unless renewed
+  std::uint32_t failures = 0;   // answers of 500 so far
+  int tries = 1;
+  double retain_left_ms = 0;
+  ItemSpec item;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & lot_id & route & host & lease & expires_ms & failures & tries & retain_left_ms & item;
+  }
+};
+struct TakeItemsAnswer {
+  std::vector<LeasedItem> items;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & items;
+  }
+};
+
+enum class RunOutcome : std::uint8_t {
+  kComplete,    // `content` is the whole output
+  kFailed,      // a worker answered 500: counts towards `tries`
+  kImpossible,  // a worker answered 422
+  kReturned,    // not run, or nothing known: run it again
+};
+struct ItemResult {
+  std::string lot_id, item_id;
+  std::uint64_t lease = 0;
+  RunOutcome outcome = RunOutcome::kReturned;
+  std::string content;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & lot_id & item_id & lease & outcome & content;
+  }
+};
+// The answer to an ItemResult is empty: it has been made durable or is of no more use. The edge
+// keeps a complete result and sends it again, also to a new primary, until it is acknowledged.
+struct RenewLeases {
+  std::string node;
+  std::uint64_t process = 0;
+  std::vector<std::pair<std::string, std::string>> held;  // lot and item
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & node & process & held;
+  }
+};
+struct RenewLeasesAnswer {
+  std::vector<std::pair<std::string, std::string>> stop;  // of ended lots or done: cancel these
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & stop;
+  }
+};
+
+// Store -> placement duty (kStoreStatus): joiners that hold all of a partition now.
+struct StoreStatus {
+  StoreId store;
+  std::vector<std::pair<std::uint32_t, std::uint64_t>> filled;  // partition, its epoch
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive & store & filled;
+  }
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_MESSAGES_H_
--- /dev/null
+++ b/src/front/http_server.h
@@ -0,0 +1,47 @@
+// An HTTP/1.1 server on one address: reads whole requests, hands them to a handler as exchanges and
+// writes the answers in order. Used for clients, control calls and readiness alike.
+#ifndef PEARREACH_SRC_FRONT_HTTP_SERVER_H_
+#define PEARREACH_SRC_FRONT_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "base/timers.h"
+#include "front/exchange.h"
+
+namespace pearreach::front {
+
+struct ServerOptions {
+  std::size_t max_header_bytes = 16 << 10;
+  std::size_t max_body_bytes = 4 << 20;
+  Micros header_wait = 3 * kSecond;  // from a request's first byte, or of a new connection
+  Micros idle = 15 * kSecond;        // between requests of a connection
+  std::size_t max_connections = 1000;
+};
+
+class HttpServer {
+ public:
+  HttpServer(Timers* timers, ServerOptions options, ExchangeHandler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  std::string Open(const std::string& address);  // "ip:port"; empty, or what is wrong
+  void SetOptions(const ServerOptions& options);  // for what comes from now on
+  // From now on each answer says Connection: close and its connection ends with it; connections
+  // without a request under way are served once more within `linger`, then closed. New connections
+  // are still accepted and served so until StopAccepting.
+  void Drain(Micros linger);
+  void StopAccepting();
+  std::size_t connections() const;
+  std::size_t unanswered() const;  // exchanges handed out and not yet answered whole
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace pearreach::front
+
+#endif  // PEARREACH_SRC_FRONT_HTTP_SERVER_H_
--- /dev/null
+++ b/src/mesh/mesh.h
@@ -0,0 +1,70 @@
+// The transport between the system's own processes: calls with an answer over TCP and datagrams
+// over UDP, both on the first port of the machine's free range. It knows nothing of what the
+// messages say. Single-threaded, on the default main loop.
+#ifndef PEARREACH_SRC_MESH_MESH_H_
+#define PEARREACH_SRC_MESH_MESH_H_
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/timers.h"
+
+namespace pearreach::mesh {
+
+// What a call asks for. Values are part of the protocol and never reused.
+enum class MessageType : std::uint8_t {
+  kChain = 1,            // one-way or call between chain replicas (coordination/chain.h)
+  kControlPoll = 2,      // a data node asks for control state newer than what it has
+  kControlWrite = 3,     // a node passes an operator's or a duty's change on to the head
+  kControlRead = 4,      // a strict read of the control state
+  kWorkerUpdate = 5,     // a changed worker record, acknowledged by the receiver
+  kWorkerSync = 6,       // a periodic summary of workers
+  kLotCreate = 20,       // edge -> primary store
+  kLotRead = 21,         // edge -> primary store
+  kLotItemBody = 22,     // edge -> primary store
+  kLotCancel = 23,       // edge -> primary store
+  kItemTake = 24,        // edge -> primary store: lease items to run (held until there are some)
+  kItemResult = 25,      // edge -> primary store: result of a leased item
+  kItemRenew = 26,       // edge -> primary store: leases still held
+  kReplicate = 30,       // primary store -> backup store
+  kRepairDigest = 31,    // primary store -> backup store: digests over ranges of lots
+  kQuotaReserve = 32,    // primary store -> quota owner
+  kQuotaReport = 33,     // primary store -> quota owner
+  kStoreStatus = 34,     // store -> placement duty
+};
+
+using Respond = std::function<void(absl::StatusOr<std::string> answer)>;
+// `from` is the IP address of the caller. `respond` may be kept and called once, later.
+using Handler = std::function<void(const std::string& from, std::string_view body, Respond respond)>;
+using DatagramHandler = std::function<void(const std::string& from_ip, std::string_view body)>;
+using Done = std::function<void(absl::StatusOr<std::string> answer)>;
+
+class Mesh {
+ public:
+  virtual ~Mesh() = default;
+
+  virtual void Handle(MessageType type, Handler handler) = 0;
+  // Calls the node at `address` ("ip:port"). `done` is called exactly once, never from inside Call:
+  // with the answer, the error that the handler returned, DEADLINE_EXCEEDED after `timeout`, or
+  // UNAVAILABLE where the connection failed (the call may have been carried out all the same).
+  // Calls to one address are delivered in order as long as its connection lasts.
+  virtual void Call(const std::string& address, MessageType type, std::string body, Micros timeout,
+                    Done done) = 0;
+
+  // Datagrams may be lost, doubled or reordered; at most kMaxDatagram bytes.
+  static constexpr std::size_t kMaxDatagram = 1400;
+  virtual void HandleDatagrams(DatagramHandler handler) = 0;
+  virtual void SendDatagram(const std::string& address, std::string_view body) = 0;
+};
+
+// Listens on ip:port for both; an error names what is wrong.
+absl::StatusOr<std::unique_ptr<Mesh>> OpenMesh(const std::string& ip, int port, Timers* timers);
+
+}  // namespace pearreach::mesh
+
+#endif  // PEARREACH_SRC_MESH_MESH_H_
--- /dev/null
+++ b/src/proxy/job.h
@@ -0,0 +1,77 @@
+// A job: one request that must run on a worker of a service. Live requests of clients and items of
+// lots are jobs alike; both pass the same admission (marlquay::Dispatcher, one a service).
+#ifndef PEARREACH_SRC_PROXY_JOB_H_
+#define PEARREACH_SRC_PROXY_JOB_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/io.h"
+#include "http/http.h"
+
+namespace pearreach::proxy {
+
+struct JobSpec {
+  std::string service;             // the route's target, already picked from a split
+  std::string method, target;      // as the worker gets them
+  std::vector<http::Header> headers;  // end-to-end ones, X-Attempt-Id and Host among them
+  std::string body;
+  std::string attempt_id;  // X-Attempt-Id
+  Micros due = 0;          // on Now()'s clock: when the client gives up or the route's limit ends
+  double target_ms = 0;    // objective for the first byte, from `due`'s start
+  int rank = 0;            // 0 is the most urgent
+  int tries = 1;           // most workers that it may be sent to
+  bool repeatable = false; // may run more than once
+  bool streamed = false;   // text/event-stream with rising ids
+  bool resumable = false;  // streamed and may go on at another worker with Last-Event-Id
+  bool bulk = false;       // an item of a lot: yields to live jobs
+  std::uint64_t last_event_id = 0;  // of the request; 0: from the start
+  std::uint64_t prefix_key = 0;     // hash of the shared parts of its prompt; 0: none
+  double tokens = 0;                // of the prompt and most out
+};
+
+enum class JobEnd {
+  kComplete,  // the whole answer was passed on
+  kNotRun,    // a promise: it has not run and never will; come back after `retry_after`
+  kFailed,    // no promise: a worker failed, or may have run it
+  kTimeout,   // the time is over, no promise
+  kBroken,    // the answer had begun and cannot be completed
+};
+
+struct JobResult {
+  JobEnd end = JobEnd::kFailed;
+  Micros retry_after = 0;
+  int worker_status = 0;  // last status that a worker gave, 0: none
+};
+
+// OnHead once at most, then OnBody any number of times, then OnEnd exactly once. For a streamed job
+// OnBody carries whole events, none twice, without gaps, whichever workers they came from.
+class JobSink {
+ public:
+  virtual ~JobSink() = default;
+  virtual void OnHead(int status, const std::vector<http::Header>& headers) = 0;
+  virtual void OnBody(std::string_view bytes) = 0;
+  virtual void OnEnd(const JobResult& result) = 0;
+  // Bytes that the receiver has not taken; the worker's connection is read no further while large.
+  virtual std::size_t backlog() const { return 0; }
+};
+
+class JobRunner {
+ public:
+  virtual ~JobRunner() = default;
+  // Takes the job on; the sink hears its end unless Cancel comes first.
+  virtual std::uint64_t Submit(JobSpec spec, std::shared_ptr<JobSink> sink) = 0;
+  // The client is gone or the lot was ended: workers are left at once, the sink hears nothing more.
+  virtual void Cancel(std::uint64_t job) = 0;
+  // How many more bulk jobs of this service this node would run now without harm to live ones;
+  // 0 where workers are unknown or filled.
+  virtual int BulkRoom(const std::string& service) const = 0;
+};
+
+}  // namespace pearreach::proxy
+
+#endif  // PEARREACH_SRC_PROXY_JOB_H_
--- /dev/null
+++ b/src/routing/route_table.h
@@ -0,0 +1,84 @@
+// A whole configuration as an immutable snapshot: routes, services and limits, checked, with the
+// look-up of a request's route. Nothing here changes after Parse; a new configuration is a new
+// table that is swapped in whole.
+#ifndef PEARREACH_SRC_ROUTING_ROUTE_TABLE_H_
+#define PEARREACH_SRC_ROUTING_ROUTE_TABLE_H_
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace pearreach::routing {
+
+enum class Variant { kIdempotent, kEffectful, kStreamed, kBulk };
+
+struct Target {
+  std::string service;
+  double share = 1;
+};
+
+struct Route {
+  std::string name, host, path_prefix;
+  Variant variant = Variant::kEffectful;
+  double limit_ms = 0, target_ms = 0, gap_aim_ms = 0;
+  double due_ms = 0, retain_s = 0, token_cap = 0;  // bulk only; token_cap 0: no limit
+  int rank = 0, tries = 1;
+  bool pinned = false, resumable = false;
+  std::vector<Target> targets;  // one, or a weighted split; shares sum to more than 0
+
+  // Whether a request may reach more than one worker without a promise that it has not run.
+  bool Repeatable() const {
+    return variant == Variant::kIdempotent || variant == Variant::kBulk ||
+           (variant == Variant::kStreamed && resumable);
+  }
+};
+
+struct Service {
+  std::string name, health_path;
+  int max_conns = 0;
+  bool has_engine = false;
+  int engine_capacity = 0;
+  double engine_cache_tokens = 0;
+};
+
+struct HttpLimits {
+  std::size_t max_header_bytes = 16384, max_body_bytes = 4 << 20;
+  double header_wait_ms = 3000, idle_ms = 15000;
+};
+
+class RouteTable {
+ public:
+  // Reads and checks a whole configuration; INVALID_ARGUMENT lists every finding with its place.
+  // Checked: reads whole, version_no a positive whole number, every route names known services,
+  // no two routes share host and prefix, shares sum to more than 0, limit_ms above 0, prefixes
+  // begin and end with '/', names unique. Unknown fields are ignored.
+  static absl::StatusOr<std::shared_ptr<const RouteTable>> Parse(const std::string& json);
+
+  std::int64_t version() const { return version_; }
+  const HttpLimits& limits() const { return limits_; }
+  const std::vector<Route>& routes() const { return routes_; }
+  const Service* FindService(std::string_view name) const;
+  // The route of that host with the longest prefix that begins the path; null: none. A query is
+  // not part of the path; a port in `host` is passed over; case of the host does not matter.
+  const Route* Match(std::string_view host, std::string_view path) const;
+  const Route* FindRoute(std::string_view name) const;
+  // A target by weight: `point` in [0, 1).
+  static const Target& Pick(const Route& route, double point);
+
+ private:
+  friend class TableReader;
+  std::int64_t version_ = 0;
+  HttpLimits limits_;
+  std::vector<Route> routes_;
+  std::unordered_map<std::string, std::vector<std::size_t>> by_host_;  // longest prefix first
+  std::unordered_map<std::string, Service> services_;
+};
+
+}  // namespace pearreach::routing
+
+#endif  // PEARREACH_SRC_ROUTING_ROUTE_TABLE_H_
