--- a/src/base/io.cpp
+++ b/src/base/io.cpp
@@ -4,6 +4,7 @@
 #include <gio/gunixsocketaddress.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 
 #include <algorithm>
@@ -123,6 +124,12 @@
   g_clear_object(&socket_);
 }
 
+void Stream::ResetOnClose() {
+  if (socket_ == nullptr) return;
+  const linger at_once{1, 0};
+  setsockopt(g_socket_get_fd(socket_), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
 void Stream::CloseAfterWrite() {
   if (socket_ == nullptr) return;
   closing_ = true;
@@ -227,6 +234,7 @@
   const bool blocked = n < 0 && IsBlocked(error);
   g_clear_error(&error);
   if (blocked) return;
+  ended_in_order_ = n == 0;
   if (n <= 0) return Break();
   if (closing_) return;  // nothing more is wanted of this peer
   const auto data = handlers_.data;
@@ -313,8 +321,10 @@
     GError* error = nullptr;
     GSocket* accepted = g_socket_accept(socket, nullptr, &error);
     if (accepted == nullptr) {
-      if (!IsBlocked(error)) CountFault("accept_failed", error->message);
+      const bool failed = !IsBlocked(error);
+      if (failed) CountFault("accept_failed", error->message);
       g_clear_error(&error);
+      if (failed && listener->failed_) listener->failed_();
       break;
     }
     listener->accepted_(Stream::Adopt(accepted));
--- a/src/base/io.h
+++ b/src/base/io.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "base/log.h"
 #include "base/poller.h"
@@ -76,7 +77,10 @@
   bool open() const { return socket_ != nullptr; }
   int descriptor() const { return socket_ == nullptr ? -1 : g_socket_get_fd(socket_); }
   bool Quiet() const;  // open, and the peer has neither sent nor closed
+  // The peer has ended its side in order; false where the connection was reset or has failed.
+  bool ended_in_order() const { return ended_in_order_; }
   void Close();
+  void ResetOnClose();  // the peer is to see no ordinary end
   // Sends what is left and ends this side; what still comes is dropped until the peer closes too,
   // which is told by `closed`. The owner bounds the wait.
   void CloseAfterWrite();
@@ -96,7 +100,7 @@
   std::function<void(int)> descriptors_;
   std::string out_;
   std::size_t sent_ = 0;
-  bool connecting_ = false, refused_ = false, closing_ = false;
+  bool connecting_ = false, refused_ = false, closing_ = false, ended_in_order_ = false;
 };
 
 class Listener {
@@ -112,6 +116,8 @@
       const std::string& path);  // likewise, in the file system: for its owner alone
   // A listening descriptor that was handed over, paused; it is this one's from now on.
   std::string Take(int descriptor);
+  // Told when no connection can be taken though one waits, as descriptors ran out; it may pause.
+  void OnAcceptFailed(std::function<void()> failed) { failed_ = std::move(failed); }
   int descriptor() const;
   int port() const;
   void Pause();
@@ -122,6 +128,7 @@
   std::string Bind(GSocketAddress* at, bool reuse);
 
   std::function<void(std::shared_ptr<Stream>)> accepted_;
+  std::function<void()> failed_;
   GSocket* socket_ = nullptr;
   GSource* source_ = nullptr;
 };
--- /dev/null
+++ b/src/mesh/frame.cpp
@@ -0,0 +1,57 @@
+#include "mesh/frame.h"
+
+#include <cstring>
+
+namespace pearreach::mesh {
+namespace {
+
+template <class Number>
+void AppendNumber(Number value, std::string* out) {
+  for (std::size_t i = 0; i < sizeof value; ++i)
+    out->push_back(static_cast<char>(value >> (8 * i) & 0xff));
+}
+
+template <class Number>
+Number ReadNumber(const char* bytes) {
+  Number value = 0;
+  for (std::size_t i = 0; i < sizeof value; ++i)
+    value |= static_cast<Number>(static_cast<unsigned char>(bytes[i])) << (8 * i);
+  return value;
+}
+
+}  // namespace
+
+void AppendFrame(const Frame& frame, std::string* out) {
+  out->reserve(out->size() + kFrameHead + frame.body.size());
+  AppendNumber(static_cast<std::uint32_t>(frame.body.size()), out);
+  out->push_back(static_cast<char>(frame.kind));
+  out->push_back(static_cast<char>(frame.type));
+  AppendNumber(frame.call, out);
+  out->append(frame.body);
+}
+
+void FrameReader::Feed(std::string_view bytes) {
+  if (read_ > 0) {
+    buffer_.erase(0, read_);
+    read_ = 0;
+  }
+  buffer_.append(bytes);
+}
+
+FrameReader::State FrameReader::Next(Frame* frame) {
+  const std::size_t have = buffer_.size() - read_;
+  if (have < kFrameHead) return State::kMore;
+  const char* head = buffer_.data() + read_;
+  const auto length = ReadNumber<std::uint32_t>(head);
+  const auto kind = static_cast<unsigned char>(head[4]);
+  if (length > kLargestFrame || kind < 1 || kind > 3) return State::kBad;
+  if (have < kFrameHead + length) return State::kMore;
+  frame->kind = static_cast<FrameKind>(kind);
+  frame->type = static_cast<std::uint8_t>(head[5]);
+  frame->call = ReadNumber<std::uint64_t>(head + 6);
+  frame->body = std::string_view(head + kFrameHead, length);
+  read_ += kFrameHead + length;
+  return State::kFrame;
+}
+
+}  // namespace pearreach::mesh
--- /dev/null
+++ b/src/mesh/frame.h
@@ -0,0 +1,41 @@
+// Frames on a mesh connection: a fixed head (length, kind, message type, call id), then the body.
+#ifndef PEARREACH_SRC_MESH_FRAME_H_
+#define PEARREACH_SRC_MESH_FRAME_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace pearreach::mesh {
+
+enum class FrameKind : std::uint8_t { kCall = 1, kAnswer = 2, kError = 3 };
+
+struct Frame {
+  FrameKind kind = FrameKind::kCall;
+  std::uint8_t type = 0;  // MessageType of a call; absl::StatusCode of an error
+  std::uint64_t call = 0;
+  std::string_view body;  // valid until the reader's next Feed or Next
+};
+
+constexpr std::size_t kFrameHead = 14;
+constexpr std::size_t kLargestFrame = 32u
+                                      << 20;  // bytes of a body; a longer one ends the connection
+
+void AppendFrame(const Frame& frame, std::string* out);
+
+// Cuts frames out of a stream of bytes.
+class FrameReader {
+ public:
+  enum class State { kMore, kFrame, kBad };
+
+  void Feed(std::string_view bytes);
+  State Next(Frame* frame);
+
+ private:
+  std::string buffer_;
+  std::size_t read_ = 0;
+};
+
+}  // namespace pearreach::mesh
+
+#endif  // PEARREACH_SRC_MESH_FRAME_H_
--- /dev/null
+++ b/src/mesh/mesh.cpp
@@ -0,0 +1,273 @@
+#include "mesh/mesh.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+#include "base/io.h"
+#include "mesh/datagram_socket.h"
+#include "mesh/frame.h"
+
+namespace pearreach::mesh {
+namespace {
+
+constexpr int kUserTimeoutMs = 2000;  // bytes that nobody acknowledges for so long end a connection
+constexpr Micros kConnectTimeout = 500 * kMs;
+
+std::string PeerIp(int fd) {
+  sockaddr_in address;
+  socklen_t size = sizeof address;
+  char ip[INET_ADDRSTRLEN] = "";
+  if (getpeername(fd, reinterpret_cast<sockaddr*>(&address), &size) == 0)
+    inet_ntop(AF_INET, &address.sin_addr, ip, sizeof ip);
+  return ip;
+}
+
+void BoundSilence(int fd) {
+  const int value = kUserTimeoutMs;
+  (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof value);
+}
+
+// The calling side of one connection, kept and opened again as calls need it.
+class Channel {
+ public:
+  Channel(std::string address, Timers* timers) : address_(std::move(address)), timers_(timers) {}
+  ~Channel() { Drop(); }
+
+  void Call(MessageType type, std::string body, Micros timeout, Done done) {
+    const std::uint64_t id = ++last_call_;
+    Pending pending{std::move(done), 0, Now()};
+    pending.timer = timers_->After(timeout, [this, id] { Expire(id); });
+    pending_.emplace(id, std::move(pending));
+    if (stream_ == nullptr && !Open()) {
+      // The failure is told from the loop, never from inside Call.
+      Pending& failed = pending_.at(id);
+      timers_->Cancel(&failed.timer);
+      failed.timer = timers_->After(
+          0, [this, id] { End(id, absl::UnavailableError("no connection can be made")); });
+      return;
+    }
+    std::string frame;
+    AppendFrame({FrameKind::kCall, static_cast<std::uint8_t>(type), id, body}, &frame);
+    if (!stream_->Write(frame)) ScheduleBreak();
+  }
+
+ private:
+  struct Pending {
+    Done done;
+    Timers::Id timer = 0;
+    Micros sent = 0;
+  };
+
+  bool Open() {
+    reader_ = FrameReader();
+    const std::uint64_t generation = ++generation_;
+    stream_ = Stream::Connect(
+        address_, {[this] { OnConnected(); }, [this](std::string_view bytes) { OnData(bytes); },
+                   [this] { Break(); }});
+    if (stream_ == nullptr) return false;
+    connected_ = false;
+    BoundSilence(stream_->descriptor());
+    connect_timer_ = timers_->After(kConnectTimeout, [this, generation] {
+      connect_timer_ = 0;
+      if (generation == generation_ && !connected_) Break();
+    });
+    return true;
+  }
+
+  void OnConnected() {
+    connected_ = true;
+    timers_->Cancel(&connect_timer_);
+    last_received_ = Now();
+  }
+
+  void OnData(std::string_view bytes) {
+    last_received_ = Now();
+    reader_.Feed(bytes);
+    const std::uint64_t generation = generation_;
+    Frame frame;
+    while (generation == generation_) {
+      const FrameReader::State state = reader_.Next(&frame);
+      if (state == FrameReader::State::kMore) return;
+      if (state == FrameReader::State::kBad) return Break();
+      OnFrame(frame);
+    }
+  }
+
+  void OnFrame(const Frame& frame) {
+    if (frame.kind == FrameKind::kAnswer) return End(frame.call, std::string(frame.body));
+    if (frame.kind == FrameKind::kError)
+      End(frame.call,
+          absl::Status(static_cast<absl::StatusCode>(frame.type), std::string(frame.body)));
+  }
+
+  void Expire(std::uint64_t id) {
+    const auto found = pending_.find(id);
+    if (found == pending_.end()) return;
+    const bool silent = last_received_ < found->second.sent;
+    End(id, absl::DeadlineExceededError("no answer in time"));
+    // Nothing at all has come since that call: the way there may be cut, so the next call gets a
+    // connection of its own rather than waiting behind what is stuck.
+    if (silent && stream_ != nullptr) Break();
+  }
+
+  void End(std::uint64_t id, absl::StatusOr<std::string> answer) {
+    const auto found = pending_.find(id);
+    if (found == pending_.end()) return;
+    Pending pending = std::move(found->second);
+    pending_.erase(found);
+    timers_->Cancel(&pending.timer);
+    pending.done(std::move(answer));
+  }
+
+  void ScheduleBreak() {
+    const std::uint64_t generation = generation_;
+    timers_->After(0, [this, generation] {
+      if (generation == generation_) Break();
+    });
+  }
+
+  void Break() {
+    Drop();
+    std::unordered_map<std::uint64_t, Pending> failed;
+    failed.swap(pending_);
+    for (auto& [id, pending] : failed) {
+      timers_->Cancel(&pending.timer);
+      pending.done(absl::UnavailableError("the connection ended"));
+    }
+  }
+
+  void Drop() {
+    ++generation_;
+    timers_->Cancel(&connect_timer_);
+    if (stream_ != nullptr) stream_->Close();
+    stream_ = nullptr;
+  }
+
+  const std::string address_;
+  Timers* const timers_;
+  std::shared_ptr<Stream> stream_;
+  FrameReader reader_;
+  std::unordered_map<std::uint64_t, Pending> pending_;
+  std::uint64_t last_call_ = 0, generation_ = 0;
+  Timers::Id connect_timer_ = 0;
+  Micros last_received_ = 0;
+  bool connected_ = false;
+};
+
+// The answering side of one connection.
+struct ServerConnection : std::enable_shared_from_this<ServerConnection> {
+  std::shared_ptr<Stream> stream;
+  FrameReader reader;
+  std::string peer_ip;
+
+  void Answer(std::uint64_t call, const absl::StatusOr<std::string>& answer) {
+    if (!stream->open()) return;
+    std::string frame;
+    const std::string message(answer.status().message());
+    if (answer.ok())
+      AppendFrame({FrameKind::kAnswer, 0, call, *answer}, &frame);
+    else
+      AppendFrame(
+          {FrameKind::kError, static_cast<std::uint8_t>(answer.status().code()), call, message},
+          &frame);
+    stream->Write(frame);
+  }
+};
+
+class SocketMesh : public Mesh {
+ public:
+  explicit SocketMesh(Timers* timers)
+      : timers_(timers),
+        listener_([this](std::shared_ptr<Stream> stream) { Accept(std::move(stream)); }) {}
+
+  ~SocketMesh() override {
+    for (const auto& connection : connections_) connection->stream->Close();
+  }
+
+  std::string Open(const std::string& ip, int port) {
+    std::string wrong = listener_.Open(ip + ":" + std::to_string(port));
+    return wrong.empty() ? datagrams_.Open(ip, port) : wrong;
+  }
+
+  void Handle(MessageType type, Handler handler) override {
+    handlers_[static_cast<std::uint8_t>(type)] = std::move(handler);
+  }
+
+  void Call(const std::string& address, MessageType type, std::string body, Micros timeout,
+            Done done) override {
+    std::unique_ptr<Channel>& channel = channels_[address];
+    if (channel == nullptr) channel = std::make_unique<Channel>(address, timers_);
+    channel->Call(type, std::move(body), timeout, std::move(done));
+  }
+
+  void HandleDatagrams(DatagramHandler handler) override {
+    datagrams_.received = std::move(handler);
+  }
+  void SendDatagram(const std::string& address, std::string_view body) override {
+    datagrams_.Send(address, body);
+  }
+
+ private:
+  void Accept(std::shared_ptr<Stream> stream) {
+    auto connection = std::make_shared<ServerConnection>();
+    connection->stream = stream;
+    connection->peer_ip = PeerIp(stream->descriptor());
+    BoundSilence(stream->descriptor());
+    connections_.insert(connection);
+    ServerConnection* raw = connection.get();
+    stream->Listen({nullptr, [this, raw](std::string_view bytes) { OnData(raw, bytes); },
+                    [this, raw] { Forget(raw); }});
+  }
+
+  void Forget(ServerConnection* connection) { connections_.erase(connection->shared_from_this()); }
+
+  void OnData(ServerConnection* connection, std::string_view bytes) {
+    const auto keep = connection->shared_from_this();
+    connection->reader.Feed(bytes);
+    Frame frame;
+    for (;;) {
+      const FrameReader::State state = connection->reader.Next(&frame);
+      if (state == FrameReader::State::kMore) return;
+      if (state == FrameReader::State::kBad || frame.kind != FrameKind::kCall) {
+        connection->stream->Close();
+        return Forget(connection);
+      }
+      OnCall(keep, frame);
+    }
+  }
+
+  void OnCall(const std::shared_ptr<ServerConnection>& connection, const Frame& frame) {
+    const std::weak_ptr<ServerConnection> weak = connection;
+    const std::uint64_t call = frame.call;
+    const auto respond = [weak, call](absl::StatusOr<std::string> answer) {
+      if (const auto alive = weak.lock()) alive->Answer(call, answer);
+    };
+    const auto found = handlers_.find(frame.type);
+    if (found == handlers_.end()) return respond(absl::UnimplementedError("no such call here"));
+    found->second(connection->peer_ip, frame.body, respond);
+  }
+
+  Timers* const timers_;
+  Listener listener_;
+  DatagramSocket datagrams_;
+  std::unordered_map<std::uint8_t, Handler> handlers_;
+  std::unordered_map<std::string, std::unique_ptr<Channel>> channels_;
+  std::unordered_set<std::shared_ptr<ServerConnection>> connections_;
+};
+
+}  // namespace
+
+absl::StatusOr<std::unique_ptr<Mesh>> OpenMesh(const std::string& ip, int port, Timers* timers) {
+  auto mesh = std::make_unique<SocketMesh>(timers);
+  const std::string wrong = mesh->Open(ip, port);
+  if (!wrong.empty()) return absl::UnavailableError(ip + ":" + std::to_string(port) + ": " + wrong);
+  return mesh;
+}
+
+}  // namespace pearreach::mesh
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -18,29 +18,30 @@
 
 // What a call asks for. Values are part of the protocol and never reused.
 enum class MessageType : std::uint8_t {
-  kChain = 1,            // one-way or call between chain replicas (coordination/chain.h)
-  kControlPoll = 2,      // a data node asks for control state newer than what it has
-  kControlWrite = 3,     // a node passes an operator's or a duty's change on to the head
-  kControlRead = 4,      // a strict read of the control state
-  kWorkerUpdate = 5,     // a changed worker record, acknowledged by the receiver
-  kWorkerSync = 6,       // a periodic summary of workers
-  kLotCreate = 20,       // edge -> primary store
-  kLotRead = 21,         // edge -> primary store
-  kLotItemBody = 22,     // edge -> primary store
-  kLotCancel = 23,       // edge -> primary store
-  kItemTake = 24,        // edge -> primary store: lease items to run (held until there are some)
-  kItemResult = 25,      // edge -> primary store: result of a leased item
-  kItemRenew = 26,       // edge -> primary store: leases still held
-  kReplicate = 30,       // primary store -> backup store
-  kRepairDigest = 31,    // primary store -> backup store: digests over ranges of lots
-  kQuotaReserve = 32,    // primary store -> quota owner
-  kQuotaReport = 33,     // primary store -> quota owner
-  kStoreStatus = 34,     // store -> placement duty
+  kChain = 1,          // one-way or call between chain replicas (coordination/chain.h)
+  kControlPoll = 2,    // a data node asks for control state newer than what it has
+  kControlWrite = 3,   // a node passes an operator's or a duty's change on to the head
+  kControlRead = 4,    // a strict read of the control state
+  kWorkerUpdate = 5,   // a changed worker record, acknowledged by the receiver
+  kWorkerSync = 6,     // a periodic summary of workers
+  kLotCreate = 20,     // edge -> primary store
+  kLotRead = 21,       // edge -> primary store
+  kLotItemBody = 22,   // edge -> primary store
+  kLotCancel = 23,     // edge -> primary store
+  kItemTake = 24,      // edge -> primary store: lease items to run (held until there are some)
+  kItemResult = 25,    // edge -> primary store: result of a leased item
+  kItemRenew = 26,     // edge -> primary store: leases still held
+  kReplicate = 30,     // primary store -> backup store
+  kRepairDigest = 31,  // primary store -> backup store: digests over ranges of lots
+  kQuotaReserve = 32,  // primary store -> quota owner
+  kQuotaReport = 33,   // primary store -> quota owner
+  kStoreStatus = 34,   // store -> placement duty
 };
 
 using Respond = std::function<void(absl::StatusOr<std::string> answer)>;
 // `from` is the IP address of the caller. `respond` may be kept and called once, later.
-using Handler = std::function<void(const std::string& from, std::string_view body, Respond respond)>;
+using Handler =
+    std::function<void(const std::string& from, std::string_view body, Respond respond)>;
 using DatagramHandler = std::function<void(const std::string& from_ip, std::string_view body)>;
 using Done = std::function<void(absl::StatusOr<std::string> answer)>;
 
--- a/src/registry/worker_table.h
+++ b/src/registry/worker_table.h
@@ -23,7 +23,7 @@
 
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & worker_id & service & address & zone & capacity & phase & call_seq & warm_at;
+    archive& worker_id& service& address& zone& capacity& phase& call_seq& warm_at;
   }
 };
 
--- /dev/null
+++ b/tests/tier/mesh/mesh_test.cpp
@@ -0,0 +1,161 @@
+// Calls and datagrams between two meshes on loopback, and frames that are cut anywhere or are bad.
+#include "mesh/mesh.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "mesh/frame.h"
+
+namespace pearreach::mesh {
+namespace {
+
+constexpr int kMostTurns = 2000;
+
+// Runs the main loop until `done` or a bounded number of turns is over.
+template <class Done>
+bool RunUntil(Done done) {
+  for (int i = 0; i < kMostTurns && !done(); ++i) g_main_context_iteration(nullptr, TRUE);
+  return done();
+}
+
+class FrameTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FrameTest);
+  CPPUNIT_TEST(FramesAreReadWhereverTheyAreCut);
+  CPPUNIT_TEST(BadFramesAreToldApart);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void FramesAreReadWhereverTheyAreCut() {
+    std::string bytes;
+    AppendFrame({FrameKind::kCall, 7, 42, "first"}, &bytes);
+    AppendFrame({FrameKind::kError, 3, 43, ""}, &bytes);
+    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+      FrameReader reader;
+      std::vector<std::string> seen;
+      Frame frame;
+      for (const std::string& part : {bytes.substr(0, cut), bytes.substr(cut)}) {
+        reader.Feed(part);
+        while (reader.Next(&frame) == FrameReader::State::kFrame)
+          seen.push_back(std::to_string(frame.call) + std::string(frame.body));
+      }
+      CPPUNIT_ASSERT((seen == std::vector<std::string>{"42first", "43"}));
+    }
+  }
+
+  void BadFramesAreToldApart() {
+    std::string good;
+    AppendFrame({FrameKind::kAnswer, 0, 1, "x"}, &good);
+    std::string bad_kind = good, bad_length = good;
+    bad_kind[4] = 9;
+    bad_length[3] = '\x7f';
+    Frame frame;
+    for (const std::string& bytes : {bad_kind, bad_length}) {
+      FrameReader reader;
+      reader.Feed(bytes);
+      CPPUNIT_ASSERT(reader.Next(&frame) == FrameReader::State::kBad);
+    }
+  }
+};
+
+class MeshTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MeshTest);
+  CPPUNIT_TEST(ACallIsAnsweredAlsoLater);
+  CPPUNIT_TEST(AnErrorComesBackWithItsCode);
+  CPPUNIT_TEST(ACallThatNobodyAnswersEndsInTime);
+  CPPUNIT_TEST(ACallToNobodyIsUnavailableButNeverFromInsideCall);
+  CPPUNIT_TEST(ADatagramNamesItsSender);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    for (port_ = 23100; port_ < 23900; ++port_) {
+      auto opened = OpenMesh("127.0.0.1", port_, &timers_);
+      if (!opened.ok()) continue;
+      server_ = std::move(*opened);
+      break;
+    }
+    for (int port = port_ + 1; port < 24000; ++port) {
+      auto opened = OpenMesh("127.0.0.1", port, &timers_);
+      if (!opened.ok()) continue;
+      client_ = std::move(*opened);
+      break;
+    }
+    CPPUNIT_ASSERT(server_ != nullptr && client_ != nullptr);
+    address_ = "127.0.0.1:" + std::to_string(port_);
+  }
+
+  void ACallIsAnsweredAlsoLater() {
+    std::vector<Respond> kept;
+    server_->Handle(MessageType::kChain,
+                    [&](const std::string& from, std::string_view body, Respond respond) {
+                      CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1"), from);
+                      if (body == "later") return kept.push_back(std::move(respond));
+                      respond("now:" + std::string(body));
+                      if (!kept.empty()) kept.front()(std::string("at last"));
+                    });
+    std::vector<std::string> answers;
+    for (const char* body : {"later", "a"})
+      client_->Call(address_, MessageType::kChain, body, kSecond,
+                    [&](absl::StatusOr<std::string> answer) { answers.push_back(*answer); });
+    CPPUNIT_ASSERT(RunUntil([&] { return answers.size() == 2; }));
+    CPPUNIT_ASSERT((answers == std::vector<std::string>{"now:a", "at last"}));
+  }
+
+  void AnErrorComesBackWithItsCode() {
+    server_->Handle(MessageType::kLotRead,
+                    [](const std::string&, std::string_view, Respond respond) {
+                      respond(absl::FailedPreconditionError("not the primary"));
+                    });
+    absl::Status status;
+    client_->Call(address_, MessageType::kLotRead, "", kSecond,
+                  [&](absl::StatusOr<std::string> answer) { status = answer.status(); });
+    CPPUNIT_ASSERT(RunUntil([&] { return !status.ok(); }));
+    CPPUNIT_ASSERT(absl::IsFailedPrecondition(status));
+    status = absl::OkStatus();
+    client_->Call(address_, MessageType::kItemTake, "", kSecond,
+                  [&](absl::StatusOr<std::string> answer) { status = answer.status(); });
+    CPPUNIT_ASSERT(RunUntil([&] { return !status.ok(); }));
+    CPPUNIT_ASSERT(absl::IsUnimplemented(status));
+  }
+
+  void ACallThatNobodyAnswersEndsInTime() {
+    server_->Handle(MessageType::kChain, [](const std::string&, std::string_view, Respond) {});
+    absl::Status status;
+    client_->Call(address_, MessageType::kChain, "x", 20 * kMs,
+                  [&](absl::StatusOr<std::string> answer) { status = answer.status(); });
+    CPPUNIT_ASSERT(RunUntil([&] { return !status.ok(); }));
+    CPPUNIT_ASSERT(absl::IsDeadlineExceeded(status));
+  }
+
+  void ACallToNobodyIsUnavailableButNeverFromInsideCall() {
+    for (const char* address : {"127.0.0.1:1", "no address"}) {
+      absl::Status status;
+      client_->Call(address, MessageType::kChain, "x", kSecond,
+                    [&](absl::StatusOr<std::string> answer) { status = answer.status(); });
+      CPPUNIT_ASSERT(status.ok());
+      CPPUNIT_ASSERT(RunUntil([&] { return !status.ok(); }));
+      CPPUNIT_ASSERT(absl::IsUnavailable(status));
+    }
+  }
+
+  void ADatagramNamesItsSender() {
+    std::string got;
+    server_->HandleDatagrams([&](const std::string& from, std::string_view body) {
+      got = from + " " + std::string(body);
+    });
+    client_->SendDatagram(address_, "hello");
+    CPPUNIT_ASSERT(RunUntil([&] { return !got.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1 hello"), got);
+  }
+
+ private:
+  Timers timers_;
+  int port_ = 0;
+  std::string address_;
+  std::unique_ptr<Mesh> server_, client_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FrameTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(MeshTest);
+
+}  // namespace
+}  // namespace pearreach::mesh
