--- a/src/base/io.cpp
+++ b/src/base/io.cpp
@@ -16,6 +16,7 @@
 constexpr int kBacklog = 4096;      // the system cuts it to what it allows
 constexpr int kAcceptsAtOnce = 64;  // then the other sources get their turn
 constexpr std::size_t kReadSize = 64 << 10;
+constexpr std::size_t kKeptBuffer = 64 << 10;  // more is given back once it has gone out
 
 bool IsBlocked(const GError* error) {
   return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) ||
@@ -154,6 +155,8 @@
 
 bool Stream::Write(std::string_view bytes) {
   if (socket_ == nullptr) return false;
+  // A peer that never catches up must not keep all that it was ever sent.
+  if (sent_ > kKeptBuffer && sent_ > out_.size() / 2) out_.erase(0, std::exchange(sent_, 0));
   out_.append(bytes);
   if (connecting_ || wants_out_) return true;
   if (Flush()) return true;
@@ -187,6 +190,7 @@
     return true;
   }
   out_.clear();
+  if (out_.capacity() > kKeptBuffer) out_ = std::string();
   sent_ = 0;
   if (wants_out_) Want(wants_in_, false);
   return true;
--- /dev/null
+++ b/src/batch/event_text.cpp
@@ -0,0 +1,59 @@
+#include "batch/event_text.h"
+
+namespace pearreach::batch {
+namespace {
+
+// The value of the line's `data` field, without the one space that may follow the colon.
+bool DataOf(std::string_view line, std::string_view* value) {
+  constexpr std::string_view kName = "data";
+  if (line.substr(0, kName.size()) != kName) return false;
+  line.remove_prefix(kName.size());
+  if (line.empty()) {
+    *value = line;
+    return true;
+  }
+  if (line.front() != ':') return false;
+  line.remove_prefix(1);
+  if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+  *value = line;
+  return true;
+}
+
+}  // namespace
+
+void EventText::EndLine() {
+  std::string_view value;
+  if (line_.empty()) {
+    if (has_data_) {
+      if (has_event_) text_.push_back('\n');
+      text_ += data_;
+      has_event_ = true;
+    }
+    data_.clear();
+    has_data_ = false;
+  } else if (DataOf(line_, &value)) {
+    if (has_data_) data_.push_back('\n');
+    data_ += value;
+    has_data_ = true;
+  }
+  line_.clear();
+}
+
+void EventText::Feed(std::string_view bytes) {
+  while (!bytes.empty()) {
+    if (after_cr_ && bytes.front() == '\n') {
+      bytes.remove_prefix(1);
+      after_cr_ = false;
+      continue;
+    }
+    after_cr_ = false;
+    const std::size_t end = bytes.find_first_of("\r\n");
+    line_ += bytes.substr(0, end);
+    if (end == std::string_view::npos) return;
+    after_cr_ = bytes[end] == '\r';
+    EndLine();
+    bytes.remove_prefix(end + 1);
+  }
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/item_job.cpp
@@ -0,0 +1,71 @@
+#include "batch/item_job.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "proxy/prompt_headers.h"
+
+namespace pearreach::batch {
+namespace {
+
+// Most workers that one run may go to.
+constexpr int kWorkersOfRun = 3;
+
+// Headers of a hand-in that the run sets itself or that concern one connection only.
+bool IsOwnHeader(std::string_view name) {
+  constexpr std::array<std::string_view, 9> kOwn = {
+      "Host",    "X-Attempt-Id", "Content-Length", "Transfer-Encoding", "Connection", "Keep-Alive",
+      "Upgrade", "TE",           "Trailer"};
+  return std::any_of(kOwn.begin(), kOwn.end(),
+                     [name](std::string_view own) { return http::SameName(own, name); });
+}
+
+std::string_view HeaderOf(const ItemSpec& item, std::string_view name) {
+  for (const auto& [header, value] : item.headers) {
+    if (http::SameName(header, name)) return value;
+  }
+  return {};
+}
+
+std::vector<http::Header> HeadersOf(const LeasedItem& leased, const routing::Route& route) {
+  std::vector<http::Header> headers;
+  headers.reserve(leased.item.headers.size() + 2);
+  headers.push_back({"Host", route.host});
+  headers.push_back({"X-Attempt-Id", leased.item.item_id});
+  for (const auto& [name, value] : leased.item.headers) {
+    if (!IsOwnHeader(name)) headers.push_back({name, value});
+  }
+  return headers;
+}
+
+}  // namespace
+
+proxy::JobSpec JobOf(LeasedItem leased, const routing::Route& route, std::string service,
+                     Micros time) {
+  proxy::JobSpec spec;
+  spec.service = std::move(service);
+  spec.method = "POST";
+  spec.headers = HeadersOf(leased, route);
+  const std::string_view counts = HeaderOf(leased.item, proxy::kTokenCountHeader);
+  spec.tokens = counts.empty() ? leased.item.tokens : proxy::TokenCount(counts);
+  spec.prefix_key = proxy::PrefixKey(HeaderOf(leased.item, proxy::kModelHeader),
+                                     HeaderOf(leased.item, proxy::kPromptPrefixHeader));
+  spec.target = std::move(leased.item.path);
+  spec.body = std::move(leased.item.body);
+  spec.attempt_id = std::move(leased.item.item_id);
+  spec.due = Now() + time;
+  spec.target_ms = static_cast<double>(time / kMs);
+  spec.rank = route.rank;
+  spec.tries = kWorkersOfRun;
+  spec.repeatable = true;
+  spec.streamed = true;
+  spec.resumable = true;
+  spec.bulk = true;
+  spec.stop_on_500 = true;
+  return spec;
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/item_taker.cpp
@@ -0,0 +1,147 @@
+#include "batch/item_taker.h"
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace pearreach::batch {
+namespace {
+
+// How long a store may hold a call until there are items, and its answer's way back.
+constexpr std::int64_t kTakeWaitMs = 1000;
+constexpr Micros kAnswerTime = 1 * kSecond;
+// How often the room is looked at while there is none: with items about, and without.
+constexpr Micros kBusyPoll = 100 * kMs;
+constexpr Micros kCalmPoll = 1 * kSecond;
+// Items are about for this long after the last one was seen.
+constexpr Micros kWorkMemory = 5 * kSecond;
+// After an error of a store, or an empty answer that came too early.
+constexpr Micros kErrorPause = 200 * kMs;
+constexpr Micros kLeastHold = 100 * kMs;
+constexpr Micros kHoldOff = 200 * kMs;
+// Most items of a route that are asked for at once.
+constexpr int kMostAtOnce = 32;
+
+int RoomOf(const routing::Route& route, const proxy::JobRunner& runner) {
+  std::set<std::string_view> services;
+  int room = 0;
+  for (const routing::Target& target : route.targets) {
+    if (target.share <= 0 || !services.insert(target.service).second) continue;
+    room += std::max(runner.BulkRoom(target.service), 0);
+  }
+  return std::min(room, kMostAtOnce);
+}
+
+bool HasBulk(const routing::RouteTable& routes) {
+  return std::any_of(routes.routes().begin(), routes.routes().end(),
+                     [](const auto& route) { return route.variant == routing::Variant::kBulk; });
+}
+
+}  // namespace
+
+ItemTaker::ItemTaker(Timers* timers, StoreClient* stores, control::ControlClient* control,
+                     proxy::JobRunner* runner, std::string node, std::uint64_t process, Taken taken)
+    : timers_(timers),
+      stores_(stores),
+      control_(control),
+      runner_(runner),
+      node_(std::move(node)),
+      process_(process),
+      taken_(std::move(taken)) {}
+
+ItemTaker::~ItemTaker() { Stop(); }
+
+void ItemTaker::Stop() {
+  stopped_ = true;
+  *alive_ = false;
+  timers_->Cancel(&timer_);
+}
+
+void ItemTaker::AskLater(Micros delay) {
+  timers_->Cancel(&timer_);
+  timer_ = timers_->After(delay, [this] {
+    timer_ = 0;
+    Ask();
+  });
+}
+
+bool ItemTaker::WorkIsKnown(Micros now) const {
+  return work_seen_ != 0 && now - work_seen_ < kWorkMemory;
+}
+
+// The room by route, a store's share of it.
+std::map<std::string, int> ItemTaker::Room(const routing::RouteTable& routes, int stores) const {
+  std::map<std::string, int> room;
+  for (const routing::Route& route : routes.routes()) {
+    if (route.variant != routing::Variant::kBulk) continue;
+    const int here = RoomOf(route, *runner_);
+    if (here > 0) room[route.name] = (here + stores - 1) / stores;
+  }
+  return room;
+}
+
+void ItemTaker::Ask() {
+  if (stopped_) return;
+  const auto routes = control_->Current()->routes;
+  if (routes == nullptr || !HasBulk(*routes)) return;  // a new configuration asks again
+  const Micros now = Now();
+  Micros next = WorkIsKnown(now) ? kBusyPoll : kCalmPoll;
+  if (now < hold_off_until_) {
+    AskLater(hold_off_until_ - now);
+    return;
+  }
+  const std::vector<StoreId> primaries = stores_->Primaries();
+  const auto room = Room(*routes, std::max<int>(static_cast<int>(primaries.size()), 1));
+  if (primaries.empty() || room.empty()) {
+    AskLater(next);
+    return;
+  }
+  bool all_open = true;
+  for (const StoreId& store : primaries) {
+    Asked& asked = asked_[store];
+    if (!asked.open && asked.not_before <= now) AskStore(store, room);
+    if (asked.open) continue;
+    all_open = false;
+    next = std::min(next, std::max<Micros>(asked.not_before - now, kMs));
+  }
+  if (!all_open) AskLater(next);
+}
+
+void ItemTaker::AskStore(const StoreId& store, std::map<std::string, int> room) {
+  asked_[store].open = true;
+  TakeItems take;
+  take.node = node_;
+  take.process = process_;
+  take.room = std::move(room);
+  take.wait_ms = kTakeWaitMs;
+  const Micros timeout = kTakeWaitMs * kMs + kAnswerTime;
+  stores_->Take(store, std::move(take), timeout,
+                [this, alive = alive_, store, at = Now()](absl::StatusOr<TakeItemsAnswer> answer) {
+                  if (*alive) OnAnswer(store, at, std::move(answer));
+                });
+}
+
+void ItemTaker::OnAnswer(const StoreId& store, Micros asked_at,
+                         absl::StatusOr<TakeItemsAnswer> answer) {
+  const Micros now = Now();
+  Asked& asked = asked_[store];
+  asked.open = false;
+  const bool is_empty = answer.ok() && answer->items.empty();
+  if (!answer.ok() || (is_empty && now - asked_at < kLeastHold)) {
+    asked.not_before = now + kErrorPause;
+  }
+  if (answer.ok() && !is_empty) {
+    work_seen_ = now;
+    for (LeasedItem& item : answer->items) taken_(std::move(item));
+  }
+  Ask();
+}
+
+void ItemTaker::HoldOff() {
+  hold_off_until_ = Now() + kHoldOff;
+  work_seen_ = Now();
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/item_taker.h
@@ -0,0 +1,66 @@
+// Takes items of lots from the stores: keeps a call open at each primary store for as long as this
+// node has room to run items.
+#ifndef PEARREACH_SRC_BATCH_ITEM_TAKER_H_
+#define PEARREACH_SRC_BATCH_ITEM_TAKER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/timers.h"
+#include "batch/messages.h"
+#include "batch/store_client.h"
+#include "control/control_client.h"
+#include "proxy/job.h"
+#include "routing/route_table.h"
+
+namespace pearreach::batch {
+
+class ItemTaker {
+ public:
+  using Taken = std::function<void(LeasedItem item)>;
+
+  // `process`: this process of the node, greater for a later one.
+  ItemTaker(Timers* timers, StoreClient* stores, control::ControlClient* control,
+            proxy::JobRunner* runner, std::string node, std::uint64_t process, Taken taken);
+  ~ItemTaker();
+  ItemTaker(const ItemTaker&) = delete;
+  ItemTaker& operator=(const ItemTaker&) = delete;
+
+  // Asks the stores that are not being asked, where there is room.
+  void Ask();
+  // An item could not be run: asks no store for a short while.
+  void HoldOff();
+  void Stop();
+
+ private:
+  struct Asked {
+    bool open = false;
+    Micros not_before = 0;
+  };
+
+  std::map<std::string, int> Room(const routing::RouteTable& routes, int stores) const;
+  void AskStore(const StoreId& store, std::map<std::string, int> room);
+  void OnAnswer(const StoreId& store, Micros asked_at, absl::StatusOr<TakeItemsAnswer> answer);
+  void AskLater(Micros delay);
+  bool WorkIsKnown(Micros now) const;
+
+  Timers* timers_;
+  StoreClient* stores_;
+  control::ControlClient* control_;
+  proxy::JobRunner* runner_;
+  const std::string node_;
+  const std::uint64_t process_;
+  Taken taken_;
+  std::map<StoreId, Asked> asked_;
+  Timers::Id timer_ = 0;
+  Micros work_seen_ = 0, hold_off_until_ = 0;
+  bool stopped_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_ITEM_TAKER_H_
--- /dev/null
+++ b/src/batch/leases.cpp
@@ -0,0 +1,207 @@
+#include "batch/leases.h"
+
+#include <algorithm>
+
+namespace pearreach::batch {
+
+LeaseTable::LotItems* LeaseTable::Find(const std::string& lot_id, std::uint64_t* number) {
+  const auto at = numbers_.find(lot_id);
+  if (at == numbers_.end()) return nullptr;
+  *number = at->second;
+  return &lots_.at(at->second);
+}
+
+std::uint32_t LeaseTable::NodeNumber(const std::string& node) {
+  const auto [at, fresh] =
+      node_numbers_.try_emplace(node, static_cast<std::uint32_t>(node_names_.size()));
+  if (fresh) node_names_.push_back(node);
+  return at->second;
+}
+
+void LeaseTable::AddLot(const std::string& lot_id, const std::string& route, std::int64_t due_ms,
+                        std::size_t items, const std::vector<std::uint32_t>& open,
+                        Micros held_until) {
+  DropLot(lot_id);
+  const std::uint64_t number = next_lot_++;
+  numbers_[lot_id] = number;
+  LotItems& lot = lots_[number];
+  lot.id = lot_id;
+  lot.route = route;
+  lot.due_ms = due_ms;
+  lot.items.resize(items);
+  for (const std::uint32_t item : open) {
+    if (held_until == 0) {
+      MakeWaiting(number, &lot, item);
+    } else {
+      Lease(number, &lot, item, 0, 0, held_until);
+    }
+  }
+}
+
+void LeaseTable::MakeWaiting(std::uint64_t number, LotItems* lot, std::uint32_t item) {
+  lot->items[item] = Item{Phase::kWaiting, 0, 0, 0};
+  lot->first = lot->waiting == 0 ? item : std::min(lot->first, item);
+  ++lot->waiting;
+  RouteItems& route = routes_[lot->route];
+  ++route.waiting;
+  route.lots.emplace(lot->due_ms, number);
+}
+
+void LeaseTable::RemoveWaiting(std::uint64_t number, LotItems* lot, std::uint32_t item) {
+  lot->items[item].phase = Phase::kGone;
+  --lot->waiting;
+  const auto at = routes_.find(lot->route);
+  --at->second.waiting;
+  if (lot->waiting == 0) at->second.lots.erase({lot->due_ms, number});
+  if (at->second.waiting == 0) routes_.erase(at);
+}
+
+void LeaseTable::Lease(std::uint64_t number, LotItems* lot, std::uint32_t item, std::uint32_t node,
+                       std::uint64_t lease, Micros expires) {
+  lot->items[item] = Item{Phase::kLeased, node, lease, expires};
+  leased_.emplace(expires, number, item);
+}
+
+void LeaseTable::RemoveLease(std::uint64_t number, LotItems* lot, std::uint32_t item) {
+  leased_.erase({lot->items[item].expires, number, item});
+  lot->items[item].phase = Phase::kGone;
+}
+
+void LeaseTable::Finish(const std::string& lot_id, std::uint32_t item) {
+  std::uint64_t number = 0;
+  LotItems* lot = Find(lot_id, &number);
+  if (lot == nullptr || item >= lot->items.size()) return;
+  if (lot->items[item].phase == Phase::kWaiting) RemoveWaiting(number, lot, item);
+  if (lot->items[item].phase == Phase::kLeased) RemoveLease(number, lot, item);
+}
+
+void LeaseTable::DropLot(const std::string& lot_id) {
+  std::uint64_t number = 0;
+  const LotItems* lot = Find(lot_id, &number);
+  if (lot == nullptr) return;
+  for (std::uint32_t i = 0; i < lot->items.size(); ++i) Finish(lot_id, i);
+  lots_.erase(number);
+  numbers_.erase(lot_id);
+}
+
+bool LeaseTable::Return(const std::string& lot_id, std::uint32_t item, std::uint64_t lease) {
+  std::uint64_t number = 0;
+  LotItems* lot = Find(lot_id, &number);
+  if (lot == nullptr || item >= lot->items.size()) return false;
+  const Item& held = lot->items[item];
+  if (held.phase != Phase::kLeased) return false;
+  if (held.lease != lease && held.lease != 0) return false;
+  RemoveLease(number, lot, item);
+  MakeWaiting(number, lot, item);
+  return true;
+}
+
+bool LeaseTable::Hello(const std::string& node, std::uint64_t process) {
+  const auto [at, fresh] = processes_.try_emplace(node, process);
+  if (fresh || at->second == process) return true;
+  if (process < at->second) return false;
+  at->second = process;
+  DropNode(node);
+  return true;
+}
+
+TakenItem LeaseTable::TakeFirst(std::uint64_t number, std::uint32_t node, Micros now) {
+  LotItems& lot = lots_.at(number);
+  while (lot.items[lot.first].phase != Phase::kWaiting) ++lot.first;
+  const std::uint32_t item = lot.first;
+  RemoveWaiting(number, &lot, item);
+  const std::uint64_t lease = next_lease_++;
+  Lease(number, &lot, item, node, lease, now + kLeaseSpan);
+  return {lot.id, item, lease};
+}
+
+std::vector<TakenItem> LeaseTable::Take(const std::string& node,
+                                        const std::map<std::string, int>& room, int most,
+                                        Micros now) {
+  std::vector<TakenItem> taken;
+  const std::uint32_t number = NodeNumber(node);
+  std::map<std::string, int> left = room;
+  while (static_cast<int>(taken.size()) < most) {
+    const std::pair<std::int64_t, std::uint64_t>* earliest = nullptr;
+    int* room_left = nullptr;
+    for (auto& [route, places] : left) {
+      if (places <= 0) continue;
+      const auto at = routes_.find(route);
+      if (at == routes_.end()) continue;
+      const auto* first = &*at->second.lots.begin();
+      if (earliest != nullptr && !(*first < *earliest)) continue;
+      earliest = first;
+      room_left = &places;
+    }
+    if (earliest == nullptr) break;
+    --*room_left;
+    taken.push_back(TakeFirst(earliest->second, number, now));
+  }
+  return taken;
+}
+
+bool LeaseTable::Renew(const std::string& node, const std::string& lot_id, std::uint32_t item,
+                       Micros now) {
+  std::uint64_t number = 0;
+  LotItems* lot = Find(lot_id, &number);
+  if (lot == nullptr || item >= lot->items.size()) return false;
+  const Item held = lot->items[item];
+  const std::uint32_t who = NodeNumber(node);
+  if (held.phase == Phase::kGone) return false;
+  if (held.phase == Phase::kWaiting) {  // expired, or leased by an earlier primary
+    RemoveWaiting(number, lot, item);
+    Lease(number, lot, item, who, 0, now + kLeaseSpan);
+    return true;
+  }
+  if (held.node != 0 && held.node != who) return false;
+  RemoveLease(number, lot, item);
+  Lease(number, lot, item, who, held.lease, now + kLeaseSpan);
+  return true;
+}
+
+void LeaseTable::DropNode(const std::string& node) {
+  const auto at = node_numbers_.find(node);
+  if (at == node_numbers_.end()) return;
+  std::vector<std::pair<std::uint64_t, std::uint32_t>> held;
+  for (const auto& [expires, number, item] : leased_) {
+    if (lots_.at(number).items[item].node == at->second) held.emplace_back(number, item);
+  }
+  for (const auto& [number, item] : held) {
+    LotItems& lot = lots_.at(number);
+    RemoveLease(number, &lot, item);
+    MakeWaiting(number, &lot, item);
+  }
+}
+
+void LeaseTable::Expire(Micros now) {
+  while (!leased_.empty() && std::get<0>(*leased_.begin()) <= now) {
+    const auto [expires, number, item] = *leased_.begin();
+    LotItems& lot = lots_.at(number);
+    RemoveLease(number, &lot, item);
+    MakeWaiting(number, &lot, item);
+  }
+}
+
+std::size_t LeaseTable::Waiting(const std::string& route) const {
+  const auto at = routes_.find(route);
+  return at == routes_.end() ? 0 : at->second.waiting;
+}
+
+bool LeaseTable::AnyWaiting() const { return !routes_.empty(); }
+
+Micros LeaseTable::NextExpiry() const {
+  return leased_.empty() ? 0 : std::get<0>(*leased_.begin());
+}
+
+std::vector<std::string> LeaseTable::HoldingNodes() const {
+  std::set<std::uint32_t> numbers;
+  for (const auto& [expires, number, item] : leased_) {
+    numbers.insert(lots_.at(number).items[item].node);
+  }
+  numbers.erase(0);
+  std::vector<std::string> names;
+  for (const std::uint32_t number : numbers) names.push_back(node_names_[number]);
+  return names;
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/lot_api.cpp
@@ -0,0 +1,287 @@
+#include "batch/lot_api.h"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "batch/lot_json.h"
+#include "logging/log.h"
+
+namespace pearreach::batch {
+namespace {
+
+constexpr std::string_view kLotsPath = "/lots/";
+constexpr std::string_view kItemsPath = "/items/";
+constexpr char kWriteRetryAfter[] = "0.5";
+constexpr char kReadRetryAfter[] = "0.3";
+// The longest hold of a read, whatever the client allows.
+constexpr std::int64_t kLongestWaitMs = 10'000;
+// Beyond the time that a read may be held: its client waits 1.5 s longer than it allows.
+constexpr Micros kReadTime = 1200 * kMs;
+constexpr Micros kReadAttempt = 800 * kMs;
+constexpr Micros kEndTime = 2500 * kMs;
+// A hand-in: the longest wait where the client names none; the least before it is refused; what is
+// kept for the way back of the answer.
+constexpr Micros kSubmitTime = 5 * kSecond;
+constexpr Micros kLeastUnsentTime = 2 * kSecond;
+constexpr Micros kLongestMargin = 200 * kMs;
+
+struct Target {
+  std::string_view path, query;
+};
+
+Target SplitTarget(std::string_view target) {
+  const std::size_t mark = target.find('?');
+  if (mark == std::string_view::npos) return {target, {}};
+  return {target.substr(0, mark), target.substr(mark + 1)};
+}
+
+int HexDigit(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+  return -1;
+}
+
+std::string Unescaped(std::string_view text) {
+  std::string plain;
+  plain.reserve(text.size());
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    const bool is_code = text[at] == '%' && at + 2 < text.size() && HexDigit(text[at + 1]) >= 0 &&
+                         HexDigit(text[at + 2]) >= 0;
+    if (!is_code) {
+      plain.push_back(text[at]);
+      continue;
+    }
+    plain.push_back(static_cast<char>(HexDigit(text[at + 1]) * 16 + HexDigit(text[at + 2])));
+    at += 2;
+  }
+  return plain;
+}
+
+std::optional<std::string_view> QueryValue(std::string_view query, std::string_view name) {
+  while (!query.empty()) {
+    const std::size_t end = query.find('&');
+    const std::string_view pair = query.substr(0, end);
+    const std::size_t equals = pair.find('=');
+    if (pair.substr(0, equals) == name) {
+      return equals == std::string_view::npos ? std::string_view() : pair.substr(equals + 1);
+    }
+    if (end == std::string_view::npos) break;
+    query.remove_prefix(end + 1);
+  }
+  return std::nullopt;
+}
+
+template <class Number>
+std::optional<Number> ParseNumber(std::string_view text) {
+  Number value = 0;
+  const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (read.ec != std::errc() || read.ptr != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+std::optional<double> NumberHeader(const http::Message& request, std::string_view name) {
+  const std::string* text = request.Find(name);
+  if (text == nullptr) return std::nullopt;
+  return ParseNumber<double>(*text);
+}
+
+void Answer(const std::shared_ptr<front::Exchange>& exchange, int status, std::string_view body) {
+  exchange->Respond(status, {{"Content-Type", "application/json"}}, body);
+}
+
+void Refuse(const std::shared_ptr<front::Exchange>& exchange, int status, const char* retry_after) {
+  exchange->Respond(status, {{"Retry-After", retry_after}}, {});
+}
+
+// The last segment after `prefix`; empty: it is not one.
+std::string_view IdAfter(std::string_view path, std::string_view prefix) {
+  if (path.substr(0, prefix.size()) != prefix) return {};
+  path.remove_prefix(prefix.size());
+  return path.find('/') == std::string_view::npos ? path : std::string_view();
+}
+
+// How long a hand-in may take from its arrival on.
+Micros SubmitTime(const http::Message& request, const routing::Route& route) {
+  Micros time = kSubmitTime;
+  const auto deadline = NumberHeader(request, "X-Deadline-Ms");
+  const auto shorten = [&time](double ms) {
+    if (ms > 0 && ms < static_cast<double>(time / kMs)) time = static_cast<Micros>(ms * kMs);
+  };
+  if (deadline.has_value()) shorten(*deadline);
+  shorten(route.limit_ms);
+  return time - std::min(time / 10, kLongestMargin);
+}
+
+LotSpec SpecOf(const routing::Route& route, const LotBounds& bounds) {
+  LotSpec lot;
+  lot.route = route.name;
+  lot.host = route.host;
+  lot.token_cap = route.token_cap;
+  lot.quota_excess = bounds.quota_excess;
+  lot.tries = route.tries;
+  lot.due_ms = route.due_ms;
+  lot.retain_s = route.retain_s;
+  lot.status_s = bounds.status_s;
+  return lot;
+}
+
+void AnswerSubmit(const std::shared_ptr<front::Exchange>& exchange,
+                  const absl::StatusOr<CreateLotAnswer>& answer) {
+  if (answer.ok() && answer->status == CreateStatus::kAccepted) {
+    Answer(exchange, 202, "{}");
+  } else if (answer.ok()) {
+    Refuse(exchange, 429, kWriteRetryAfter);
+  } else if (absl::IsUnavailable(answer.status())) {
+    Refuse(exchange, 503, kWriteRetryAfter);
+  } else {
+    // A 503 would promise that nothing of it runs.
+    exchange->Respond(504, {}, {});
+  }
+}
+
+}  // namespace
+
+LotApi::LotApi(Timers*, StoreClient* stores, control::ControlClient* control, LotBounds bounds)
+    : stores_(stores), control_(control), bounds_(bounds) {}
+
+bool LotApi::IsLotCall(const http::Message& request) {
+  const std::string_view path = SplitTarget(request.target).path;
+  if (!IdAfter(path, kLotsPath).empty()) {
+    return request.method == "GET" || request.method == "DELETE";
+  }
+  return request.method == "GET" && !IdAfter(path, kItemsPath).empty();
+}
+
+void LotApi::CancelWith(const std::shared_ptr<front::Exchange>& exchange,
+                        StoreClient::CallId call) {
+  exchange->OnClosed([stores = stores_, call] { stores->Cancel(call); });
+}
+
+void LotApi::Handle(const std::shared_ptr<front::Exchange>& exchange) {
+  const http::Message& request = exchange->request();
+  if (control_->Current()->routes == nullptr || stores_->Table() == nullptr) {
+    Refuse(exchange, 503, kReadRetryAfter);
+    return;
+  }
+  const Target target = SplitTarget(request.target);
+  const std::string_view lot = IdAfter(target.path, kLotsPath);
+  if (lot.empty()) {
+    ReadBody(exchange, Unescaped(IdAfter(target.path, kItemsPath)), target.query);
+  } else if (request.method == "DELETE") {
+    End(exchange, Unescaped(lot));
+  } else {
+    Read(exchange, Unescaped(lot), target.query);
+  }
+}
+
+void LotApi::Submit(const std::shared_ptr<front::Exchange>& exchange, const routing::Route& route) {
+  http::Message& request = exchange->mutable_request();
+  const std::string* id = request.Find("X-Attempt-Id");
+  if (id == nullptr || id->empty()) {
+    Answer(exchange, 400, R"({"error":"X-Attempt-Id: missing"})");
+    return;
+  }
+  LotSpec lot = SpecOf(route, bounds_);
+  lot.lot_id = *id;
+  lot.fingerprint = Fingerprint(request.body);
+  auto items = ParseItems(std::move(request.body));
+  if (!items.ok()) {
+    logging::Warning(
+        "batch", "hand-in does not read",
+        {logging::F("lot", lot.lot_id), {"why", std::string(items.status().message())}});
+    Answer(exchange, 400, R"({"error":"not a lot"})");
+    return;
+  }
+  lot.items = *std::move(items);
+  CallTime time;
+  const Micros spent = std::max<Micros>(Now() - exchange->arrived(), 0);
+  time.overall = std::max<Micros>(SubmitTime(request, route) - spent, 0);
+  const Micros aim = static_cast<Micros>(route.target_ms * kMs);
+  time.unsent = std::min(time.overall, std::max(aim, kLeastUnsentTime));
+  CancelWith(exchange, stores_->Create(std::move(lot), time,
+                                       [exchange](const absl::StatusOr<CreateLotAnswer>& answer) {
+                                         AnswerSubmit(exchange, answer);
+                                       }));
+}
+
+void LotApi::Read(const std::shared_ptr<front::Exchange>& exchange, std::string lot_id,
+                  std::string_view query) {
+  ReadLot read;
+  read.lot_id = std::move(lot_id);
+  if (const auto text = QueryValue(query, "start_after"); text.has_value() && !text->empty()) {
+    const auto start = ParseNumber<std::uint64_t>(*text);
+    if (!start.has_value()) {
+      Answer(exchange, 400, R"({"error":"start_after: not a number"})");
+      return;
+    }
+    read.start_after = *start;
+  }
+  const double wait_ms = NumberHeader(exchange->request(), "X-Wait-Ms").value_or(0);
+  if (wait_ms > 0) {
+    read.wait_ms =
+        static_cast<std::int64_t>(std::min(wait_ms, static_cast<double>(kLongestWaitMs)));
+  }
+  CallTime time;
+  time.overall = read.wait_ms * kMs + kReadTime;
+  time.attempt = read.wait_ms * kMs + kReadAttempt;
+  const std::uint64_t start = read.start_after;
+  const auto answered = [exchange, start](const absl::StatusOr<ReadLotAnswer>& answer) {
+    if (!answer.ok()) {
+      Refuse(exchange, 503, kReadRetryAfter);
+    } else if (!answer->found) {
+      Answer(exchange, 404, R"({"error":"no such lot"})");
+    } else {
+      Answer(exchange, 200, WriteOutputs(*answer, start));
+    }
+  };
+  CancelWith(exchange, stores_->Read(std::move(read), time, answered));
+}
+
+void LotApi::ReadBody(const std::shared_ptr<front::Exchange>& exchange, std::string lot_id,
+                      std::string_view query) {
+  const auto item = QueryValue(query, "worker_id");
+  if (!item.has_value() || item->empty()) {
+    Answer(exchange, 400, R"({"error":"worker_id: missing"})");
+    return;
+  }
+  ReadItemBody read;
+  read.lot_id = std::move(lot_id);
+  read.item_id = Unescaped(*item);
+  CallTime time;
+  time.overall = kReadTime;
+  time.attempt = kReadAttempt;
+  const auto answered = [exchange](const absl::StatusOr<ReadItemBodyAnswer>& answer) {
+    if (!answer.ok()) {
+      Refuse(exchange, 503, kReadRetryAfter);
+    } else if (!answer->found) {
+      Answer(exchange, 404, R"({"error":"no such item"})");
+    } else {
+      exchange->Respond(200, {{"Content-Type", "application/octet-stream"}}, answer->body);
+    }
+  };
+  CancelWith(exchange, stores_->ReadBody(std::move(read), time, answered));
+}
+
+void LotApi::End(const std::shared_ptr<front::Exchange>& exchange, std::string lot_id) {
+  CancelLot cancel;
+  cancel.lot_id = std::move(lot_id);
+  CallTime time;
+  time.overall = kEndTime;
+  const auto answered = [exchange](const absl::StatusOr<CancelLotAnswer>& answer) {
+    if (!answer.ok()) {
+      Refuse(exchange, 503, kReadRetryAfter);
+    } else if (!answer->found) {
+      Answer(exchange, 404, R"({"error":"no such lot"})");
+    } else {
+      Answer(exchange, 200, "{}");
+    }
+  };
+  CancelWith(exchange, stores_->End(std::move(cancel), time, answered));
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/lot_api.h
@@ -0,0 +1,52 @@
+// The clients' calls about lots at an edge node: hand in, read, body of an item, end. Nothing about
+// a lot is kept here; the stores answer.
+#ifndef PEARREACH_SRC_BATCH_LOT_API_H_
+#define PEARREACH_SRC_BATCH_LOT_API_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/timers.h"
+#include "batch/store_client.h"
+#include "control/control_client.h"
+#include "front/exchange.h"
+#include "routing/route_table.h"
+
+namespace pearreach::batch {
+
+// What the operator's bounds say of lots.
+struct LotBounds {
+  double status_s = 120;
+  double quota_excess = 0.1;
+};
+
+class LotApi {
+ public:
+  LotApi(Timers* timers, StoreClient* stores, control::ControlClient* control, LotBounds bounds);
+
+  void SetBounds(LotBounds bounds) { bounds_ = bounds; }
+  // GET or DELETE of /lots/ID, GET of /items/ID.
+  static bool IsLotCall(const http::Message& request);
+  // Answers a call for which IsLotCall is true.
+  void Handle(const std::shared_ptr<front::Exchange>& exchange);
+  // A POST under the prefix of a bulk route. `route` is needed for the time of the call only.
+  void Submit(const std::shared_ptr<front::Exchange>& exchange, const routing::Route& route);
+
+ private:
+  void Read(const std::shared_ptr<front::Exchange>& exchange, std::string lot_id,
+            std::string_view query);
+  void ReadBody(const std::shared_ptr<front::Exchange>& exchange, std::string lot_id,
+                std::string_view query);
+  void End(const std::shared_ptr<front::Exchange>& exchange, std::string lot_id);
+  // The call is dropped when the client leaves.
+  void CancelWith(const std::shared_ptr<front::Exchange>& exchange, StoreClient::CallId call);
+
+  StoreClient* stores_;
+  control::ControlClient* control_;
+  LotBounds bounds_;
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_LOT_API_H_
--- /dev/null
+++ b/src/batch/lot_json.h
@@ -0,0 +1,32 @@
+// The JSON of lots on the wire: the items of a hand-in, and the outputs of a read.
+#ifndef PEARREACH_SRC_BATCH_LOT_JSON_H_
+#define PEARREACH_SRC_BATCH_LOT_JSON_H_
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "batch/messages.h"
+
+namespace pearreach::batch {
+
+// Most items of a lot.
+constexpr std::size_t kMaxItems = 200;
+
+// The items of {"entries":[{"worker_id","path","headers","payload","tokens"}]}; INVALID_ARGUMENT
+// says what is wrong. `body` is overwritten.
+absl::StatusOr<std::vector<ItemSpec>> ParseItems(std::string body);
+
+// {"total":..,"outputs":[..],"next_token":..}; the bytes of contents are kept as they are. Outputs
+// that would make the answer too long are left for the next read; there is one at least.
+std::string WriteOutputs(const ReadLotAnswer& answer, std::uint64_t start_after);
+
+// A hash of a hand-in, the same on every node.
+std::uint64_t Fingerprint(std::string_view body);
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_LOT_JSON_H_
--- /dev/null
+++ b/src/batch/lot_state.h
@@ -0,0 +1,154 @@
+// The lots of one partition as every replica holds them: small records on disk and what must be
+// known of them in memory. Item bodies and results stay on disk. Disk, replication and repair all
+// pass through the same records, so that there is one way in which a lot's state comes about.
+#ifndef PEARREACH_SRC_BATCH_LOT_STATE_H_
+#define PEARREACH_SRC_BATCH_LOT_STATE_H_
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "batch/messages.h"
+#include "disk/table_store.h"
+
+namespace pearreach::batch {
+
+// Kinds of records; the header sorts first within its lot.
+enum class RecordKind : char {
+  kHeader = 'a',
+  kEnded = 'e',     // the client has ended the lot
+  kFailures = 'f',  // of one item: the leases that ended with a 500
+  kItem = 'i',      // an ItemSpec; erased with the item's result
+  kResult = 'r',    // by position
+};
+
+struct Record {
+  char kind = 0;
+  std::uint32_t index = 0;  // of the item, or the position of the result
+  std::string value;
+  bool erase = false;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& kind& index& value& erase;
+  }
+};
+
+// A change of one lot, made durable as a whole. Applying it twice comes to the same as once.
+struct Operation {
+  std::string lot_id;
+  bool erase_first = false;  // what is there of the lot goes: with no records, it is forgotten
+  std::vector<Record> records;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& lot_id& erase_first& records;
+  }
+  std::size_t Bytes() const;
+};
+
+struct ItemHead {
+  std::string item_id;
+  double tokens = 0;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& item_id& tokens;
+  }
+};
+
+struct LotHeader {
+  std::string route, host;
+  std::uint64_t fingerprint = 0;
+  double token_cap = 0;
+  int tries = 1;
+  double due_ms = 0, retain_s = 0, status_s = 0;
+  std::int64_t created_wall_ms = 0;  // time of day at the primary that took it
+  std::vector<ItemHead> items;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& route& host& fingerprint& token_cap& tries& due_ms& retain_s& status_s&
+        created_wall_ms& items;
+  }
+};
+
+struct ItemState {
+  bool done = false;                         // it has a result, be it acknowledged or not yet
+  std::vector<std::uint64_t> failed_leases;  // each counts one answer of 500
+};
+
+struct Lot {
+  LotHeader header;
+  std::vector<ItemState> items;
+  bool ended = false;
+  std::uint32_t results = 0;  // positions taken
+  std::uint64_t digest = 0;   // over all records but the items'
+  // Of the primary: what all replicas hold and may be seen.
+  bool accepted = false;
+  std::uint32_t visible_results = 0;
+
+  bool AllDone() const { return results >= items.size(); }
+  bool Open() const { return !ended && !AllDone(); }
+  double WaitingTokens() const;  // of items without a result; 0 once ended
+  std::optional<std::uint32_t> FindItem(std::string_view item_id) const;
+};
+
+struct ResultRecord {
+  std::uint32_t item = 0;
+  ItemPhase phase = ItemPhase::kComplete;
+  std::string content;
+};
+
+std::string PackResult(const ResultRecord& result);
+absl::StatusOr<ResultRecord> UnpackResult(std::string_view bytes);
+
+// Operations, as the primary makes them.
+Operation MakeCreate(const LotSpec& spec, std::int64_t created_wall_ms);
+Operation MakeEnd(const std::string& lot_id);
+Operation MakeForget(const std::string& lot_id);
+Operation MakeResult(const std::string& lot_id, std::uint32_t position, const ResultRecord& result);
+void AddFailure(const Lot& lot, std::uint32_t item, std::uint64_t lease, Operation* operation);
+void AddResult(std::uint32_t position, const ResultRecord& result, Operation* operation);
+
+std::string RecordKey(std::uint32_t partition, std::string_view lot_id, RecordKind kind,
+                      std::uint32_t index);
+std::string PartitionPrefix(std::uint32_t partition);
+std::string LotPrefix(std::uint32_t partition, std::string_view lot_id);
+
+constexpr std::uint32_t kDigestBuckets = 32;
+
+class LotTable {
+ public:
+  explicit LotTable(std::uint32_t partition) : partition_(partition) {}
+
+  // Reads all of the partition from disk in place of what is in memory.
+  void Load(const disk::TableStore& disk);
+  // Changes memory and returns what is to be written for it.
+  std::vector<disk::Write> Apply(const Operation& operation);
+  // The whole lot as it is on disk, in place of whatever another replica has of it.
+  Operation Whole(const disk::TableStore& disk, const std::string& lot_id) const;
+
+  Lot* Find(const std::string& lot_id);
+  const std::map<std::string, Lot>& lots() const { return lots_; }
+  void MakeAllVisible();
+
+  static std::uint32_t BucketOf(std::string_view lot_id);
+  std::vector<std::uint64_t> BucketDigests() const;
+  std::vector<std::pair<std::string, std::uint64_t>> LotDigests(
+      const std::vector<std::uint32_t>& buckets) const;
+
+ private:
+  void ApplyRecord(const std::string& lot_id, const Record& record);
+  void ApplyToLot(Lot* lot, const Record& record);
+  void EraseKeys(const std::string& lot_id, std::map<std::string, disk::Write>* writes) const;
+
+  std::uint32_t partition_;
+  std::map<std::string, Lot> lots_;
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_LOT_STATE_H_
--- /dev/null
+++ b/src/batch/lot_store.cpp
@@ -0,0 +1,289 @@
+#include "batch/lot_store.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "codec/archive.h"
+#include "logging/log.h"
+
+namespace pearreach::batch {
+namespace {
+
+constexpr Micros kTickPeriod = 500 * kMs;
+constexpr int kSweepTicks = 4;
+constexpr Micros kRefreshPause = 200 * kMs;  // between strict reads that were not asked to confirm
+constexpr Micros kStrictTimeout = 1 * kSecond;
+constexpr Micros kFilledPeriod = 500 * kMs;
+
+bool IsThere(const coordination::Member& member) {
+  return member.status == coordination::MemberStatus::kAlive ||
+         member.status == coordination::MemberStatus::kSuspect;
+}
+
+}  // namespace
+
+StoreServer::StoreServer(Timers* timers, mesh::Mesh* mesh, disk::TableStore* disk,
+                         control::ControlClient* control, StoreId self, const settings::Bounds&,
+                         const settings::Tolerance&)
+    : timers_(timers),
+      mesh_(mesh),
+      disk_(disk),
+      control_(control),
+      self_(std::move(self)),
+      random_((static_cast<std::uint64_t>(std::random_device()()) << 32) ^ std::random_device()()),
+      wall_at_start_ms_(g_get_real_time() / kMs),
+      start_(pearreach::Now()),
+      reads_(this),
+      quota_(this),
+      items_(
+          this, [this](const std::string& lot_id) { reads_.OnVisible(lot_id); },
+          [this](const std::string& lot_id) { quota_.Update(lot_id); }),
+      changes_(this, &items_, &reads_, &quota_) {
+  ReplicationEnvironment* const environment = this;
+  for (std::uint32_t partition = 0; partition < kPartitions; ++partition) {
+    replicas_.push_back(std::make_unique<PartitionReplica>(partition, self_, environment));
+  }
+  RegisterHandlers();
+  control_->OnChange([this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) AdoptTable(*control_->Current());
+  });
+  AdoptTable(*control_->Current());
+  tick_timer_ = After(kTickPeriod, [this] { Tick(); });
+}
+
+StoreServer::~StoreServer() {
+  alive_.reset();
+  timers_->Cancel(&tick_timer_);
+  timers_->Cancel(&refresh_timer_);
+  timers_->Cancel(&filled_timer_);
+  replicas_.clear();
+}
+
+int StoreServer::active_partitions() const {
+  return static_cast<int>(std::count_if(replicas_.begin(), replicas_.end(),
+                                        [](const auto& replica) { return replica->is_active(); }));
+}
+
+// ---------------------------------------------------------------- handlers
+
+template <class Message>
+void StoreServer::Register(mesh::MessageType type,
+                           std::function<void(Message, mesh::Respond)> handle) {
+  const std::weak_ptr<bool> alive = alive_;
+  Handler handler = Decoding<Message>(
+      [alive, handle = std::move(handle)](Message message, mesh::Respond respond) {
+        if (alive.expired()) {
+          respond(absl::UnavailableError("ending"));
+        } else {
+          handle(std::move(message), std::move(respond));
+        }
+      });
+  handlers_[type] = handler;
+  mesh_->Handle(type, std::move(handler));
+}
+
+void StoreServer::RegisterHandlers() {
+  using mesh::MessageType;
+  using mesh::Respond;
+  Register<CreateLot>(MessageType::kLotCreate, [this](CreateLot message, Respond respond) {
+    changes_.OnCreate(std::move(message), std::move(respond));
+  });
+  Register<CancelLot>(MessageType::kLotCancel, [this](const CancelLot& message, Respond respond) {
+    changes_.OnCancel(message, std::move(respond));
+  });
+  Register<ReadLot>(MessageType::kLotRead, [this](ReadLot message, Respond respond) {
+    reads_.OnRead(std::move(message), std::move(respond));
+  });
+  Register<ReadItemBody>(
+      MessageType::kLotItemBody,
+      [this](const ReadItemBody& message, Respond respond) { reads_.OnBody(message, respond); });
+  Register<TakeItems>(MessageType::kItemTake, [this](TakeItems message, Respond respond) {
+    items_.OnTake(std::move(message), std::move(respond));
+  });
+  Register<ItemResult>(MessageType::kItemResult, [this](ItemResult message, Respond respond) {
+    items_.OnResult(std::move(message), std::move(respond));
+  });
+  Register<RenewLeases>(MessageType::kItemRenew,
+                        [this](const RenewLeases& message, const Respond& respond) {
+                          items_.OnRenew(message, respond);
+                        });
+  Register<Replicate>(MessageType::kReplicate, [this](Replicate message, Respond respond) {
+    if (message.scope.partition >= kPartitions) {
+      respond(absl::InvalidArgumentError("no such partition"));
+      return;
+    }
+    PartitionReplica& replica = Replica(message.scope.partition);
+    replica.OnReplicate(std::move(message), std::move(respond));
+  });
+  Register<RepairDigest>(MessageType::kRepairDigest, [this](RepairDigest message, Respond respond) {
+    if (message.scope.partition >= kPartitions) {
+      respond(absl::InvalidArgumentError("no such partition"));
+      return;
+    }
+    Replica(message.scope.partition).OnRepairDigest(message, std::move(respond));
+  });
+  Register<QuotaReserve>(MessageType::kQuotaReserve, [this](QuotaReserve message, Respond respond) {
+    quota_.OnReserve(std::move(message), std::move(respond));
+  });
+  Register<QuotaReport>(MessageType::kQuotaReport,
+                        [this](const QuotaReport& message, const Respond& respond) {
+                          quota_.OnReport(message, respond);
+                        });
+}
+
+// ---------------------------------------------------------------- surroundings
+
+Micros StoreServer::Now() const { return pearreach::Now(); }
+
+std::int64_t StoreServer::WallMs() const {
+  return wall_at_start_ms_ + (pearreach::Now() - start_) / kMs;
+}
+
+Timers::Id StoreServer::After(Micros delay, std::function<void()> callback) {
+  return timers_->After(delay,
+                        [alive = std::weak_ptr<bool>(alive_), callback = std::move(callback)] {
+                          if (!alive.expired()) callback();
+                        });
+}
+
+void StoreServer::Commit(std::vector<disk::Write> batch, std::function<void(absl::Status)> done) {
+  disk_->Commit(std::move(batch), [alive = std::weak_ptr<bool>(alive_),
+                                   done = std::move(done)](const absl::Status& status) {
+    if (!alive.expired()) done(status);
+  });
+}
+
+std::string StoreServer::AddressOf(const StoreId& store) const {
+  const auto& members = control_->members();
+  const auto at = members.find(store.name);
+  if (at == members.end() || !IsThere(at->second)) return {};
+  return at->second.info.disk_id == store.disk_id ? at->second.info.address : std::string();
+}
+
+void StoreServer::Send(const StoreId& to, mesh::MessageType type, std::string body, Micros timeout,
+                       mesh::Done done) {
+  mesh::Done guarded = [alive = std::weak_ptr<bool>(alive_),
+                        done = std::move(done)](absl::StatusOr<std::string> answer) {
+    if (!alive.expired()) done(std::move(answer));
+  };
+  if (to == self_) {
+    SendLocal(type, std::move(body), std::move(guarded));
+    return;
+  }
+  const std::string address = AddressOf(to);
+  if (address.empty()) {
+    After(0, [guarded] { guarded(absl::UnavailableError("the store is not there")); });
+    return;
+  }
+  mesh_->Call(address, type, std::move(body), timeout, std::move(guarded));
+}
+
+void StoreServer::SendLocal(mesh::MessageType type, std::string body, mesh::Done done) {
+  After(0, [this, type, body = std::move(body), done = std::move(done)] {
+    handlers_.at(type)({}, body, done);
+  });
+}
+
+// ---------------------------------------------------------------- the placement table
+
+void StoreServer::AdoptTable(const control::ControlSnapshot& snapshot) {
+  if (snapshot.stores.empty() || snapshot.stores_revision <= stores_revision_) return;
+  auto table = codec::Decode<PlacementTable>(snapshot.stores);
+  if (!table.ok()) {
+    logging::Error("batch", "the placement table cannot be read",
+                   {logging::F("error", table.status().ToString())});
+    return;
+  }
+  stores_revision_ = snapshot.stores_revision;
+  placement_ = *std::move(table);
+  for (std::uint32_t i = 0; i < kPartitions && i < placement_.partitions.size(); ++i) {
+    replicas_[i]->SetTable(placement_.partitions[i]);
+  }
+}
+
+void StoreServer::StrictRead() {
+  if (reading_) return;
+  reading_ = true;
+  auto waiting = std::make_shared<std::vector<std::function<void(bool)>>>(std::move(next_read_));
+  next_read_.clear();
+  control_->StrictRead(
+      kStrictTimeout,
+      [this, waiting, alive = std::weak_ptr<bool>(alive_)](
+          const absl::StatusOr<std::shared_ptr<const control::ControlSnapshot>>& snapshot) {
+        if (alive.expired()) return;
+        reading_ = false;
+        if (snapshot.ok()) AdoptTable(**snapshot);
+        for (const auto& done : *waiting) done(snapshot.ok());
+        if (!next_read_.empty()) StrictRead();
+      });
+}
+
+void StoreServer::RefreshTable() {
+  if (refresh_timer_ != 0) return;
+  refresh_timer_ = After(kRefreshPause, [this] { refresh_timer_ = 0; });
+  StrictRead();
+}
+
+void StoreServer::ConfirmEpoch(std::uint32_t partition, std::uint64_t epoch,
+                               std::function<void(bool)> done) {
+  next_read_.push_back([this, partition, epoch, done = std::move(done)](bool ok) {
+    done(ok && replicas_[partition]->epoch() == epoch);
+  });
+  After(0, [this] { StrictRead(); });
+}
+
+void StoreServer::OnActive(std::uint32_t partition) {
+  logging::Info("batch", "serves a partition", {logging::F("partition", partition)});
+  items_.OnActive(partition);
+  quota_.OnActive(partition);
+}
+
+void StoreServer::OnInactive(std::uint32_t partition) {
+  logging::Info("batch", "serves a partition no longer", {logging::F("partition", partition)});
+  items_.OnInactive(partition);
+  reads_.OnInactive(partition);
+  quota_.OnInactive(partition);
+}
+
+// ---------------------------------------------------------------- joining stores
+
+void StoreServer::OnFilled(std::uint32_t) {
+  if (filled_timer_ == 0) filled_timer_ = After(0, [this] { ReportFilled(); });
+}
+
+void StoreServer::ReportFilled() {
+  filled_timer_ = 0;
+  std::map<StoreId, StoreStatus> filled;
+  for (std::uint32_t partition = 0; partition < kPartitions; ++partition) {
+    for (const StoreId& store : replicas_[partition]->FilledJoiners()) {
+      StoreStatus& status = filled[store];
+      status.store = store;
+      status.filled.emplace_back(partition, replicas_[partition]->epoch());
+    }
+  }
+  if (filled.empty()) return;
+  for (const auto& [store, status] : filled) {
+    const std::string body = codec::Encode(status);
+    for (const auto& [name, member] : control_->members()) {
+      if (!IsThere(member) || !member.info.Is(coordination::MemberInfo::kQuorumMember)) continue;
+      mesh_->Call(member.info.address, mesh::MessageType::kStoreStatus, body, kFilledPeriod,
+                  [](const absl::StatusOr<std::string>&) {});
+    }
+  }
+  filled_timer_ = After(kFilledPeriod, [this] { ReportFilled(); });
+}
+
+void StoreServer::Tick() {
+  tick_timer_ = After(kTickPeriod, [this] { Tick(); });
+  items_.DropNodes([this](const std::string& node) {
+    const auto at = control_->members().find(node);
+    return at != control_->members().end() && !IsThere(at->second);
+  });
+  quota_.Tick();
+  if (++ticks_ % kSweepTicks == 0) changes_.Sweep();
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/lot_store.h
@@ -0,0 +1,100 @@
+// A store machine: the partitions of lots that it holds by the placement table, and the calls of
+// edge nodes and other stores about them.
+#ifndef PEARREACH_SRC_BATCH_LOT_STORE_H_
+#define PEARREACH_SRC_BATCH_LOT_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/timers.h"
+#include "batch/lot_store_changes.h"
+#include "batch/lot_store_context.h"
+#include "batch/lot_store_items.h"
+#include "batch/lot_store_quota.h"
+#include "batch/lot_store_reads.h"
+#include "batch/messages.h"
+#include "batch/replication.h"
+#include "control/control_client.h"
+#include "disk/table_store.h"
+#include "mesh/mesh.h"
+#include "settings/node_settings.h"
+
+namespace pearreach::batch {
+
+class StoreServer final : private StoreContext {
+ public:
+  // Registers its handlers with the mesh and reads its lots from disk. All that is given must live
+  // as long; the disk's pending writes must be done with, or dropped, before this goes.
+  StoreServer(Timers* timers, mesh::Mesh* mesh, disk::TableStore* disk,
+              control::ControlClient* control, StoreId self, const settings::Bounds& bounds,
+              const settings::Tolerance& tolerance);
+  ~StoreServer() override;
+  StoreServer(const StoreServer&) = delete;
+  StoreServer& operator=(const StoreServer&) = delete;
+
+  int active_partitions() const;
+
+ private:
+  using Handler = mesh::Handler;
+
+  // ReplicationEnvironment and StoreContext
+  Micros Now() const override;
+  std::uint64_t Random() override { return random_(); }
+  Timers::Id After(Micros delay, std::function<void()> callback) override;
+  void Cancel(Timers::Id* id) override { timers_->Cancel(id); }
+  void Send(const StoreId& to, mesh::MessageType type, std::string body, Micros timeout,
+            mesh::Done done) override;
+  const disk::TableStore& Disk() const override { return *disk_; }
+  void Commit(std::vector<disk::Write> batch, std::function<void(absl::Status)> done) override;
+  void RefreshTable() override;
+  void ConfirmEpoch(std::uint32_t partition, std::uint64_t epoch,
+                    std::function<void(bool)> done) override;
+  void OnActive(std::uint32_t partition) override;
+  void OnInactive(std::uint32_t partition) override;
+  void OnFilled(std::uint32_t partition) override;
+  const StoreId& Self() const override { return self_; }
+  const PlacementTable& Placement() const override { return placement_; }
+  PartitionReplica& Replica(std::uint32_t partition) override { return *replicas_[partition]; }
+  std::int64_t WallMs() const override;
+
+  template <class Message>
+  void Register(mesh::MessageType type, std::function<void(Message, mesh::Respond)> handle);
+  void RegisterHandlers();
+  void SendLocal(mesh::MessageType type, std::string body, mesh::Done done);
+  std::string AddressOf(const StoreId& store) const;
+  void AdoptTable(const control::ControlSnapshot& snapshot);
+  void StrictRead();
+  void ReportFilled();
+  void Tick();
+
+  Timers* const timers_;
+  mesh::Mesh* const mesh_;
+  disk::TableStore* const disk_;
+  control::ControlClient* const control_;
+  const StoreId self_;
+  std::mt19937_64 random_;
+  std::int64_t wall_at_start_ms_ = 0;
+  Micros start_ = 0;
+  PlacementTable placement_;
+  std::uint64_t stores_revision_ = 0;
+  std::map<mesh::MessageType, Handler> handlers_;
+  LotReads reads_;
+  QuotaService quota_;
+  LotItems items_;
+  LotChanges changes_;
+  std::vector<std::unique_ptr<PartitionReplica>> replicas_;  // by partition
+  bool reading_ = false;                                     // a strict read is under way
+  std::vector<std::function<void(bool ok)>> next_read_;      // wait for one that starts from now on
+  Timers::Id refresh_timer_ = 0, filled_timer_ = 0, tick_timer_ = 0;
+  int ticks_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for callbacks from outside
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_LOT_STORE_H_
--- /dev/null
+++ b/src/batch/lot_store_changes.cpp
@@ -0,0 +1,162 @@
+#include "batch/lot_store_changes.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pearreach::batch {
+namespace {
+
+constexpr std::size_t kLongestLotId = 200;
+// Clocks of machines differ a little; later costs nothing.
+constexpr double kAbandonMarginMs = 5'000, kForgetMarginMs = 30'000;
+
+bool IsProperId(const std::string& lot_id) {
+  return !lot_id.empty() && lot_id.size() <= kLongestLotId &&
+         lot_id.find('\0') == std::string::npos;
+}
+
+bool MayAbandon(const Lot& lot, double age_ms) {
+  return lot.accepted && lot.Open() && lot.header.retain_s > 0 &&
+         age_ms > lot.header.retain_s * 1000 + kAbandonMarginMs;
+}
+
+bool MayForget(const Lot& lot, double age_ms) {
+  const double kept_ms = std::max(lot.header.retain_s, lot.header.status_s) * 1000;
+  return lot.accepted && !lot.Open() && age_ms > kept_ms + kForgetMarginMs;
+}
+
+}  // namespace
+
+void LotChanges::OnCreate(CreateLot create, mesh::Respond respond) {
+  const auto lot = std::make_shared<const LotSpec>(std::move(create.lot));
+  PartitionReplica* replica = context_->ActiveReplica(lot->lot_id);
+  if (replica == nullptr) {
+    respond(NotPrimary());
+    return;
+  }
+  if (!IsProperId(lot->lot_id)) {
+    respond(absl::InvalidArgumentError("not a lot's id"));
+    return;
+  }
+  const Lot* known = replica->lots().Find(lot->lot_id);
+  const auto under_way = creating_.find(lot->lot_id);
+  const bool other =
+      (known != nullptr && known->header.fingerprint != lot->fingerprint) ||
+      (under_way != creating_.end() && under_way->second.fingerprint != lot->fingerprint);
+  if (other) {
+    respond(absl::AlreadyExistsError("another lot has this id"));
+    return;
+  }
+  if (known != nullptr && known->accepted) {
+    respond(codec::Encode(CreateLotAnswer{CreateStatus::kAccepted}));
+    return;
+  }
+  if (under_way != creating_.end()) {
+    under_way->second.waiting.push_back(std::move(respond));
+    return;
+  }
+  creating_[lot->lot_id] = {lot->fingerprint, {std::move(respond)}};
+  if (lot->token_cap <= 0) {
+    Stage(lot);
+    return;
+  }
+  quota_->Reserve(*lot, [this, lot](QuotaVerdict verdict) {
+    if (verdict == QuotaVerdict::kGranted) {
+      Stage(lot);
+    } else if (verdict == QuotaVerdict::kOver) {
+      Finish(lot->lot_id, CreateStatus::kOverQuota);
+    } else {
+      Finish(lot->lot_id, absl::FailedPreconditionError("the quota cannot be told now"));
+    }
+  });
+}
+
+void LotChanges::Stage(const std::shared_ptr<const LotSpec>& lot) {
+  PartitionReplica* replica = context_->ActiveReplica(lot->lot_id);
+  if (replica == nullptr) {
+    Finish(lot->lot_id, NotPrimary());
+    return;
+  }
+  const std::string lot_id = lot->lot_id;
+  replica->Submit(MakeCreate(*lot, context_->WallMs()), [this, lot_id](const absl::Status& status) {
+    if (!status.ok()) {
+      Finish(lot_id, status);
+      return;
+    }
+    Finish(lot_id, CreateStatus::kAccepted);
+    items_->OnAccepted(lot_id);
+  });
+  quota_->Update(lot_id);
+}
+
+void LotChanges::Finish(const std::string& lot_id, const absl::StatusOr<CreateStatus>& outcome) {
+  const auto at = creating_.find(lot_id);
+  if (at == creating_.end()) return;
+  const Creation creation = std::move(at->second);
+  creating_.erase(at);
+  for (const mesh::Respond& respond : creation.waiting) {
+    if (outcome.ok()) {
+      respond(codec::Encode(CreateLotAnswer{*outcome}));
+    } else {
+      respond(outcome.status());
+    }
+  }
+}
+
+void LotChanges::OnCancel(const CancelLot& cancel, mesh::Respond respond) {
+  PartitionReplica* replica = context_->ActiveReplica(cancel.lot_id);
+  if (replica == nullptr) {
+    respond(NotPrimary());
+    return;
+  }
+  const std::string lot_id = cancel.lot_id;
+  const Lot* lot = replica->lots().Find(lot_id);
+  if (lot == nullptr) {
+    replica->Confirm([respond](bool stands) {
+      if (stands) {
+        respond(codec::Encode(CancelLotAnswer{false}));
+      } else {
+        respond(absl::UnavailableError("not sure to be the newest"));
+      }
+    });
+    return;
+  }
+  // Repeated, it only waits for what is under way.
+  Operation operation = lot->ended ? Operation{lot_id, false, {}} : MakeEnd(lot_id);
+  replica->Submit(std::move(operation), [this, lot_id, respond](const absl::Status& status) {
+    if (!status.ok()) {
+      respond(status);
+      return;
+    }
+    items_->OnEnded(lot_id);
+    respond(codec::Encode(CancelLotAnswer{true}));
+  });
+  items_->OnEnded(lot_id);
+  quota_->Update(lot_id);
+}
+
+void LotChanges::Sweep() {
+  for (std::uint32_t partition = 0; partition < kPartitions; ++partition) {
+    PartitionReplica& replica = context_->Replica(partition);
+    if (replica.is_active()) SweepPartition(&replica);
+  }
+}
+
+void LotChanges::SweepPartition(PartitionReplica* replica) {
+  std::vector<std::string> over, old;
+  const std::int64_t now = context_->WallMs();
+  for (const auto& [lot_id, lot] : replica->lots().lots()) {
+    const auto age_ms = static_cast<double>(now - lot.header.created_wall_ms);
+    if (MayAbandon(lot, age_ms)) over.push_back(lot_id);
+    if (MayForget(lot, age_ms)) old.push_back(lot_id);
+  }
+  for (const std::string& lot_id : over) items_->Abandon(replica, lot_id);
+  for (const std::string& lot_id : old) {
+    items_->OnEnded(lot_id);
+    replica->Submit(MakeForget(lot_id),
+                    [this, lot_id](const absl::Status&) { reads_->OnVisible(lot_id); });
+    quota_->Update(lot_id);
+  }
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/lot_store_changes.h
@@ -0,0 +1,48 @@
+// Lots that are handed in, ended by their client or forgotten for their age.
+#ifndef PEARREACH_SRC_BATCH_LOT_STORE_CHANGES_H_
+#define PEARREACH_SRC_BATCH_LOT_STORE_CHANGES_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "batch/lot_store_context.h"
+#include "batch/lot_store_items.h"
+#include "batch/lot_store_quota.h"
+#include "batch/lot_store_reads.h"
+#include "batch/messages.h"
+
+namespace pearreach::batch {
+
+class LotChanges {
+ public:
+  LotChanges(StoreContext* context, LotItems* items, LotReads* reads, QuotaService* quota)
+      : context_(context), items_(items), reads_(reads), quota_(quota) {}
+
+  void OnCreate(CreateLot create, mesh::Respond respond);
+  void OnCancel(const CancelLot& cancel, mesh::Respond respond);
+  // Gives up items and forgets lots whose time is over, in the partitions that are active here.
+  void Sweep();
+
+ private:
+  struct Creation {
+    std::uint64_t fingerprint = 0;
+    std::vector<mesh::Respond> waiting;  // calls for the same lot
+  };
+
+  void Stage(const std::shared_ptr<const LotSpec>& lot);
+  void Finish(const std::string& lot_id, const absl::StatusOr<CreateStatus>& outcome);
+  void SweepPartition(PartitionReplica* replica);
+
+  StoreContext* const context_;
+  LotItems* const items_;
+  LotReads* const reads_;
+  QuotaService* const quota_;
+  std::map<std::string, Creation> creating_;
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_LOT_STORE_CHANGES_H_
--- /dev/null
+++ b/src/batch/lot_store_context.h
@@ -0,0 +1,57 @@
+// What the parts of a store use of each other's surroundings: the partitions, the placement table,
+// this store's identity and the time of day.
+#ifndef PEARREACH_SRC_BATCH_LOT_STORE_CONTEXT_H_
+#define PEARREACH_SRC_BATCH_LOT_STORE_CONTEXT_H_
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "batch/messages.h"
+#include "batch/replication.h"
+#include "codec/archive.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::batch {
+
+class StoreContext : public ReplicationEnvironment {
+ public:
+  virtual const StoreId& Self() const = 0;
+  virtual const PlacementTable& Placement() const = 0;
+  virtual PartitionReplica& Replica(std::uint32_t partition) = 0;
+  // Milliseconds since 1970; does not jump while this process lives.
+  virtual std::int64_t WallMs() const = 0;
+
+  // The lot's partition where this store is its active primary, else null.
+  PartitionReplica* ActiveReplica(std::string_view lot_id) {
+    PartitionReplica& replica = Replica(PartitionOf(lot_id));
+    return replica.is_active() ? &replica : nullptr;
+  }
+};
+
+// Surely not carried out: the caller may ask another store.
+inline absl::Status NotPrimary() {
+  return absl::FailedPreconditionError("not the active primary of this partition");
+}
+
+template <class Message>
+std::function<void(const std::string&, std::string_view, mesh::Respond)> Decoding(
+    std::function<void(Message, mesh::Respond)> handle) {
+  return [handle = std::move(handle)](const std::string&, std::string_view body,
+                                      mesh::Respond respond) {
+    auto message = codec::Decode<Message>(body);
+    if (message.ok()) {
+      handle(*std::move(message), std::move(respond));
+    } else {
+      respond(message.status());
+    }
+  };
+}
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_LOT_STORE_CONTEXT_H_
--- /dev/null
+++ b/src/batch/lot_store_items.h
@@ -0,0 +1,75 @@
+// Hands out items of open lots to edge nodes and takes their results.
+#ifndef PEARREACH_SRC_BATCH_LOT_STORE_ITEMS_H_
+#define PEARREACH_SRC_BATCH_LOT_STORE_ITEMS_H_
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "batch/leases.h"
+#include "batch/lot_store_context.h"
+#include "batch/messages.h"
+
+namespace pearreach::batch {
+
+class LotItems {
+ public:
+  // `changed` is called when something of a lot has become visible, `counted` when its waiting
+  // tokens may have changed.
+  using LotListener = std::function<void(const std::string& lot_id)>;
+  LotItems(StoreContext* context, LotListener changed, LotListener counted);
+
+  void OnTake(TakeItems take, mesh::Respond respond);
+  void OnResult(ItemResult result, mesh::Respond respond);
+  void OnRenew(const RenewLeases& renew, const mesh::Respond& respond);
+
+  void OnAccepted(const std::string& lot_id);  // a new lot: its items wait from now on
+  void OnEnded(const std::string& lot_id);
+  void OnActive(std::uint32_t partition);
+  void OnInactive(std::uint32_t partition);
+  // Voids the leases of nodes that are not there any more.
+  void DropNodes(const std::function<bool(const std::string& node)>& is_gone);
+  // Gives up all items of the lot that have no result: their time is over.
+  void Abandon(PartitionReplica* replica, const std::string& lot_id);
+
+ private:
+  struct Parked {
+    TakeItems take;
+    mesh::Respond respond;
+    Timers::Id timer = 0;
+    std::uint64_t id = 0;
+  };
+
+  void AddLot(const std::string& lot_id, const Lot& lot, Micros held_until);
+  TakeItemsAnswer Give(const TakeItems& take);
+  bool Describe(const TakenItem& taken, LeasedItem* item);
+  std::map<std::string, int> Shares(const std::map<std::string, int>& room) const;
+  void Park(TakeItems take, mesh::Respond respond);
+  void Unpark(const std::string& node);
+  void OnWaited(std::uint64_t id);
+  void ServeParked();
+  void NoteTaker(const std::string& node);
+  void ArmExpiry();
+  void OnExpiry();
+  void Append(PartitionReplica* replica, const Lot& lot, const ItemResult& result,
+              std::uint32_t item, const mesh::Respond& respond);
+  void CountFailure(PartitionReplica* replica, const Lot& lot, const ItemResult& result,
+                    std::uint32_t item, const mesh::Respond& respond);
+  void Submit(PartitionReplica* replica, Operation operation, const mesh::Respond& respond);
+
+  StoreContext* const context_;
+  const LotListener changed_, counted_;
+  LeaseTable leases_;
+  std::list<Parked> parked_;  // in the order of their coming
+  std::uint64_t last_parked_ = 0;
+  std::map<std::string, Micros> takers_;  // nodes and when they last asked
+  Timers::Id expiry_timer_ = 0;
+  Micros expiry_at_ = 0;
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_LOT_STORE_ITEMS_H_
--- /dev/null
+++ b/src/batch/lot_store_quota.h
@@ -0,0 +1,68 @@
+// The tokens that may wait on a route: asks the route's owner for room for new lots, reports to the
+// owners what waits here, and keeps the ledgers of the routes that this store owns.
+#ifndef PEARREACH_SRC_BATCH_LOT_STORE_QUOTA_H_
+#define PEARREACH_SRC_BATCH_LOT_STORE_QUOTA_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "batch/lot_store_context.h"
+#include "batch/messages.h"
+#include "batch/quota.h"
+
+namespace pearreach::batch {
+
+class QuotaService {
+ public:
+  explicit QuotaService(StoreContext* context);
+
+  // For a lot that is to be taken here.
+  void Reserve(const LotSpec& lot, std::function<void(QuotaVerdict)> done);
+  // The lot's waiting tokens may have changed.
+  void Update(const std::string& lot_id);
+
+  void OnReserve(QuotaReserve reserve, mesh::Respond respond);
+  void OnReport(const QuotaReport& report, const mesh::Respond& respond);
+  void OnActive(std::uint32_t partition);
+  void OnInactive(std::uint32_t partition);
+  void Tick();  // about twice a second
+
+ private:
+  struct Waiting {
+    QuotaReserve reserve;
+    mesh::Respond respond;
+    Micros give_up = 0;
+  };
+  struct Owned {
+    QuotaLedger ledger;
+    std::vector<Waiting> waiting;
+    int asked = 0;  // stores that have not answered yet
+  };
+
+  const StoreId* OwnerOf(const std::string& route) const;
+  bool IsOwner(const std::string& route);
+  QuotaReport ReportOf(const std::string& route);
+  void MarkChanged(const std::string& route);
+  void SendReports();
+  void SendReport(const std::string& route);
+  void Grant(const QuotaReserve& reserve, const mesh::Respond& respond);
+  void AskStores(const std::string& route);
+  void AnswerWaiting(const std::string& route);
+
+  StoreContext* const context_;
+  const std::uint64_t process_;
+  std::uint64_t sequence_ = 0;
+  std::map<std::string, std::map<std::string, double>> tokens_;  // by route and lot, of this store
+  std::map<std::string, std::string> routes_;                    // of the lots in `tokens_`
+  std::set<std::string> changed_;                                // routes to be reported
+  Timers::Id report_timer_ = 0;
+  std::map<std::string, Owned> owned_;  // by route
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_LOT_STORE_QUOTA_H_
--- /dev/null
+++ b/src/batch/lot_store_reads.h
@@ -0,0 +1,45 @@
+// Reads of lots at their primary: results by position, held until there are some, and item bodies.
+#ifndef PEARREACH_SRC_BATCH_LOT_STORE_READS_H_
+#define PEARREACH_SRC_BATCH_LOT_STORE_READS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "batch/lot_store_context.h"
+#include "batch/messages.h"
+
+namespace pearreach::batch {
+
+class LotReads {
+ public:
+  explicit LotReads(StoreContext* context) : context_(context) {}
+
+  void OnRead(ReadLot read, mesh::Respond respond);
+  void OnBody(const ReadItemBody& read, mesh::Respond respond);
+  // More of the lot is visible, or it is there no longer.
+  void OnVisible(const std::string& lot_id);
+  void OnInactive(std::uint32_t partition);
+
+ private:
+  struct Parked {
+    ReadLot read;
+    mesh::Respond respond;
+    Timers::Id timer = 0;
+  };
+  using ParkedReads = std::map<std::uint64_t, Parked>;
+
+  void Park(ReadLot read, mesh::Respond respond);
+  void OnWaited(const std::string& lot_id, std::uint64_t id);
+  void AnswerEmpty(const ReadLot& read, const mesh::Respond& respond);
+  void AnswerOutputs(const ReadLot& read, const Lot& lot, const mesh::Respond& respond);
+
+  StoreContext* const context_;
+  std::uint64_t last_ = 0;
+  std::unordered_map<std::string, ParkedReads> parked_;  // by lot
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_LOT_STORE_READS_H_
--- /dev/null
+++ b/src/batch/placement.h
@@ -0,0 +1,57 @@
+// Which stores hold which partitions of lots: from the table in force and what is known of the
+// stores, the next table. Pure: no clock, no transport.
+#ifndef PEARREACH_SRC_BATCH_PLACEMENT_H_
+#define PEARREACH_SRC_BATCH_PLACEMENT_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "batch/messages.h"
+
+namespace pearreach::batch {
+
+enum class StoreCondition : std::uint8_t {
+  kLive,
+  kUncertain,  // briefly unheard: keeps what it has, gets nothing new
+  kGone,       // dead, or it has left
+};
+
+struct StoreView {
+  StoreId id;  // with its present disk
+  std::string zone;
+  StoreCondition condition = StoreCondition::kLive;
+};
+
+// A joining store has reported that it holds all of a partition of this epoch.
+struct FilledReport {
+  StoreId store;
+  std::uint32_t partition = 0;
+  std::uint64_t epoch = 0;
+  auto operator<=>(const FilledReport&) const = default;
+};
+
+struct PlacementInput {
+  std::map<std::string, StoreView> stores;  // by name; what is missing here counts as kUncertain
+  std::set<FilledReport> filled;
+  std::size_t replicas = 2;   // wanted of each partition: machines that may be lost + 1
+  bool allow_first = true;    // the set of live stores has settled: a first table may be made
+  bool allow_joining = true;  // false: a store that went away is given time to return
+};
+
+// The table that should follow; none: the one in force stays. A partition never loses its last
+// replica; what removes one for good, or makes a joining store count, raises its epoch.
+std::optional<PlacementTable> NextPlacement(const PlacementTable* current,
+                                            const PlacementInput& input);
+
+// Every partition has its number of replicas and none is joining.
+bool IsSettled(const PlacementTable& table, std::size_t replicas);
+// The table names the machine as the holder of a partition.
+bool NamesStore(const PlacementTable& table, const std::string& name);
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_PLACEMENT_H_
--- /dev/null
+++ b/src/batch/placement_duty.cpp
@@ -0,0 +1,197 @@
+#include "batch/placement_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "logging/log.h"
+
+namespace pearreach::batch {
+namespace {
+
+// How often the stores are looked at: while something is under way, in calm, and without the duty.
+constexpr Micros kBusyPeriod = 200 * kMs;
+constexpr Micros kCalmPeriod = 500 * kMs;
+constexpr Micros kOffDutyPeriod = 1 * kSecond;
+// The first table waits until no further store has shown up for this long.
+constexpr Micros kSettleTime = 1 * kSecond;
+// A store that went away has this long to come back before another takes its place.
+constexpr Micros kReturnTime = 3 * kSecond;
+// A store of the table that a new holder of the duty has not heard of is gone after this.
+constexpr Micros kUnknownTime = 10 * kSecond;
+constexpr Micros kChangeTimeout = 2 * kSecond;
+
+StoreCondition ConditionOf(coordination::MemberStatus status) {
+  switch (status) {
+    case coordination::MemberStatus::kAlive:
+      return StoreCondition::kLive;
+    case coordination::MemberStatus::kSuspect:
+      return StoreCondition::kUncertain;
+    case coordination::MemberStatus::kDead:
+    case coordination::MemberStatus::kLeft:
+      break;
+  }
+  return StoreCondition::kGone;
+}
+
+}  // namespace
+
+std::map<std::string, StoreView> StoresOf(
+    const std::map<std::string, coordination::Member>& members) {
+  std::map<std::string, StoreView> stores;
+  for (const auto& [name, member] : members) {
+    if (!member.info.Is(coordination::MemberInfo::kServesStorage)) continue;
+    StoreView& store = stores[name];
+    store.id = {name, member.info.disk_id};
+    store.zone = member.info.zone;
+    store.condition = ConditionOf(member.status);
+  }
+  return stores;
+}
+
+PlacementDuty::PlacementDuty(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control,
+                             std::size_t replicas)
+    : timers_(timers), control_(control), replicas_(replicas) {
+  mesh->Handle(mesh::MessageType::kStoreStatus,
+               [this, alive = alive_](const std::string&, std::string_view body,
+                                      const mesh::Respond& respond) {
+                 if (*alive) OnStatus(body, respond);
+               });
+  control->OnChange([this, alive = alive_] {
+    if (*alive) Look();
+  });
+  LookLater(0);
+}
+
+PlacementDuty::~PlacementDuty() {
+  *alive_ = false;
+  timers_->Cancel(&timer_);
+}
+
+void PlacementDuty::LookLater(Micros delay) {
+  timers_->Cancel(&timer_);
+  timer_ = timers_->After(delay, [this] {
+    timer_ = 0;
+    Look();
+  });
+}
+
+void PlacementDuty::OnStatus(std::string_view body, const mesh::Respond& respond) {
+  auto status = codec::Decode<StoreStatus>(body);
+  if (!status.ok()) {
+    respond(status.status());
+    return;
+  }
+  if (!control_->IsDutyHolder()) {
+    respond(absl::FailedPreconditionError("this node does not place partitions"));
+    return;
+  }
+  for (const auto& [partition, epoch] : status->filled) {
+    filled_.insert({status->store, partition, epoch});
+  }
+  respond(std::string());
+  if (!status->filled.empty()) Look();
+}
+
+void PlacementDuty::BeginDuty(Micros now) {
+  on_duty_ = true;
+  duty_since_ = now;
+  stores_changed_ = now;
+  seen_.clear();
+}
+
+void PlacementDuty::EndDuty() {
+  on_duty_ = false;
+  seen_.clear();
+  filled_.clear();
+  table_.reset();
+  revision_ = 0;
+}
+
+// False: there is a table that cannot be read, nothing may be done.
+bool PlacementDuty::LoadTable() {
+  const auto snapshot = control_->Current();
+  if (snapshot->stores.empty()) {
+    table_.reset();
+    revision_ = snapshot->stores_revision;
+    return true;
+  }
+  if (table_ != nullptr && revision_ == snapshot->stores_revision) return true;
+  auto table = codec::Decode<PlacementTable>(snapshot->stores);
+  if (!table.ok() || table->partitions.size() != kPartitions) {
+    logging::Error("batch", "placement table does not read",
+                   {logging::F("revision", snapshot->stores_revision)});
+    return false;
+  }
+  table_ = std::make_unique<PlacementTable>(*std::move(table));
+  revision_ = snapshot->stores_revision;
+  ForgetOldReports();
+  return true;
+}
+
+void PlacementDuty::ForgetOldReports() {
+  std::erase_if(filled_, [this](const FilledReport& report) {
+    if (report.partition >= table_->partitions.size()) return true;
+    return report.epoch < table_->partitions[report.partition].epoch;
+  });
+}
+
+void PlacementDuty::Observe(Micros now, const StoreView& store) {
+  Seen& seen = seen_[store.id.name];
+  if (seen.since != 0 && seen.id == store.id && seen.condition == store.condition) return;
+  seen = {store.id, store.condition, now};
+  stores_changed_ = now;
+}
+
+PlacementInput PlacementDuty::Gather(Micros now) {
+  PlacementInput input;
+  input.stores = StoresOf(control_->members());
+  input.replicas = replicas_;
+  input.filled = filled_;
+  if (table_ != nullptr && now - duty_since_ >= kUnknownTime) {
+    for (const Partition& partition : table_->partitions) {
+      for (const StoreId& store : partition.replicas) {
+        input.stores.try_emplace(store.name, StoreView{store, "", StoreCondition::kGone});
+      }
+    }
+  }
+  for (const auto& [name, store] : input.stores) Observe(now, store);
+  input.allow_first = now - stores_changed_ >= kSettleTime;
+  for (const auto& [name, seen] : seen_) {
+    const bool is_gone = seen.condition == StoreCondition::kGone;
+    if (is_gone && now - seen.since < kReturnTime) input.allow_joining = false;
+  }
+  return input;
+}
+
+void PlacementDuty::Look() {
+  const Micros now = Now();
+  if (!control_->IsDutyHolder()) {
+    if (on_duty_) EndDuty();
+    LookLater(kOffDutyPeriod);
+    return;
+  }
+  if (!on_duty_) BeginDuty(now);
+  if (proposing_ || !LoadTable()) {
+    LookLater(kBusyPeriod);
+    return;
+  }
+  const PlacementInput input = Gather(now);
+  auto next = NextPlacement(table_.get(), input);
+  if (next.has_value()) Propose(*std::move(next), revision_);
+  const bool calm = !proposing_ && table_ != nullptr && IsSettled(*table_, replicas_);
+  LookLater(calm ? kCalmPeriod : kBusyPeriod);
+}
+
+void PlacementDuty::Propose(PlacementTable table, std::uint64_t revision) {
+  proposing_ = true;
+  logging::Info("batch", "placement proposed",
+                {logging::F("epoch", table.epoch), logging::F("revision", revision)});
+  control_->Change(control::kStoresKey, revision, codec::Encode(table), kChangeTimeout,
+                   [this, alive = alive_](const control::ChangeOutcome&) {
+                     if (!*alive) return;
+                     proposing_ = false;
+                     LookLater(0);
+                   });
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/placement_duty.h
@@ -0,0 +1,70 @@
+// The duty of placing partitions on stores, carried by the head of the control chain: watches the
+// stores' membership and their reports, and proposes the next placement table.
+#ifndef PEARREACH_SRC_BATCH_PLACEMENT_DUTY_H_
+#define PEARREACH_SRC_BATCH_PLACEMENT_DUTY_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "base/timers.h"
+#include "batch/messages.h"
+#include "batch/placement.h"
+#include "control/control_client.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::batch {
+
+// The stores of a placement decision as membership shows them, without the times of PlacementDuty.
+std::map<std::string, StoreView> StoresOf(
+    const std::map<std::string, coordination::Member>& members);
+
+class PlacementDuty {
+ public:
+  // `replicas`: machines that may be lost at once, plus 1. Handles kStoreStatus; a node that does
+  // not hold the duty answers it FAILED_PRECONDITION.
+  PlacementDuty(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control,
+                std::size_t replicas);
+  ~PlacementDuty();
+  PlacementDuty(const PlacementDuty&) = delete;
+  PlacementDuty& operator=(const PlacementDuty&) = delete;
+
+  // Membership has changed: looks at once.
+  void Look();
+
+ private:
+  struct Seen {
+    StoreId id;
+    StoreCondition condition = StoreCondition::kUncertain;
+    Micros since = 0;
+  };
+
+  void OnStatus(std::string_view body, const mesh::Respond& respond);
+  void LookLater(Micros delay);
+  void BeginDuty(Micros now);
+  void EndDuty();
+  bool LoadTable();
+  PlacementInput Gather(Micros now);
+  void Observe(Micros now, const StoreView& store);
+  void ForgetOldReports();
+  void Propose(PlacementTable table, std::uint64_t revision);
+
+  Timers* timers_;
+  control::ControlClient* control_;
+  const std::size_t replicas_;
+  Timers::Id timer_ = 0;
+  bool on_duty_ = false, proposing_ = false;
+  Micros duty_since_ = 0, stores_changed_ = 0;
+  std::map<std::string, Seen> seen_;
+  std::set<FilledReport> filled_;
+  std::unique_ptr<PlacementTable> table_;  // of `revision_`
+  std::uint64_t revision_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_PLACEMENT_DUTY_H_
--- /dev/null
+++ b/src/batch/replication.cpp
@@ -0,0 +1,405 @@
+#include "batch/replication.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "codec/archive.h"
+#include "logging/log.h"
+
+namespace pearreach::batch {
+namespace {
+
+constexpr Micros kConfirmTimeout = 700 * kMs;
+constexpr Micros kConfirmRetry = 300 * kMs;
+
+bool Contains(const std::vector<StoreId>& stores, const StoreId& store) {
+  return std::find(stores.begin(), stores.end(), store) != stores.end();
+}
+
+}  // namespace
+
+PartitionReplica::PartitionReplica(std::uint32_t partition, StoreId self,
+                                   ReplicationEnvironment* environment)
+    : partition_(partition),
+      self_(std::move(self)),
+      environment_(environment),
+      lots_(partition),
+      process_(environment->Random() | 1) {
+  lots_.Load(environment_->Disk());
+}
+
+PartitionReplica::~PartitionReplica() { environment_->Cancel(&confirm_timer_); }
+
+// ---------------------------------------------------------------- part in the table
+
+void PartitionReplica::SetTable(const Partition& table) {
+  if (table.epoch <= table_.epoch) return;
+  table_ = table;
+  sole_confirmed_ = false;
+  const bool primary = !table_.replicas.empty() && table_.replicas.front() == self_;
+  if (!primary) {
+    if (primary_) StepDown();
+    return;
+  }
+  if (!primary_) BecomePrimary();
+  UpdateLinks();
+  CheckActive();
+  Advance();
+}
+
+void PartitionReplica::BecomePrimary() {
+  primary_ = true;
+  active_ = false;
+  barrier_done_ = false;
+  sole_asking_ = false;
+  stream_open_ = false;
+  ++term_;
+  const std::uint64_t term = term_;
+  environment_->Commit({}, [this, term](const absl::Status& status) {
+    if (term != term_) return;
+    if (!status.ok()) {
+      OnDiskFailure(status);
+      return;
+    }
+    barrier_done_ = true;
+    CheckActive();
+  });
+}
+
+void PartitionReplica::StepDown() {
+  const bool was_active = active_;
+  primary_ = false;
+  active_ = false;
+  stream_open_ = false;
+  ++term_;
+  links_.clear();
+  FailPending();
+  if (was_active) environment_->OnInactive(partition_);
+}
+
+void PartitionReplica::UpdateLinks() {
+  std::erase_if(links_, [this](const auto& entry) {
+    return !Contains(table_.replicas, entry.first) && !Contains(table_.joining, entry.first);
+  });
+  const auto connect = [this](const StoreId& peer, bool counts) {
+    if (peer == self_) return;
+    auto& link = links_[peer];
+    const bool fresh = link == nullptr;
+    if (fresh) link = std::make_shared<ReplicaLink>(peer, this, environment_);
+    link->counts = counts;
+    link->required = counts || link->streaming();
+    if (fresh) link->Synchronise();
+  };
+  for (const StoreId& peer : table_.replicas) connect(peer, true);
+  for (const StoreId& peer : table_.joining) {
+    if (!Contains(table_.replicas, peer)) connect(peer, false);
+  }
+  if (!FilledJoiners().empty()) environment_->OnFilled(partition_);
+}
+
+void PartitionReplica::CheckActive() {
+  if (!primary_ || active_ || !barrier_done_) return;
+  for (const auto& [peer, link] : links_) {
+    if (link->counts && !link->streaming()) return;
+  }
+  if (IsSole() && !sole_confirmed_) {
+    ConfirmSole();
+    return;
+  }
+  Activate();
+}
+
+// A sole replica hears from no other whether its table still stands.
+void PartitionReplica::ConfirmSole() {
+  if (sole_asking_) return;
+  sole_asking_ = true;
+  const std::uint64_t term = term_, epoch = table_.epoch;
+  const Micros asked = environment_->Now();
+  environment_->ConfirmEpoch(partition_, epoch, [this, term, epoch, asked](bool stands) {
+    if (term != term_) return;
+    sole_asking_ = false;
+    if (stands && epoch == table_.epoch) {
+      sole_confirmed_ = true;
+      sole_confirmed_at_ = asked;
+      CheckActive();
+      CheckConfirmations();
+      return;
+    }
+    environment_->After(kConfirmRetry, [this, term] {
+      if (term == term_ && (!active_ || !confirmations_.empty())) CheckActive();
+    });
+  });
+}
+
+void PartitionReplica::Activate() {
+  active_ = true;
+  lots_.MakeAllVisible();
+  environment_->OnActive(partition_);
+}
+
+std::vector<StoreId> PartitionReplica::FilledJoiners() const {
+  std::vector<StoreId> filled;
+  if (!active_) return filled;
+  for (const auto& [peer, link] : links_) {
+    if (!link->counts && link->required && link->streaming()) filled.push_back(peer);
+  }
+  return filled;
+}
+
+ReplicaScope PartitionReplica::Scope(const StoreId& to, std::uint64_t attempt) const {
+  return {self_, to, partition_, table_.epoch, process_, attempt};
+}
+
+void PartitionReplica::LinkAdvanced() {
+  bool filled = false;
+  for (const auto& [peer, link] : links_) {
+    if (link->counts || link->required || !link->streaming()) continue;
+    link->required = true;  // before anybody is told that it holds everything
+    filled = true;
+  }
+  CheckActive();
+  if (filled && active_) environment_->OnFilled(partition_);
+  CheckConfirmations();
+  Advance();
+}
+
+// ---------------------------------------------------------------- changes
+
+void PartitionReplica::Submit(Operation operation, ChangeDone done) {
+  if (!active_) {
+    environment_->After(
+        0, [done = std::move(done)] { done(absl::FailedPreconditionError("not active")); });
+    return;
+  }
+  const std::uint64_t sequence = ++last_sequence_;
+  auto shared = std::make_shared<const Operation>(std::move(operation));
+  std::vector<disk::Write> batch = lots_.Apply(*shared);
+  pending_.push_back({sequence, shared, false, std::move(done)});
+  const std::uint64_t term = term_;
+  environment_->Commit(std::move(batch), [this, term, sequence](const absl::Status& status) {
+    OnCommitted(term, sequence, status);
+  });
+  for (const auto& [peer, link] : links_) link->Push(sequence, shared);
+}
+
+void PartitionReplica::OnCommitted(std::uint64_t term, std::uint64_t sequence,
+                                   const absl::Status& status) {
+  if (term != term_) return;
+  if (!status.ok()) {
+    OnDiskFailure(status);
+    return;
+  }
+  for (Pending& pending : pending_) {
+    if (pending.sequence != sequence) continue;
+    pending.committed = true;
+    break;
+  }
+  Advance();
+}
+
+void PartitionReplica::Advance() {
+  if (!active_) return;
+  std::uint64_t held_by_all = last_sequence_;
+  for (const auto& [peer, link] : links_) {
+    if (link->required) held_by_all = std::min(held_by_all, link->acknowledged());
+  }
+  const std::uint64_t term = term_;
+  while (term == term_ && !pending_.empty() && pending_.front().committed &&
+         pending_.front().sequence <= held_by_all) {
+    const Pending pending = std::move(pending_.front());
+    pending_.pop_front();
+    Complete(pending);
+  }
+}
+
+void PartitionReplica::Complete(const Pending& pending) {
+  Lot* lot = lots_.Find(pending.operation->lot_id);
+  if (lot != nullptr) {
+    for (const Record& record : pending.operation->records) {
+      const auto kind = static_cast<RecordKind>(record.kind);
+      if (kind == RecordKind::kHeader) lot->accepted = true;
+      if (kind == RecordKind::kResult) {
+        lot->visible_results = std::max(lot->visible_results, record.index + 1);
+      }
+    }
+  }
+  pending.done(absl::OkStatus());
+}
+
+void PartitionReplica::FailPending() {
+  std::deque<Pending> pending = std::move(pending_);
+  pending_.clear();
+  for (const Pending& one : pending) one.done(absl::UnavailableError("may have been carried out"));
+  std::vector<Confirmation> confirmations = std::move(confirmations_);
+  confirmations_.clear();
+  for (const Confirmation& one : confirmations) one.done(false);
+}
+
+// What is on disk is the truth again: start over from it.
+void PartitionReplica::OnDiskFailure(const absl::Status& status) {
+  logging::Error("batch", "a change could not be written",
+                 {logging::F("partition", partition_), logging::F("error", status.ToString())});
+  if (!primary_) return;
+  StepDown();
+  lots_.Load(environment_->Disk());
+  const std::uint64_t term = term_;
+  environment_->After(kSecond, [this, term] {
+    if (term != term_ || table_.replicas.empty() || table_.replicas.front() != self_) return;
+    lots_.Load(environment_->Disk());
+    BecomePrimary();
+    UpdateLinks();
+    CheckActive();
+  });
+}
+
+// ---------------------------------------------------------------- confirmation
+
+bool PartitionReplica::ConfirmedSince(Micros since) const {
+  if (!active_) return false;
+  if (IsSole()) return sole_confirmed_at_ >= since && sole_confirmed_;
+  for (const auto& [peer, link] : links_) {
+    if (link->counts && link->confirmed_at() < since) return false;
+  }
+  return true;
+}
+
+void PartitionReplica::Confirm(std::function<void(bool)> done) {
+  const Micros now = environment_->Now();
+  const Micros since = now - kConfirmSpan;
+  if (ConfirmedSince(since)) {
+    done(true);
+    return;
+  }
+  if (!active_) {
+    done(false);
+    return;
+  }
+  confirmations_.push_back({since, now + kConfirmTimeout, std::move(done)});
+  if (confirm_timer_ == 0) {
+    confirm_timer_ = environment_->After(kConfirmTimeout, [this] {
+      confirm_timer_ = 0;
+      CheckConfirmations();
+    });
+  }
+  if (IsSole()) {
+    ConfirmSole();
+    return;
+  }
+  for (const auto& [peer, link] : links_) {
+    if (link->counts && link->confirmed_at() < since) link->Probe();
+  }
+}
+
+void PartitionReplica::CheckConfirmations() {
+  if (confirmations_.empty()) return;
+  const Micros now = environment_->Now();
+  std::vector<Confirmation> finished, waiting;
+  for (Confirmation& one : confirmations_) {
+    const bool over = now >= one.give_up || ConfirmedSince(one.since);
+    (over ? finished : waiting).push_back(std::move(one));
+  }
+  confirmations_ = std::move(waiting);
+  if (!confirmations_.empty() && confirm_timer_ == 0) {
+    Micros give_up = confirmations_.front().give_up;
+    confirm_timer_ = environment_->After(std::max<Micros>(1, give_up - now), [this] {
+      confirm_timer_ = 0;
+      CheckConfirmations();
+    });
+  }
+  for (const Confirmation& one : finished) one.done(ConfirmedSince(one.since));
+}
+
+// ---------------------------------------------------------------- as a backup
+
+ReplicaVerdict PartitionReplica::Judge(const ReplicaScope& scope, bool starts_attempt) {
+  if (scope.epoch > table_.epoch) {
+    environment_->RefreshTable();
+    return ReplicaVerdict::kBehind;
+  }
+  if (scope.epoch < table_.epoch || scope.to != self_ || table_.replicas.empty() ||
+      table_.replicas.front() != scope.from) {
+    return ReplicaVerdict::kStale;
+  }
+  return JudgeAttempt(scope, starts_attempt);
+}
+
+// A call that comes late, of an earlier process or attempt, must not undo what came after it.
+ReplicaVerdict PartitionReplica::JudgeAttempt(const ReplicaScope& scope, bool starts_attempt) {
+  if (former_processes_.contains(scope.process)) return ReplicaVerdict::kStale;
+  if (scope.process == primary_process_ && scope.attempt < attempt_) return ReplicaVerdict::kStale;
+  if (scope.process == primary_process_ && scope.attempt == attempt_) return ReplicaVerdict::kTaken;
+  if (!starts_attempt) return ReplicaVerdict::kUnsynchronised;
+  if (scope.process != primary_process_) {
+    former_processes_.insert(primary_process_);
+    primary_process_ = scope.process;
+  }
+  attempt_ = scope.attempt;
+  stream_open_ = false;
+  return ReplicaVerdict::kTaken;
+}
+
+ReplicaVerdict PartitionReplica::JudgeReplicate(const Replicate& message) {
+  const ReplicaVerdict verdict = Judge(message.scope, false);
+  if (verdict != ReplicaVerdict::kTaken) return verdict;
+  const bool fits = message.fill ? !stream_open_ : stream_open_ && message.first <= next_;
+  return fits ? ReplicaVerdict::kTaken : ReplicaVerdict::kUnsynchronised;
+}
+
+void PartitionReplica::OnReplicate(Replicate message, mesh::Respond respond) {
+  ReplicateAnswer answer;
+  answer.verdict = JudgeReplicate(message);
+  if (answer.verdict != ReplicaVerdict::kTaken) {
+    respond(codec::Encode(answer));
+    return;
+  }
+  std::vector<disk::Write> batch;
+  std::uint64_t sequence = message.first;
+  for (const Operation& operation : message.operations) {
+    const bool known = !message.fill && sequence++ < next_;
+    if (known) continue;
+    std::vector<disk::Write> writes = lots_.Apply(operation);
+    std::move(writes.begin(), writes.end(), std::back_inserter(batch));
+  }
+  if (!message.fill) next_ = std::max(next_, sequence);
+  if (message.begin) {
+    stream_open_ = true;
+    next_ = message.first;
+  }
+  if (batch.empty() && commits_under_way_ == 0) {  // nothing to wait for
+    respond(codec::Encode(answer));
+    return;
+  }
+  ++commits_under_way_;
+  environment_->Commit(std::move(batch), [this, answer, respond](const absl::Status& status) {
+    --commits_under_way_;
+    if (status.ok()) {
+      respond(codec::Encode(answer));
+      return;
+    }
+    stream_open_ = false;
+    if (!primary_) lots_.Load(environment_->Disk());
+    respond(status);
+  });
+}
+
+void PartitionReplica::OnRepairDigest(const RepairDigest& message, mesh::Respond respond) {
+  RepairDigestAnswer answer;
+  answer.verdict = Judge(message.scope, !message.buckets.empty());
+  if (answer.verdict == ReplicaVerdict::kTaken) {
+    const std::vector<std::uint64_t> mine = lots_.BucketDigests();
+    for (std::uint32_t i = 0; i < mine.size() && i < message.buckets.size(); ++i) {
+      if (mine[i] != message.buckets[i]) answer.differing.push_back(i);
+    }
+    std::map<std::string, std::uint64_t> held;
+    for (auto& [lot, digest] : lots_.LotDigests(message.listed)) held.emplace(lot, digest);
+    for (const auto& [lot, digest] : message.lots) {
+      const auto at = held.find(lot);
+      if (at == held.end() || at->second != digest) answer.wanted.push_back(lot);
+      if (at != held.end()) held.erase(at);
+    }
+    for (const auto& [lot, digest] : held) answer.surplus.push_back(lot);
+  }
+  respond(codec::Encode(answer));
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/replication.h
@@ -0,0 +1,149 @@
+// One partition at one store: its lots, its part in the partition's table and the order of changes.
+// The primary's state is the truth; a change counts once it is durable at every replica of the
+// table. Time, disk and messages come from the environment alone.
+#ifndef PEARREACH_SRC_BATCH_REPLICATION_H_
+#define PEARREACH_SRC_BATCH_REPLICATION_H_
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/timers.h"
+#include "batch/lot_state.h"
+#include "batch/messages.h"
+#include "batch/replication_link.h"
+#include "batch/replication_messages.h"
+#include "disk/table_store.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::batch {
+
+// What a replica uses of its process. Callbacks are never called from inside the call.
+class ReplicationEnvironment {
+ public:
+  virtual ~ReplicationEnvironment() = default;
+  virtual Micros Now() const = 0;
+  virtual std::uint64_t Random() = 0;
+  virtual Timers::Id After(Micros delay, std::function<void()> callback) = 0;
+  virtual void Cancel(Timers::Id* id) = 0;
+  virtual void Send(const StoreId& to, mesh::MessageType type, std::string body, Micros timeout,
+                    mesh::Done done) = 0;
+  virtual const disk::TableStore& Disk() const = 0;
+  virtual void Commit(std::vector<disk::Write> batch, std::function<void(absl::Status)> done) = 0;
+  // Asks for the newest control state.
+  virtual void RefreshTable() = 0;
+  // Whether the newest control state has just this epoch of the partition, strictly read.
+  virtual void ConfirmEpoch(std::uint32_t partition, std::uint64_t epoch,
+                            std::function<void(bool)> done) = 0;
+  // This store may serve the partition from now on, or no longer.
+  virtual void OnActive(std::uint32_t partition) = 0;
+  virtual void OnInactive(std::uint32_t partition) = 0;
+  // A joiner holds all of the partition, under its present epoch.
+  virtual void OnFilled(std::uint32_t partition) = 0;
+};
+
+class PartitionReplica final : public LinkOwner {
+ public:
+  using ChangeDone = std::function<void(absl::Status)>;
+
+  PartitionReplica(std::uint32_t partition, StoreId self, ReplicationEnvironment* environment);
+  ~PartitionReplica() override;
+  PartitionReplica(const PartitionReplica&) = delete;
+  PartitionReplica& operator=(const PartitionReplica&) = delete;
+
+  // The partition's newest table; older ones are passed over.
+  void SetTable(const Partition& table);
+  bool is_primary() const { return primary_; }
+  bool is_active() const { return active_; }
+  std::uint64_t epoch() const { return table_.epoch; }
+  const Partition& table() const { return table_; }
+
+  LotTable& lots() { return lots_; }
+  const LotTable& lots() const { return lots_; }
+
+  // Active primary only. The change is in lots() at once, counts once `done` is called with OK, and
+  // is in doubt (UNAVAILABLE) where this store loses its part before that.
+  void Submit(Operation operation, ChangeDone done);
+  // Calls back whether no other store can have taken over by now, to within kConfirmSpan.
+  void Confirm(std::function<void(bool)> done);
+  // Joiners that hold all of the partition; they stay required until the epoch changes.
+  std::vector<StoreId> FilledJoiners() const;
+
+  // From the primary; nothing is answered before it is durable.
+  void OnReplicate(Replicate message, mesh::Respond respond);
+  void OnRepairDigest(const RepairDigest& message, mesh::Respond respond);
+
+ private:
+  struct Pending {
+    std::uint64_t sequence = 0;
+    std::shared_ptr<const Operation> operation;
+    bool committed = false;
+    ChangeDone done;
+  };
+  struct Confirmation {
+    Micros since = 0, give_up = 0;
+    std::function<void(bool)> done;
+  };
+
+  // LinkOwner
+  ReplicaScope Scope(const StoreId& to, std::uint64_t attempt) const override;
+  std::uint64_t NextAttempt() override { return ++attempts_; }
+  std::uint64_t last_sequence() const override { return last_sequence_; }
+  const LotTable& link_lots() const override { return lots_; }
+  void LinkAdvanced() override;
+
+  void BecomePrimary();
+  void StepDown();
+  void UpdateLinks();
+  void CheckActive();
+  void ConfirmSole();
+  void Activate();
+  void Advance();
+  void Complete(const Pending& pending);
+  void OnCommitted(std::uint64_t term, std::uint64_t sequence, const absl::Status& status);
+  void FailPending();
+  void OnDiskFailure(const absl::Status& status);
+  void CheckConfirmations();
+  bool ConfirmedSince(Micros since) const;
+  bool IsSole() const { return table_.replicas.size() == 1; }
+  ReplicaVerdict Judge(const ReplicaScope& scope, bool starts_attempt);
+  ReplicaVerdict JudgeAttempt(const ReplicaScope& scope, bool starts_attempt);
+  ReplicaVerdict JudgeReplicate(const Replicate& message);
+
+  const std::uint32_t partition_;
+  const StoreId self_;
+  ReplicationEnvironment* const environment_;
+  LotTable lots_;
+  Partition table_;
+  bool primary_ = false, active_ = false;
+  bool barrier_done_ = false;  // all that was taken as a backup is on disk
+  bool sole_confirmed_ = false, sole_asking_ = false;
+  Micros sole_confirmed_at_ = 0;
+  std::uint64_t term_ = 0;  // counts the times that this store became or ceased to be primary
+  std::uint64_t last_sequence_ = 0;
+  std::deque<Pending> pending_;
+  std::map<StoreId, std::shared_ptr<ReplicaLink>> links_;
+  std::vector<Confirmation> confirmations_;
+  Timers::Id confirm_timer_ = 0;
+  const std::uint64_t process_;
+  std::uint64_t attempts_ = 0;
+  // As a backup: the primary's process and its last synchronisation, whether that is complete and
+  // the next sequence of the stream that follows it.
+  std::uint64_t primary_process_ = 0, attempt_ = 0;
+  bool stream_open_ = false;
+  std::uint64_t next_ = 0;
+  int commits_under_way_ = 0;  // as a backup
+  std::set<std::uint64_t> former_processes_;
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_REPLICATION_H_
--- /dev/null
+++ b/src/batch/replication_link.cpp
@@ -0,0 +1,221 @@
+#include "batch/replication_link.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "batch/replication.h"
+#include "codec/archive.h"
+
+namespace pearreach::batch {
+namespace {
+
+constexpr Micros kStreamTimeout = 1 * kSecond;
+constexpr Micros kFillTimeout = 3 * kSecond;
+constexpr Micros kRetryDelay = 150 * kMs;
+constexpr Micros kBehindDelay = 40 * kMs;
+// About; one operation may be larger.
+constexpr std::size_t kMessageBytes = 1 << 20, kFillBytes = 1 << 18;
+
+}  // namespace
+
+ReplicaLink::ReplicaLink(StoreId peer, LinkOwner* owner, ReplicationEnvironment* environment)
+    : peer_(std::move(peer)), owner_(owner), environment_(environment) {}
+
+ReplicaLink::~ReplicaLink() { environment_->Cancel(&retry_timer_); }
+
+template <class Answer>
+void ReplicaLink::Call(mesh::MessageType type, std::string body, Micros timeout,
+                       std::function<void(const Answer&)> taken) {
+  const std::weak_ptr<ReplicaLink> weak = weak_from_this();
+  const std::uint64_t generation = generation_;
+  environment_->Send(
+      peer_, type, std::move(body), timeout,
+      [weak, generation, taken = std::move(taken)](absl::StatusOr<std::string> bytes) {
+        const auto self = weak.lock();
+        if (self == nullptr || self->generation_ != generation) return;
+        if (!bytes.ok()) {
+          self->Retry(kRetryDelay);
+          return;
+        }
+        const auto answer = codec::Decode<Answer>(*bytes);
+        if (!answer.ok()) {
+          self->Retry(kRetryDelay);
+          return;
+        }
+        if (answer->verdict != ReplicaVerdict::kTaken) {
+          self->OnRefused(answer->verdict);
+          return;
+        }
+        taken(*answer);
+      });
+}
+
+// The digests tell the state up to `base_`; all later changes go into the queue and follow it. Lots
+// are sent as they are when their turn comes: applying a queued change again does no harm.
+void ReplicaLink::Synchronise() {
+  environment_->Cancel(&retry_timer_);
+  ++generation_;
+  state_ = State::kSynchronising;
+  in_flight_ = false;
+  probe_wanted_ = false;
+  queue_.clear();
+  to_send_.clear();
+  to_erase_.clear();
+  base_ = owner_->last_sequence();
+  attempt_ = owner_->NextAttempt();
+  SendBuckets();
+}
+
+void ReplicaLink::SendBuckets() {
+  RepairDigest message;
+  message.scope = owner_->Scope(peer_, attempt_);
+  message.buckets = owner_->link_lots().BucketDigests();
+  Call<RepairDigestAnswer>(mesh::MessageType::kRepairDigest, codec::Encode(message), kStreamTimeout,
+                           [this](const RepairDigestAnswer& answer) {
+                             if (answer.differing.empty()) {
+                               Begin();
+                             } else {
+                               SendLots(answer.differing);
+                             }
+                           });
+}
+
+void ReplicaLink::SendLots(std::vector<std::uint32_t> buckets) {
+  RepairDigest message;
+  message.scope = owner_->Scope(peer_, attempt_);
+  message.lots = owner_->link_lots().LotDigests(buckets);
+  message.listed = std::move(buckets);
+  Call<RepairDigestAnswer>(mesh::MessageType::kRepairDigest, codec::Encode(message), kFillTimeout,
+                           [this](const RepairDigestAnswer& answer) {
+                             to_send_.assign(answer.wanted.begin(), answer.wanted.end());
+                             to_erase_.assign(answer.surplus.begin(), answer.surplus.end());
+                             const std::weak_ptr<ReplicaLink> weak = weak_from_this();
+                             const std::uint64_t generation = generation_;
+                             // Lots are read from disk: what the digests told must be there.
+                             environment_->Commit({}, [weak, generation](const absl::Status&) {
+                               const auto self = weak.lock();
+                               if (self == nullptr || self->generation_ != generation) return;
+                               self->Fill();
+                             });
+                           });
+}
+
+void ReplicaLink::Fill() {
+  if (to_send_.empty() && to_erase_.empty()) {
+    Begin();
+    return;
+  }
+  Replicate message;
+  message.scope = owner_->Scope(peer_, attempt_);
+  message.fill = true;
+  std::size_t bytes = 0;
+  while (!to_erase_.empty() && bytes < kFillBytes) {
+    message.operations.push_back(MakeForget(to_erase_.front()));
+    bytes += message.operations.back().Bytes();
+    to_erase_.pop_front();
+  }
+  while (!to_send_.empty() && bytes < kFillBytes) {
+    message.operations.push_back(owner_->link_lots().Whole(environment_->Disk(), to_send_.front()));
+    bytes += message.operations.back().Bytes();
+    to_send_.pop_front();
+  }
+  Call<ReplicateAnswer>(mesh::MessageType::kReplicate, codec::Encode(message), kFillTimeout,
+                        [this](const ReplicateAnswer&) { Fill(); });
+}
+
+void ReplicaLink::Begin() {
+  Replicate message;
+  message.scope = owner_->Scope(peer_, attempt_);
+  message.first = base_ + 1;
+  message.fill = true;
+  message.begin = true;
+  const Micros sent = environment_->Now();
+  Call<ReplicateAnswer>(mesh::MessageType::kReplicate, codec::Encode(message), kFillTimeout,
+                        [this, sent](const ReplicateAnswer&) {
+                          state_ = State::kStreaming;
+                          OnTaken(base_, sent);
+                        });
+}
+
+void ReplicaLink::Push(std::uint64_t sequence, std::shared_ptr<const Operation> operation) {
+  if (state_ == State::kWaiting) return;  // the next synchronisation will tell it
+  queue_.push_back({sequence, std::move(operation)});
+  Pump();
+}
+
+void ReplicaLink::Probe() {
+  probe_wanted_ = true;
+  Pump();
+}
+
+void ReplicaLink::Pump() {
+  if (state_ != State::kStreaming || in_flight_ || retry_timer_ != 0) return;
+  if (queue_.empty() && !probe_wanted_) return;
+  Replicate message;
+  message.scope = owner_->Scope(peer_, attempt_);
+  message.first = acknowledged_ + 1;
+  std::uint64_t last = acknowledged_;
+  std::size_t bytes = 0;
+  for (const Queued& queued : queue_) {
+    if (bytes >= kMessageBytes) break;
+    message.operations.push_back(*queued.operation);
+    bytes += queued.operation->Bytes();
+    last = queued.sequence;
+  }
+  in_flight_ = true;
+  probe_wanted_ = false;
+  const Micros sent = environment_->Now();
+  Call<ReplicateAnswer>(mesh::MessageType::kReplicate, codec::Encode(message),
+                        bytes < kMessageBytes / 4 ? kStreamTimeout : kFillTimeout,
+                        [this, last, sent](const ReplicateAnswer&) {
+                          in_flight_ = false;
+                          OnTaken(last, sent);
+                        });
+}
+
+void ReplicaLink::OnTaken(std::uint64_t last, Micros sent) {
+  acknowledged_ = last;
+  confirmed_at_ = std::max(confirmed_at_, sent);
+  while (!queue_.empty() && queue_.front().sequence <= last) queue_.pop_front();
+  const auto keep = shared_from_this();  // the owner may drop this link
+  owner_->LinkAdvanced();
+  Pump();
+}
+
+void ReplicaLink::OnRefused(ReplicaVerdict verdict) {
+  if (verdict == ReplicaVerdict::kStale) environment_->RefreshTable();
+  if (verdict == ReplicaVerdict::kUnsynchronised) {
+    state_ = State::kWaiting;
+    queue_.clear();
+  }
+  Retry(verdict == ReplicaVerdict::kStale ? kRetryDelay : kBehindDelay);
+}
+
+// In the stream the same call goes again: the peer knows by the sequence what it has. An unfinished
+// synchronisation starts anew.
+void ReplicaLink::Retry(Micros delay) {
+  in_flight_ = false;
+  probe_wanted_ = state_ == State::kStreaming;
+  if (state_ != State::kStreaming) {
+    state_ = State::kWaiting;
+    queue_.clear();
+    ++generation_;
+  }
+  environment_->Cancel(&retry_timer_);
+  const std::weak_ptr<ReplicaLink> weak = weak_from_this();
+  retry_timer_ = environment_->After(delay, [weak] {
+    const auto self = weak.lock();
+    if (self != nullptr) self->OnRetry();
+  });
+}
+
+void ReplicaLink::OnRetry() {
+  retry_timer_ = 0;
+  if (state_ == State::kStreaming) {
+    Pump();
+  } else {
+    Synchronise();
+  }
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/replication_link.h
@@ -0,0 +1,91 @@
+// A primary's connection to one other replica of a partition: synchronisation by digests, then the
+// stream of changes in order, one call at a time.
+#ifndef PEARREACH_SRC_BATCH_REPLICATION_LINK_H_
+#define PEARREACH_SRC_BATCH_REPLICATION_LINK_H_
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/timers.h"
+#include "batch/lot_state.h"
+#include "batch/messages.h"
+#include "batch/replication_messages.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::batch {
+
+class ReplicationEnvironment;
+
+constexpr Micros kConfirmSpan = 500 * kMs;  // how long an answer of a replica vouches for the table
+
+// What a link uses of its partition.
+class LinkOwner {
+ public:
+  virtual ~LinkOwner() = default;
+  virtual ReplicaScope Scope(const StoreId& to, std::uint64_t attempt) const = 0;
+  virtual std::uint64_t NextAttempt() = 0;
+  virtual std::uint64_t last_sequence() const = 0;
+  virtual const LotTable& link_lots() const = 0;
+  virtual void LinkAdvanced() = 0;
+};
+
+class ReplicaLink : public std::enable_shared_from_this<ReplicaLink> {
+ public:
+  ReplicaLink(StoreId peer, LinkOwner* owner, ReplicationEnvironment* environment);
+  ~ReplicaLink();
+  ReplicaLink(const ReplicaLink&) = delete;
+  ReplicaLink& operator=(const ReplicaLink&) = delete;
+
+  void Synchronise();
+  void Push(std::uint64_t sequence, std::shared_ptr<const Operation> operation);
+  void Probe();  // asks the peer whether the table still stands
+  bool streaming() const { return state_ == State::kStreaming; }
+  std::uint64_t acknowledged() const { return acknowledged_; }
+  Micros confirmed_at() const { return confirmed_at_; }
+
+  bool counts = false;    // a replica of the table
+  bool required = false;  // changes wait for it
+
+ private:
+  enum class State { kWaiting, kSynchronising, kStreaming };
+  struct Queued {
+    std::uint64_t sequence = 0;
+    std::shared_ptr<const Operation> operation;
+  };
+
+  template <class Answer>
+  void Call(mesh::MessageType type, std::string body, Micros timeout,
+            std::function<void(const Answer&)> taken);
+  void SendBuckets();
+  void SendLots(std::vector<std::uint32_t> buckets);
+  void Fill();
+  void Begin();
+  void Pump();
+  void OnTaken(std::uint64_t last, Micros sent);
+  void OnRefused(ReplicaVerdict verdict);
+  void Retry(Micros delay);
+  void OnRetry();
+
+  const StoreId peer_;
+  LinkOwner* const owner_;
+  ReplicationEnvironment* const environment_;
+  State state_ = State::kWaiting;
+  std::uint64_t generation_ = 0;  // of the synchronisation: late answers of earlier ones are void
+  std::uint64_t attempt_ = 0, base_ = 0;
+  std::deque<Queued> queue_;
+  std::deque<std::string> to_send_, to_erase_;  // lots
+  std::uint64_t acknowledged_ = 0;
+  Micros confirmed_at_ = 0;
+  bool in_flight_ = false, probe_wanted_ = false;
+  Timers::Id retry_timer_ = 0;
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_REPLICATION_LINK_H_
--- /dev/null
+++ b/src/batch/retire_api.cpp
@@ -0,0 +1,168 @@
+#include "batch/retire_api.h"
+
+#include <absl/status/statusor.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "batch/placement.h"
+#include "batch/placement_duty.h"
+
+namespace pearreach::batch {
+namespace {
+
+// An order is tried for this long; then the operator is asked to send it again.
+constexpr Micros kOrderTime = 2500 * kMs;
+constexpr Micros kStepTime = 1 * kSecond;
+constexpr Micros kRetryPause = 100 * kMs;
+constexpr char kRetryAfterSeconds[] = "0.3";
+
+bool Contains(const std::vector<std::string>& list, const std::string& name) {
+  return std::find(list.begin(), list.end(), name) != list.end();
+}
+
+void Answer(const std::shared_ptr<front::Exchange>& exchange, int status, std::string_view body) {
+  std::vector<http::Header> headers = {{"Content-Type", "application/json"}};
+  if (status == 503) headers.push_back({"Retry-After", kRetryAfterSeconds});
+  exchange->Respond(status, std::move(headers), body);
+}
+
+}  // namespace
+
+struct RetireApi::Order {
+  std::shared_ptr<front::Exchange> exchange;
+  std::string node;
+  Micros deadline = 0;
+};
+
+RetireApi::RetireApi(Timers* timers, control::ControlClient* control, std::size_t replicas)
+    : timers_(timers), control_(control), replicas_(replicas) {}
+
+RetireApi::~RetireApi() { *alive_ = false; }
+
+void RetireApi::AddTo(control::ApiRouter* router) {
+  router->Add("POST", "/Retire.Begin/*",
+              [this](std::shared_ptr<front::Exchange> exchange, const std::string& node) {
+                Begin(std::move(exchange), node);
+              });
+  router->Add("GET", "/Retire.Read/*",
+              [this](const std::shared_ptr<front::Exchange>& exchange, const std::string& node) {
+                Read(exchange, node);
+              });
+}
+
+bool RetireApi::IsKnown(const PlacementTable& table, const std::string& node) const {
+  const auto& members = control_->members();
+  const auto member = members.find(node);
+  const bool is_member =
+      member != members.end() && member->second.info.Is(coordination::MemberInfo::kServesStorage);
+  return is_member || NamesStore(table, node) || Contains(table.retiring, node) ||
+         Contains(table.retired, node);
+}
+
+std::size_t RetireApi::OthersLeft(const PlacementTable& table, const std::string& node) const {
+  std::size_t left = 0;
+  for (const auto& [name, store] : StoresOf(control_->members())) {
+    if (name == node || store.condition == StoreCondition::kGone) continue;
+    if (Contains(table.retiring, name) || Contains(table.retired, name)) continue;
+    ++left;
+  }
+  return left;
+}
+
+void RetireApi::Begin(std::shared_ptr<front::Exchange> exchange, const std::string& node) {
+  auto order = std::make_shared<Order>();
+  order->exchange = std::move(exchange);
+  order->node = node;
+  order->deadline = Now() + kOrderTime;
+  Try(order);
+}
+
+void RetireApi::Try(const std::shared_ptr<Order>& order) {
+  if (!order->exchange->open()) return;
+  const Micros left = order->deadline - Now();
+  if (left <= 0) {
+    Answer(order->exchange, 503, "{}");
+    return;
+  }
+  using Snapshot = std::shared_ptr<const control::ControlSnapshot>;
+  control_->StrictRead(std::min(left, kStepTime),
+                       [this, alive = alive_, order](const absl::StatusOr<Snapshot>& snapshot) {
+                         if (!*alive) return;
+                         if (snapshot.ok() && *snapshot != nullptr) {
+                           Decide(order, **snapshot);
+                         } else {
+                           Again(order);
+                         }
+                       });
+}
+
+void RetireApi::Decide(const std::shared_ptr<Order>& order,
+                       const control::ControlSnapshot& snapshot) {
+  if (snapshot.stores.empty()) {
+    Again(order);  // no partition is placed yet: that does not take long
+    return;
+  }
+  auto table = codec::Decode<PlacementTable>(snapshot.stores);
+  if (!table.ok()) {
+    Answer(order->exchange, 503, "{}");
+    return;
+  }
+  if (!IsKnown(*table, order->node)) {
+    Answer(order->exchange, 404, R"({"error":"no such storage machine"})");
+    return;
+  }
+  if (Contains(table->retiring, order->node) || Contains(table->retired, order->node)) {
+    Answer(order->exchange, 200, "{}");
+    return;
+  }
+  if (OthersLeft(*table, order->node) < replicas_) {
+    Answer(order->exchange, 409, R"({"error":"too few storage machines would be left"})");
+    return;
+  }
+  table->retiring.push_back(order->node);
+  ++table->epoch;
+  const Micros left = std::max<Micros>(order->deadline - Now(), kMs);
+  control_->Change(control::kStoresKey, snapshot.stores_revision, codec::Encode(*table),
+                   std::min(left, kStepTime),
+                   [this, alive = alive_, order](const control::ChangeOutcome& outcome) {
+                     if (*alive) OnChanged(order, outcome);
+                   });
+}
+
+void RetireApi::OnChanged(const std::shared_ptr<Order>& order, control::ChangeOutcome outcome) {
+  if (outcome.status == coordination::ChangeStatus::kCommitted) {
+    Answer(order->exchange, 200, "{}");
+    return;
+  }
+  Again(order);
+}
+
+void RetireApi::Again(const std::shared_ptr<Order>& order) {
+  timers_->After(kRetryPause, [this, alive = alive_, order] {
+    if (*alive) Try(order);
+  });
+}
+
+void RetireApi::Read(const std::shared_ptr<front::Exchange>& exchange,
+                     const std::string& node) const {
+  const auto snapshot = control_->Current();
+  if (snapshot->stores.empty()) {
+    Answer(exchange, 503, "{}");
+    return;
+  }
+  const auto table = codec::Decode<PlacementTable>(snapshot->stores);
+  if (!table.ok()) {
+    Answer(exchange, 503, "{}");
+    return;
+  }
+  if (!IsKnown(*table, node)) {
+    Answer(exchange, 404, R"({"error":"no such storage machine"})");
+    return;
+  }
+  const bool complete = Contains(table->retired, node) && IsSettled(*table, replicas_);
+  Answer(exchange, 200, complete ? R"({"phase":"complete"})" : R"({"phase":"serving"})");
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/retire_api.h
@@ -0,0 +1,48 @@
+// The operator's calls that empty a storage machine: POST /Retire.Begin/NODE, GET
+// /Retire.Read/NODE.
+#ifndef PEARREACH_SRC_BATCH_RETIRE_API_H_
+#define PEARREACH_SRC_BATCH_RETIRE_API_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "base/timers.h"
+#include "batch/messages.h"
+#include "control/api_router.h"
+#include "control/control_client.h"
+#include "front/exchange.h"
+
+namespace pearreach::batch {
+
+class RetireApi {
+ public:
+  // `replicas`: machines that may be lost at once, plus 1.
+  RetireApi(Timers* timers, control::ControlClient* control, std::size_t replicas);
+  ~RetireApi();
+  RetireApi(const RetireApi&) = delete;
+  RetireApi& operator=(const RetireApi&) = delete;
+
+  void AddTo(control::ApiRouter* router);
+  void Begin(std::shared_ptr<front::Exchange> exchange, const std::string& node);
+  void Read(const std::shared_ptr<front::Exchange>& exchange, const std::string& node) const;
+
+ private:
+  struct Order;
+
+  void Try(const std::shared_ptr<Order>& order);
+  void Decide(const std::shared_ptr<Order>& order, const control::ControlSnapshot& snapshot);
+  void Again(const std::shared_ptr<Order>& order);
+  void OnChanged(const std::shared_ptr<Order>& order, control::ChangeOutcome outcome);
+  bool IsKnown(const PlacementTable& table, const std::string& node) const;
+  std::size_t OthersLeft(const PlacementTable& table, const std::string& node) const;
+
+  Timers* timers_;
+  control::ControlClient* control_;
+  const std::size_t replicas_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_RETIRE_API_H_
--- /dev/null
+++ b/src/batch/store_client.cpp
@@ -0,0 +1,290 @@
+#include "batch/store_client.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "logging/log.h"
+
+namespace pearreach::batch {
+namespace {
+
+// Between two tries of a call: time for a new placement to come.
+constexpr Micros kRetryPause = 100 * kMs;
+// Of a read's time, kept for the way back of the answer.
+constexpr Micros kReadMargin = 300 * kMs;
+
+template <class Answer>
+absl::StatusOr<Answer> Decoded(absl::StatusOr<std::string> bytes) {
+  if (!bytes.ok()) return bytes.status();
+  return codec::Decode<Answer>(*bytes);
+}
+
+// Whether a store that answered so has surely not carried the call out.
+bool IsRefusal(const absl::Status& status) { return absl::IsFailedPrecondition(status); }
+
+bool IsWorthRetry(const absl::Status& status) {
+  return absl::IsFailedPrecondition(status) || absl::IsUnavailable(status) ||
+         absl::IsDeadlineExceeded(status);
+}
+
+}  // namespace
+
+struct StoreClient::Call {
+  mesh::MessageType type;
+  std::string lot_id;
+  Micros deadline = 0, unsent_deadline = 0, attempt = 0;
+  Encoder encode;
+  Finished finished;
+  bool unclear = false;     // a store may have carried it out without saying so
+  std::uint64_t tries = 0;  // numbers the attempt whose answer counts
+  Timers::Id timer = 0;
+};
+
+StoreClient::StoreClient(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control)
+    : timers_(timers), mesh_(mesh), control_(control) {}
+
+StoreClient::~StoreClient() {
+  *alive_ = false;
+  for (auto& [id, call] : calls_) timers_->Cancel(&call->timer);
+}
+
+std::shared_ptr<const PlacementTable> StoreClient::Table() {
+  const auto snapshot = control_->Current();
+  if (snapshot->stores.empty()) return table_;
+  if (table_ != nullptr && snapshot->stores_revision == table_revision_) return table_;
+  auto table = codec::Decode<PlacementTable>(snapshot->stores);
+  if (!table.ok() || table->partitions.size() != kPartitions) {
+    logging::Error("batch", "placement table does not read",
+                   {logging::F("revision", snapshot->stores_revision)});
+    return table_;
+  }
+  table_ = std::make_shared<const PlacementTable>(*std::move(table));
+  table_revision_ = snapshot->stores_revision;
+  return table_;
+}
+
+std::string StoreClient::AddressOf(const StoreId& store) const {
+  const auto& members = control_->members();
+  const auto found = members.find(store.name);
+  if (found == members.end()) return {};
+  const coordination::Member& member = found->second;
+  if (member.info.disk_id != store.disk_id) return {};
+  if (member.status == coordination::MemberStatus::kDead) return {};
+  if (member.status == coordination::MemberStatus::kLeft) return {};
+  return member.info.address;
+}
+
+const StoreId* StoreClient::PrimaryOf(std::string_view lot_id) {
+  const auto table = Table();
+  if (table == nullptr) return nullptr;
+  const Partition& partition = table->partitions[PartitionOf(lot_id)];
+  return partition.replicas.empty() ? nullptr : &partition.replicas.front();
+}
+
+std::vector<StoreId> StoreClient::Primaries() {
+  const auto table = Table();
+  if (table == nullptr) return {};
+  std::set<StoreId> primaries;
+  for (const Partition& partition : table->partitions) {
+    if (!partition.replicas.empty()) primaries.insert(partition.replicas.front());
+  }
+  std::vector<StoreId> live;
+  for (const StoreId& store : primaries) {
+    if (!AddressOf(store).empty()) live.push_back(store);
+  }
+  return live;
+}
+
+// ---------------------------------------------------------------- calls with repetition
+
+StoreClient::CallId StoreClient::Start(mesh::MessageType type, std::string lot_id, CallTime time,
+                                       Encoder encode, Finished finished) {
+  const CallId id = ++last_;
+  auto call = std::make_unique<Call>();
+  const Micros now = Now();
+  call->type = type;
+  call->lot_id = std::move(lot_id);
+  call->deadline = now + time.overall;
+  call->unsent_deadline = now + (time.unsent > 0 ? time.unsent : time.overall);
+  call->attempt = time.attempt > 0 ? time.attempt : kAttemptTime;
+  call->encode = std::move(encode);
+  call->finished = std::move(finished);
+  calls_[id] = std::move(call);
+  Attempt(id);
+  return id;
+}
+
+void StoreClient::Attempt(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  Call* call = found->second.get();
+  call->timer = 0;
+  const StoreId* primary = PrimaryOf(call->lot_id);
+  const std::string address = primary == nullptr ? std::string() : AddressOf(*primary);
+  const Micros left = call->deadline - Now();
+  if (address.empty() || left <= 0) {
+    RetryLater(id, call);
+    return;
+  }
+  const std::uint64_t number = ++call->tries;
+  mesh_->Call(address, call->type, call->encode(table_->epoch, left), std::min(left, call->attempt),
+              [this, alive = alive_, id, number](absl::StatusOr<std::string> answer) {
+                if (!*alive) return;
+                const auto at = calls_.find(id);
+                if (at == calls_.end() || at->second->tries != number) return;
+                OnAnswer(id, std::move(answer));
+              });
+}
+
+void StoreClient::OnAnswer(CallId id, absl::StatusOr<std::string> answer) {
+  Call* call = calls_.at(id).get();
+  if (answer.ok() || !IsWorthRetry(answer.status())) {
+    Finish(id, std::move(answer));
+    return;
+  }
+  if (!IsRefusal(answer.status())) call->unclear = true;
+  RetryLater(id, call);
+}
+
+void StoreClient::RetryLater(CallId id, Call* call) {
+  const Micros until = call->unclear ? call->deadline : call->unsent_deadline;
+  const Micros left = until - Now();
+  if (left <= kRetryPause) {
+    // From the timer in any case: `finished` is never called from inside Start.
+    call->timer =
+        timers_->After(std::max<Micros>(left, 0), [this, id] { GiveUp(id, *calls_.at(id)); });
+    return;
+  }
+  call->timer = timers_->After(kRetryPause, [this, id] { Attempt(id); });
+}
+
+void StoreClient::GiveUp(CallId id, const Call& call) {
+  if (call.unclear) {
+    Finish(id, absl::DeadlineExceededError("no store has answered; it may have been carried out"));
+    return;
+  }
+  Finish(id, absl::UnavailableError("no store could be asked"));
+}
+
+void StoreClient::Finish(CallId id, absl::StatusOr<std::string> answer) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  const std::unique_ptr<Call> call = std::move(found->second);
+  calls_.erase(found);
+  call->finished(std::move(answer), call->unclear);
+}
+
+void StoreClient::Cancel(CallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  timers_->Cancel(&found->second->timer);
+  calls_.erase(found);
+}
+
+// ---------------------------------------------------------------- typed calls
+
+StoreClient::CallId StoreClient::Create(LotSpec lot, CallTime time, Done<CreateLotAnswer> done) {
+  auto message = std::make_shared<CreateLot>();
+  message->lot = std::move(lot);
+  const std::string lot_id = message->lot.lot_id;
+  Encoder encode = [message](std::uint64_t epoch, Micros) {
+    message->placement_epoch = epoch;
+    return codec::Encode(*message);
+  };
+  return Start(mesh::MessageType::kLotCreate, lot_id, time, std::move(encode),
+               [done = std::move(done)](absl::StatusOr<std::string> bytes, bool unclear) {
+                 auto answer = Decoded<CreateLotAnswer>(std::move(bytes));
+                 // An earlier attempt may still reach a store: a refusal would promise too much.
+                 const bool refused = answer.ok() && answer->status != CreateStatus::kAccepted;
+                 if (refused && unclear) {
+                   answer = absl::DeadlineExceededError("refused after an unclear attempt");
+                 }
+                 done(std::move(answer));
+               });
+}
+
+StoreClient::CallId StoreClient::Read(ReadLot read, CallTime time, Done<ReadLotAnswer> done) {
+  const std::string lot_id = read.lot_id;
+  Encoder encode = [read = std::move(read)](std::uint64_t epoch, Micros left) {
+    ReadLot message = read;
+    message.placement_epoch = epoch;
+    const Micros longest = std::max<Micros>(left - kReadMargin, 0);
+    message.wait_ms = std::min<std::int64_t>(message.wait_ms, longest / kMs);
+    return codec::Encode(message);
+  };
+  return Start(mesh::MessageType::kLotRead, lot_id, time, std::move(encode),
+               [done = std::move(done)](absl::StatusOr<std::string> bytes, bool) {
+                 done(Decoded<ReadLotAnswer>(std::move(bytes)));
+               });
+}
+
+StoreClient::CallId StoreClient::ReadBody(ReadItemBody read, CallTime time,
+                                          Done<ReadItemBodyAnswer> done) {
+  const std::string lot_id = read.lot_id;
+  Encoder encode = [read = std::move(read)](std::uint64_t epoch, Micros) {
+    ReadItemBody message = read;
+    message.placement_epoch = epoch;
+    return codec::Encode(message);
+  };
+  return Start(mesh::MessageType::kLotItemBody, lot_id, time, std::move(encode),
+               [done = std::move(done)](absl::StatusOr<std::string> bytes, bool) {
+                 done(Decoded<ReadItemBodyAnswer>(std::move(bytes)));
+               });
+}
+
+StoreClient::CallId StoreClient::End(CancelLot cancel, CallTime time, Done<CancelLotAnswer> done) {
+  const std::string lot_id = cancel.lot_id;
+  Encoder encode = [cancel = std::move(cancel)](std::uint64_t epoch, Micros) {
+    CancelLot message = cancel;
+    message.placement_epoch = epoch;
+    return codec::Encode(message);
+  };
+  return Start(mesh::MessageType::kLotCancel, lot_id, time, std::move(encode),
+               [done = std::move(done)](absl::StatusOr<std::string> bytes, bool) {
+                 done(Decoded<CancelLotAnswer>(std::move(bytes)));
+               });
+}
+
+StoreClient::CallId StoreClient::Report(ItemResult result, CallTime time,
+                                        std::function<void(absl::Status)> done) {
+  const std::string lot_id = result.lot_id;
+  Encoder encode = [result = std::move(result)](std::uint64_t, Micros) {
+    return codec::Encode(result);
+  };
+  return Start(
+      mesh::MessageType::kItemResult, lot_id, time, std::move(encode),
+      [done = std::move(done)](absl::StatusOr<std::string> bytes, bool) { done(bytes.status()); });
+}
+
+template <class Answer>
+void StoreClient::CallStore(const StoreId& store, mesh::MessageType type, std::string body,
+                            Micros timeout, Done<Answer> done) {
+  const std::string address = AddressOf(store);
+  if (address.empty()) {
+    timers_->After(0, [alive = alive_, done = std::move(done)] {
+      if (*alive) done(absl::UnavailableError("the store is not there"));
+    });
+    return;
+  }
+  mesh_->Call(address, type, std::move(body), timeout,
+              [alive = alive_, done = std::move(done)](absl::StatusOr<std::string> bytes) {
+                if (*alive) done(Decoded<Answer>(std::move(bytes)));
+              });
+}
+
+void StoreClient::Take(const StoreId& store, TakeItems take, Micros timeout,
+                       Done<TakeItemsAnswer> done) {
+  const auto table = Table();
+  take.placement_epoch = table == nullptr ? 0 : table->epoch;
+  CallStore<TakeItemsAnswer>(store, mesh::MessageType::kItemTake, codec::Encode(take), timeout,
+                             std::move(done));
+}
+
+void StoreClient::Renew(const StoreId& store, RenewLeases renew, Micros timeout,
+                        Done<RenewLeasesAnswer> done) {
+  CallStore<RenewLeasesAnswer>(store, mesh::MessageType::kItemRenew, codec::Encode(renew), timeout,
+                               std::move(done));
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/store_client.h
@@ -0,0 +1,98 @@
+// Calls of an edge node to the stores: finds the primary store of a lot's partition by the newest
+// placement table and repeats a call there, or at the next primary, until its time is over.
+#ifndef PEARREACH_SRC_BATCH_STORE_CLIENT_H_
+#define PEARREACH_SRC_BATCH_STORE_CLIENT_H_
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/timers.h"
+#include "batch/messages.h"
+#include "control/control_client.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::batch {
+
+// How long a call may take. Times are from the start of the call.
+struct CallTime {
+  Micros overall = 0;  // then it is given up, whatever is known
+  // While no store can have carried it out the call is given up after this; 0: as `overall`.
+  Micros unsent = 0;
+  Micros attempt = 0;  // longest wait for one store; 0: kAttemptTime
+};
+
+// How long one store may take over a call that it need not hold.
+constexpr Micros kAttemptTime = 1 * kSecond;
+
+class StoreClient {
+ public:
+  template <class Answer>
+  using Done = std::function<void(absl::StatusOr<Answer>)>;
+  using CallId = std::uint64_t;  // 0 is never a call
+
+  StoreClient(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control);
+  ~StoreClient();
+  StoreClient(const StoreClient&) = delete;
+  StoreClient& operator=(const StoreClient&) = delete;
+
+  // Calls about a lot. `done` is called exactly once, never from inside the call, unless Cancel
+  // comes first. Errors: UNAVAILABLE, surely not carried out; DEADLINE_EXCEEDED, it may have been
+  // or may yet be carried out; others as the store gave them. The messages' `placement_epoch` is
+  // filled in here; the `wait_ms` of a read is shortened by what was waited before.
+  CallId Create(LotSpec lot, CallTime time, Done<CreateLotAnswer> done);
+  CallId Read(ReadLot read, CallTime time, Done<ReadLotAnswer> done);
+  CallId ReadBody(ReadItemBody read, CallTime time, Done<ReadItemBodyAnswer> done);
+  CallId End(CancelLot cancel, CallTime time, Done<CancelLotAnswer> done);
+  CallId Report(ItemResult result, CallTime time, std::function<void(absl::Status)> done);
+  // The call's `done` is not called any more. Does nothing for 0 or a call that is over.
+  void Cancel(CallId call);
+
+  // Calls to one store, tried once.
+  void Take(const StoreId& store, TakeItems take, Micros timeout, Done<TakeItemsAnswer> done);
+  void Renew(const StoreId& store, RenewLeases renew, Micros timeout, Done<RenewLeasesAnswer> done);
+
+  // The newest placement table; null: none is known.
+  std::shared_ptr<const PlacementTable> Table();
+  // Stores that are the primary of a partition and not known to be dead.
+  std::vector<StoreId> Primaries();
+  // The primary of the lot's partition; null: none is known.
+  const StoreId* PrimaryOf(std::string_view lot_id);
+  std::size_t pending() const { return calls_.size(); }
+
+ private:
+  struct Call;
+  using Encoder = std::function<std::string(std::uint64_t epoch, Micros left)>;
+  using Finished = std::function<void(absl::StatusOr<std::string>, bool unclear)>;
+
+  CallId Start(mesh::MessageType type, std::string lot_id, CallTime time, Encoder encode,
+               Finished finished);
+  void Attempt(CallId id);
+  void OnAnswer(CallId id, absl::StatusOr<std::string> answer);
+  void RetryLater(CallId id, Call* call);
+  void GiveUp(CallId id, const Call& call);
+  void Finish(CallId id, absl::StatusOr<std::string> answer);
+  // The mesh address of the store; empty: not known, dead, or its disk is another one.
+  std::string AddressOf(const StoreId& store) const;
+  template <class Answer>
+  void CallStore(const StoreId& store, mesh::MessageType type, std::string body, Micros timeout,
+                 Done<Answer> done);
+
+  Timers* timers_;
+  mesh::Mesh* mesh_;
+  control::ControlClient* control_;
+  std::shared_ptr<const PlacementTable> table_;
+  std::uint64_t table_revision_ = 0;
+  std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
+  CallId last_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for callbacks of the mesh
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_STORE_CLIENT_H_
--- /dev/null
+++ b/src/control/change_relay.h
@@ -0,0 +1,55 @@
+// Brings a change to the head of the chain, over other nodes where needed, within a bounded time.
+// A change is sent again only where the answer says that surely nothing was changed.
+#ifndef PEARREACH_SRC_CONTROL_CHANGE_RELAY_H_
+#define PEARREACH_SRC_CONTROL_CHANGE_RELAY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "control/member_directory.h"
+#include "control/messages.h"
+#include "control/replica_driver.h"
+#include "control/time_source.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::control {
+
+class ChangeRelay {
+ public:
+  using Done = std::function<void(const WriteAnswer&)>;
+
+  // `replica`: null on nodes outside the quorum.
+  ChangeRelay(TimeSource* time, mesh::Mesh* mesh, const MemberDirectory* directory,
+              ReplicaDriver* replica, const QuorumReach* reach);
+  // `done` is called exactly once, within `request.timeout`.
+  void Change(WriteRequest request, Done done);
+
+ private:
+  struct Attempt {
+    WriteRequest request;
+    Micros deadline = 0;
+    Done done;
+    std::string hint;
+    std::size_t tries = 0;
+  };
+  using AttemptPtr = std::shared_ptr<Attempt>;
+  void Try(const AttemptPtr& attempt);
+  void TryHere(const AttemptPtr& attempt, Micros left);
+  void PassOn(const AttemptPtr& attempt, const Contact& to, Micros left);
+  bool MayChangeHere() const;
+  Contact Next(const AttemptPtr& attempt) const;
+  void Settle(const AttemptPtr& attempt, const WriteAnswer& answer);
+  void TryLater(const AttemptPtr& attempt);
+
+  TimeSource* time_;
+  mesh::Mesh* mesh_;
+  const MemberDirectory* directory_;
+  ReplicaDriver* replica_;
+  const QuorumReach* reach_;
+  CallbackOwner callbacks_;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_CHANGE_RELAY_H_
--- /dev/null
+++ b/src/control/config_api.h
@@ -0,0 +1,36 @@
+// The operator's calls that replace and read the configuration.
+#ifndef PEARREACH_SRC_CONTROL_CONFIG_API_H_
+#define PEARREACH_SRC_CONTROL_CONFIG_API_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "control/api_router.h"
+#include "control/control_client.h"
+#include "control/taken_configs.h"
+
+namespace pearreach::control {
+
+// The longest body of Config.Replace. The front must let as much through.
+inline constexpr std::size_t kMostConfigBytes = 4U << 20;
+// Callers move on after a second of silence.
+inline constexpr Micros kConfigAnswerWithin = 900 * kMs;
+
+class ConfigApi {
+ public:
+  // `now`: the clock of Exchange::arrived. `client` outlives this, which outlives the router.
+  explicit ConfigApi(ControlClient* client, std::function<Micros()> now = pearreach::Now);
+  void Register(ApiRouter* router);
+
+ private:
+  void Read(const std::shared_ptr<front::Exchange>& exchange);
+
+  ControlClient* client_;
+  std::function<Micros()> now_;
+  std::shared_ptr<TakenConfigs> taken_;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_CONFIG_API_H_
--- a/src/control/control_client.h
+++ b/src/control/control_client.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "base/io.h"
 #include "coordination/chain.h"
 #include "coordination/membership.h"
 #include "routing/route_table.h"
--- /dev/null
+++ b/src/control/control_node.cpp
@@ -0,0 +1,193 @@
+#include "control/control_node.h"
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <utility>
+
+#include "control/founders.h"
+#include "logging/log.h"
+
+namespace pearreach::control {
+namespace {
+
+using coordination::MemberInfo;
+
+std::uint64_t SeedOf(const MemberInfo& self) {
+  return std::hash<std::string>()(self.name) ^ self.incarnation;
+}
+
+coordination::MembershipOptions MembershipOptionsOf(const MemberInfo& self,
+                                                    const std::vector<std::string>& seeds) {
+  coordination::MembershipOptions options;
+  options.self = self;
+  for (const std::string& seed : seeds) {
+    if (seed != self.address) options.seeds.push_back(seed);
+  }
+  return options;
+}
+
+}  // namespace
+
+MemberInfo DescribeSelf(const settings::NodeSettings& settings, const disk::TableStore* store,
+                        std::uint64_t incarnation) {
+  MemberInfo self;
+  self.name = settings.node_name;
+  self.address = fmt::format("{}:{}", settings.ip, settings.peer_port());
+  self.zone = settings.zone;
+  self.machine_class = settings.machine_class;
+  self.incarnation = incarnation;
+  if (store != nullptr) self.disk_id = store->disk_id();
+  if (settings.Serves("edge")) self.roles |= MemberInfo::kServesEdge;
+  if (settings.Serves("control")) self.roles |= MemberInfo::kServesControl;
+  if (settings.Serves("storage")) self.roles |= MemberInfo::kServesStorage;
+  const bool quorum = settings.quorum_member && settings.Serves("control") && store != nullptr;
+  if (quorum) self.roles |= MemberInfo::kQuorumMember;
+  return self;
+}
+
+std::vector<std::string> MeshSeeds(const settings::NodeSettings& settings) {
+  std::vector<std::string> seeds;
+  for (const std::string& seed : settings.seed_nodes) {
+    seeds.push_back(fmt::format("{}:{}", IpOf(seed), settings.peer_port()));
+  }
+  return seeds;
+}
+
+ControlNode::ControlNode(Timers* timers, mesh::Mesh* mesh, disk::TableStore* store,
+                         const settings::NodeSettings& settings, std::uint64_t incarnation)
+    : ControlNode(TimeSourceOf(timers), mesh, store, settings, incarnation) {}
+
+ControlNode::ControlNode(std::unique_ptr<TimeSource> time, mesh::Mesh* mesh,
+                         disk::TableStore* store, const settings::NodeSettings& settings,
+                         std::uint64_t incarnation)
+    : time_(std::move(time)),
+      self_(DescribeSelf(settings, store, incarnation)),
+      seeds_(MeshSeeds(settings)),
+      membership_(time_.get(), mesh, MembershipOptionsOf(self_, seeds_), SeedOf(self_)),
+      directory_(&membership_.members(), self_.name, MembershipOptionsOf(self_, seeds_).seeds),
+      reach_(time_.get(), mesh, &directory_),
+      replica_(MakeReplica(mesh, store, settings, SeedOf(self_))),
+      poll_server_(time_.get(), mesh, &snapshots_),
+      poller_(time_.get(), mesh, &snapshots_, &directory_),
+      fetch_(time_.get(), mesh, &snapshots_, &directory_),
+      relay_(time_.get(), mesh, &directory_, replica_.get(), &reach_),
+      reader_(time_.get(), mesh, &snapshots_, &directory_, replica_.get()),
+      founding_(settings.bootstrap && replica_ != nullptr) {
+  Start();
+}
+
+ControlNode::~ControlNode() { time_->Cancel(&founder_timer_); }
+
+std::unique_ptr<ReplicaDriver> ControlNode::MakeReplica(mesh::Mesh* mesh, disk::TableStore* store,
+                                                        const settings::NodeSettings& settings,
+                                                        std::uint64_t seed) {
+  if (!self_.Is(MemberInfo::kQuorumMember)) return nullptr;
+  coordination::ChainOptions options;
+  options.self = {self_.name, self_.disk_id};
+  options.bootstrap = settings.bootstrap;
+  options.tolerance = settings.tolerance.machines;
+  return std::make_unique<ReplicaDriver>(time_.get(), mesh, store, &snapshots_, &directory_,
+                                         &reach_, std::move(options), seed);
+}
+
+void ControlNode::Start() {
+  snapshots_.OnChange([this] { SnapshotChanged(); });
+  membership_.OnChange([this](const std::vector<std::string>& names) { MembersChanged(names); });
+  if (replica_ != nullptr) replica_->OnStep([this] { ReplicaStepped(); });
+  if (founding_) {
+    founder_timer_ = time_->After(kFounderWait, [this] {
+      founder_timer_ = 0;
+      founder_wait_over_ = true;
+      if (founding_) Found(true);
+    });
+  }
+  SnapshotChanged();
+  membership_.Start();
+  if (replica_ == nullptr) return;
+  replica_->MembersChanged();
+  reach_.Start([this] { replica_->MembersChanged(); });
+}
+
+void ControlNode::OnChange(std::function<void()> listener) {
+  snapshots_.OnChange(std::move(listener));
+}
+
+void ControlNode::OnMembersChanged(MembershipDriver::Listener listener) {
+  member_listeners_.push_back(std::move(listener));
+}
+
+void ControlNode::Announce(const std::string& name, std::uint64_t version) {
+  membership_.Announce(name, version);
+}
+
+void ControlNode::Change(const std::string& key, std::uint64_t expected_revision, std::string value,
+                         Micros timeout, std::function<void(ChangeOutcome)> done) {
+  WriteRequest request;
+  request.key = key;
+  request.expected = expected_revision;
+  request.value = std::move(value);
+  request.timeout = timeout;
+  relay_.Change(std::move(request), [done = std::move(done)](const WriteAnswer& answer) {
+    done({static_cast<coordination::ChangeStatus>(answer.status), answer.revision});
+  });
+}
+
+void ControlNode::StrictRead(Micros timeout, StrictReader::Done done) {
+  reader_.Read(timeout, std::move(done));
+}
+
+bool ControlNode::RosterChanged(const std::vector<std::string>& names) {
+  bool changed = false;
+  for (const std::string& name : names) {
+    const coordination::Member* member = directory_.Find(name);
+    if (member == nullptr) {
+      changed = roster_.erase(name) > 0 || changed;
+      continue;
+    }
+    const Presence now{IsLive(*member), member->info.incarnation};
+    Presence& known = roster_[name];
+    changed = changed || known != now;
+    known = now;
+  }
+  return changed;
+}
+
+void ControlNode::MembersChanged(const std::vector<std::string>& names) {
+  if (RosterChanged(names)) {
+    if (replica_ != nullptr) replica_->MembersChanged();
+    if (founding_) Found(founder_wait_over_);
+    poller_.Refresh();
+  }
+  fetch_.MembersChanged(names);
+  for (std::size_t i = 0; i < member_listeners_.size(); ++i) member_listeners_[i](names);
+}
+
+void ControlNode::Found(bool waited) {
+  auto founders = ChooseFounders(members(), seeds_, waited);
+  if (!founders.has_value()) return;
+  founding_ = false;
+  time_->Cancel(&founder_timer_);
+  std::string names;
+  for (const auto& founder : *founders) names += founder.name + " ";
+  logging::Info("control", "founders of the first view", {logging::F("names", names)});
+  replica_->SetFounders(*std::move(founders));
+}
+
+void ControlNode::ReplicaStepped() {
+  reach_.Update(replica_->is_head(), replica_->view());
+  const bool informed = replica_->InView() && Current()->version != coordination::Version();
+  poller_.SetActive(!informed);
+}
+
+void ControlNode::SnapshotChanged() {
+  const coordination::Version version = Current()->version;
+  if (version != coordination::Version()) membership_.Announce(kAnnouncedName, Packed(version));
+  if (replica_ == nullptr) {
+    poller_.SetActive(true);
+  } else {
+    ReplicaStepped();
+  }
+}
+
+}  // namespace pearreach::control
--- /dev/null
+++ b/src/control/control_node.h
@@ -0,0 +1,98 @@
+// This node's part in the control plane: it runs membership, the chain replica where the node has
+// one, and whatever keeps its snapshot of the control state the newest that it can learn of.
+#ifndef PEARREACH_SRC_CONTROL_CONTROL_NODE_H_
+#define PEARREACH_SRC_CONTROL_CONTROL_NODE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "control/announced_fetch.h"
+#include "control/change_relay.h"
+#include "control/control_client.h"
+#include "control/member_directory.h"
+#include "control/membership_driver.h"
+#include "control/poll_server.h"
+#include "control/quorum_reach.h"
+#include "control/replica_driver.h"
+#include "control/snapshot_store.h"
+#include "control/state_poller.h"
+#include "control/strict_reader.h"
+#include "control/time_source.h"
+#include "settings/node_settings.h"
+
+namespace pearreach::control {
+
+// What a node tells others of itself. `store`: null without a disk.
+coordination::MemberInfo DescribeSelf(const settings::NodeSettings& settings,
+                                      const disk::TableStore* store, std::uint64_t incarnation);
+// The mesh addresses of the settings' seed nodes.
+std::vector<std::string> MeshSeeds(const settings::NodeSettings& settings);
+
+class ControlNode : public ControlClient {
+ public:
+  // Joins at once. `store`: null without a disk. `incarnation` must rise over restarts of the node.
+  // All pointers outlive this.
+  ControlNode(Timers* timers, mesh::Mesh* mesh, disk::TableStore* store,
+              const settings::NodeSettings& settings, std::uint64_t incarnation);
+  ControlNode(std::unique_ptr<TimeSource> time, mesh::Mesh* mesh, disk::TableStore* store,
+              const settings::NodeSettings& settings, std::uint64_t incarnation);
+  ~ControlNode() override;
+
+  // Tells others that this process ends on purpose. Calls are answered on.
+  void Leave() { membership_.Leave(); }
+
+  std::shared_ptr<const ControlSnapshot> Current() const override { return snapshots_.current(); }
+  void OnChange(std::function<void()> listener) override;
+  void Change(const std::string& key, std::uint64_t expected_revision, std::string value,
+              Micros timeout, std::function<void(ChangeOutcome)> done) override;
+  void StrictRead(Micros timeout, StrictReader::Done done) override;
+  bool IsDutyHolder() const override { return reach_.HoldsDuty(); }
+  const MemberMap& members() const override { return membership_.members(); }
+  // Further listeners for changes of members: status, info or announced versions.
+  void OnMembersChanged(MembershipDriver::Listener listener);
+  // What rides on this node's membership messages under that name.
+  void Announce(const std::string& name, std::uint64_t version);
+
+  bool has_replica() const { return replica_ != nullptr; }
+
+ private:
+  struct Presence {
+    bool live = false;
+    std::uint64_t incarnation = 0;
+    bool operator==(const Presence&) const = default;
+  };
+  std::unique_ptr<ReplicaDriver> MakeReplica(mesh::Mesh* mesh, disk::TableStore* store,
+                                             const settings::NodeSettings& settings,
+                                             std::uint64_t seed);
+  void Start();
+  void MembersChanged(const std::vector<std::string>& names);
+  bool RosterChanged(const std::vector<std::string>& names);
+  void ReplicaStepped();
+  void SnapshotChanged();
+  void Found(bool waited);
+
+  std::unique_ptr<TimeSource> time_;
+  const coordination::MemberInfo self_;
+  const std::vector<std::string> seeds_;
+  SnapshotStore snapshots_;
+  MembershipDriver membership_;
+  MemberDirectory directory_;
+  QuorumReach reach_;
+  std::unique_ptr<ReplicaDriver> replica_;  // null: not a quorum member
+  PollServer poll_server_;
+  StatePoller poller_;
+  AnnouncedFetch fetch_;
+  ChangeRelay relay_;
+  StrictReader reader_;
+  std::map<std::string, Presence> roster_;
+  std::vector<MembershipDriver::Listener> member_listeners_;
+  bool founding_ = false;  // the first view's members are not chosen yet
+  bool founder_wait_over_ = false;
+  Timers::Id founder_timer_ = 0;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_CONTROL_NODE_H_
--- /dev/null
+++ b/src/control/member_directory.h
@@ -0,0 +1,56 @@
+// Whom this node may call for control state: live members in this node's own order of preference,
+// which spreads the callers over the quorum members.
+#ifndef PEARREACH_SRC_CONTROL_MEMBER_DIRECTORY_H_
+#define PEARREACH_SRC_CONTROL_MEMBER_DIRECTORY_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordination/chain.h"
+#include "coordination/membership.h"
+
+namespace pearreach::control {
+
+using MemberMap = std::map<std::string, coordination::Member>;
+
+struct Contact {
+  std::string name;  // empty: only its address is known
+  std::string address;
+};
+
+// Alive or suspect.
+bool IsLive(const coordination::Member& member);
+// The part of "ip:port" before the port.
+std::string IpOf(const std::string& address);
+
+class MemberDirectory {
+ public:
+  // `seeds`: mesh addresses to use as long as too few members are known.
+  MemberDirectory(const MemberMap* members, std::string self, std::vector<std::string> seeds);
+
+  const MemberMap& members() const { return *members_; }
+  const std::string& self() const { return self_; }
+  const std::vector<std::string>& seeds() const { return seeds_; }
+  // Null: not known. Dead ones too.
+  const coordination::Member* Find(const std::string& name) const;
+  // A live other member of that name; null: none.
+  const coordination::Member* FindLive(const std::string& name) const;
+  // Live other quorum members, most preferred first.
+  std::vector<Contact> QuorumContacts() const;
+  // Those, then all other live members, then the seeds.
+  std::vector<Contact> AllContacts() const;
+  // All quorum members as the chain wants to know them, this node among them.
+  std::vector<coordination::Peer> Peers() const;
+
+ private:
+  std::vector<Contact> Ranked(bool quorum) const;
+
+  const MemberMap* members_;
+  std::string self_;
+  std::vector<std::string> seeds_;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_MEMBER_DIRECTORY_H_
--- /dev/null
+++ b/src/control/membership_driver.h
@@ -0,0 +1,50 @@
+// Runs this node's Membership: its datagrams over the mesh and its ticks on one timer.
+#ifndef PEARREACH_SRC_CONTROL_MEMBERSHIP_DRIVER_H_
+#define PEARREACH_SRC_CONTROL_MEMBERSHIP_DRIVER_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "control/time_source.h"
+#include "coordination/membership.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::control {
+
+class MembershipDriver {
+ public:
+  // Names whose status, info or announced versions changed.
+  using Listener = std::function<void(const std::vector<std::string>& names)>;
+
+  MembershipDriver(TimeSource* time, mesh::Mesh* mesh, coordination::MembershipOptions options,
+                   std::uint64_t seed);
+  ~MembershipDriver();
+
+  void OnChange(Listener listener) { listener_ = std::move(listener); }
+  void Start();
+  void Leave();
+  void Announce(const std::string& name, std::uint64_t version);
+  const std::map<std::string, coordination::Member>& members() const {
+    return membership_.members();
+  }
+
+ private:
+  void Receive(const std::string& from_ip, std::string_view bytes);
+  void Tick();
+  void AfterStep(const std::vector<coordination::Datagram>& datagrams);
+  void Arm();
+
+  TimeSource* time_;
+  mesh::Mesh* mesh_;
+  coordination::Membership membership_;
+  Listener listener_;
+  Timers::Id timer_ = 0;
+  Micros armed_for_ = 0;
+  bool running_ = false;
+  CallbackOwner callbacks_;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_MEMBERSHIP_DRIVER_H_
--- /dev/null
+++ b/src/control/messages.h
@@ -0,0 +1,101 @@
+// What control nodes say to one another over the mesh.
+#ifndef PEARREACH_SRC_CONTROL_MESSAGES_H_
+#define PEARREACH_SRC_CONTROL_MESSAGES_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "coordination/chain.h"
+
+namespace pearreach::control {
+
+// Revision of each key that the asker has; an answer leaves out what is the same.
+using Revisions = std::map<std::string, std::uint64_t>;
+
+// kControlPoll: asks for state newer than `version`, waiting for it if `hold` is set.
+struct PollRequest {
+  coordination::Version version;
+  Revisions revisions;
+  bool hold = true;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& version.epoch& version.sequence& revisions& hold;
+  }
+};
+
+// kControlRead: a strict read, given up after `timeout`.
+struct ReadRequest {
+  Revisions revisions;
+  std::int64_t timeout = 0;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& revisions& timeout;
+  }
+};
+
+struct StateEntry {
+  std::string key, value;
+  std::uint64_t revision = 0;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& key& value& revision;
+  }
+};
+
+// The answer to both: `present` is false where there is nothing newer, or nothing sure.
+struct StateUpdate {
+  bool present = false;
+  coordination::Version version;
+  std::vector<StateEntry> entries;  // those whose revision differs from the asker's
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& present& version.epoch& version.sequence& entries;
+  }
+};
+
+// kControlWrite: a change on its way to the head.
+struct WriteRequest {
+  std::string key, value;
+  std::uint64_t expected = 0;
+  std::int64_t timeout = 0;
+  std::uint32_t hops = 0;  // nodes that have passed it on
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& key& value& expected& timeout& hops;
+  }
+};
+
+struct WriteAnswer {
+  std::uint8_t status = 0;  // coordination::ChangeStatus
+  std::uint64_t revision = 0;
+  std::string hint;  // name of the head, as far as known
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& status& revision& hint;
+  }
+};
+
+// kChain: a message between chain replicas, or a question for a sign; `from` is the sender's name.
+struct ChainEnvelope {
+  std::string from, bytes;
+  bool sign = false;  // answered with SignAnswer
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& from& bytes& sign;
+  }
+};
+
+struct SignAnswer {
+  std::string name;                // of the answering node
+  std::vector<std::string> hears;  // quorum members that it has lately heard directly
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& name& hears;
+  }
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_MESSAGES_H_
--- /dev/null
+++ b/src/control/poll_server.h
@@ -0,0 +1,49 @@
+// Answers other nodes' kControlPoll: at once where this node knows something newer, otherwise it
+// holds the call until it does or the hold time is over.
+#ifndef PEARREACH_SRC_CONTROL_POLL_SERVER_H_
+#define PEARREACH_SRC_CONTROL_POLL_SERVER_H_
+
+#include <list>
+#include <map>
+
+#include "control/messages.h"
+#include "control/snapshot_store.h"
+#include "control/time_source.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::control {
+
+// Default; an asker adds its own margin for the way.
+inline constexpr Micros kPollHold = 2 * kSecond;
+
+class PollServer {
+ public:
+  PollServer(TimeSource* time, mesh::Mesh* mesh, SnapshotStore* snapshots);
+  ~PollServer();
+  std::size_t held() const { return held_.size(); }
+
+ private:
+  struct Held {
+    PollRequest request;
+    mesh::Respond respond;
+    Micros until = 0;
+  };
+  void Take(std::string_view body, mesh::Respond respond);
+  void AnswerHeld();
+  void Expire();
+  void Arm();
+  const std::string& Encoded(const PollRequest& request);
+
+  TimeSource* time_;
+  SnapshotStore* snapshots_;
+  std::list<Held> held_;  // in the order of their ends
+  Timers::Id timer_ = 0;
+  // Askers of one version have the same revisions: each answer is encoded once.
+  std::map<coordination::Version, std::string> encoded_;
+  coordination::Version encoded_for_;
+  CallbackOwner callbacks_;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_POLL_SERVER_H_
--- /dev/null
+++ b/src/control/quorum_reach.cpp
@@ -0,0 +1,109 @@
+#include "control/quorum_reach.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "codec/archive.h"
+#include "control/messages.h"
+
+namespace pearreach::control {
+namespace {
+
+constexpr Micros kSignPeriod = 400 * kMs;
+constexpr Micros kSignTimeout = 500 * kMs;
+constexpr Micros kDutySpan = kSecond;      // a sign asked for longer ago gives no duty
+constexpr Micros kLostSpan = 2 * kSecond;  // nor, longer ago than this, a place in the view
+
+}  // namespace
+
+QuorumReach::QuorumReach(TimeSource* time, mesh::Mesh* mesh, const MemberDirectory* directory)
+    : time_(time), mesh_(mesh), directory_(directory) {}
+
+QuorumReach::~QuorumReach() { time_->Cancel(&timer_); }
+
+void QuorumReach::Start(std::function<void()> checked) {
+  checked_ = std::move(checked);
+  AskAll();
+}
+
+void QuorumReach::Update(bool is_head, const coordination::View& view) {
+  is_head_ = is_head;
+  if (view.epoch != view_.epoch) view_ = view;
+}
+
+void QuorumReach::AskAll() {
+  const Micros asked = time_->Now();
+  const std::string question = codec::Encode(ChainEnvelope{directory_->self(), "", true});
+  for (const Contact& contact : directory_->QuorumContacts()) {
+    mesh_->Call(contact.address, mesh::MessageType::kChain, question, kSignTimeout,
+                callbacks_.Bind(
+                    [this, name = contact.name, asked](const absl::StatusOr<std::string>& answer) {
+                      Answered(name, asked, answer);
+                    }));
+  }
+  timer_ = time_->After(kSignPeriod, [this] {
+    timer_ = 0;
+    AskAll();
+    checked_();
+  });
+}
+
+void QuorumReach::Answered(const std::string& name, Micros asked,
+                           const absl::StatusOr<std::string>& answer) {
+  if (!answer.ok()) return;
+  const auto sign = codec::Decode<SignAnswer>(*answer);
+  if (!sign.ok() || sign->name != name) return;  // another node has that address now
+  Answer& known = answers_[name];
+  if (asked < known.asked) return;
+  known.asked = asked;
+  known.hears = {sign->hears.begin(), sign->hears.end()};
+}
+
+std::string QuorumReach::Sign() const {
+  SignAnswer sign;
+  sign.name = directory_->self();
+  for (const auto& [name, answer] : answers_) {
+    if (Fresh(name, kLostSpan) != nullptr) sign.hears.push_back(name);
+  }
+  return codec::Encode(sign);
+}
+
+const QuorumReach::Answer* QuorumReach::Fresh(const std::string& name, Micros span) const {
+  const auto found = answers_.find(name);
+  if (found == answers_.end() || time_->Now() - found->second.asked > span) return nullptr;
+  return &found->second;
+}
+
+bool QuorumReach::HeardByMembership(const std::string& name, Micros span) const {
+  const coordination::Member* member = directory_->FindLive(name);
+  return member != nullptr && member->heard != 0 && time_->Now() - member->heard <= span;
+}
+
+bool QuorumReach::IsLost(const std::string& name) const {
+  if (name == directory_->self()) return false;
+  std::size_t reports = 0, may_hear = 0;
+  for (const coordination::ReplicaId& id : view_.members) {
+    if (id.name == directory_->self()) {
+      ++reports;
+      may_hear += Fresh(name, kLostSpan) != nullptr ? 1 : 0;
+    } else if (const Answer* answer = Fresh(id.name, kLostSpan)) {
+      ++reports;
+      may_hear += id.name == name ? 1 : answer->hears.count(name);
+    } else {
+      ++may_hear;
+    }
+  }
+  const std::size_t members = view_.members.size();
+  return 2 * reports > members && 2 * may_hear <= members;
+}
+
+bool QuorumReach::HoldsDuty() const {
+  if (!is_head_) return false;
+  const auto heard = std::count_if(view_.members.begin(), view_.members.end(), [&](const auto& id) {
+    return id.name == directory_->self() || Fresh(id.name, kDutySpan) != nullptr ||
+           HeardByMembership(id.name, kDutySpan);
+  });
+  return 2 * static_cast<std::size_t>(heard) > view_.members.size();
+}
+
+}  // namespace pearreach::control
--- /dev/null
+++ b/src/control/quorum_reach.h
@@ -0,0 +1,59 @@
+// Which quorum members hear one another directly. Membership knows of a node also through others,
+// so a member that is cut off from the rest of the quorum alone looks alive to everybody; the
+// members of a view therefore ask one another for a sign, and learn with it whom the other hears.
+#ifndef PEARREACH_SRC_CONTROL_QUORUM_REACH_H_
+#define PEARREACH_SRC_CONTROL_QUORUM_REACH_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "control/member_directory.h"
+#include "control/time_source.h"
+#include "coordination/chain.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::control {
+
+class QuorumReach {
+ public:
+  QuorumReach(TimeSource* time, mesh::Mesh* mesh, const MemberDirectory* directory);
+  ~QuorumReach();
+
+  // Begins to ask; `checked` is called after each round.
+  void Start(std::function<void()> checked);
+  // After each step of the replica.
+  void Update(bool is_head, const coordination::View& view);
+
+  // The answer to another member's question for a sign.
+  std::string Sign() const;
+  // A majority of the view is known to hear less than a majority in common with that member.
+  bool IsLost(const std::string& name) const;
+  // This node is the head and has just heard a majority of the view.
+  bool HoldsDuty() const;
+
+ private:
+  struct Answer {
+    Micros asked = 0;             // when the last answered question was sent
+    std::set<std::string> hears;  // what that answer says
+  };
+  void AskAll();
+  void Answered(const std::string& name, Micros asked, const absl::StatusOr<std::string>& answer);
+  const Answer* Fresh(const std::string& name, Micros span) const;
+  bool HeardByMembership(const std::string& name, Micros span) const;
+
+  TimeSource* time_;
+  mesh::Mesh* mesh_;
+  const MemberDirectory* directory_;
+  std::function<void()> checked_;
+  bool is_head_ = false;
+  coordination::View view_;
+  std::map<std::string, Answer> answers_;
+  Timers::Id timer_ = 0;
+  CallbackOwner callbacks_;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_QUORUM_REACH_H_
--- /dev/null
+++ b/src/control/replace_call.h
@@ -0,0 +1,53 @@
+// One call of Config.Replace, from its checks over the change to an answer that holds: 200 only for
+// what is in force, 400 and 412 only for what never will be, 503 for all that is not sure in time.
+#ifndef PEARREACH_SRC_CONTROL_REPLACE_CALL_H_
+#define PEARREACH_SRC_CONTROL_REPLACE_CALL_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "control/control_client.h"
+#include "control/taken_configs.h"
+#include "front/exchange.h"
+
+namespace pearreach::control {
+
+class ReplaceCall : public std::enable_shared_from_this<ReplaceCall> {
+ public:
+  ReplaceCall(ControlClient* client, std::function<Micros()> now,
+              std::shared_ptr<const TakenConfigs> taken, std::shared_ptr<front::Exchange> exchange,
+              Micros deadline);
+  void Start();
+
+ private:
+  using SnapshotPtr = std::shared_ptr<const ControlSnapshot>;
+  using Next = void (ReplaceCall::*)(const ControlSnapshot&);
+
+  // False: answered already.
+  bool ReadRequest();
+  void Reread(Micros timeout, Next next);
+  void Decide(const ControlSnapshot& snapshot, bool sure);
+  void DecideSurely(const ControlSnapshot& snapshot) { Decide(snapshot, true); }
+  void Change(const ControlSnapshot& snapshot);
+  void Changed(const ChangeOutcome& outcome);
+  // After a conflict or an unclear outcome.
+  void Resolve(const ControlSnapshot& snapshot);
+  bool IsTaken(const ControlSnapshot& snapshot) const;
+  Micros Left() const { return deadline_ - now_(); }
+  void AnswerTaken();
+  void AnswerOtherVersion(const ControlSnapshot& snapshot);
+
+  ControlClient* client_;
+  std::function<Micros()> now_;
+  std::shared_ptr<const TakenConfigs> taken_;
+  std::shared_ptr<front::Exchange> exchange_;
+  Micros deadline_;
+  std::string body_;
+  std::int64_t parent_ = 0, version_ = 0;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_REPLACE_CALL_H_
--- /dev/null
+++ b/src/control/replica_driver.cpp
@@ -0,0 +1,191 @@
+#include "control/replica_driver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "codec/archive.h"
+#include "control/messages.h"
+#include "logging/log.h"
+
+namespace pearreach::control {
+namespace {
+
+constexpr char kRecordPrefix[] = "chain/";     // all keys of the replica begin so
+constexpr Micros kMessageTimeout = 500 * kMs;  // the replica repeats what matters
+
+std::map<std::string, std::string> RecordsOf(const disk::TableStore& store) {
+  const std::string_view prefix = kRecordPrefix;
+  std::map<std::string, std::string> records;
+  store.ForEach(prefix, [&](std::string_view key, std::string_view value) {
+    if (key.substr(0, prefix.size()) == prefix) records.emplace(key, value);
+  });
+  return records;
+}
+
+bool Same(const std::vector<coordination::Peer>& a, const std::vector<coordination::Peer>& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](const auto& x, const auto& y) {
+    return x.id == y.id && x.alive == y.alive;
+  });
+}
+
+}  // namespace
+
+ReplicaDriver::ReplicaDriver(TimeSource* time, mesh::Mesh* mesh, disk::TableStore* store,
+                             SnapshotStore* snapshots, const MemberDirectory* directory,
+                             const QuorumReach* reach, coordination::ChainOptions options,
+                             std::uint64_t seed)
+    : time_(time),
+      mesh_(mesh),
+      store_(store),
+      snapshots_(snapshots),
+      directory_(directory),
+      reach_(reach),
+      self_(options.self),
+      replica_(std::move(options), RecordsOf(*store), seed, time->Now()) {
+  mesh_->Handle(mesh::MessageType::kChain,
+                callbacks_.Bind([this](const std::string&, std::string_view body,
+                                       const mesh::Respond& respond) {
+                  const auto envelope = codec::Decode<ChainEnvelope>(body);
+                  if (!envelope.ok()) return respond(envelope.status());
+                  if (envelope->sign) return respond(reach_->Sign());
+                  respond(std::string());
+                  Receive(*envelope);
+                }));
+  snapshots_->Apply(replica_.committed_version(), replica_.committed());
+  Arm();
+}
+
+ReplicaDriver::~ReplicaDriver() {
+  time_->Cancel(&timer_);
+  for (auto& [ticket, waiting] : changes_) time_->Cancel(&waiting.timer);
+  for (auto& [ticket, waiting] : reads_) time_->Cancel(&waiting.timer);
+}
+
+bool ReplicaDriver::InView() const {
+  const auto& members = replica_.view().members;
+  return std::find(members.begin(), members.end(), self_) != members.end();
+}
+
+void ReplicaDriver::MembersChanged() {
+  std::vector<coordination::Peer> peers = directory_->Peers();
+  for (coordination::Peer& peer : peers) {
+    peer.alive = peer.alive && !reach_->IsLost(peer.id.name);
+  }
+  if (Same(peers, peers_)) return;
+  peers_ = peers;
+  coordination::Effects effects;
+  replica_.SetPeers(time_->Now(), std::move(peers), &effects);
+  CarryOut(std::move(effects));
+}
+
+void ReplicaDriver::SetFounders(std::vector<coordination::ReplicaId> founders) {
+  coordination::Effects effects;
+  replica_.SetFounders(time_->Now(), std::move(founders), &effects);
+  CarryOut(std::move(effects));
+}
+
+void ReplicaDriver::Change(const std::string& key, std::uint64_t expected, std::string value,
+                           Micros timeout, ChangeDone done) {
+  const std::uint64_t ticket = ++last_ticket_;
+  const Timers::Id timer = time_->After(timeout, [this, ticket] {
+    coordination::ChangeResult late;
+    late.ticket = ticket;
+    Finish(late);
+  });
+  changes_[ticket] = {std::move(done), timer};
+  coordination::Effects effects;
+  replica_.Change(time_->Now(), ticket, key, expected, std::move(value), &effects);
+  CarryOut(std::move(effects));
+}
+
+void ReplicaDriver::Read(Micros timeout, ReadDone done) {
+  const std::uint64_t ticket = ++last_ticket_;
+  const Timers::Id timer = time_->After(timeout, [this, ticket] {
+    coordination::ReadResult late;
+    late.ticket = ticket;
+    Finish(late);
+  });
+  reads_[ticket] = {std::move(done), timer};
+  coordination::Effects effects;
+  replica_.Read(time_->Now(), ticket, &effects);
+  CarryOut(std::move(effects));
+}
+
+void ReplicaDriver::Finish(const coordination::ChangeResult& result) {
+  auto waiting = changes_.extract(result.ticket);
+  if (waiting.empty()) return;
+  time_->Cancel(&waiting.mapped().timer);
+  waiting.mapped().done(result);
+}
+
+void ReplicaDriver::Finish(const coordination::ReadResult& result) {
+  auto waiting = reads_.extract(result.ticket);
+  if (waiting.empty()) return;
+  time_->Cancel(&waiting.mapped().timer);
+  waiting.mapped().done(result);
+}
+
+void ReplicaDriver::Receive(const ChainEnvelope& envelope) {
+  coordination::Effects effects;
+  replica_.Receive(time_->Now(), envelope.from, envelope.bytes, &effects);
+  CarryOut(std::move(effects));
+}
+
+void ReplicaDriver::Tick() {
+  coordination::Effects effects;
+  replica_.Tick(time_->Now(), &effects);
+  CarryOut(std::move(effects));
+}
+
+void ReplicaDriver::CarryOut(coordination::Effects effects) {
+  for (auto& persist : effects.persists) Write(std::move(persist));
+  for (const auto& message : effects.messages) Send(message);
+  for (auto& committed : effects.committed) {
+    snapshots_->Apply(committed.version, std::move(committed.map));
+  }
+  Arm();
+  for (const auto& result : effects.changes) Finish(result);
+  for (const auto& result : effects.reads) Finish(result);
+  if (listener_) listener_();
+}
+
+void ReplicaDriver::Write(coordination::Persist persist) {
+  std::vector<disk::Write> batch;
+  for (auto& [key, value] : persist.records) {
+    batch.push_back({key, std::move(value), false});
+  }
+  store_->Commit(std::move(batch),
+                 callbacks_.Bind([this, token = persist.token](const absl::Status& status) {
+                   if (!status.ok()) {
+                     // Without the record the replica takes no further step on it.
+                     logging::Error("control", "a record could not be written",
+                                    {logging::F("error", status.ToString())});
+                     return;
+                   }
+                   coordination::Effects effects;
+                   replica_.Persisted(time_->Now(), token, &effects);
+                   CarryOut(std::move(effects));
+                 }));
+}
+
+void ReplicaDriver::Send(const coordination::SendMessage& message) {
+  const coordination::Member* member = directory_->Find(message.to);
+  if (member == nullptr) return;
+  mesh_->Call(member->info.address, mesh::MessageType::kChain,
+              codec::Encode(ChainEnvelope{self_.name, message.bytes, false}), kMessageTimeout,
+              [](const absl::StatusOr<std::string>&) {});
+}
+
+void ReplicaDriver::Arm() {
+  const Micros next = replica_.NextTick();
+  if (timer_ != 0 && armed_for_ <= next) return;
+  time_->Cancel(&timer_);
+  if (next >= kNoTick) return;
+  armed_for_ = next;
+  timer_ = time_->After(std::max<Micros>(next - time_->Now(), 0), [this] {
+    timer_ = 0;
+    Tick();
+  });
+}
+
+}  // namespace pearreach::control
--- /dev/null
+++ b/src/control/replica_driver.h
@@ -0,0 +1,85 @@
+// Runs this node's ChainReplica: its messages over the mesh, its records on the disk, its ticks on
+// one timer, and the calls that wait for its results.
+#ifndef PEARREACH_SRC_CONTROL_REPLICA_DRIVER_H_
+#define PEARREACH_SRC_CONTROL_REPLICA_DRIVER_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "control/member_directory.h"
+#include "control/quorum_reach.h"
+#include "control/snapshot_store.h"
+#include "control/time_source.h"
+#include "coordination/chain.h"
+#include "disk/table_store.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::control {
+
+class ReplicaDriver {
+ public:
+  using ChangeDone = std::function<void(const coordination::ChangeResult&)>;
+  using ReadDone = std::function<void(const coordination::ReadResult&)>;
+
+  ReplicaDriver(TimeSource* time, mesh::Mesh* mesh, disk::TableStore* store,
+                SnapshotStore* snapshots, const MemberDirectory* directory,
+                const QuorumReach* reach, coordination::ChainOptions options, std::uint64_t seed);
+  ~ReplicaDriver();
+
+  // Called after each step of the replica.
+  void OnStep(std::function<void()> listener) { listener_ = std::move(listener); }
+  // Tells the replica of the quorum members, if they changed.
+  void MembersChanged();
+  void SetFounders(std::vector<coordination::ReplicaId> founders);
+
+  // `done` is called exactly once, within `timeout`; kUnavailable and not ok if nothing came.
+  void Change(const std::string& key, std::uint64_t expected, std::string value, Micros timeout,
+              ChangeDone done);
+  void Read(Micros timeout, ReadDone done);
+
+  bool is_head() const { return replica_.is_head(); }
+  const coordination::View& view() const { return replica_.view(); }
+  // It takes part in the view that it knows, so that it learns of commits by itself.
+  bool InView() const;
+
+ private:
+  struct WaitingChange {
+    ChangeDone done;
+    Timers::Id timer = 0;
+  };
+  struct WaitingRead {
+    ReadDone done;
+    Timers::Id timer = 0;
+  };
+  void Receive(const ChainEnvelope& envelope);
+  void Tick();
+  void CarryOut(coordination::Effects effects);
+  void Write(coordination::Persist persist);
+  void Send(const coordination::SendMessage& message);
+  void Finish(const coordination::ChangeResult& result);
+  void Finish(const coordination::ReadResult& result);
+  void Arm();
+
+  TimeSource* time_;
+  mesh::Mesh* mesh_;
+  disk::TableStore* store_;
+  SnapshotStore* snapshots_;
+  const MemberDirectory* directory_;
+  const QuorumReach* reach_;
+  const coordination::ReplicaId self_;
+  coordination::ChainReplica replica_;
+  std::function<void()> listener_;
+  std::vector<coordination::Peer> peers_;  // as last told
+  std::map<std::uint64_t, WaitingChange> changes_;
+  std::map<std::uint64_t, WaitingRead> reads_;
+  std::uint64_t last_ticket_ = 0;
+  Timers::Id timer_ = 0;
+  Micros armed_for_ = 0;
+  CallbackOwner callbacks_;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_REPLICA_DRIVER_H_
--- /dev/null
+++ b/src/control/strict_reader.h
@@ -0,0 +1,52 @@
+// Reads of the control state that no older state can answer: by this node's replica or, where it
+// has none or cannot be sure, by another quorum member's.
+#ifndef PEARREACH_SRC_CONTROL_STRICT_READER_H_
+#define PEARREACH_SRC_CONTROL_STRICT_READER_H_
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+
+#include "control/member_directory.h"
+#include "control/replica_driver.h"
+#include "control/snapshot_store.h"
+#include "control/time_source.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::control {
+
+class StrictReader {
+ public:
+  using Done = std::function<void(absl::StatusOr<std::shared_ptr<const ControlSnapshot>>)>;
+
+  // `replica`: null on nodes outside the quorum.
+  StrictReader(TimeSource* time, mesh::Mesh* mesh, SnapshotStore* snapshots,
+               const MemberDirectory* directory, ReplicaDriver* replica);
+  // `done` is called exactly once, within `timeout`.
+  void Read(Micros timeout, Done done);
+
+ private:
+  struct Attempt {
+    Micros deadline = 0;
+    Done done;
+    std::size_t tries = 0;
+  };
+  using AttemptPtr = std::shared_ptr<Attempt>;
+  void Serve(std::string_view body, mesh::Respond respond);
+  void Try(const AttemptPtr& attempt);
+  void TryHere(const AttemptPtr& attempt, Micros timeout);
+  void Ask(const AttemptPtr& attempt, const Contact& contact, Micros timeout);
+  void Failed(const AttemptPtr& attempt);
+
+  TimeSource* time_;
+  mesh::Mesh* mesh_;
+  SnapshotStore* snapshots_;
+  const MemberDirectory* directory_;
+  ReplicaDriver* replica_;
+  CallbackOwner callbacks_;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_STRICT_READER_H_
--- a/src/coordination/chain.h
+++ b/src/coordination/chain.h
@@ -1,8 +1,9 @@
 // A small durable map of named values, replicated over a chain of nodes with disks: a change enters
-// at the head, is synced to disk by each replica in turn and is committed when the tail has it. When
-// a replica fails the chain is repaired by a new view (epoch and members), which a majority of the
-// old view's members agrees on; the view carries the whole map, so that nothing else need be copied.
-// There is no replicated log and no elected leader: the head is the first member of the view.
+// at the head, is synced to disk by each replica in turn and is committed when the tail has it.
+// When a replica fails the chain is repaired by a new view (epoch and members), which a majority of
+// the old view's members agrees on; the view carries the whole map, so that nothing else need be
+// copied. There is no replicated log and no elected leader: the head is the first member of the
+// view.
 //
 // A pure machine: no socket, no clock, no thread, no disk. The caller delivers messages, ticks and
 // the completion of disk writes, and carries out the effects in order. Guarantees, for as long as
@@ -46,8 +47,8 @@
 using Map = std::map<std::string, Entry>;
 
 struct View {
-  std::uint64_t epoch = 0;            // 0: none yet
-  std::vector<ReplicaId> members;     // head first, tail last
+  std::uint64_t epoch = 0;         // 0: none yet
+  std::vector<ReplicaId> members;  // head first, tail last
 };
 
 // What a change or read came to.
@@ -95,14 +96,14 @@
 
 struct ChainOptions {
   ReplicaId self;
-  bool bootstrap = false;      // the whole system starts for the first time
-  int tolerance = 1;           // disks that may be lost at once
+  bool bootstrap = false;  // the whole system starts for the first time
+  int tolerance = 1;       // disks that may be lost at once
   Micros call_timeout = 1'000'000;
   Micros retry = 100'000;
 };
 
 // The nodes that this one believes to be live quorum members, each with its present disk identity:
-// input from membership. `expected` at bootstrap: those that should make up the first view.
+// input from membership.
 struct Peer {
   ReplicaId id;
   bool alive = false;
@@ -118,6 +119,10 @@
   // What membership says. The duty to repair the view falls to the first live member of the view in
   // its order (at bootstrap: the first by name), never to one that is not sure of a majority.
   void SetPeers(Micros now, std::vector<Peer> peers, Effects* out);
+  // At bootstrap: those whose majority forms the first view, the same set at all founders. Another
+  // set may be given until this node has taken part in an agreement; then the first one holds. Of
+  // no effect once there is a view.
+  void SetFounders(Micros now, std::vector<ReplicaId> founders, Effects* out);
   void Receive(Micros now, const std::string& from, std::string_view bytes, Effects* out);
   void Persisted(Micros now, std::uint64_t token, Effects* out);
   Micros NextTick() const;
--- /dev/null
+++ b/src/coordination/chain_replica.cpp
@@ -0,0 +1,207 @@
+#include "coordination/chain_replica.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pearreach::coordination {
+namespace {
+
+// A member is dropped once it has been down for this many times the retry interval.
+constexpr int kSteadyRetries = 2;
+
+constexpr char kFoundersKey[] = "chain/founders";
+
+std::vector<ReplicaId> LoadFounders(const chain::Records& records) {
+  const auto found = records.find(kFoundersKey);
+  if (found == records.end()) return {};
+  auto founders = codec::Decode<std::vector<ReplicaId>>(found->second);
+  return founders.ok() ? *std::move(founders) : std::vector<ReplicaId>{};
+}
+
+}  // namespace
+
+ChainReplica::Impl::Impl(ChainOptions options, const chain::Records& records, std::uint64_t seed,
+                         Micros now)
+    : options_(std::move(options)),
+      random_(seed),
+      state_(records),
+      acceptor_(state_.view().epoch, records),
+      target_(
+          options_.self, options_.tolerance,
+          {kSteadyRetries * options_.retry, options_.call_timeout, now + options_.call_timeout}),
+      pending_since_(now),
+      push_(options_.retry),
+      founders_(LoadFounders(records)),
+      founder_(options_.bootstrap || !founders_.empty()),
+      proposer_resend_(options_.retry),
+      greatest_round_(acceptor_.promised().round),
+      ask_resend_(options_.retry),
+      instance_(random_()) {
+  predecessors_have_start_ = IsHead() || state_.latest().version.sequence > 0;
+}
+
+void ChainReplica::Impl::SetPeers(Micros now, const std::vector<Peer>& peers, Effects* out) {
+  target_.SetPeers(now, peers);
+  Run(now, out);
+}
+
+void ChainReplica::Impl::SetFounders(Micros now, std::vector<ReplicaId> founders, Effects* out) {
+  std::sort(founders.begin(), founders.end());
+  const bool open = founder_ && state_.view().epoch == 0 && !acceptor_.sealed();
+  if (!open || founders.empty() || founders == founders_) return;
+  founders_ = std::move(founders);
+  out_ = out;
+  Sync({{kFoundersKey, codec::Encode(founders_)}});
+  proposer_.reset();
+  Run(now, out);
+}
+
+void ChainReplica::Impl::Receive(Micros now, const std::string& from, std::string_view bytes,
+                                 Effects* out) {
+  auto envelope = chain::DecodeEnvelope(bytes);
+  if (!envelope.ok()) return;
+  if (!from.empty() && envelope->header.from.name != from) return;
+  out_ = out;
+  target_.Heard(now, envelope->header.from);
+  Dispatch(now, *envelope);
+  Run(now, out);
+}
+
+void ChainReplica::Impl::Persisted(Micros now, std::uint64_t token, Effects* out) {
+  synced_early_.insert(token);
+  while (synced_early_.erase(synced_token_ + 1) > 0) ++synced_token_;
+  Run(now, out);
+}
+
+bool ChainReplica::Impl::IsHead() const {
+  const auto& members = state_.view().members;
+  return !members.empty() && members.front() == options_.self;
+}
+
+bool ChainReplica::Impl::IsTail() const {
+  const auto& members = state_.view().members;
+  return !members.empty() && members.back() == options_.self;
+}
+
+const ReplicaId* ChainReplica::Impl::Neighbour(int step) const {
+  const auto& members = state_.view().members;
+  const auto self = std::find(members.begin(), members.end(), options_.self);
+  if (self == members.end()) return nullptr;
+  const auto place = (self - members.begin()) + step;
+  if (place < 0 || place >= static_cast<std::ptrdiff_t>(members.size())) return nullptr;
+  return &members[place];
+}
+
+// Carries everything on as far as it goes, and finds when to be called next.
+void ChainReplica::Impl::Run(Micros now, Effects* out) {
+  out_ = out;
+  do {
+    const auto messages = std::exchange(to_self_, {});
+    for (const chain::Envelope& envelope : messages) Dispatch(now, envelope);
+    wake_ = chain::kNever;
+    AdvanceReplication(now);
+    AdvanceReads(now);
+    AdvanceViews(now);
+    ReleaseMessages();
+  } while (!to_self_.empty());
+  out_ = nullptr;
+}
+
+void ChainReplica::Impl::Send(const std::string& to, chain::Body body) {
+  held_.push_back({last_token_, to, {{options_.self, state_.view().epoch}, std::move(body)}});
+}
+
+void ChainReplica::Impl::Sync(chain::Records records) {
+  out_->persists.push_back({++last_token_, std::move(records)});
+}
+
+void ChainReplica::Impl::ReleaseMessages() {
+  while (!held_.empty() && held_.front().token <= synced_token_) {
+    HeldMessage message = std::move(held_.front());
+    held_.pop_front();
+    if (message.to == options_.self.name) {
+      to_self_.push_back(std::move(message.envelope));
+    } else {
+      out_->messages.push_back({message.to, chain::EncodeEnvelope(message.envelope)});
+    }
+  }
+}
+
+void ChainReplica::Impl::Dispatch(Micros now, const chain::Envelope& envelope) {
+  const chain::Header& header = envelope.header;
+  if (const auto* prepare = std::get_if<chain::Prepare>(&envelope.body)) {
+    AnswerIfReplaced(header, *prepare);
+  }
+  const std::uint64_t epoch = state_.view().epoch;
+  if (header.epoch > epoch) {
+    if (const auto* answer = std::get_if<chain::ViewAnswer>(&envelope.body)) {
+      OnViewAnswer(now, *answer);
+    } else if (!std::holds_alternative<chain::ViewAsk>(envelope.body)) {
+      AskForView(now, header);
+    }
+    return;
+  }
+  if (header.epoch < epoch) {
+    // An answer to this ballot comes from any epoch: a wiped node has none.
+    if (const auto* absent = std::get_if<chain::Absent>(&envelope.body)) {
+      On(now, header, *absent);
+      return;
+    }
+    AnswerOlder(header, envelope.body);
+    return;
+  }
+  DispatchSameEpoch(now, header, envelope.body);
+}
+
+void ChainReplica::Impl::DispatchSameEpoch(Micros now, const chain::Header& header,
+                                           const chain::Body& body) {
+  std::visit([&](const auto& message) { On(now, header, message); }, body);
+}
+
+ChainReplica::ChainReplica(ChainOptions options, std::map<std::string, std::string> records,
+                           std::uint64_t seed, Micros now)
+    : impl_(std::make_unique<Impl>(std::move(options), records, seed, now)) {}
+
+ChainReplica::~ChainReplica() = default;
+
+void ChainReplica::SetPeers(Micros now, std::vector<Peer> peers, Effects* out) {
+  impl_->SetPeers(now, peers, out);
+}
+
+void ChainReplica::SetFounders(Micros now, std::vector<ReplicaId> founders, Effects* out) {
+  impl_->SetFounders(now, std::move(founders), out);
+}
+
+void ChainReplica::Receive(Micros now, const std::string& from, std::string_view bytes,
+                           Effects* out) {
+  impl_->Receive(now, from, bytes, out);
+}
+
+void ChainReplica::Persisted(Micros now, std::uint64_t token, Effects* out) {
+  impl_->Persisted(now, token, out);
+}
+
+Micros ChainReplica::NextTick() const { return impl_->NextTick(); }
+
+void ChainReplica::Tick(Micros now, Effects* out) { impl_->Tick(now, out); }
+
+void ChainReplica::Change(Micros now, std::uint64_t ticket, const std::string& key,
+                          std::uint64_t expected, std::string value, Effects* out) {
+  impl_->Change(now, ticket, key, expected, std::move(value), out);
+}
+
+void ChainReplica::Read(Micros now, std::uint64_t ticket, Effects* out) {
+  impl_->Read(now, ticket, out);
+}
+
+const View& ChainReplica::view() const { return impl_->state().view(); }
+
+bool ChainReplica::is_head() const { return impl_->IsHead(); }
+
+std::shared_ptr<const Map> ChainReplica::committed() const {
+  return impl_->state().committed().map;
+}
+
+Version ChainReplica::committed_version() const { return impl_->state().committed().version; }
+
+}  // namespace pearreach::coordination
