--- /dev/null
+++ b/src/coordination/chain_replica.h
@@ -0,0 +1,224 @@
+// The chain replica's inside: one object that ties the durable state, the replication along the
+// chain, the agreement on views and the strict reads together. By file:
+//   chain_replica.cpp      the public calls, sending and what is held until disk writes are synced
+//   chain_replication.cpp  changes along the chain and their commit
+//   chain_views.cpp        when and how views change
+//   chain_reads.cpp        strict reads
+//
+// Every message waits until all that was handed to the disk before it is synced, so that nothing is
+// told which a loss of power could take back. Persist effects must reach the disk in their order.
+#ifndef PEARREACH_SRC_COORDINATION_CHAIN_REPLICA_H_
+#define PEARREACH_SRC_COORDINATION_CHAIN_REPLICA_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/chain.h"
+#include "coordination/chain_messages.h"
+#include "coordination/chain_state.h"
+#include "coordination/view_agreement.h"
+#include "coordination/view_target.h"
+
+namespace pearreach::coordination {
+
+// When something unanswered is sent again: at growing intervals.
+class Resender {
+ public:
+  static constexpr int kGrowth = 8;  // the longest interval as a multiple of the first
+
+  explicit Resender(Micros first) : first_(first), interval_(first) {}
+  void Restart() {
+    at_ = 0;
+    interval_ = first_;
+  }
+  // True: send now. The next time is set.
+  bool Due(Micros now) {
+    if (now < at_) return false;
+    at_ = now + interval_;
+    interval_ = std::min(2 * interval_, kGrowth * first_);
+    return true;
+  }
+  Micros at() const { return at_; }
+
+ private:
+  Micros first_, interval_;
+  Micros at_ = 0;
+};
+
+class ChainReplica::Impl {
+ public:
+  Impl(ChainOptions options, const chain::Records& records, std::uint64_t seed, Micros now);
+
+  void SetPeers(Micros now, const std::vector<Peer>& peers, Effects* out);
+  void SetFounders(Micros now, std::vector<ReplicaId> founders, Effects* out);
+  void Receive(Micros now, const std::string& from, std::string_view bytes, Effects* out);
+  void Persisted(Micros now, std::uint64_t token, Effects* out);
+  void Tick(Micros now, Effects* out) { Run(now, out); }
+  void Change(Micros now, std::uint64_t ticket, const std::string& key, std::uint64_t expected,
+              std::string value, Effects* out);
+  void Read(Micros now, std::uint64_t ticket, Effects* out);
+
+  Micros NextTick() const { return wake_; }
+  const chain::DurableState& state() const { return state_; }
+  bool IsHead() const;
+
+ private:
+  struct QueuedChange {
+    std::uint64_t ticket = 0;
+    std::string key;
+    std::uint64_t expected = 0;
+    std::string value;
+    Micros deadline = 0;
+    bool is_newest = false;  // a strict read since has found what this head has to be the newest
+  };
+  struct AskedRead {
+    std::uint64_t ticket = 0;
+    Micros deadline = 0;
+    Resender resend;
+    bool is_own = false;  // asked by this head about its queued changes; `ticket` is a number drawn
+  };
+  // A read that waits at the tail.
+  struct TailRead {
+    std::string asker;
+    chain::ReadAsk ask;
+    auto Key() const { return std::tie(asker, ask.instance, ask.ticket); }
+  };
+  // One question to all members, for all reads that waited when it began.
+  struct ConfirmRound {
+    std::uint64_t nonce = 0;
+    Micros deadline = 0;
+    Resender resend;
+    std::set<ReplicaId> confirmed;
+    std::vector<TailRead> reads;
+  };
+  struct HeldMessage {
+    std::uint64_t token = 0;  // of the last disk write before it
+    std::string to;
+    chain::Envelope envelope;
+  };
+
+  // chain_replica.cpp
+  void Run(Micros now, Effects* out);
+  void ReleaseMessages();
+  void Dispatch(Micros now, const chain::Envelope& envelope);
+  void DispatchSameEpoch(Micros now, const chain::Header& header, const chain::Body& body);
+  void Send(const std::string& to, chain::Body body);
+  void Sync(chain::Records records);
+  // Nothing is sent again while the disk works: it would only wait as well.
+  bool IsSynced() const { return synced_token_ == last_token_; }
+  void WakeAt(Micros at) { wake_ = std::min(wake_, at); }
+  bool IsMember() const { return chain::Contains(state_.view().members, options_.self); }
+  bool IsTail() const;
+  // In force here: a member that has not promised a next view.
+  bool IsServing() const { return IsMember() && !acceptor_.sealed(); }
+  const ReplicaId* Neighbour(int step) const;  // in the view; null: none
+
+  // chain_replication.cpp
+  void AdvanceReplication(Micros now);
+  void AppendQueued(Micros now);
+  void ExpireChanges(Micros now);
+  void MakeSureOfNewest(Micros now);
+  void OnMadeSure(const Version& newest);
+  void Commit();
+  void ResolveAfterViewChange();
+  void FinishChange(const QueuedChange& change, ChangeStatus status, std::uint64_t revision);
+  std::uint64_t CommittedRevision(const std::string& key) const;
+  void On(Micros now, const chain::Header& header, const chain::Append& append);
+  void On(Micros now, const chain::Header& header, const chain::CommitNotice& notice);
+  void On(Micros now, const chain::Header& header, const chain::Probe& probe);
+
+  // chain_views.cpp
+  const std::vector<ReplicaId>& Acceptors() const;
+  bool IsAcceptor() const;
+  void AskForView(Micros now, const chain::Header& header);
+  void AnswerOlder(const chain::Header& header, const chain::Body& body);
+  void OnViewAnswer(Micros now, const chain::ViewAnswer& answer);
+  void Install(Micros now, const chain::Proposal& proposal);
+  void AfterInstall(Micros now);
+  void AnswerIfReplaced(const chain::Header& header, const chain::Prepare& prepare);
+  void On(Micros now, const chain::Header& header, const chain::Prepare& prepare);
+  void On(Micros now, const chain::Header& header, const chain::Promise& promise);
+  void On(Micros now, const chain::Header& header, const chain::Refuse& refuse);
+  void On(Micros now, const chain::Header& header, const chain::Absent& absent);
+  void On(Micros now, const chain::Header& header, const chain::Accept& accept);
+  void On(Micros now, const chain::Header& header, const chain::Accepted& accepted);
+  void On(Micros, const chain::Header&, const chain::ViewNotice&) {}
+  void On(Micros, const chain::Header&, const chain::ViewAsk&) {}
+  void On(Micros, const chain::Header&, const chain::ViewAnswer&) {}
+  void AdvanceViews(Micros now);
+  void AdvanceProposer(Micros now);
+  void Propose();
+  void Decide(Micros now);
+  void GiveTime(Micros now);
+  void AbandonProposal(Micros now);
+  bool MayReachQuorum() const;
+  bool IsStuck(Micros now);
+  bool HasReasonToPropose(Micros now);
+  std::vector<ReplicaId> NextMembers(Micros now);
+  bool IsTimeToChoose(Micros now);
+  Micros TurnToPropose() const;
+
+  // chain_reads.cpp
+  void AdvanceReads(Micros now);
+  void AdvanceAskedReads(Micros now);
+  void AdvanceConfirmRound(Micros now);
+  void AnswerReads();
+  void On(Micros now, const chain::Header& header, const chain::ReadAsk& ask);
+  void On(Micros now, const chain::Header& header, const chain::ConfirmAsk& ask);
+  void On(Micros now, const chain::Header& header, const chain::Confirm& confirm);
+  void On(Micros now, const chain::Header& header, const chain::ReadAnswer& answer);
+
+  const ChainOptions options_;
+  std::mt19937_64 random_;
+  chain::DurableState state_;
+  chain::Acceptor acceptor_;
+  chain::ViewTarget target_;
+  Effects* out_ = nullptr;  // set while a call runs
+  Micros wake_ = 0;
+
+  // Disk writes: tokens count from 1 and are done in order.
+  std::uint64_t last_token_ = 0, synced_token_ = 0;
+  std::set<std::uint64_t> synced_early_;
+  std::deque<HeldMessage> held_;
+  std::vector<chain::Envelope> to_self_;
+
+  // Replication. The pending state may be passed on once it is synced and, at a view's start, once
+  // all predecessors are known to have the view.
+  std::uint64_t pending_token_ = 0;
+  bool predecessors_have_start_ = false;
+  Micros pending_since_ = 0;
+  Resender push_;
+  std::deque<QueuedChange> queued_;
+  std::vector<QueuedChange> in_flight_;
+  std::vector<std::uint64_t> unsure_;  // tickets that the head's own strict read is about
+
+  // Views.
+  std::vector<ReplicaId> founders_;
+  bool founder_ = false;  // may take part in forming the first view
+  std::optional<chain::Proposer> proposer_;
+  std::optional<Micros> promised_since_;  // when the proposer had a quorum of promises
+  Resender proposer_resend_;
+  std::uint64_t greatest_round_ = 0;
+  std::optional<Micros> reason_since_;
+  Micros quiet_until_ = 0;  // another proposer is given time
+  int failures_ = 0;
+  std::uint64_t asked_epoch_ = 0;
+  Resender ask_resend_;
+
+  // Reads.
+  std::uint64_t instance_;
+  std::vector<AskedRead> asked_;
+  std::vector<TailRead> tail_reads_;  // wait for the next round
+  std::optional<ConfirmRound> round_;
+};
+
+}  // namespace pearreach::coordination
+
+#endif  // PEARREACH_SRC_COORDINATION_CHAIN_REPLICA_H_
--- /dev/null
+++ b/src/coordination/chain_replication.cpp
@@ -0,0 +1,202 @@
+// Changes along the chain: one batch at a time is pending; it is committed once the tail has it on
+// disk, because then all members have.
+#include <algorithm>
+#include <utility>
+
+#include "coordination/chain_replica.h"
+
+namespace pearreach::coordination {
+
+void ChainReplica::Impl::Change(Micros now, std::uint64_t ticket, const std::string& key,
+                                std::uint64_t expected, std::string value, Effects* out) {
+  out_ = out;
+  QueuedChange change{ticket, key, expected, std::move(value), now + options_.call_timeout};
+  if (IsHead()) {
+    queued_.push_back(std::move(change));
+  } else {
+    FinishChange(change, ChangeStatus::kNotHead, CommittedRevision(key));
+  }
+  Run(now, out);
+}
+
+std::uint64_t ChainReplica::Impl::CommittedRevision(const std::string& key) const {
+  const auto& map = state_.committed().map;
+  if (!map) return 0;
+  const auto found = map->find(key);
+  return found == map->end() ? 0 : found->second.revision;
+}
+
+void ChainReplica::Impl::FinishChange(const QueuedChange& change, ChangeStatus status,
+                                      std::uint64_t revision) {
+  ChangeResult result{change.ticket, status, revision, {}};
+  const auto& members = state_.view().members;
+  if (status == ChangeStatus::kNotHead && !members.empty()) result.hint = members.front().name;
+  out_->changes.push_back(std::move(result));
+}
+
+void ChainReplica::Impl::AdvanceReplication(Micros now) {
+  ExpireChanges(now);
+  if (!IsServing()) return;
+  if (state_.pending() && synced_token_ >= pending_token_ && IsSynced()) {
+    const Version version = state_.pending()->version;
+    if (!predecessors_have_start_) {
+      if (push_.Due(now)) Send(Neighbour(-1)->name, chain::Probe{});
+    } else if (IsTail()) {
+      Commit();
+    } else if (push_.Due(now)) {
+      Send(Neighbour(1)->name, chain::Append{version.sequence, state_.PendingChanges()});
+    }
+    if (state_.pending()) WakeAt(push_.at());
+  }
+  if (IsHead()) AppendQueued(now);
+}
+
+void ChainReplica::Impl::ExpireChanges(Micros now) {
+  const auto expired = [&](const QueuedChange& change) {
+    if (change.deadline > now) return false;
+    FinishChange(change, ChangeStatus::kUnavailable, CommittedRevision(change.key));
+    return true;
+  };
+  queued_.erase(std::remove_if(queued_.begin(), queued_.end(), expired), queued_.end());
+  in_flight_.erase(std::remove_if(in_flight_.begin(), in_flight_.end(), expired), in_flight_.end());
+  for (const QueuedChange& change : queued_) WakeAt(change.deadline);
+  for (const QueuedChange& change : in_flight_) WakeAt(change.deadline);
+}
+
+// A change on top of one that is not committed yet stays in the queue, and is judged by what has
+// been committed in this view only.
+void ChainReplica::Impl::AppendQueued(Micros now) {
+  if (queued_.empty() || state_.pending() || !state_.started()) return;
+  std::vector<chain::KeyChange> changes;
+  std::set<std::string> keys;
+  std::deque<QueuedChange> later;
+  for (QueuedChange& change : queued_) {
+    const std::uint64_t revision = CommittedRevision(change.key);
+    const bool unsure = revision < change.expected && !change.is_newest;
+    if (unsure) {
+      later.push_back(std::move(change));
+    } else if (revision != change.expected) {
+      FinishChange(change, ChangeStatus::kConflict, revision);
+    } else if (!keys.insert(change.key).second) {
+      later.push_back(std::move(change));
+    } else {
+      changes.push_back({change.key, {change.value, revision + 1}});
+      in_flight_.push_back(std::move(change));
+    }
+  }
+  queued_ = std::move(later);
+  MakeSureOfNewest(now);
+  if (changes.empty()) return;
+  Sync(state_.Append(changes));
+  pending_token_ = last_token_;
+  pending_since_ = now;
+  push_.Restart();
+}
+
+// A change that expects a later revision than this head knows: either this head is out of date, and
+// then it must not say that there is a conflict, or the change is wrong.
+void ChainReplica::Impl::MakeSureOfNewest(Micros now) {
+  if (!unsure_.empty()) return;
+  for (const QueuedChange& change : queued_) {
+    const bool unsure = CommittedRevision(change.key) < change.expected && !change.is_newest;
+    if (unsure) unsure_.push_back(change.ticket);
+  }
+  if (unsure_.empty()) return;
+  asked_.push_back({random_(), now + options_.call_timeout, Resender(options_.retry), true});
+}
+
+void ChainReplica::Impl::OnMadeSure(const Version& newest) {
+  const auto tickets = std::exchange(unsure_, {});
+  if (state_.committed().version < newest) return;
+  for (QueuedChange& change : queued_) {
+    const bool asked = std::find(tickets.begin(), tickets.end(), change.ticket) != tickets.end();
+    change.is_newest = change.is_newest || asked;
+  }
+}
+
+// The pending state is on the disks of all members.
+void ChainReplica::Impl::Commit() {
+  const std::uint64_t sequence = state_.pending()->version.sequence;
+  if (const ReplicaId* predecessor = Neighbour(-1)) {
+    Send(predecessor->name, chain::CommitNotice{sequence});
+  }
+  Sync(state_.CommitPending());  // no message waits for this but later ones
+  out_->committed.push_back({state_.committed().version, state_.committed().map});
+  failures_ = 0;
+  if (sequence == 0) {
+    ResolveAfterViewChange();
+    return;
+  }
+  for (const QueuedChange& change : std::exchange(in_flight_, {})) {
+    FinishChange(change, ChangeStatus::kCommitted, CommittedRevision(change.key));
+  }
+}
+
+// What was in flight in an earlier view is in the map of this one or will never be.
+void ChainReplica::Impl::ResolveAfterViewChange() {
+  const Map& map = *state_.latest().map;
+  const bool decided_only = state_.pending().has_value();
+  for (QueuedChange& change : std::exchange(in_flight_, {})) {
+    const auto found = map.find(change.key);
+    const Entry entry = found == map.end() ? Entry{} : found->second;
+    if (entry.revision == change.expected) {
+      if (IsHead()) {
+        queued_.push_front(std::move(change));
+      } else {
+        FinishChange(change, ChangeStatus::kNotHead, entry.revision);
+      }
+    } else if (entry.revision != change.expected + 1) {
+      FinishChange(change, ChangeStatus::kUnavailable, entry.revision);
+    } else if (entry.value != change.value) {
+      FinishChange(change, ChangeStatus::kConflict, entry.revision);
+    } else {
+      FinishChange(change, decided_only ? ChangeStatus::kUnavailable : ChangeStatus::kCommitted,
+                   entry.revision);
+    }
+  }
+}
+
+void ChainReplica::Impl::On(Micros now, const chain::Header& header, const chain::Append& append) {
+  const ReplicaId* predecessor = Neighbour(-1);
+  if (!IsServing() || !predecessor || header.from != *predecessor) return;
+  if (state_.started() && append.sequence <= state_.committed().version.sequence) {
+    Send(header.from.name, chain::CommitNotice{state_.committed().version.sequence});
+    return;
+  }
+  if (state_.pending() && append.sequence == state_.pending()->version.sequence) {
+    if (!predecessors_have_start_) push_.Restart();
+    predecessors_have_start_ = true;
+    return;
+  }
+  // The predecessors begin a change only once they know that the one before is committed.
+  if (state_.pending() && append.sequence == state_.pending()->version.sequence + 1) {
+    predecessors_have_start_ = true;
+    Commit();
+  }
+  const bool next = state_.started() && !state_.pending() &&
+                    append.sequence == state_.committed().version.sequence + 1;
+  if (!next || append.changes.empty()) return;
+  Sync(state_.Append(append.changes));
+  pending_token_ = last_token_;
+  pending_since_ = now;
+  push_.Restart();
+}
+
+void ChainReplica::Impl::On(Micros, const chain::Header& header,
+                            const chain::CommitNotice& notice) {
+  if (!IsMember() || !chain::Contains(state_.view().members, header.from)) return;
+  if (!state_.pending() || state_.pending()->version.sequence != notice.sequence) return;
+  predecessors_have_start_ = true;
+  Commit();
+}
+
+void ChainReplica::Impl::On(Micros, const chain::Header& header, const chain::Probe&) {
+  const ReplicaId* successor = Neighbour(1);
+  if (!IsServing() || !successor || header.from != *successor) return;
+  if (state_.started()) {
+    Send(header.from.name, chain::CommitNotice{state_.committed().version.sequence});
+  }
+  if (predecessors_have_start_) push_.Restart();  // the successor is ready for what is pending
+}
+
+}  // namespace pearreach::coordination
--- /dev/null
+++ b/src/coordination/chain_views.cpp
@@ -0,0 +1,310 @@
+// When and how views change: who proposes, the messages of the agreement, and how a replica takes a
+// decided view over.
+#include <algorithm>
+#include <utility>
+
+#include "coordination/chain_replica.h"
+
+namespace pearreach::coordination {
+namespace {
+
+// Live members after the first wait this many retry intervals each before they propose themselves.
+constexpr int kStaggerRetries = 6;
+// A pending change that is not committed for this many call timeouts calls for another view.
+constexpr int kStuckTimeouts = 2;
+// The longest back-off between ballots is the stagger doubled this many times.
+constexpr int kMostDoublings = 3;
+
+}  // namespace
+
+const std::vector<ReplicaId>& ChainReplica::Impl::Acceptors() const {
+  return state_.view().epoch == 0 ? founders_ : state_.view().members;
+}
+
+bool ChainReplica::Impl::IsAcceptor() const {
+  if (state_.view().epoch == 0 && !founder_) return false;
+  return chain::Contains(Acceptors(), options_.self);
+}
+
+void ChainReplica::Impl::AskForView(Micros now, const chain::Header& header) {
+  if (header.epoch > asked_epoch_) ask_resend_.Restart();
+  asked_epoch_ = std::max(asked_epoch_, header.epoch);
+  if (!ask_resend_.Due(now)) return;
+  chain::ViewAsk ask;
+  ask.have = {Version{}, state_.committed().version, state_.latest().version};
+  Send(header.from.name, std::move(ask));
+}
+
+void ChainReplica::Impl::AnswerOlder(const chain::Header& header, const chain::Body& body) {
+  const auto* ask = std::get_if<chain::ViewAsk>(&body);
+  if (!ask) {
+    const bool answer = std::holds_alternative<chain::ViewAnswer>(body) ||
+                        std::holds_alternative<chain::ViewNotice>(body);
+    if (!answer) Send(header.from.name, chain::ViewNotice{});
+    return;
+  }
+  chain::ViewAnswer answer;
+  answer.start.view = state_.view();
+  answer.start.base = state_.base();
+  answer.committed = state_.started();
+  const chain::State& state = answer.committed ? state_.committed() : state_.latest();
+  answer.version = state.version;
+  const auto& have = ask->have;
+  const bool held =
+      !answer.committed && std::find(have.begin(), have.end(), state_.base()) != have.end();
+  if (!held) answer.start.map.map = state.map;
+  Send(header.from.name, std::move(answer));
+}
+
+void ChainReplica::Impl::OnViewAnswer(Micros now, const chain::ViewAnswer& answer) {
+  const View& view = answer.start.view;
+  if (view.epoch <= state_.view().epoch || answer.version.epoch != view.epoch) return;
+  if (!answer.committed) {
+    Install(now, answer.start);
+    return;
+  }
+  // A view is committed to only when all of its members have it, so this can't be one of them.
+  if (chain::Contains(view.members, options_.self) || !answer.start.map.map) return;
+  Sync(state_.Adopt(view, answer.start.base, answer.version, answer.start.map.map));
+  out_->committed.push_back({state_.committed().version, state_.committed().map});
+  AfterInstall(now);
+}
+
+void ChainReplica::Impl::Install(Micros now, const chain::Proposal& proposal) {
+  auto map = proposal.map.map ? proposal.map.map : state_.MapAt(proposal.base);
+  if (!map || proposal.view.epoch <= state_.view().epoch) return;
+  Sync(state_.Install(proposal.view, proposal.base, std::move(map)));
+  AfterInstall(now);
+}
+
+void ChainReplica::Impl::AfterInstall(Micros now) {
+  acceptor_ = chain::Acceptor(state_.view().epoch, {});
+  proposer_.reset();
+  reason_since_.reset();
+  quiet_until_ = 0;
+  greatest_round_ = 0;
+  round_.reset();
+  tail_reads_.clear();
+  pending_token_ = last_token_;
+  pending_since_ = now;
+  predecessors_have_start_ = IsHead();
+  push_.Restart();
+  for (AskedRead& read : asked_) read.resend.Restart();
+  if (!IsMember()) ResolveAfterViewChange();
+  if (IsHead()) return;
+  for (const QueuedChange& change : std::exchange(queued_, {})) {
+    FinishChange(change, ChangeStatus::kNotHead, CommittedRevision(change.key));
+  }
+}
+
+// The node answers for the disk that its name had before, whatever view it knows.
+void ChainReplica::Impl::AnswerIfReplaced(const chain::Header& header,
+                                          const chain::Prepare& prepare) {
+  const auto replaced = [&](const ReplicaId& acceptor) {
+    return acceptor.name == options_.self.name && acceptor.disk_id != options_.self.disk_id;
+  };
+  const auto& acceptors = prepare.acceptors;
+  if (std::any_of(acceptors.begin(), acceptors.end(), replaced)) {
+    Send(header.from.name, chain::Absent{prepare.ballot});
+  }
+}
+
+void ChainReplica::Impl::On(Micros now, const chain::Header& header,
+                            const chain::Prepare& prepare) {
+  if (!IsAcceptor() || prepare.acceptors != Acceptors()) return;
+  greatest_round_ = std::max(greatest_round_, prepare.ballot.round);
+  const chain::Ballot before = acceptor_.promised();
+  if (!acceptor_.Promise(prepare.ballot)) {
+    Send(header.from.name, chain::Refuse{before});
+    return;
+  }
+  const chain::State& latest = state_.latest();
+  if (before != prepare.ballot) Sync(acceptor_.Save(latest.version));
+  if (header.from != options_.self) GiveTime(now);
+  if (proposer_ && proposer_->ballot() < prepare.ballot) AbandonProposal(now);
+  chain::Promise promise{
+      prepare.ballot, latest.version, {}, acceptor_.accepted_ballot(), acceptor_.accepted()};
+  if (latest.version > prepare.have) promise.map.map = latest.map;
+  const Version& base = promise.accepted.base;
+  const bool held = base == prepare.have || base == latest.version;
+  if (held)
+    promise.accepted.map = {};
+  else if (promise.accepted_ballot.round > 0 && !promise.accepted.map.map) {
+    promise.accepted.map.map = state_.MapAt(base);
+  }
+  Send(header.from.name, std::move(promise));
+}
+
+void ChainReplica::Impl::On(Micros, const chain::Header& header, const chain::Promise& promise) {
+  if (proposer_) proposer_->OnPromise(header.from, promise);
+}
+
+void ChainReplica::Impl::On(Micros now, const chain::Header& header, const chain::Refuse& refuse) {
+  if (!chain::Contains(Acceptors(), header.from)) return;
+  greatest_round_ = std::max(greatest_round_, refuse.promised.round);
+  if (proposer_ && proposer_->ballot() < refuse.promised) AbandonProposal(now);
+}
+
+void ChainReplica::Impl::On(Micros, const chain::Header& header, const chain::Absent& absent) {
+  if (proposer_) proposer_->OnAbsent(header.from, absent.ballot);
+}
+
+void ChainReplica::Impl::On(Micros now, const chain::Header& header, const chain::Accept& accept) {
+  if (!IsAcceptor() || accept.proposal.view.epoch != state_.view().epoch + 1) return;
+  chain::Proposal proposal = accept.proposal;
+  if (!proposal.map.map) proposal.map.map = state_.MapAt(proposal.base);
+  if (!proposal.map.map) return;
+  greatest_round_ = std::max(greatest_round_, accept.ballot.round);
+  const bool known = acceptor_.accepted_ballot() == accept.ballot;
+  if (!acceptor_.Accept(accept.ballot, proposal)) {
+    Send(header.from.name, chain::Refuse{acceptor_.promised()});
+    return;
+  }
+  if (!known) Sync(acceptor_.Save(state_.latest().version));
+  if (header.from != options_.self) GiveTime(now);
+  Send(header.from.name, chain::Accepted{accept.ballot});
+}
+
+void ChainReplica::Impl::On(Micros, const chain::Header& header, const chain::Accepted& accepted) {
+  if (proposer_) proposer_->OnAccepted(header.from, accepted.ballot);
+}
+
+void ChainReplica::Impl::AdvanceViews(Micros now) {
+  if (proposer_) {
+    AdvanceProposer(now);
+    return;
+  }
+  if (!IsAcceptor() || !HasReasonToPropose(now) || !MayReachQuorum()) {
+    reason_since_.reset();
+    return;
+  }
+  if (!reason_since_) reason_since_ = now;
+  const Micros due = std::max(*reason_since_ + TurnToPropose(), quiet_until_);
+  if (due > now) {
+    WakeAt(due);
+    return;
+  }
+  Propose();
+  AdvanceProposer(now);
+}
+
+// Whether enough acceptors are there as far as membership knows.
+bool ChainReplica::Impl::MayReachQuorum() const {
+  if (!target_.known()) return false;
+  std::set<ReplicaId> alive, gone;
+  for (const ReplicaId& acceptor : Acceptors()) {
+    if (target_.IsAlive(acceptor)) alive.insert(acceptor);
+    if (target_.IsReplaced(acceptor)) gone.insert(acceptor);
+  }
+  return chain::IsQuorum(Acceptors(), alive, gone, options_.tolerance);
+}
+
+bool ChainReplica::Impl::IsStuck(Micros now) {
+  if (!IsMember() || !state_.pending()) return false;
+  for (const ReplicaId& member : state_.view().members) {
+    if (!target_.IsAlive(member)) return false;
+  }
+  const Micros due = pending_since_ + kStuckTimeouts * options_.call_timeout;
+  if (due > now) WakeAt(due);
+  return due <= now;
+}
+
+bool ChainReplica::Impl::HasReasonToPropose(Micros now) {
+  if (state_.view().epoch == 0 || acceptor_.sealed()) return true;
+  const chain::Target target = target_.Compute(now, state_.view().members);
+  if (target.members != state_.view().members) return true;
+  WakeAt(target.next_change);
+  return IsStuck(now);
+}
+
+// The order of proposers: live acceptors as the view has them.
+Micros ChainReplica::Impl::TurnToPropose() const {
+  Micros turn = 0;
+  for (const ReplicaId& acceptor : Acceptors()) {
+    if (acceptor == options_.self) break;
+    if (target_.IsAlive(acceptor)) turn += kStaggerRetries * options_.retry;
+  }
+  return turn;
+}
+
+std::vector<ReplicaId> ChainReplica::Impl::NextMembers(Micros now) {
+  const bool stuck = state_.view().epoch > 0 && IsStuck(now);
+  std::vector<ReplicaId> members = target_.Compute(now, Acceptors()).members;
+  // A link that is cut between two neighbours does no harm in another order.
+  if (stuck) std::shuffle(members.begin(), members.end(), random_);
+  return members;
+}
+
+// An acceptor that would be dropped is given time to show that it is there.
+bool ChainReplica::Impl::IsTimeToChoose(Micros now) {
+  if (!promised_since_) promised_since_ = now;
+  const Micros due = *promised_since_ + options_.retry;
+  if (due <= now) return true;
+  const auto members = target_.Compute(now, Acceptors()).members;
+  for (const ReplicaId& acceptor : proposer_->Unanswered()) {
+    if (chain::Contains(members, acceptor)) continue;
+    WakeAt(due);
+    return false;
+  }
+  return true;
+}
+
+void ChainReplica::Impl::Propose() {
+  promised_since_.reset();
+  greatest_round_ = std::max(greatest_round_, acceptor_.promised().round) + 1;
+  const chain::State& latest = state_.latest();
+  proposer_.emplace(chain::Ballot{greatest_round_, options_.self}, Acceptors(), options_.tolerance,
+                    latest.version, state_.MapAt(latest.version));
+  proposer_resend_.Restart();
+}
+
+void ChainReplica::Impl::AdvanceProposer(Micros now) {
+  if (proposer_->MayPropose() && IsTimeToChoose(now)) {
+    proposer_->Choose(state_.view().epoch + 1, NextMembers(now));
+    proposer_resend_.Restart();
+  }
+  if (proposer_->IsDecided()) {
+    Decide(now);
+    return;
+  }
+  if (IsSynced() && proposer_resend_.Due(now)) {
+    for (const ReplicaId& acceptor : proposer_->Unanswered()) {
+      if (const chain::Proposal* proposal = proposer_->proposal()) {
+        chain::Accept accept{proposer_->ballot(), *proposal};
+        const bool own = acceptor == options_.self;
+        if (proposer_->HoldsMap(acceptor) && !own) accept.proposal.map = {};
+        Send(acceptor.name, std::move(accept));
+      } else {
+        Send(acceptor.name, chain::Prepare{proposer_->ballot(), Acceptors(), proposer_->own()});
+      }
+    }
+  }
+  if (IsSynced()) WakeAt(proposer_resend_.at());
+}
+
+void ChainReplica::Impl::Decide(Micros now) {
+  const chain::Proposal proposal = *proposer_->proposal();
+  std::set<std::string> names;
+  for (const ReplicaId& member : Acceptors()) names.insert(member.name);
+  for (const ReplicaId& member : proposal.view.members) names.insert(member.name);
+  names.erase(options_.self.name);
+  Install(now, proposal);
+  for (const std::string& name : names) Send(name, chain::ViewNotice{});
+}
+
+// Another proposer is at work.
+void ChainReplica::Impl::GiveTime(Micros now) {
+  const Micros stagger = kStaggerRetries * options_.retry;
+  quiet_until_ = std::max(quiet_until_, now + stagger + TurnToPropose());
+}
+
+// Another ballot is greater: gives its proposer time, more after each failure.
+void ChainReplica::Impl::AbandonProposal(Micros now) {
+  proposer_.reset();
+  failures_ = std::min(failures_ + 1, kMostDoublings);
+  const Micros most = (kStaggerRetries * options_.retry) << failures_;
+  std::uniform_int_distribution<Micros> wait(options_.retry, most);
+  quiet_until_ = std::max(quiet_until_, now + wait(random_));
+}
+
+}  // namespace pearreach::coordination
--- /dev/null
+++ b/src/coordination/membership.cpp
@@ -0,0 +1,221 @@
+#include "coordination/membership.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+#include "coordination/membership_merge.h"
+#include "coordination/membership_timing.h"
+#include "coordination/membership_wire.h"
+
+namespace pearreach::coordination {
+namespace {
+
+// FNV-1a over the name, mixed with the incarnation; sums of these do not depend on order.
+std::uint64_t HashMember(const MemberInfo& info) {
+  std::uint64_t hash = 14695981039346656037ull;
+  for (const char c : info.name) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ull;
+  hash ^= info.incarnation * 0x9e3779b97f4a7c15ull;
+  hash ^= hash >> 31;
+  hash *= 0xbf58476d1ce4e5b9ull;
+  return hash ^ (hash >> 29);
+}
+
+constexpr Micros kAgeUnit = 100'000;  // of MemberRecord::age_tenths
+
+}  // namespace
+
+Membership::Membership(MembershipOptions options, std::uint64_t seed, Micros now)
+    : options_(std::move(options)), random_(seed), clock_(now), last_answer_(now) {
+  Member& self = members_[options_.self.name];
+  self.info = options_.self;
+  self.heard = now;
+  std::erase(options_.seeds, options_.self.address);
+  last_probe_ = static_cast<std::uint32_t>(random_());
+  last_push_ = now - kPushPause;
+  last_sync_ = now - kSyncPause;
+  lists_paid_ = now;
+  next_probe_ = next_push_ = next_dead_ = kNever;
+  next_seed_ = options_.seeds.empty() ? kNever : now;
+  seed_pause_ = kFirstSeedPause;
+  planned_ = NextTick();
+}
+
+Micros Membership::NextTick() const {
+  if (left_) return kNever;
+  Micros next = std::min({next_probe_, next_push_, next_seed_, next_dead_});
+  for (const auto& [id, probe] : probes_) next = std::min(next, probe.due);
+  for (const auto& [name, due] : suspects_) next = std::min(next, due);
+  return next;
+}
+
+void Membership::Leave(Micros now, std::vector<Datagram>* out) {
+  clock_ = std::max(clock_, now);
+  Self().status = MemberStatus::kLeft;
+  for (const std::string& name : RandomLive(kLeaveReceivers, "")) {
+    const Member& to = members_.at(name);
+    MemberPacket packet = NewPacket(PacketKind::kUpdate, &to);
+    packet.records.push_back(MakeRecord(now, Self()));
+    Send(now, to.info.address, std::move(packet), out);
+  }
+  left_ = true;
+}
+
+void Membership::Announce(const std::string& name, std::uint64_t version) {
+  std::map<std::string, std::uint64_t>& versions = Self().versions;
+  if (name.size() > kMaxVersionName) return;
+  auto found = versions.find(name);
+  if (found == versions.end() && versions.size() >= kMaxVersions) return;
+  if (found != versions.end() && found->second == version) return;
+  versions[name] = version;
+  SchedulePush(clock_);
+}
+
+std::vector<std::string> Membership::TakeChanged() {
+  std::vector<std::string> names(changed_.begin(), changed_.end());
+  changed_.clear();
+  return names;
+}
+
+bool Membership::HearsMostOf(const std::vector<std::string>& names, Micros now, Micros span) const {
+  std::size_t heard = 0;
+  for (const std::string& name : names) {
+    const auto found = members_.find(name);
+    if (found == members_.end()) continue;
+    const Member& member = found->second;
+    const bool recent = IsLive(member.status) && member.heard != 0 && now - member.heard <= span;
+    if (recent || name == options_.self.name) ++heard;
+  }
+  return heard * 2 > names.size();
+}
+
+// ---------------------------------------------------------------- state
+
+bool Membership::Apply(Micros now, const MemberRecord& news) {
+  const std::string& name = news.info.name;
+  if (name == options_.self.name) {
+    ApplyToSelf(news);
+    return false;
+  }
+  auto found = members_.find(name);
+  const Member* known = found == members_.end() ? nullptr : &found->second;
+  if (!Supersedes(known, news)) return false;
+  const Micros age = news.age_tenths * kAgeUnit;
+  const bool live = IsLive(news.status);
+  if (known == nullptr && !live && age >= options_.forget_dead) return false;
+
+  const bool other_process = known == nullptr || known->info.incarnation != news.info.incarnation;
+  Member& member = members_[name];
+  Track& track = tracks_[name];
+  if (other_process) {
+    member = Member{};
+    member.info = news.info;
+    track = Track{};
+  }
+  member.status = news.status;
+  member.refutations = news.refutations;
+  suspects_.erase(name);
+  if (news.status == MemberStatus::kSuspect) suspects_[name] = now + options_.suspicion;
+  if (!live) {
+    track.since = now - age;
+    next_dead_ = std::min(next_dead_, now + kDeadProbePause);
+  }
+  SetLive(name, live);
+  // A seed may be live no longer, or its address another node's.
+  if (!live || other_process) next_seed_ = std::min(next_seed_, now + kFirstSeedPause);
+  digest_known_ = false;
+  NoteChange(now, name);
+  return true;
+}
+
+void Membership::ApplyToSelf(const MemberRecord& news) {
+  if (news.info.incarnation > options_.self.incarnation) return;  // another process took the name
+  if (news.info.incarnation < options_.self.incarnation) {
+    if (IsLive(news.status)) NoteChange(clock_, options_.self.name);
+    return;
+  }
+  const bool doubted = news.status == MemberStatus::kSuspect || news.status == MemberStatus::kDead;
+  if (doubted) Refute(news.refutations);
+}
+
+void Membership::Refute(std::uint32_t refutations) {
+  Member& self = Self();
+  if (refutations < self.refutations || refutations >= kMaxRefutations) return;
+  self.refutations = refutations + 1;
+  changes_.Add(self.info.name);
+  SchedulePush(clock_);
+}
+
+void Membership::SetLive(const std::string& name, bool live) {
+  auto found = std::find(live_.begin(), live_.end(), name);
+  if (live == (found != live_.end())) return;
+  if (!live) {
+    const std::size_t place = static_cast<std::size_t>(found - live_.begin());
+    live_.erase(found);
+    if (place < turn_) --turn_;
+    if (live_.empty()) next_probe_ = kNever;
+    return;
+  }
+  if (live_.empty()) {
+    next_probe_ = clock_ + Jitter(options_.probe_period);
+    last_answer_ = clock_;
+  }
+  const std::size_t place = std::uniform_int_distribution<std::size_t>(0, live_.size())(random_);
+  live_.insert(live_.begin() + static_cast<std::ptrdiff_t>(place), name);
+  if (place < turn_) ++turn_;
+}
+
+void Membership::NoteChange(Micros now, const std::string& name) {
+  changes_.Add(name);
+  if (name != options_.self.name) changed_.insert(name);
+  SchedulePush(now);
+}
+
+void Membership::SchedulePush(Micros now) {
+  next_push_ = std::min(next_push_, std::max(now + kPushDelay, last_push_ + kPushPause));
+}
+
+void Membership::NoteGap(Micros now) {
+  clock_ = std::max(clock_, now);
+  if (planned_ == kNever || now - planned_ <= options_.probe_timeout) return;
+  // This process stood still: what did not come meanwhile says nothing of the others.
+  const Micros late = now - planned_;
+  for (auto& [id, probe] : probes_) probe.due += late;
+  for (auto& [name, due] : suspects_) {
+    if (due != kNever) due += late;
+  }
+  isolated_ = true;
+  mismatched_since_ = 0;
+  planned_ = now;
+}
+
+std::uint64_t Membership::Digest() {
+  if (digest_known_) return digest_;
+  digest_ = 0;
+  for (const auto& [name, member] : members_) {
+    if (IsLive(member.status)) digest_ += HashMember(member.info);
+  }
+  digest_known_ = true;
+  return digest_;
+}
+
+std::vector<std::string> Membership::RandomLive(std::size_t count, const std::string& except) {
+  std::vector<std::string> chosen;
+  const std::size_t size = live_.size();
+  if (size == 0) return chosen;
+  const std::size_t first = std::uniform_int_distribution<std::size_t>(0, size - 1)(random_);
+  std::size_t stride = 1;
+  if (size > 1) stride = std::uniform_int_distribution<std::size_t>(1, size - 1)(random_);
+  while (std::gcd(stride, size) != 1) ++stride;  // so that each is met once
+  for (std::size_t i = 0; i < size && chosen.size() < count; ++i) {
+    const std::string& name = live_[(first + i * stride) % size];
+    if (name != except && !suspects_.contains(name)) chosen.push_back(name);
+  }
+  return chosen;
+}
+
+Micros Membership::Jitter(Micros span) {
+  return std::uniform_int_distribution<Micros>(0, span)(random_);
+}
+
+}  // namespace pearreach::coordination
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -8,10 +8,14 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
+#include "coordination/membership_changes.h"
+
 namespace pearreach::coordination {
 
 using Micros = std::int64_t;  // on the caller's steady clock
@@ -21,12 +25,12 @@
 // What a node says of itself. A later incarnation of the same name replaces the earlier one.
 struct MemberInfo {
   std::string name;
-  std::string address;             // "ip:port" of the mesh
+  std::string address;  // "ip:port" of the mesh
   std::string zone;
   std::string machine_class;
-  std::string disk_id;             // of its disk's contents; empty: no disk
-  std::uint64_t incarnation = 0;   // of the process: greater for a later one
-  std::uint8_t roles = 0;          // bits of kServesEdge and others
+  std::string disk_id;            // of its disk's contents; empty: no disk
+  std::uint64_t incarnation = 0;  // of the process: greater for a later one
+  std::uint8_t roles = 0;         // bits of kServesEdge and others
   static constexpr std::uint8_t kServesEdge = 1, kServesControl = 2, kServesStorage = 4,
                                 kQuorumMember = 8;
   bool Is(std::uint8_t role) const { return (roles & role) != 0; }
@@ -35,19 +39,19 @@
 struct Member {
   MemberInfo info;
   MemberStatus status = MemberStatus::kAlive;
-  std::uint32_t refutations = 0;  // version of the status within one incarnation
-  Micros heard = 0;               // last direct sign of it; 0: never
+  std::uint32_t refutations = 0;                  // version of the status within one incarnation
+  Micros heard = 0;                               // last direct sign of it; 0: never
   std::map<std::string, std::uint64_t> versions;  // what it last announced (see Announce)
 };
 
 struct MembershipOptions {
   MemberInfo self;
-  std::vector<std::string> seeds;       // mesh addresses to join through; may be wrong or down
-  Micros probe_period = 200'000;        // one probe each
-  Micros probe_timeout = 250'000;       // then second opinions are asked for
-  Micros suspicion = 1'000'000;         // from suspicion to dead
-  Micros forget_dead = 60'000'000;      // a dead node's entry is kept this long
-  int helpers = 3;                      // nodes asked for a second opinion
+  std::vector<std::string> seeds;   // mesh addresses to join through; may be wrong or down
+  Micros probe_period = 200'000;    // one probe each
+  Micros probe_timeout = 250'000;   // then second opinions are asked for
+  Micros suspicion = 1'000'000;     // from suspicion to dead
+  Micros forget_dead = 60'000'000;  // a dead node's entry is kept this long
+  int helpers = 3;                  // nodes asked for a second opinion
   std::size_t datagram_bytes = 1300;
 };
 
@@ -56,6 +60,11 @@
   std::string bytes;
 };
 
+struct MemberPacket;  // membership_wire.h
+struct MemberRecord;
+struct ReceiverView;
+enum class PacketKind : std::uint8_t;
+
 class Membership {
  public:
   Membership(MembershipOptions options, std::uint64_t seed, Micros now);
@@ -71,6 +80,10 @@
   // that others learn that this node has a newer one. Names are short.
   void Announce(const std::string& name, std::uint64_t version);
 
+  // Members to be heard often whatever the size of the cluster (see HearsMostOf): those that have
+  // not been heard for a while are asked, one with each probe. Meant for a few names.
+  void Watch(std::vector<std::string> names) { watched_ = std::move(names); }
+
   // By name; this node itself is among them, alive.
   const std::map<std::string, Member>& members() const { return members_; }
   std::vector<std::string> TakeChanged();  // names whose status, info or versions changed since
@@ -79,9 +92,103 @@
   std::uint64_t malformed() const { return malformed_; }
 
  private:
+  // A direct question that waits for its answer.
+  struct Probe {
+    std::string target;
+    Micros started = 0, due = 0;
+    bool helpers_asked = false;
+  };
+  // A ping that was made for another node.
+  struct Relay {
+    std::string requester;  // address
+    std::uint32_t probe = 0;
+    std::string target;
+    Micros expires = 0;
+  };
+  // What is kept of another member and not told.
+  struct Track {
+    bool numbered = false;
+    std::uint32_t number = 0;  // of its newest packet
+    Micros since = 0;          // dead or left
+    Micros checked = 0;        // suspect: last asked
+  };
+
+  // membership.cpp: the state
+  Member& Self() { return members_.at(options_.self.name); }
+  const Member& Self() const { return members_.at(options_.self.name); }
+  bool Apply(Micros now, const MemberRecord& news);
+  void ApplyToSelf(const MemberRecord& news);
+  void Refute(std::uint32_t refutations);
+  void SetLive(const std::string& name, bool live);
+  void NoteChange(Micros now, const std::string& name);
+  void NoteGap(Micros now);
+  void SchedulePush(Micros now);
+  std::uint64_t Digest();
+  std::vector<std::string> RandomLive(std::size_t count, const std::string& except);
+  Micros Jitter(Micros span);
+
+  // membership_send.cpp: packets out
+  MemberPacket NewPacket(PacketKind kind, const Member* to);
+  MemberRecord MakeRecord(Micros now, const Member& member) const;
+  void Send(Micros now, const std::string& address, MemberPacket packet,
+            std::vector<Datagram>* out);
+  void SendList(Micros now, const std::string& address, MemberPacket first,
+                std::vector<Datagram>* out);
+  void Ping(Micros now, const Member& to, std::uint32_t probe, std::vector<Datagram>* out);
+
+  // membership_receive.cpp: packets in
+  bool NoteSender(Micros now, const MemberPacket& packet);
+  bool NoteView(const ReceiverView& view);
+  void NoteAnswer(Micros now);
+  bool TakeListAllowance(Micros now);
+  void OnPing(Micros now, const MemberPacket& packet, const std::string& from, bool own_wanted,
+              std::vector<Datagram>* out);
+  void OnAck(Micros now, const MemberPacket& packet, const std::string& from,
+             std::vector<Datagram>* out);
+  void OnPingRequest(Micros now, const MemberPacket& packet, const std::string& from,
+                     std::vector<Datagram>* out);
+  void OnIndirectAck(Micros now, const MemberPacket& packet);
+  void CompareDigest(Micros now, const MemberPacket& packet, const std::string& from,
+                     std::vector<Datagram>* out);
+
+  // membership_tick.cpp: what happens with time
+  void EndProbes(Micros now, std::vector<Datagram>* out);
+  void AskHelpers(Micros now, std::uint32_t id, Probe* probe, std::vector<Datagram>* out);
+  void Suspect(Micros now, const Probe& probe);
+  void EndSuspicions(Micros now);
+  void StartProbe(Micros now, std::vector<Datagram>* out);
+  void CheckSuspects(Micros now, std::vector<Datagram>* out);
+  void CheckWatched(Micros now, std::vector<Datagram>* out);
+  void CheckIsolation(Micros now, std::vector<Datagram>* out);
+  void TrySeeds(Micros now, std::vector<Datagram>* out);
+  void ProbeDead(Micros now, std::vector<Datagram>* out);
+  void Push(Micros now, std::vector<Datagram>* out);
+
+  MembershipOptions options_;
+  std::mt19937_64 random_;
   std::map<std::string, Member> members_;
+  std::map<std::string, Track> tracks_;     // by name, of the others
+  std::vector<std::string> live_;           // names of the others that are live, in probing order
+  std::size_t turn_ = 0;                    // index of the next to probe
+  std::map<std::string, Micros> suspects_;  // by name, when they become dead
+  std::map<std::uint32_t, Probe> probes_;
+  std::map<std::uint32_t, Relay> relays_;
+  PendingChanges changes_;
+  std::vector<std::string> watched_;
+  std::set<std::string> changed_;
+  std::uint64_t digest_ = 0;
+  bool digest_known_ = false;
+  bool left_ = false;
+  bool isolated_ = false;  // no answer of anybody for too long: suspicions are held back
+  std::uint32_t last_number_ = 0, last_probe_ = 0;
+  Micros clock_ = 0;    // the newest time seen
+  Micros planned_ = 0;  // the next tick as planned
+  Micros last_answer_ = 0, last_push_ = 0, last_sync_ = 0;
+  Micros lists_paid_ = 0;        // lists handed out are within their budget up to here
+  Micros mismatched_since_ = 0;  // others know other members; 0: they do not
+  Micros next_probe_ = 0, next_push_ = 0, next_seed_ = 0, next_dead_ = 0;
+  Micros seed_pause_ = 0;
   std::uint64_t malformed_ = 0;
-  // (the rest is the implementation's)
 };
 
 }  // namespace pearreach::coordination
--- /dev/null
+++ b/src/coordination/membership_changes.h
@@ -0,0 +1,43 @@
+// The changes that a node still passes on with its packets: each a bounded number of times, those
+// that were sent least first and, among these, the newest first.
+#ifndef PEARREACH_SRC_COORDINATION_MEMBERSHIP_CHANGES_H_
+#define PEARREACH_SRC_COORDINATION_MEMBERSHIP_CHANGES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace pearreach::coordination {
+
+class PendingChanges {
+ public:
+  // What became of a change that was offered to a packet.
+  enum class Fit { kTaken, kTooLarge, kObsolete };
+
+  // The member has changed: its former change is replaced.
+  void Add(const std::string& name);
+  bool empty() const { return order_.empty(); }
+  std::size_t size() const { return order_.size(); }
+  // Offers the changes in order until one is too large; one that was taken `limit` times is done.
+  void Offer(int limit, const std::function<Fit(const std::string& name)>& take);
+
+ private:
+  struct Place {
+    int sent = 0;
+    std::uint64_t added = 0;
+    bool operator<(const Place& other) const {
+      if (sent != other.sent) return sent < other.sent;
+      return added > other.added;
+    }
+  };
+
+  std::map<Place, std::string> order_;
+  std::map<std::string, Place> places_;
+  std::uint64_t last_ = 0;
+};
+
+}  // namespace pearreach::coordination
+
+#endif  // PEARREACH_SRC_COORDINATION_MEMBERSHIP_CHANGES_H_
--- /dev/null
+++ b/src/coordination/view_agreement.cpp
@@ -0,0 +1,153 @@
+#include "coordination/view_agreement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pearreach::coordination::chain {
+namespace {
+
+constexpr char kAcceptorKey[] = "chain/acceptor";
+
+struct AcceptorRecord {
+  std::uint64_t epoch = 0;
+  Ballot promised, accepted_ballot;
+  Proposal accepted;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& epoch& promised& accepted_ballot& accepted;
+  }
+};
+
+}  // namespace
+
+bool Contains(const std::vector<ReplicaId>& members, const ReplicaId& id) {
+  return std::find(members.begin(), members.end(), id) != members.end();
+}
+
+std::size_t MajorityOf(std::size_t members) { return members / 2 + 1; }
+
+std::size_t MostGone(std::size_t acceptors, int tolerance) {
+  return std::min<std::size_t>(std::max(tolerance, 0), acceptors / 2);
+}
+
+bool IsQuorum(const std::vector<ReplicaId>& acceptors, const std::set<ReplicaId>& answered,
+              const std::set<ReplicaId>& gone, int tolerance) {
+  std::size_t answers = 0, lost = 0, missing = 0;
+  for (const ReplicaId& acceptor : acceptors) {
+    if (answered.count(acceptor) > 0) {
+      ++answers;
+    } else if (gone.count(acceptor) > 0) {
+      ++lost;
+    } else {
+      ++missing;
+    }
+  }
+  if (answers == 0) return false;
+  if (answers >= MajorityOf(acceptors.size())) return true;
+  return missing == 0 && lost <= MostGone(acceptors.size(), tolerance);
+}
+
+Acceptor::Acceptor(std::uint64_t epoch, const Records& records) : epoch_(epoch) {
+  const auto found = records.find(kAcceptorKey);
+  if (found == records.end()) return;
+  auto record = codec::Decode<AcceptorRecord>(found->second);
+  if (!record.ok() || record->epoch != epoch) return;
+  promised_ = std::move(record->promised);
+  accepted_ballot_ = std::move(record->accepted_ballot);
+  accepted_ = std::move(record->accepted);
+}
+
+bool Acceptor::Promise(const Ballot& ballot) {
+  if (ballot < promised_) return false;
+  promised_ = ballot;
+  return true;
+}
+
+bool Acceptor::Accept(const Ballot& ballot, const Proposal& proposal) {
+  if (ballot < promised_) return false;
+  promised_ = ballot;
+  accepted_ballot_ = ballot;
+  accepted_ = proposal;
+  return true;
+}
+
+Records Acceptor::Save(const Version& held) const {
+  AcceptorRecord record{epoch_, promised_, accepted_ballot_, accepted_};
+  if (accepted_.base == held) record.accepted.map = {};
+  return {{kAcceptorKey, codec::Encode(record)}};
+}
+
+Proposer::Proposer(Ballot ballot, std::vector<ReplicaId> acceptors, int tolerance,
+                   const Version& own, std::shared_ptr<const Map> own_map)
+    : ballot_(std::move(ballot)),
+      acceptors_(std::move(acceptors)),
+      tolerance_(tolerance),
+      own_(own),
+      own_map_(std::move(own_map)),
+      newest_(own),
+      newest_map_(own_map_) {}
+
+void Proposer::OnPromise(const ReplicaId& from, const Promise& promise) {
+  if (promise.ballot != ballot_ || proposal_ || !Contains(acceptors_, from)) return;
+  if (promise.latest > own_ && !promise.map.map) return;
+  Proposal accepted = promise.accepted;
+  if (promise.accepted_ballot.round > 0 && !accepted.map.map) {
+    if (accepted.base == own_) accepted.map.map = own_map_;
+    if (accepted.base == promise.latest && promise.map.map) accepted.map.map = promise.map.map;
+    if (!accepted.map.map) return;
+  }
+  answered_.insert(from);
+  promised_[from] = promise.latest;
+  if (promise.latest > newest_) {
+    newest_ = promise.latest;
+    newest_map_ = promise.map.map;
+  }
+  if (promise.accepted_ballot > former_ballot_) {
+    former_ballot_ = promise.accepted_ballot;
+    former_ = std::move(accepted);
+  }
+}
+
+void Proposer::OnAbsent(const ReplicaId& from, const Ballot& ballot) {
+  if (ballot != ballot_) return;
+  for (const ReplicaId& acceptor : acceptors_) {
+    if (acceptor.name == from.name && acceptor.disk_id != from.disk_id) gone_.insert(acceptor);
+  }
+}
+
+void Proposer::OnAccepted(const ReplicaId& from, const Ballot& ballot) {
+  if (ballot != ballot_ || !proposal_ || !Contains(acceptors_, from)) return;
+  accepted_.insert(from);
+}
+
+bool Proposer::MayPropose() const {
+  return !proposal_ && IsQuorum(acceptors_, answered_, gone_, tolerance_);
+}
+
+bool Proposer::IsDecided() const {
+  return proposal_ && IsQuorum(acceptors_, accepted_, gone_, tolerance_);
+}
+
+void Proposer::Choose(std::uint64_t epoch, std::vector<ReplicaId> members) {
+  if (former_ballot_.round > 0) {
+    proposal_ = former_;
+    return;
+  }
+  proposal_ = Proposal{{epoch, std::move(members)}, newest_, {newest_map_}};
+}
+
+std::vector<ReplicaId> Proposer::Unanswered() const {
+  std::vector<ReplicaId> missing;
+  const std::set<ReplicaId>& answers = proposal_ ? accepted_ : answered_;
+  for (const ReplicaId& acceptor : acceptors_) {
+    if (answers.count(acceptor) == 0 && gone_.count(acceptor) == 0) missing.push_back(acceptor);
+  }
+  return missing;
+}
+
+bool Proposer::HoldsMap(const ReplicaId& acceptor) const {
+  const auto found = promised_.find(acceptor);
+  return found != promised_.end() && proposal_ && found->second == proposal_->base;
+}
+
+}  // namespace pearreach::coordination::chain
--- /dev/null
+++ b/src/coordination/view_agreement.h
@@ -0,0 +1,104 @@
+// Single-decree Paxos that decides the view after a given one, without I/O: the acceptor's durable
+// state, the proposer's count of answers and what makes a quorum.
+//
+// A quorum is a majority of the acceptors, or all acceptors but those that are gone for certain,
+// where these are at most `tolerance` and at most half of the acceptors. An acceptor is gone for
+// certain when the node of its name has answered this very ballot from another disk: the old disk's
+// process had ended before, and its identity can never answer again. Why any two quorums that
+// matter have an acceptor in common:
+//   - a majority has more than half, the gone at most half, so a majority meets every set of
+//     survivors, and two majorities meet;
+//   - two sets of survivors without a common acceptor would each consist of acceptors that the
+//     other takes for gone, its proposer among them; of two proposers that have each seen the
+//     other gone, one had to decide after its own end.
+// A proposer with survivors needs all of them in both phases. One survivor is enough for the map:
+// a change is committed only once all members of the view have it on disk.
+#ifndef PEARREACH_SRC_COORDINATION_VIEW_AGREEMENT_H_
+#define PEARREACH_SRC_COORDINATION_VIEW_AGREEMENT_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "coordination/chain_messages.h"
+#include "coordination/chain_state.h"
+
+namespace pearreach::coordination::chain {
+
+bool Contains(const std::vector<ReplicaId>& members, const ReplicaId& id);
+
+std::size_t MajorityOf(std::size_t members);
+// The most acceptors that may be gone for good in a quorum of survivors.
+std::size_t MostGone(std::size_t acceptors, int tolerance);
+bool IsQuorum(const std::vector<ReplicaId>& acceptors, const std::set<ReplicaId>& answered,
+              const std::set<ReplicaId>& gone, int tolerance);
+
+// What an acceptor has promised and accepted for the view after `epoch`.
+class Acceptor {
+ public:
+  // Records of an agreement after another epoch are passed over.
+  Acceptor(std::uint64_t epoch, const Records& records);
+
+  bool sealed() const { return promised_.round > 0; }
+  const Ballot& promised() const { return promised_; }
+  const Ballot& accepted_ballot() const { return accepted_ballot_; }
+  const Proposal& accepted() const { return accepted_; }
+
+  // False: a greater ballot is promised.
+  bool Promise(const Ballot& ballot);
+  bool Accept(const Ballot& ballot, const Proposal& proposal);
+  // `held`: the version whose map this replica holds anyway, so that it is not written again.
+  Records Save(const Version& held) const;
+
+ private:
+  std::uint64_t epoch_;
+  Ballot promised_, accepted_ballot_;
+  Proposal accepted_;
+};
+
+// One ballot of one proposer.
+class Proposer {
+ public:
+  // `own`: the proposer's newest state.
+  Proposer(Ballot ballot, std::vector<ReplicaId> acceptors, int tolerance, const Version& own,
+           std::shared_ptr<const Map> own_map);
+
+  const Ballot& ballot() const { return ballot_; }
+  const Version& own() const { return own_; }
+  const std::vector<ReplicaId>& acceptors() const { return acceptors_; }
+  // Null until the phase of accepting.
+  const Proposal* proposal() const { return proposal_ ? &*proposal_ : nullptr; }
+
+  void OnPromise(const ReplicaId& from, const Promise& promise);
+  void OnAbsent(const ReplicaId& from, const Ballot& ballot);
+  void OnAccepted(const ReplicaId& from, const Ballot& ballot);
+
+  bool MayPropose() const;
+  bool IsDecided() const;
+  // Enters the phase of accepting: what a former ballot may have decided, else `members` with the
+  // newest state that a promise told of.
+  void Choose(std::uint64_t epoch, std::vector<ReplicaId> members);
+  std::vector<ReplicaId> Unanswered() const;
+  // That acceptor holds the proposal's map already.
+  bool HoldsMap(const ReplicaId& acceptor) const;
+
+ private:
+  const Ballot ballot_;
+  const std::vector<ReplicaId> acceptors_;
+  const int tolerance_;
+  const Version own_;
+  const std::shared_ptr<const Map> own_map_;
+  std::map<ReplicaId, Version> promised_;  // with its newest state
+  std::set<ReplicaId> answered_, accepted_, gone_;
+  Version newest_;
+  std::shared_ptr<const Map> newest_map_;
+  Ballot former_ballot_;
+  Proposal former_;
+  std::optional<Proposal> proposal_;
+};
+
+}  // namespace pearreach::coordination::chain
+
+#endif  // PEARREACH_SRC_COORDINATION_VIEW_AGREEMENT_H_
--- /dev/null
+++ b/src/coordination/view_target.h
@@ -0,0 +1,50 @@
+// Which members the next view should have, from the present one and what membership says.
+#ifndef PEARREACH_SRC_COORDINATION_VIEW_TARGET_H_
+#define PEARREACH_SRC_COORDINATION_VIEW_TARGET_H_
+
+#include <map>
+#include <vector>
+
+#include "coordination/chain.h"
+
+namespace pearreach::coordination::chain {
+
+constexpr Micros kNever = INT64_MAX / 4;
+
+struct Target {
+  std::vector<ReplicaId> members;
+  Micros next_change = kNever;  // when it becomes another one with no further news
+};
+
+class ViewTarget {
+ public:
+  struct Waits {
+    Micros steady = 0;      // a member is dropped once it has been down for so long,
+    Micros heard = 0;       // so long after this replica heard from it itself,
+    Micros first_drop = 0;  // and not before this time
+  };
+  ViewTarget(ReplicaId self, int tolerance, const Waits& waits);
+
+  void SetPeers(Micros now, const std::vector<Peer>& peers);
+  void Heard(Micros now, const ReplicaId& from) { heard_[from] = now; }
+  bool known() const { return known_; }
+  bool IsAlive(const ReplicaId& id) const;
+  // The node of that name is alive with another disk.
+  bool IsReplaced(const ReplicaId& id) const;
+  Target Compute(Micros now, const std::vector<ReplicaId>& members);
+
+ private:
+  Micros DropTime(Micros now, const ReplicaId& member);
+  std::vector<ReplicaId> Added(const std::vector<ReplicaId>& members) const;
+
+  const ReplicaId self_;
+  const int tolerance_;
+  const Waits waits_;
+  bool known_ = false;
+  std::vector<ReplicaId> alive_;
+  std::map<ReplicaId, Micros> down_since_, heard_;
+};
+
+}  // namespace pearreach::coordination::chain
+
+#endif  // PEARREACH_SRC_COORDINATION_VIEW_TARGET_H_
--- /dev/null
+++ b/src/front/client_exchange.cpp
@@ -0,0 +1,56 @@
+#include "front/client_exchange.h"
+
+#include <utility>
+
+#include "front/connection.h"
+
+namespace pearreach::front {
+
+ClientExchange::ClientExchange(std::shared_ptr<Connection> connection, http::Message request,
+                               Micros arrived)
+    : connection_(std::move(connection)), request_(std::move(request)), arrived_(arrived) {}
+
+ClientExchange::~ClientExchange() { connection_->AbortAnswer(this); }
+
+bool ClientExchange::open() const { return connection_->Awaits(this); }
+
+void ClientExchange::Respond(int status, std::vector<http::Header> headers, std::string_view body) {
+  if (!open() || streaming_) return;
+  const auto closed = std::exchange(closed_, nullptr);  // dropped last: it may own much
+  connection_->SendWhole(status, headers, body);
+}
+
+void ClientExchange::BeginStream(int status, std::vector<http::Header> headers) {
+  if (!open() || streaming_) return;
+  streaming_ = true;
+  connection_->BeginChunks(status, headers);
+}
+
+void ClientExchange::Write(std::string_view piece) {
+  if (open() && streaming_ && !piece.empty()) connection_->SendChunk(piece);
+}
+
+void ClientExchange::Finish() {
+  if (!open() || !streaming_) return;
+  const auto closed = std::exchange(closed_, nullptr);
+  connection_->EndChunks();
+}
+
+void ClientExchange::Abort() {
+  if (!open()) return;
+  const auto closed = std::exchange(closed_, nullptr);
+  connection_->AbortAnswer(this);
+}
+
+std::size_t ClientExchange::unsent() const { return open() ? connection_->unsent() : 0; }
+
+void ClientExchange::OnClosed(std::function<void()> closed) {
+  if (open()) closed_ = std::move(closed);
+}
+
+void ClientExchange::ClientGone() {
+  const auto closed = std::exchange(closed_, nullptr);
+  if (closed) closed();
+}
+
+}  // namespace pearreach::front
--- /dev/null
+++ b/src/front/client_exchange.h
@@ -0,0 +1,48 @@
+// The exchange that a connection hands out: forwards the answer to its connection while that still
+// waits for it, and aborts it if dropped without an answer.
+#ifndef PEARREACH_SRC_FRONT_CLIENT_EXCHANGE_H_
+#define PEARREACH_SRC_FRONT_CLIENT_EXCHANGE_H_
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "front/exchange.h"
+
+namespace pearreach::front {
+
+class Connection;
+
+class ClientExchange final : public Exchange {
+ public:
+  ClientExchange(std::shared_ptr<Connection> connection, http::Message request, Micros arrived);
+  ~ClientExchange() override;
+
+  const http::Message& request() const override { return request_; }
+  http::Message& mutable_request() override { return request_; }
+  Micros arrived() const override { return arrived_; }
+  bool open() const override;
+
+  void Respond(int status, std::vector<http::Header> headers, std::string_view body) override;
+  void BeginStream(int status, std::vector<http::Header> headers) override;
+  void Write(std::string_view piece) override;
+  void Finish() override;
+  void Abort() override;
+  std::size_t unsent() const override;
+  void OnClosed(std::function<void()> closed) override;
+
+  // Of the connection: it has ended before the answer was whole. This may drop the exchange.
+  void ClientGone();
+
+ private:
+  bool streaming_ = false;
+  std::shared_ptr<Connection> connection_;
+  http::Message request_;
+  Micros arrived_;
+  std::function<void()> closed_;
+};
+
+}  // namespace pearreach::front
+
+#endif  // PEARREACH_SRC_FRONT_CLIENT_EXCHANGE_H_
--- /dev/null
+++ b/src/front/connection.h
@@ -0,0 +1,109 @@
+// One connection of a client: reads its requests one after the other, hands each out as an exchange
+// and writes the answer before it looks at the next one.
+#ifndef PEARREACH_SRC_FRONT_CONNECTION_H_
+#define PEARREACH_SRC_FRONT_CONNECTION_H_
+
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/io.h"
+#include "base/timers.h"
+#include "front/answer_writer.h"
+#include "front/server_state.h"
+#include "http/http.h"
+
+namespace pearreach::front {
+
+class ClientExchange;
+
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(std::shared_ptr<ServerState> server, std::shared_ptr<Stream> stream);
+  ~Connection();
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void Start();
+  void OnDrain();  // the server drains from now on
+  // Between requests for at least `idle`, and nothing has come: it may be closed to make room.
+  bool IdleFor(Micros idle) const;
+  void Drop();  // closes at once; an exchange under way hears of it
+
+  // For the exchange that was handed out.
+  bool Awaits(const ClientExchange* exchange) const;
+  void SendWhole(int status, const std::vector<http::Header>& headers, std::string_view body);
+  void BeginChunks(int status, const std::vector<http::Header>& headers);
+  void SendChunk(std::string_view piece);
+  void EndChunks();
+  void AbortAnswer(const ClientExchange* exchange);  // does nothing for one that is not awaited
+  std::size_t unsent() const { return stream_->unsent() + head_.size(); }
+
+ private:
+  enum class Phase {
+    kWaiting,  // between requests
+    kReading,  // a request has begun to come
+    kBusy,     // a request is handed out and not yet answered whole
+    kClosing,  // the last answer is on its way out
+    kClosed,
+  };
+
+  // Reading.
+  void OnData(std::string_view bytes);
+  void Pump();
+  void AwaitMore();
+  void HandOut();
+  void RefuseMalformed();
+  void RenewParser();
+  std::size_t MostBuffered() const;
+
+  // Writing.
+  bool Send(std::string_view bytes);  // false: the connection is broken
+  bool SendHead();
+  ConnectionNotice Notice() const;
+  void AnswerDone();
+  void RespondAndClose(int status);
+
+  // Phases.
+  void EnterWaiting(Micros limit);
+  void EnterReading();
+  void LeaveWaiting();
+  void CloseGently();
+  void Ended();  // the stream is closed: tells the exchange and leaves the server
+  void Remove();
+  void Defer(void (Connection::*step)());  // in a later turn of the loop
+  void SetDeadline(Micros at);
+  void OnTimer();
+  void OnDeadline();
+  bool ExtendWhileSending(Micros by);
+
+  std::shared_ptr<ServerState> server_;
+  std::shared_ptr<Stream> stream_;
+  http::Parser parser_;
+  unsigned options_version_;
+  Phase phase_ = Phase::kWaiting;
+  bool pumping_ = false;
+
+  Micros last_data_ = 0;
+  std::size_t request_bytes_ = 0;  // read of the request that is coming
+  bool last_look_ = false;         // the deadline has passed; what had come by then counts
+
+  ClientExchange* current_ = nullptr;                                 // handed out and awaited
+  bool keep_alive_ = true, head_only_ = false, old_version_ = false;  // of its request
+  Framing framing_ = Framing::kLength;
+  std::string head_;  // of a stream, waits for its first chunk until the turn's end
+
+  bool in_waiting_ = false;
+  Micros waiting_since_ = 0;
+  std::list<Connection*>::iterator waiting_at_;
+  Timers::Id timer_ = 0, deferred_ = 0;
+  Micros timer_at_ = 0;
+  Micros deadline_ = 0;  // 0: none
+  std::size_t unsent_before_ = 0;
+};
+
+}  // namespace pearreach::front
+
+#endif  // PEARREACH_SRC_FRONT_CONNECTION_H_
--- /dev/null
+++ b/src/front/http_server.cpp
@@ -0,0 +1,129 @@
+#include "front/http_server.h"
+
+#include <utility>
+#include <vector>
+
+#include "base/io.h"
+#include "front/connection.h"
+#include "front/server_state.h"
+#include "logging/log.h"
+
+namespace pearreach::front {
+namespace {
+
+constexpr Micros kAcceptPause = 100 * kMs;   // where no more connections can be taken
+constexpr Micros kSafelyIdle = 1 * kSecond;  // unused for so long, a connection may make room
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  Impl(Timers* timers, ServerOptions options, ExchangeHandler handler)
+      : state_(std::make_shared<ServerState>()) {
+    state_->timers = timers;
+    state_->options = options;
+    state_->handler = std::move(handler);
+    state_->on_removed = [this] { Resume(); };
+  }
+
+  ~Impl() {
+    state_->on_removed = nullptr;
+    state_->timers->Cancel(&resume_);
+    listener_.reset();
+    for (const auto& connection : All()) connection->Drop();
+  }
+
+  std::string Open(const std::string& address) {
+    listener_ = std::make_unique<Listener>(
+        [this](std::shared_ptr<Stream> stream) { Accept(std::move(stream)); });
+    listener_->OnAcceptFailed([this] { OnAcceptFailed(); });
+    const std::string wrong = listener_->Open(address);
+    if (!wrong.empty()) listener_.reset();
+    return wrong;
+  }
+
+  int port() const { return listener_ == nullptr ? 0 : listener_->port(); }
+
+  void SetOptions(const ServerOptions& options) {
+    state_->options = options;
+    ++state_->options_version;
+  }
+
+  void Drain(Micros linger) {
+    state_->draining = true;
+    state_->linger = linger;
+    for (const auto& connection : All()) connection->OnDrain();
+  }
+
+  void StopAccepting() {
+    state_->timers->Cancel(&resume_);
+    listener_.reset();
+  }
+
+  const ServerState& state() const { return *state_; }
+
+ private:
+  std::vector<std::shared_ptr<Connection>> All() const {
+    std::vector<std::shared_ptr<Connection>> all;
+    all.reserve(state_->connections.size());
+    for (const auto& [key, connection] : state_->connections) all.push_back(connection);
+    return all;
+  }
+
+  void Accept(std::shared_ptr<Stream> stream) {
+    const auto connection = std::make_shared<Connection>(state_, std::move(stream));
+    state_->connections.emplace(connection.get(), connection);
+    connection->Start();
+    if (state_->connections.size() >= state_->options.max_connections && !MakeRoom()) Pause();
+  }
+
+  void OnAcceptFailed() {
+    logging::Warning("front", "no connection can be accepted",
+                     {logging::F("connections", state_->connections.size())});
+    MakeRoom();
+    Pause();
+  }
+
+  // Closes the connection that has been idle longest, if long enough.
+  bool MakeRoom() {
+    if (state_->waiting.empty() || !state_->waiting.front()->IdleFor(kSafelyIdle)) return false;
+    state_->waiting.front()->Drop();
+    return true;
+  }
+
+  void Pause() {
+    if (listener_ == nullptr) return;
+    listener_->Pause();
+    if (resume_ != 0) return;
+    resume_ = state_->timers->After(kAcceptPause, [this] {
+      resume_ = 0;
+      Resume();
+    });
+  }
+
+  void Resume() {
+    if (listener_ == nullptr) return;
+    if (state_->connections.size() < state_->options.max_connections || MakeRoom())
+      listener_->Resume();
+    else
+      Pause();
+  }
+
+  std::shared_ptr<ServerState> state_;
+  std::unique_ptr<Listener> listener_;
+  Timers::Id resume_ = 0;
+};
+
+HttpServer::HttpServer(Timers* timers, ServerOptions options, ExchangeHandler handler)
+    : impl_(std::make_unique<Impl>(timers, options, std::move(handler))) {}
+HttpServer::~HttpServer() = default;
+
+std::string HttpServer::Open(const std::string& address) { return impl_->Open(address); }
+int HttpServer::port() const { return impl_->port(); }
+void HttpServer::SetOptions(const ServerOptions& options) { impl_->SetOptions(options); }
+void HttpServer::Drain(Micros linger) { impl_->Drain(linger); }
+void HttpServer::StopAccepting() { impl_->StopAccepting(); }
+std::size_t HttpServer::connections() const { return impl_->state().connections.size(); }
+std::size_t HttpServer::unanswered() const { return impl_->state().unanswered; }
+
+}  // namespace pearreach::front
--- a/src/front/http_server.h
+++ b/src/front/http_server.h
@@ -27,7 +27,8 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
-  std::string Open(const std::string& address);  // "ip:port"; empty, or what is wrong
+  std::string Open(const std::string& address);   // "ip:port"; empty, or what is wrong
+  int port() const;                               // of the listener once open, else 0
   void SetOptions(const ServerOptions& options);  // for what comes from now on
   // From now on each answer says Connection: close and its connection ends with it; connections
   // without a request under way are served once more within `linger`, then closed. New connections
--- /dev/null
+++ b/src/front/server_state.h
@@ -0,0 +1,34 @@
+// What a server and its connections share. Connections hold it on: an exchange may outlive its
+// server.
+#ifndef PEARREACH_SRC_FRONT_SERVER_STATE_H_
+#define PEARREACH_SRC_FRONT_SERVER_STATE_H_
+
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <memory>
+#include <unordered_map>
+
+#include "base/timers.h"
+#include "front/http_server.h"
+
+namespace pearreach::front {
+
+class Connection;
+
+struct ServerState {
+  Timers* timers = nullptr;
+  ServerOptions options;
+  unsigned options_version = 0;  // counts the changes of `options`
+  ExchangeHandler handler;
+  bool draining = false;
+  Micros linger = 0;  // of a drain: how long a connection waits for one more request
+  std::size_t unanswered = 0;
+  std::unordered_map<Connection*, std::shared_ptr<Connection>> connections;
+  std::list<Connection*> waiting;    // connections between requests, the longest idle first
+  std::function<void()> on_removed;  // a connection has left `connections`
+};
+
+}  // namespace pearreach::front
+
+#endif  // PEARREACH_SRC_FRONT_SERVER_STATE_H_
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,87 @@
+#include "gateway/gateway.h"
+
+#include <string>
+#include <utility>
+
+#include "gateway/job_builder.h"
+#include "gateway/own_answers.h"
+
+namespace pearreach::gateway {
+namespace {
+
+std::string_view AttemptIdOf(const http::Message& request) {
+  const std::string* const id = request.Find("X-Attempt-Id");
+  return id == nullptr ? std::string_view() : *id;
+}
+
+std::string_view HostOf(const http::Message& request) {
+  const std::string* const host = request.Find("Host");
+  return host == nullptr ? std::string_view() : *host;
+}
+
+std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+// "/lots/ID" with one whole segment behind the prefix.
+bool NamesOne(std::string_view path, std::string_view prefix) {
+  return path.size() > prefix.size() && path.substr(0, prefix.size()) == prefix &&
+         path.find('/', prefix.size()) == std::string_view::npos;
+}
+
+}  // namespace
+
+bool IsLotCall(std::string_view method, std::string_view target) {
+  const std::string_view path = PathOf(target);
+  if (method == "GET") return NamesOne(path, "/lots/") || NamesOne(path, "/items/");
+  return method == "DELETE" && NamesOne(path, "/lots/");
+}
+
+Gateway::Gateway(control::ControlClient* control, proxy::JobRunner* runner, Timers* timers)
+    : control_(control), context_{runner, timers, std::make_shared<Outcomes>()} {}
+
+void Gateway::Handle(std::shared_ptr<front::Exchange> exchange) {
+  Outcomes& outcomes = *context_.outcomes;
+  ++outcomes.requests;
+  const http::Message& request = exchange->request();
+  if (lot_handler_ && IsLotCall(request.method, request.target)) {
+    ++outcomes.lots;
+    return lot_handler_(std::move(exchange));
+  }
+  const auto routes = control_->Current()->routes;
+  if (routes == nullptr) {
+    ++outcomes.no_configuration;
+    return Refuse(exchange.get(), kUnavailable);
+  }
+  const routing::Route* const route = routes->Match(HostOf(request), PathOf(request.target));
+  if (route == nullptr) {
+    ++outcomes.no_route;
+    return Refuse(exchange.get(), kNotFound);
+  }
+  if (AttemptIdOf(request).empty()) {
+    ++outcomes.no_attempt_id;
+    return Refuse(exchange.get(), kBadRequest);
+  }
+  HandleRouted(std::move(exchange), *route);
+}
+
+void Gateway::HandleRouted(std::shared_ptr<front::Exchange> exchange, const routing::Route& route) {
+  Outcomes& outcomes = *context_.outcomes;
+  if (draining_) {
+    ++outcomes.draining;
+    return Refuse(exchange.get(), kUnavailable);
+  }
+  if (route.variant == routing::Variant::kBulk) {
+    ++outcomes.bulk;
+    if (!bulk_handler_) return Refuse(exchange.get(), kUnavailable);
+    return bulk_handler_(std::move(exchange), route);
+  }
+  front::Exchange& client = *exchange;
+  proxy::JobSpec spec = BuildJob(route, &client.mutable_request(), client.arrived());
+  std::make_shared<LiveRequest>(context_, std::move(exchange))->Start(std::move(spec));
+}
+
+void Gateway::Refuse(front::Exchange* exchange, int status) {
+  const std::string id(AttemptIdOf(exchange->request()));
+  exchange->Respond(status, status == kUnavailable ? RetryHeaders(id, 0) : OwnHeaders(id), "");
+}
+
+}  // namespace pearreach::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,54 @@
+// What a client's request is and who answers it: the lot calls, a bulk route, a live job, or the
+// gateway itself where there is no route or no configuration.
+#ifndef PEARREACH_SRC_GATEWAY_GATEWAY_H_
+#define PEARREACH_SRC_GATEWAY_GATEWAY_H_
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "base/timers.h"
+#include "control/control_client.h"
+#include "front/exchange.h"
+#include "gateway/live_request.h"
+#include "gateway/outcomes.h"
+#include "proxy/job.h"
+#include "routing/route_table.h"
+
+namespace pearreach::gateway {
+
+// Whether a request is a call for a lot: GET /lots/ID, DELETE /lots/ID or GET /items/ID.
+bool IsLotCall(std::string_view method, std::string_view target);
+
+class Gateway {
+ public:
+  // The route stands for the time of the call only.
+  using BulkHandler = std::function<void(std::shared_ptr<front::Exchange>, const routing::Route&)>;
+  using LotHandler = std::function<void(std::shared_ptr<front::Exchange>)>;
+
+  // All three must outlive the gateway and its requests.
+  Gateway(control::ControlClient* control, proxy::JobRunner* runner, Timers* timers);
+
+  void Handle(std::shared_ptr<front::Exchange> exchange);
+  void SetBulkHandler(BulkHandler handler) { bulk_handler_ = std::move(handler); }
+  void SetLotHandler(LotHandler handler) { lot_handler_ = std::move(handler); }
+  // While draining, new requests that would need a worker get 503: for the end of a drain, when
+  // what begins now could not be finished. Requests under way go on.
+  void SetDraining(bool draining) { draining_ = draining; }
+
+  const Outcomes& outcomes() const { return *context_.outcomes; }
+
+ private:
+  void HandleRouted(std::shared_ptr<front::Exchange> exchange, const routing::Route& route);
+  void Refuse(front::Exchange* exchange, int status);
+
+  control::ControlClient* control_;
+  LiveContext context_;
+  BulkHandler bulk_handler_;
+  LotHandler lot_handler_;
+  bool draining_ = false;
+};
+
+}  // namespace pearreach::gateway
+
+#endif  // PEARREACH_SRC_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/gateway/header_filter.cpp
@@ -0,0 +1,99 @@
+#include "gateway/header_filter.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace pearreach::gateway {
+namespace {
+
+using http::Header;
+using http::SameName;
+
+constexpr std::string_view kProxyPrefix = "Proxy-";
+
+bool IsHopByHop(std::string_view name) {
+  switch (name.size()) {
+    case 2:
+      return SameName(name, "TE");
+    case 6:
+      return SameName(name, "Expect");
+    case 7:
+      return SameName(name, "Trailer") || SameName(name, "Upgrade");
+    case 10:
+      return SameName(name, "Connection") || SameName(name, "Keep-Alive");
+    case 14:
+      return SameName(name, "Content-Length");
+    case 17:
+      return SameName(name, "Transfer-Encoding");
+    default:
+      return false;
+  }
+}
+
+bool IsProxys(std::string_view name) {
+  return name.size() > kProxyPrefix.size() &&
+         SameName(name.substr(0, kProxyPrefix.size()), kProxyPrefix);
+}
+
+bool IsSetAnew(std::string_view name) {
+  return SameName(name, "X-Deadline-Ms") || SameName(name, "X-Target-Worker");
+}
+
+// What no sender may take off the message by naming it in Connection.
+bool IsKeptAlways(std::string_view name) {
+  return SameName(name, "Host") || SameName(name, "X-Attempt-Id") || SameName(name, "X-Seal");
+}
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+  return text;
+}
+
+void AddNames(std::string_view list, std::vector<std::string_view>* names) {
+  for (;;) {
+    const std::size_t comma = list.find(',');
+    const std::string_view name = Trim(list.substr(0, comma));
+    if (!name.empty() && !IsKeptAlways(name)) names->push_back(name);
+    if (comma == std::string_view::npos) return;
+    list.remove_prefix(comma + 1);
+  }
+}
+
+// The names that the Connection headers hold; they point into `headers`.
+std::vector<std::string_view> NamedByConnection(const std::vector<Header>& headers) {
+  std::vector<std::string_view> names;
+  for (const Header& header : headers)
+    if (SameName(header.name, "Connection")) AddNames(header.value, &names);
+  return names;
+}
+
+bool Travels(std::string_view name, const std::vector<std::string_view>& named) {
+  if (IsHopByHop(name) || IsProxys(name)) return false;
+  return std::none_of(named.begin(), named.end(),
+                      [&](std::string_view other) { return SameName(name, other); });
+}
+
+}  // namespace
+
+std::vector<Header> RequestHeaders(std::vector<Header>* headers) {
+  const std::vector<std::string_view> named = NamedByConnection(*headers);
+  std::vector<Header> kept;
+  kept.reserve(headers->size());
+  for (Header& header : *headers)
+    // A Connection header stays where it is: `named` points into it.
+    if (Travels(header.name, named) && !IsSetAnew(header.name)) kept.push_back(std::move(header));
+  return kept;
+}
+
+std::vector<Header> AnswerHeaders(const std::vector<Header>& headers) {
+  const std::vector<std::string_view> named = NamedByConnection(headers);
+  std::vector<Header> kept;
+  kept.reserve(headers.size());
+  for (const Header& header : headers)
+    if (Travels(header.name, named)) kept.push_back(header);
+  return kept;
+}
+
+}  // namespace pearreach::gateway
--- /dev/null
+++ b/src/gateway/job_builder.cpp
@@ -0,0 +1,81 @@
+#include "gateway/job_builder.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "gateway/header_filter.h"
+#include "proxy/prompt_headers.h"
+
+namespace pearreach::gateway {
+namespace {
+
+constexpr std::uint64_t kFnvOffset = 14695981039346656037ull;
+constexpr std::uint64_t kFnvPrime = 1099511628211ull;
+constexpr int kFractionBits = 53;  // of a double
+
+template <class Value>
+std::optional<Value> ReadNumber(const std::string* text) {
+  if (text == nullptr) return std::nullopt;
+  Value value{};
+  const char* const end = text->data() + text->size();
+  const auto read = std::from_chars(text->data(), end, value);
+  if (read.ec != std::errc() || read.ptr != end) return std::nullopt;
+  return value;
+}
+
+std::string_view ValueOf(const http::Message& message, std::string_view name) {
+  const std::string* const value = message.Find(name);
+  return value == nullptr ? std::string_view() : *value;
+}
+
+// A point in [0, 1) that is the same for a try at every node.
+double PointOf(std::string_view attempt_id) {
+  std::uint64_t hash = kFnvOffset;
+  for (const char c : attempt_id) {
+    hash ^= static_cast<unsigned char>(c);
+    hash *= kFnvPrime;
+  }
+  // The last bytes of an id must reach the upper bits too.
+  hash ^= hash >> 33;
+  hash *= 0xff51afd7ed558ccdull;
+  hash ^= hash >> 33;
+  return static_cast<double>(hash >> (64 - kFractionBits)) /
+         static_cast<double>(std::uint64_t{1} << kFractionBits);
+}
+
+// The milliseconds that a request may take: the client's deadline, at most the route's limit.
+double AllowedMs(const routing::Route& route, const http::Message& request) {
+  const auto deadline = ReadNumber<double>(request.Find("X-Deadline-Ms"));
+  if (!deadline.has_value() || !(*deadline >= 0)) return route.limit_ms;
+  return std::min(*deadline, route.limit_ms);
+}
+
+}  // namespace
+
+proxy::JobSpec BuildJob(const routing::Route& route, http::Message* request, Micros arrived) {
+  proxy::JobSpec spec;
+  spec.attempt_id = ValueOf(*request, "X-Attempt-Id");
+  spec.service = routing::RouteTable::Pick(route, PointOf(spec.attempt_id)).service;
+  spec.due = arrived + static_cast<Micros>(AllowedMs(route, *request) * kMs);
+  spec.target_ms = route.target_ms;
+  spec.rank = route.rank;
+  spec.tries = route.tries;
+  spec.repeatable = route.Repeatable();
+  spec.streamed = route.variant == routing::Variant::kStreamed;
+  spec.resumable = spec.streamed && route.resumable;
+  spec.last_event_id = ReadNumber<std::uint64_t>(request->Find("Last-Event-Id")).value_or(0);
+  spec.prefix_key = proxy::PrefixKey(ValueOf(*request, proxy::kModelHeader),
+                                     ValueOf(*request, proxy::kPromptPrefixHeader));
+  spec.tokens = proxy::TokenCount(ValueOf(*request, proxy::kTokenCountHeader));
+  spec.method = request->method;
+  spec.target = std::move(request->target);
+  spec.headers = RequestHeaders(&request->headers);
+  spec.body = std::move(request->body);
+  return spec;
+}
+
+}  // namespace pearreach::gateway
--- /dev/null
+++ b/src/gateway/live_request.cpp
@@ -0,0 +1,142 @@
+#include "gateway/live_request.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/header_filter.h"
+#include "gateway/own_answers.h"
+
+namespace pearreach::gateway {
+namespace {
+
+// The runner ends a job at its due time and knows best how; this is for one that does not.
+constexpr Micros kRunnerSlack = 20 * kMs;
+
+constexpr int kOk = 200;
+
+}  // namespace
+
+LiveRequest::LiveRequest(LiveContext context, std::shared_ptr<front::Exchange> exchange)
+    : context_(std::move(context)), exchange_(std::move(exchange)) {}
+
+void LiveRequest::Start(proxy::JobSpec spec) {
+  attempt_id_ = spec.attempt_id;
+  streamed_ = spec.streamed;
+  const Micros due = spec.due;
+  const std::weak_ptr<LiveRequest> weak = weak_from_this();
+  exchange_->OnClosed([weak] {
+    if (const auto self = weak.lock()) self->OnClientGone();
+  });
+  const std::uint64_t job = context_.runner->Submit(std::move(spec), shared_from_this());
+  if (ended_) return;
+  job_ = job;
+  submitted_ = true;
+  timer_ = context_.timers->After(due + kRunnerSlack - Now(), [self = shared_from_this()] {
+    self->timer_ = 0;
+    self->OnTimeOver();
+  });
+}
+
+void LiveRequest::OnHead(int status, const std::vector<http::Header>& headers) {
+  if (ended_ || status_ != 0) return;
+  status_ = status;
+  if (streamed_ && status == kOk) {
+    streaming_ = true;
+    exchange_->BeginStream(status, AnswerHeaders(headers));
+  } else {
+    headers_ = AnswerHeaders(headers);
+  }
+}
+
+void LiveRequest::OnBody(std::string_view bytes) {
+  if (ended_) return;
+  if (streaming_)
+    exchange_->Write(bytes);
+  else
+    body_.append(bytes);
+}
+
+void LiveRequest::OnEnd(const proxy::JobResult& result) {
+  const auto self = shared_from_this();
+  if (!End()) return;
+  if (result.end == proxy::JobEnd::kComplete && status_ != 0)
+    Complete();
+  else
+    AnswerFailure(result);
+  exchange_.reset();
+}
+
+std::size_t LiveRequest::backlog() const {
+  return streaming_ && exchange_ != nullptr ? exchange_->unsent() : 0;
+}
+
+void LiveRequest::Complete() {
+  if (streaming_) {
+    ++context_.outcomes->complete;
+    exchange_->Finish();
+    return;
+  }
+  // A worker's own refusal promises something of that worker only.
+  if (IsPromise(status_)) {
+    ++context_.outcomes->failed;
+    RespondOwn(kBadGateway, OwnHeaders(attempt_id_));
+    return;
+  }
+  ++context_.outcomes->complete;
+  exchange_->Respond(status_, std::move(headers_), body_);
+}
+
+void LiveRequest::AnswerFailure(const proxy::JobResult& result) {
+  if (streaming_) {
+    ++context_.outcomes->broken;
+    exchange_->Abort();
+    return;
+  }
+  switch (result.end) {
+    case proxy::JobEnd::kNotRun:
+      ++context_.outcomes->not_run;
+      RespondOwn(kUnavailable, RetryHeaders(attempt_id_, result.retry_after));
+      return;
+    case proxy::JobEnd::kTimeout:
+      ++context_.outcomes->timeout;
+      RespondOwn(kGatewayTimeout, OwnHeaders(attempt_id_));
+      return;
+    case proxy::JobEnd::kComplete:  // without a head: no answer at all
+    case proxy::JobEnd::kFailed:
+    case proxy::JobEnd::kBroken:
+      ++context_.outcomes->failed;
+      RespondOwn(kBadGateway, OwnHeaders(attempt_id_));
+      return;
+  }
+}
+
+void LiveRequest::RespondOwn(int status, std::vector<http::Header> headers) {
+  exchange_->Respond(status, std::move(headers), "");
+}
+
+void LiveRequest::OnClientGone() {
+  const auto self = shared_from_this();
+  if (!End()) return;
+  ++context_.outcomes->client_gone;
+  if (submitted_) context_.runner->Cancel(job_);
+  exchange_.reset();
+}
+
+void LiveRequest::OnTimeOver() {
+  const auto self = shared_from_this();
+  if (!End()) return;
+  context_.runner->Cancel(job_);
+  proxy::JobResult result;
+  result.end = proxy::JobEnd::kTimeout;
+  AnswerFailure(result);
+  exchange_.reset();
+}
+
+bool LiveRequest::End() {
+  if (ended_) return false;
+  ended_ = true;
+  context_.timers->Cancel(&timer_);
+  return true;
+}
+
+}  // namespace pearreach::gateway
--- a/src/http/http.cpp
+++ b/src/http/http.cpp
@@ -205,6 +205,7 @@
   if (version.size() != 8 || !version.starts_with("HTTP/")) return Fail(400, "bad version");
   if (!version.starts_with("HTTP/1.")) return Fail(505, "not HTTP/1");
   old_version_ = version == "HTTP/1.0";
+  message_.old_version = old_version_;
   return true;
 }
 
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -24,6 +24,7 @@
   std::vector<Header> headers;
   std::string body;
   bool keep_alive = true;
+  bool old_version = false;  // HTTP/1.0: its sender reads no chunks
 
   // The value of the first header of this name, or null.
   const std::string* Find(std::string_view name) const;
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -24,8 +24,8 @@
   return {name, fmt::format("{}", value)};
 }
 
-void SetNode(std::string name);          // named in each line from then on
-void SetMinimum(Severity severity);      // lines below it are dropped
+void SetNode(std::string name);      // named in each line from then on
+void SetMinimum(Severity severity);  // lines below it are dropped
 bool Enabled(Severity severity);
 void Write(Severity severity, std::string_view module, std::string_view message,
            std::initializer_list<Field> fields);
--- /dev/null
+++ b/src/proxy/attempt.cpp
@@ -0,0 +1,173 @@
+#include "proxy/attempt.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace pearreach::proxy {
+namespace {
+
+constexpr Micros kConnectTimeout = 300 * kMs;  // of a connection that gives no sign
+constexpr int kMostSurplus = 4;                // answers of earlier requests on one connection
+constexpr std::size_t kMostBuffered = 32 << 20;
+// A worker counts a connection as idle earlier than this node does.
+constexpr Micros kKeepAliveMargin = 500 * kMs;
+
+bool IsEventStream(const ResponseHead& head) {
+  const std::string* type = head.Find("Content-Type");
+  if (type == nullptr) return false;
+  std::string_view name = *type;
+  name = name.substr(0, name.find(';'));
+  while (name.ends_with(' ')) name.remove_suffix(1);
+  return http::SameName(name, "text/event-stream");
+}
+
+// How long the worker keeps the connection, a margin taken off.
+Micros KeepFor(const ResponseHead& head) {
+  if (!head.keep_alive) return 0;
+  const std::string* told = head.Find("Keep-Alive");
+  const std::size_t at = told == nullptr ? std::string::npos : told->find("timeout=");
+  if (at == std::string::npos) return kKeepIdle;
+  const char* begin = told->data() + at + std::string_view("timeout=").size();
+  Micros seconds = 0;
+  const auto read = std::from_chars(begin, told->data() + told->size(), seconds);
+  if (read.ec != std::errc()) return kKeepIdle;
+  return std::clamp<Micros>(seconds, 0, kKeepIdle / kSecond + 1) * kSecond - kKeepAliveMargin;
+}
+
+}  // namespace
+
+Attempt::Attempt(Timers* timers, std::shared_ptr<WorkerConnections> connections,
+                 AttemptRequest request, AttemptListener* listener)
+    : timers_(timers),
+      connections_(std::move(connections)),
+      request_(std::move(request)),
+      listener_(listener),
+      reader_(this) {}
+
+Attempt::~Attempt() { Cancel(); }
+
+void Attempt::Start() { Connect(request_.repeatable ? Freshness::kAny : Freshness::kPreferNew); }
+
+void Attempt::Cancel() {
+  listener_ = nullptr;
+  DropConnection();
+}
+
+void Attempt::Connect(Freshness freshness) {
+  connection_ = connections_->Take(this, freshness, request_.connection_limit);
+  if (connection_ == nullptr) {
+    result_.connections_used_up = true;
+    return Fail();
+  }
+  if (connection_->connected()) return Send();
+  connect_timer_ = timers_->After(kConnectTimeout, [this] {
+    connect_timer_ = 0;
+    const auto self = shared_from_this();
+    Fail();
+  });
+}
+
+void Attempt::OnConnected() {
+  timers_->Cancel(&connect_timer_);
+  Send();
+}
+
+void Attempt::Send() {
+  const auto self = shared_from_this();
+  reader_.Start(request_.bodiless);
+  if (connection_->stream().Write(request_.bytes)) {
+    written_ = true;
+    request_.bytes = std::string();  // large, and of no more use
+    return;
+  }
+  written_ = connection_->stream().unsent() < request_.bytes.size();
+  const bool was_idle = connection_->used_before();
+  if (written_ || !was_idle) return Fail();
+  // The worker had closed it: nothing went out, so another connection may be tried.
+  connections_->CloseIdle();
+  DropConnection();
+  Connect(Freshness::kPreferNew);
+}
+
+void Attempt::OnConnectionData(std::string_view bytes) {
+  const auto self = shared_from_this();
+  heard_ = true;
+  for (;;) {
+    const ResponseReader::Status status = reader_.Feed(&bytes);
+    if (status == ResponseReader::Status::kMore || status == ResponseReader::Status::kStopped)
+      return;
+    if (status == ResponseReader::Status::kBad) return Fail();
+    if (!skipping_) return EndAnswer(bytes);
+    skipping_ = false;
+    if (++surplus_ > kMostSurplus) return Fail();
+    reader_.Start(request_.bodiless);
+    if (bytes.empty()) return;
+  }
+}
+
+void Attempt::OnConnectionClosed(bool in_order) {
+  const auto self = shared_from_this();
+  if (written_ && !skipping_ && reader_.End(in_order) == ResponseReader::Status::kDone)
+    return EndAnswer({});
+  Fail();
+}
+
+bool Attempt::OnResponseHead(ResponseHead head) {
+  const std::string* id = head.Find("X-Attempt-Id");
+  skipping_ = id == nullptr || *id != request_.attempt_id;
+  if (skipping_) return true;
+  const bool good = head.status / 100 == 2 && head.Find("X-Seal") != nullptr;
+  result_.passed_on = request_.streamed && good && IsEventStream(head);
+  result_.head = std::move(head);
+  if (result_.passed_on) listener_->OnStreamHead(result_.head);
+  return listener_ != nullptr;
+}
+
+bool Attempt::OnResponseBody(std::string_view bytes) {
+  if (skipping_) return true;
+  if (result_.passed_on) {
+    listener_->OnStreamBytes(bytes);
+    return listener_ != nullptr;
+  }
+  if (result_.body.size() + bytes.size() > kMostBuffered) {
+    Fail();
+    return false;
+  }
+  result_.body.append(bytes);
+  return true;
+}
+
+// The answer is whole. A connection that has more bytes, or had a surplus answer, is not trusted.
+void Attempt::EndAnswer(std::string_view rest) {
+  const bool trusted = rest.empty() && surplus_ == 0 && connection_->stream().open() &&
+                       connection_->stream().unsent() == 0;
+  const Micros keep_for = trusted ? KeepFor(result_.head) : 0;
+  connections_->GiveBack(std::exchange(connection_, nullptr), keep_for);
+  result_.end = AttemptEnd::kAnswered;
+  End(std::move(result_));
+}
+
+void Attempt::Fail() {
+  const bool passed_on = result_.passed_on;
+  AttemptResult result;
+  result.end = written_ ? AttemptEnd::kLost : AttemptEnd::kNoConnection;
+  result.connections_used_up = result_.connections_used_up;
+  result.passed_on = passed_on;
+  DropConnection();
+  End(std::move(result));
+}
+
+void Attempt::End(AttemptResult result) {
+  timers_->Cancel(&connect_timer_);
+  AttemptListener* listener = std::exchange(listener_, nullptr);
+  if (listener != nullptr) listener->OnAttemptEnd(std::move(result));
+}
+
+void Attempt::DropConnection() {
+  timers_->Cancel(&connect_timer_);
+  if (connection_ == nullptr) return;
+  connections_->Drop(std::exchange(connection_, nullptr));
+}
+
+}  // namespace pearreach::proxy
--- /dev/null
+++ b/src/proxy/attempt.h
@@ -0,0 +1,94 @@
+// One send of a request to one worker, up to its outcome: the connection, the answer's framing, and
+// whose answer it is. It decides nothing about what follows.
+#ifndef PEARREACH_SRC_PROXY_ATTEMPT_H_
+#define PEARREACH_SRC_PROXY_ATTEMPT_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/timers.h"
+#include "proxy/response_reader.h"
+#include "proxy/worker_connections.h"
+
+namespace pearreach::proxy {
+
+enum class AttemptEnd {
+  kAnswered,      // a whole answer to this very request
+  kNoConnection,  // none came up, or none may be had: nothing was written
+  kLost,          // cut, or no answer in the protocol, after something was written
+};
+
+struct AttemptResult {
+  AttemptEnd end = AttemptEnd::kLost;
+  bool connections_used_up = false;  // kNoConnection: this node's part of them is in use
+  ResponseHead head;                 // kAnswered
+  std::string body;                  // kAnswered, what was not passed on as it came
+  bool passed_on = false;            // the body went to OnStreamBytes
+};
+
+// The owner of an attempt; it may cancel or drop it from inside any call.
+class AttemptListener {
+ public:
+  virtual ~AttemptListener() = default;
+  // A 2xx with its stamp and a text/event-stream begins.
+  virtual void OnStreamHead(const ResponseHead& head) = 0;
+  virtual void OnStreamBytes(std::string_view bytes) = 0;
+  virtual void OnAttemptEnd(AttemptResult result) = 0;
+};
+
+struct AttemptRequest {
+  std::string bytes;        // head and body as the worker gets them
+  std::string attempt_id;   // what its answer must repeat
+  bool bodiless = false;    // HEAD
+  bool streamed = false;    // a stream of events is passed on as it comes
+  bool repeatable = false;  // if not, no connection that was idle for long, where that can be had
+  std::size_t connection_limit = 1;
+};
+
+class Attempt : public std::enable_shared_from_this<Attempt>,
+                private ConnectionUser,
+                private ResponseSink {
+ public:
+  Attempt(Timers* timers, std::shared_ptr<WorkerConnections> connections, AttemptRequest request,
+          AttemptListener* listener);
+  ~Attempt() override;
+
+  void Start();
+  // The worker is left at once; the listener hears nothing more.
+  void Cancel();
+  // Something of the request may have reached the worker.
+  bool written() const { return written_; }
+  // Something of the worker's answer has come.
+  bool heard() const { return heard_; }
+
+ private:
+  void OnConnected() override;
+  void OnConnectionData(std::string_view bytes) override;
+  void OnConnectionClosed(bool in_order) override;
+  bool OnResponseHead(ResponseHead head) override;
+  bool OnResponseBody(std::string_view bytes) override;
+
+  void Connect(Freshness freshness);
+  void Send();
+  void EndAnswer(std::string_view rest);
+  void Fail();
+  void End(AttemptResult result);
+  void DropConnection();
+
+  Timers* timers_;
+  std::shared_ptr<WorkerConnections> connections_;
+  AttemptRequest request_;
+  AttemptListener* listener_;  // null: it has ended
+  std::shared_ptr<WorkerConnection> connection_;
+  ResponseReader reader_;
+  Timers::Id connect_timer_ = 0;
+  AttemptResult result_;
+  bool written_ = false, heard_ = false;
+  bool skipping_ = false;  // the answer in hand is a surplus one
+  int surplus_ = 0;
+};
+
+}  // namespace pearreach::proxy
+
+#endif  // PEARREACH_SRC_PROXY_ATTEMPT_H_
--- a/src/proxy/job.h
+++ b/src/proxy/job.h
@@ -16,19 +16,21 @@
 namespace pearreach::proxy {
 
 struct JobSpec {
-  std::string service;             // the route's target, already picked from a split
-  std::string method, target;      // as the worker gets them
+  std::string service;                // the route's target, already picked from a split
+  std::string method, target;         // as the worker gets them
   std::vector<http::Header> headers;  // end-to-end ones, X-Attempt-Id and Host among them
   std::string body;
-  std::string attempt_id;  // X-Attempt-Id
-  Micros due = 0;          // on Now()'s clock: when the client gives up or the route's limit ends
-  double target_ms = 0;    // objective for the first byte, from `due`'s start
-  int rank = 0;            // 0 is the most urgent
-  int tries = 1;           // most workers that it may be sent to
-  bool repeatable = false; // may run more than once
-  bool streamed = false;   // text/event-stream with rising ids
-  bool resumable = false;  // streamed and may go on at another worker with Last-Event-Id
-  bool bulk = false;       // an item of a lot: yields to live jobs
+  std::string attempt_id;    // X-Attempt-Id
+  Micros due = 0;            // on Now()'s clock: when the client gives up or the route's limit ends
+  double target_ms = 0;      // objective for the first byte, from `due`'s start
+  double gap_aim_ms = 0;     // streamed: longest pause between events that keeps it in time
+  int rank = 0;              // 0 is the most urgent
+  int tries = 1;             // most workers that it may be sent to
+  bool repeatable = false;   // may run more than once
+  bool streamed = false;     // text/event-stream with rising ids
+  bool resumable = false;    // streamed and may go on at another worker with Last-Event-Id
+  bool bulk = false;         // an item of a lot: yields to live jobs
+  bool stop_on_500 = false;  // a 500 of a worker ends the job: no further worker gets it
   std::uint64_t last_event_id = 0;  // of the request; 0: from the start
   std::uint64_t prefix_key = 0;     // hash of the shared parts of its prompt; 0: none
   double tokens = 0;                // of the prompt and most out
--- /dev/null
+++ b/src/proxy/job_runner.cpp
@@ -0,0 +1,209 @@
+#include "proxy/job_runner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <unordered_map>
+#include <utility>
+
+#include "proxy/running_job.h"
+#include "proxy/service_line.h"
+
+namespace pearreach::proxy {
+namespace {
+
+constexpr Micros kRefreshDelay = 5 * kMs;     // changes of the worker table within it go together
+constexpr Micros kShareEvery = 2 * kSecond;   // this node's share is looked at no more often
+constexpr std::size_t kLeastConnections = 2;  // to each worker, however many nodes there are
+constexpr std::size_t kDefaultConnections = 16;  // of a service that names no limit
+constexpr double kBulkFill = 0.7;  // of the slots; what lies above is kept for live jobs
+
+class Runner final : public JobRunner, private JobHost {
+ public:
+  Runner(Timers* timers, registry::WorkerSource* workers, control::ControlClient* control,
+         RunnerOptions options);
+  ~Runner() override;
+
+  std::uint64_t Submit(JobSpec spec, std::shared_ptr<JobSink> sink) override;
+  void Cancel(std::uint64_t job) override;
+  int BulkRoom(const std::string& service) const override;
+
+ private:
+  bool IsReady(const std::string& worker_id) const override;
+  void RefreshWorkers() override { Refresh(); }
+  std::size_t ConnectionLimit(const std::string& service) const override;
+  double WorkerTokens(const std::string& service) const override;
+  void Forget(std::uint64_t job) override { jobs_.erase(job); }
+
+  ServiceLine& Line(const std::string& service);
+  void Refresh();
+  void ArmRefresh(Micros delay);
+  void LookAtShare();
+  const routing::Service* FindService(const std::string& service) const;
+
+  Timers* timers_;
+  registry::WorkerSource* source_;
+  control::ControlClient* control_;
+  RunnerOptions options_;
+  std::shared_ptr<const registry::WorkerTable> table_;
+  NodeShare share_;
+  Micros share_seen_ = 0;  // when it was looked at last; 0: never
+  Timers::Id refresh_ = 0, warm_ = 0;
+  std::unordered_map<std::string, std::unique_ptr<ServiceLine>> lines_;
+  std::unordered_map<std::uint64_t, std::shared_ptr<RunningJob>> jobs_;
+  std::uint64_t last_job_ = 0;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+Runner::Runner(Timers* timers, registry::WorkerSource* workers, control::ControlClient* control,
+               RunnerOptions options)
+    : timers_(timers),
+      source_(workers),
+      control_(control),
+      options_(std::move(options)),
+      table_(workers->Workers()) {
+  const std::weak_ptr<bool> alive = alive_;
+  source_->OnChange([this, alive] {
+    if (alive.expired()) return;
+    table_ = source_->Workers();
+    ArmRefresh(kRefreshDelay);
+  });
+}
+
+Runner::~Runner() {
+  timers_->Cancel(&refresh_);
+  timers_->Cancel(&warm_);
+  for (const auto& [id, job] : std::exchange(jobs_, {})) job->Cancel();
+}
+
+std::uint64_t Runner::Submit(JobSpec spec, std::shared_ptr<JobSink> sink) {
+  LookAtShare();
+  ServiceLine& line = Line(spec.service);
+  const std::uint64_t id = ++last_job_;
+  JobHost* const host = this;
+  const auto job =
+      std::make_shared<RunningJob>(id, std::move(spec), std::move(sink), timers_, &line, host);
+  jobs_.emplace(id, job);
+  job->Start();
+  return id;
+}
+
+void Runner::Cancel(std::uint64_t job) {
+  const auto found = jobs_.find(job);
+  if (found == jobs_.end()) return;
+  const auto running = std::move(found->second);
+  jobs_.erase(found);
+  running->Cancel();
+}
+
+// This node's part of the slots that are free below the fill, less what waits here already.
+int Runner::BulkRoom(const std::string& service) const {
+  const auto found = lines_.find(service);
+  if (found == lines_.end()) {
+    // Nothing has run yet: one job makes the service known here.
+    for (const auto& [id, record] : *table_)
+      if (record.service == service && record.phase == registry::WorkerPhase::kReady) return 1;
+    return 0;
+  }
+  const ServiceLine& line = *found->second;
+  if (line.dispatcher.held_live() > 0) return 0;
+  bool told = false;
+  const double taken = line.workers.SlotsTaken(Now(), &told);
+  const double usable = kBulkFill * line.workers.ready_slots();
+  const double nodes = share_.nodes;
+  // Where workers tell nothing, the other nodes are taken to use as much as this one.
+  const double free = told ? usable - taken : usable - taken * nodes;
+  if (free < 1) return 0;
+  const int held = line.dispatcher.held_bulk();
+  const int room = static_cast<int>(std::floor(free / nodes)) - held;
+  const bool idle = line.bulk_in_flight + held == 0;
+  return std::max(room, idle ? 1 : 0);
+}
+
+bool Runner::IsReady(const std::string& worker_id) const {
+  const auto found = table_->find(worker_id);
+  return found != table_->end() && found->second.phase == registry::WorkerPhase::kReady;
+}
+
+const routing::Service* Runner::FindService(const std::string& service) const {
+  const auto snapshot = control_->Current();
+  return snapshot->routes == nullptr ? nullptr : snapshot->routes->FindService(service);
+}
+
+std::size_t Runner::ConnectionLimit(const std::string& service) const {
+  const routing::Service* found = FindService(service);
+  if (found == nullptr || found->max_conns <= 0) return kDefaultConnections;
+  const auto part = static_cast<std::size_t>(found->max_conns / share_.nodes);
+  return std::max(part, kLeastConnections);
+}
+
+double Runner::WorkerTokens(const std::string& service) const {
+  const routing::Service* found = FindService(service);
+  return found == nullptr ? 0 : found->engine_cache_tokens;
+}
+
+ServiceLine& Runner::Line(const std::string& service) {
+  std::unique_ptr<ServiceLine>& line = lines_[service];
+  if (line != nullptr) return *line;
+  line =
+      std::make_unique<ServiceLine>(timers_, service, options_.zone, options_.seed + lines_.size());
+  line->dispatcher.SetShare(share_);
+  Refresh();
+  return *line;
+}
+
+void Runner::Refresh() {
+  timers_->Cancel(&refresh_);
+  for (auto& [name, line] : lines_) line->workers.BeginUpdate();
+  for (const auto& [id, record] : *table_) {
+    const auto line = lines_.find(record.service);
+    if (line != lines_.end()) line->second->workers.Update(record);
+  }
+  Micros next_warm = 0;
+  for (auto& [name, line] : lines_) {
+    line->dispatcher.OnWorkers(line->workers.EndUpdate());
+    const Micros warm = line->workers.next_warm();
+    if (warm != 0 && (next_warm == 0 || warm < next_warm)) next_warm = warm;
+  }
+  timers_->Cancel(&warm_);
+  if (next_warm == 0) return;
+  warm_ = timers_->After(next_warm - Now(), [this] {
+    warm_ = 0;
+    Refresh();
+  });
+}
+
+void Runner::ArmRefresh(Micros delay) {
+  if (refresh_ != 0 || lines_.empty()) return;
+  refresh_ = timers_->After(delay, [this] {
+    refresh_ = 0;
+    Refresh();
+  });
+}
+
+// How many nodes share the workers, and which of them this one is, in an order common to all.
+void Runner::LookAtShare() {
+  const Micros now = Now();
+  if (share_seen_ != 0 && now - share_seen_ < kShareEvery) return;
+  share_seen_ = now;
+  NodeShare share{0, 0};
+  for (const auto& [name, member] : control_->members()) {
+    const bool live = member.status == coordination::MemberStatus::kAlive ||
+                      member.status == coordination::MemberStatus::kSuspect;
+    if (!live || !member.info.Is(coordination::MemberInfo::kServesEdge)) continue;
+    if (name == options_.node_name) share.self = share.nodes;
+    ++share.nodes;
+  }
+  share.nodes = std::max(share.nodes, 1);
+  if (share == share_) return;
+  share_ = share;
+  for (auto& [name, line] : lines_) line->dispatcher.SetShare(share);
+}
+
+}  // namespace
+
+std::unique_ptr<JobRunner> MakeJobRunner(Timers* timers, registry::WorkerSource* workers,
+                                         control::ControlClient* control, RunnerOptions options) {
+  return std::make_unique<Runner>(timers, workers, control, std::move(options));
+}
+
+}  // namespace pearreach::proxy
--- /dev/null
+++ b/src/proxy/job_runner.h
@@ -0,0 +1,28 @@
+// The runner of all jobs of this node: one admission a service, workers from the registry.
+#ifndef PEARREACH_SRC_PROXY_JOB_RUNNER_H_
+#define PEARREACH_SRC_PROXY_JOB_RUNNER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "base/timers.h"
+#include "control/control_client.h"
+#include "proxy/job.h"
+#include "registry/worker_table.h"
+
+namespace pearreach::proxy {
+
+struct RunnerOptions {
+  std::string node_name;   // as membership names this node
+  std::string zone;        // its zone
+  std::uint64_t seed = 1;  // of the decision module's choices
+};
+
+// All must outlive the runner; listeners that it adds end with it.
+std::unique_ptr<JobRunner> MakeJobRunner(Timers* timers, registry::WorkerSource* workers,
+                                         control::ControlClient* control, RunnerOptions options);
+
+}  // namespace pearreach::proxy
+
+#endif  // PEARREACH_SRC_PROXY_JOB_RUNNER_H_
--- /dev/null
+++ b/src/proxy/pool_dispatcher.cpp
@@ -0,0 +1,372 @@
+#include "proxy/pool_dispatcher.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <variant>
+
+#include "logging/log.h"
+
+namespace pearreach::proxy {
+namespace {
+
+constexpr char kModule[] = "proxy";
+constexpr double kRankFalls = 0.5;    // worth of a rank beside the next more urgent one
+constexpr double kBulkWorth = 0.001;  // less than that of any live rank
+constexpr double kLateValue = 0.4;    // share of the worth of an answer after its objective
+constexpr Micros kBulkAim = 2 * kSecond;
+constexpr double kConnectPrice = 0.01;    // open connections are preferred
+constexpr double kCrowded = 0.6;          // share of the slots in use; beyond it load alone counts
+constexpr Micros kCrowdedFor = 50 * kMs;  // one look serves for so long
+constexpr Micros kSilentProgress = 2 * kSecond;  // streams under way are told of this often
+constexpr Micros kRetryFirst = 100 * kMs;  // a refused client comes back after this, and more for
+constexpr Micros kRetryEach = 5 * kMs;     // each job that waits here
+constexpr Micros kRetryLast = kSecond;
+constexpr std::size_t kMostClasses = 64;    // then those that no job uses now are dropped
+constexpr Micros kOutFor = 3600 * kSecond;  // an attempt under way is not ended by the module
+constexpr std::uint64_t kMostArrivals = 2;  // of one placement at the module: with a key, without
+
+}  // namespace
+
+PoolDispatcher::PoolDispatcher(Timers* timers, ServiceWorkers* workers, std::string service,
+                               std::uint64_t seed)
+    : timers_(timers), workers_(workers), service_(std::move(service)), seed_(seed) {}
+
+PoolDispatcher::~PoolDispatcher() {
+  timers_->Cancel(&turn_);
+  timers_->Cancel(&timer_);
+}
+
+void PoolDispatcher::SetShare(NodeShare share) {
+  if (share == share_) return;
+  share_ = share;
+  rebuild_ = true;
+  ArmTurn();
+}
+
+void PoolDispatcher::OnWorkers(std::vector<marlquay::WorkerEntry> changes) {
+  if (changes.empty() || rebuild_) return;  // a new module is told of all
+  marlquay::WorkerList list;
+  list.entries = std::move(changes);
+  Post(std::move(list));
+  TeachSlots();
+  if (limit_cut_) return;
+  marlquay::Knowledge learned;
+  learned.pools = dispatcher_->Learned(Now()).pools;
+  TeachLimit(&learned);
+  Post(std::move(learned));
+}
+
+// ---------------------------------------------------------------- placements
+
+PlacementId PoolDispatcher::Arrive(const Placement& placement, PlacementClient* client) {
+  const PlacementId id = ++last_;
+  Open& open = open_[id];
+  open.placement = placement;
+  open.client = client;
+  open.number = ClassNumber(placement.job_class);
+  ++(placement.job_class.bulk ? held_bulk_ : held_live_);
+  if (rebuild_)
+    ArmTurn();
+  else
+    PostArrival(id, &open, placement.key != 0 && !Crowded());
+  return id;
+}
+
+void PoolDispatcher::PostArrival(PlacementId id, Open* open, bool keyed) {
+  ++open->arrivals;
+  marlquay::RequestArrived arrived;
+  arrived.request = RequestOf(id, *open);
+  arrived.cls = open->number;
+  arrived.due = open->placement.due;
+  if (keyed) {
+    arrived.key = open->placement.key;
+    keyed_.push_back(id);
+  }
+  Post(std::move(arrived));
+}
+
+void PoolDispatcher::Lapse(PlacementId id) {
+  const auto found = open_.find(id);
+  if (found == open_.end()) return;
+  if (!rebuild_) Post(marlquay::RequestLapsed{RequestOf(id, found->second)});
+  Unhold(found->second);
+  open_.erase(found);
+}
+
+void PoolDispatcher::Began(PlacementId id) {
+  const auto found = open_.find(id);
+  if (found == open_.end() || std::exchange(found->second.began, true)) return;
+  Post(marlquay::StreamBegan{RequestOf(id, found->second), 0, found->second.worker});
+}
+
+void PoolDispatcher::Progress(PlacementId id) {
+  const auto found = open_.find(id);
+  if (found == open_.end()) return;
+  Post(marlquay::AttemptProgress{RequestOf(id, found->second), 0, found->second.worker, 0});
+}
+
+// A placement is over with its one attempt; the job places itself anew if it goes on.
+void PoolDispatcher::Ended(PlacementId id, marlquay::Outcome outcome, Micros latency,
+                           const std::optional<WorkerLoad>& load) {
+  const auto found = open_.find(id);
+  if (found == open_.end()) return;
+  marlquay::AttemptEnded ended;
+  ended.request = RequestOf(id, found->second);
+  ended.worker = found->second.worker;
+  ended.outcome = outcome;
+  ended.latency = latency;
+  ended.settled = true;
+  if (load) {
+    ended.load.free_slots = std::max(0.0, load->slots - load->running - load->waiting);
+    ended.load.in_flight = load->running + load->waiting;
+  }
+  if (!rebuild_) {
+    Post(ended);
+    // The module weighs what a worker told of others' jobs only as a probe's word.
+    if (load) Post(marlquay::ProbeEnded{ended.worker, true, ended.load});
+  }
+  open_.erase(found);
+}
+
+void PoolDispatcher::Unhold(const Open& open) {
+  if (!open.out) --(open.placement.job_class.bulk ? held_bulk_ : held_live_);
+}
+
+marlquay::RequestId PoolDispatcher::RequestOf(PlacementId id, const Open& open) const {
+  return id * kMostArrivals + static_cast<std::uint64_t>(std::max(open.arrivals - 1, 0));
+}
+
+PoolDispatcher::Open* PoolDispatcher::Find(marlquay::RequestId request) {
+  const PlacementId id = request / kMostArrivals;
+  const auto found = open_.find(id);
+  // What was told of an earlier arrival of the same placement is out of date.
+  if (found == open_.end() || RequestOf(id, found->second) != request) return nullptr;
+  return &found->second;
+}
+
+// ---------------------------------------------------------------- turns
+
+void PoolDispatcher::Post(marlquay::Event event) {
+  if (rebuild_) return;  // all is told anew
+  events_.push_back(std::move(event));
+  ArmTurn();
+}
+
+void PoolDispatcher::ArmTurn() {
+  if (turn_ != 0) return;
+  turn_ = timers_->After(0, [this] {
+    turn_ = 0;
+    Turn();
+  });
+}
+
+void PoolDispatcher::SetTimer(Micros at) {
+  timers_->Cancel(&timer_);
+  timer_ = timers_->After(at - Now(), [this] {
+    timer_ = 0;
+    Turn();
+  });
+}
+
+void PoolDispatcher::Turn() {
+  const Micros now = Now();
+  timers_->Cancel(&turn_);
+  if (rebuild_) Rebuild(now);
+  const std::vector<marlquay::Event> events = std::exchange(events_, {});
+  actions_.clear();
+  dispatcher_->Handle(now, events, &actions_);
+  const std::vector<marlquay::Action> actions = std::exchange(actions_, {});
+  for (const marlquay::Action& action : actions) Carry(action);
+  if (!keyed_.empty()) ReleaseKeys();
+}
+
+// A new module takes over: it is told of all workers, what the old one has learned, what waits and
+// what is out.
+void PoolDispatcher::Rebuild(Micros now) {
+  events_.clear();
+  keyed_.clear();
+  rebuild_ = false;
+  marlquay::Knowledge learned;
+  if (dispatcher_) learned = dispatcher_->Learned(now);
+  if (classes_.size() > kMostClasses) {
+    DropUnusedClasses();
+    learned.classes.clear();  // their numbers are others now
+  }
+  timers_->Cancel(&timer_);
+  dispatcher_.emplace(MakeSettings(), seed_, now);
+  marlquay::WorkerList list;
+  list.form = marlquay::WorkerList::Form::kComplete;
+  list.entries = workers_->Everything();
+  events_.push_back(std::move(list));
+  TeachLimit(&learned);
+  if (!learned.pools.empty()) events_.push_back(std::move(learned));
+  slots_told_ = 0;
+  TeachSlots();
+  for (auto& [id, open] : open_) {
+    open.arrivals = 0;
+    PostArrival(id, &open, false);
+    if (!open.out) continue;
+    const marlquay::RequestId request = RequestOf(id, open);
+    std::get<marlquay::RequestArrived>(events_.back()).due =
+        std::max(now, open.placement.due) + kOutFor;
+    events_.push_back(marlquay::AttemptAdopted{request, open.worker, open.sent, true,
+                                               marlquay::AttemptAdopted::Was::kOut});
+    if (open.began) events_.push_back(marlquay::StreamBegan{request, 0, open.worker});
+  }
+}
+
+// Guards the start: a limit that grows from nothing would refuse jobs while workers are free. Until
+// workers were found full, this node's part of all slots is what may be out.
+void PoolDispatcher::TeachLimit(marlquay::Knowledge* learned) const {
+  if (classes_.empty()) return;
+  if (learned->pools.empty()) {
+    marlquay::PoolKnowledge first;
+    first.ran = first.worked = static_cast<double>(std::max<Micros>(classes_[0].target, kMs));
+    learned->pools.push_back(first);
+  }
+  marlquay::PoolKnowledge& pool = learned->pools.front();
+  if (limit_cut_) {
+    pool.found = pool.limit;
+    return;
+  }
+  const double part = workers_->ready_slots() / share_.nodes;
+  pool.limit = pool.found = std::max(pool.limit, part);
+}
+
+// The module counts slots by what workers tell; the registry knows them before any has answered.
+void PoolDispatcher::TeachSlots() {
+  if (!workers_->largest() || workers_->largest_capacity() <= slots_told_) return;
+  slots_told_ = workers_->largest_capacity();
+  marlquay::ProbeEnded told{*workers_->largest(), true, {}};
+  told.load.free_slots = slots_told_;
+  events_.push_back(told);
+}
+
+void PoolDispatcher::Carry(const marlquay::Action& action) {
+  if (const auto* send = std::get_if<marlquay::Send>(&action)) {
+    Place(*send);
+  } else if (const auto* refuse = std::get_if<marlquay::Refuse>(&action)) {
+    Refuse(*refuse);
+  } else if (const auto* fail = std::get_if<marlquay::Fail>(&action)) {
+    Refuse({fail->request, 0});
+  } else if (const auto* timer = std::get_if<marlquay::SetTimer>(&action)) {
+    SetTimer(timer->at);
+  } else if (const auto* line = std::get_if<marlquay::LogLine>(&action)) {
+    LogDecision(*line);
+  }
+  // The settings allow no probe, subscription or cancel.
+}
+
+void PoolDispatcher::Place(const marlquay::Send& send) {
+  Open* open = Find(send.request);
+  if (open == nullptr || open->out) return;
+  Unhold(*open);
+  open->out = true;
+  open->worker = send.worker;
+  open->sent = Now();
+  open->client->OnPlaced(send.request / kMostArrivals, send.worker);
+}
+
+void PoolDispatcher::Refuse(const marlquay::Refuse& refuse) {
+  Open* open = Find(refuse.request);
+  if (open == nullptr || open->out) return;
+  const PlacementId id = refuse.request / kMostArrivals;
+  PlacementClient* client = open->client;
+  Unhold(*open);
+  open_.erase(id);
+  client->OnRefused(id, refuse.retry_after > 0 ? refuse.retry_after : RetryAfter());
+}
+
+// Guards load over affinity: where the workers of its key had no room at once, any other will do.
+void PoolDispatcher::ReleaseKeys() {
+  for (const PlacementId id : std::exchange(keyed_, {})) {
+    const auto found = open_.find(id);
+    if (found == open_.end() || found->second.out || rebuild_) continue;
+    Post(marlquay::RequestLapsed{RequestOf(id, found->second)});
+    PostArrival(id, &found->second, false);
+  }
+}
+
+void PoolDispatcher::LogDecision(const marlquay::LogLine& line) {
+  using What = marlquay::LogLine::What;
+  if (line.what == What::kLimitCut) {
+    limit_cut_ = true;
+    logging::Info(kModule, "limit cut",
+                  {logging::F("service", service_), logging::F("slots", line.value)});
+  } else if (line.what == What::kShedding) {
+    logging::Info(kModule, "refusing",
+                  {logging::F("service", service_), logging::F("refused", line.value)});
+  } else if (line.what == What::kWorkerSilent || line.what == What::kWorkerBack) {
+    const ServiceWorker* worker = workers_->Find(line.worker);
+    if (worker == nullptr) return;
+    const bool silent = line.what == What::kWorkerSilent;
+    logging::Info(
+        kModule, silent ? "worker silent" : "worker back",
+        {logging::F("service", service_), logging::F("worker", worker->record.worker_id)});
+  }
+}
+
+// ---------------------------------------------------------------- settings
+
+int PoolDispatcher::ClassNumber(const JobClass& job_class) {
+  const auto found = std::find(classes_.begin(), classes_.end(), job_class);
+  if (found != classes_.end()) return static_cast<int>(found - classes_.begin());
+  classes_.push_back(job_class);
+  rebuild_ = true;
+  ArmTurn();
+  return static_cast<int>(classes_.size()) - 1;
+}
+
+// Configurations come and go, and each may bring classes of its own.
+void PoolDispatcher::DropUnusedClasses() {
+  classes_.clear();
+  for (auto& [id, open] : open_) open.number = ClassNumber(open.placement.job_class);
+  rebuild_ = false;  // this is the new module's making
+}
+
+marlquay::Settings PoolDispatcher::MakeSettings() const {
+  marlquay::Settings settings;
+  settings.balancers = std::max(share_.nodes, 1);
+  settings.self = std::clamp(share_.self, 0, settings.balancers - 1);
+  for (const JobClass& job_class : classes_) {
+    marlquay::ClassSettings cls;
+    cls.effect = marlquay::Effect::kRepeatable;  // each placement is sent once; the job repeats
+    cls.aim = job_class.bulk ? kBulkAim : std::max<Micros>(job_class.target, kMs);
+    // A stream's objective is its first event, while its work is all of it.
+    cls.aim_stretch = job_class.streamed || job_class.bulk ? 1 : 0;
+    cls.worth = job_class.bulk ? kBulkWorth : std::pow(kRankFalls, job_class.rank);
+    cls.late_value = job_class.bulk ? 1 : kLateValue;
+    cls.kind = 0;
+    settings.classes.push_back(cls);
+  }
+  if (settings.classes.empty()) settings.classes.emplace_back();
+  settings.worth_by_work = true;
+  settings.weighted_workers = true;
+  settings.retry_after = true;
+  settings.progress_every = kSilentProgress;
+  settings.connect_price = kConnectPrice;
+  settings.connection_idle = kKeepIdle;
+  return settings;
+}
+
+bool PoolDispatcher::Crowded() {
+  const Micros now = Now();
+  if (now < crowded_until_) return crowded_;
+  crowded_until_ = now + kCrowdedFor;
+  bool told = false;
+  const double taken = workers_->SlotsTaken(now, &told);
+  const double slots = workers_->ready_slots();
+  crowded_ =
+      told ? taken > kCrowded * slots : dispatcher_->PoolBusy(0) > kCrowded * slots / share_.nodes;
+  return crowded_;
+}
+
+Micros PoolDispatcher::RetryAfter() {
+  const Micros wait = std::min(kRetryFirst + kRetryEach * held_live_, kRetryLast);
+  seed_ = seed_ * 6364136223846793005u + 1442695040888963407u;
+  const Micros spread = static_cast<Micros>((seed_ >> 33) % static_cast<std::uint64_t>(wait));
+  return wait * 3 / 4 + spread / 2;  // from three quarters to five quarters of it
+}
+
+}  // namespace pearreach::proxy
--- /dev/null
+++ b/src/proxy/pool_dispatcher.h
@@ -0,0 +1,130 @@
+// Admission for one service: feeds a marlquay::Dispatcher with placements (a job that wants one
+// worker, once), carries its decisions to their clients, and replaces it by one with other settings
+// without losing what it holds. Events of one turn of the loop go in together.
+#ifndef PEARREACH_SRC_PROXY_POOL_DISPATCHER_H_
+#define PEARREACH_SRC_PROXY_POOL_DISPATCHER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/timers.h"
+#include "marlquay/dispatcher.h"
+#include "proxy/service_workers.h"
+
+namespace pearreach::proxy {
+
+using PlacementId = marlquay::RequestId;
+
+// What jobs have in common that compete alike.
+struct JobClass {
+  int rank = 0;
+  Micros target = 0;  // objective for the first byte
+  bool streamed = false, bulk = false;
+  bool operator==(const JobClass&) const = default;
+};
+
+struct Placement {
+  JobClass job_class;
+  Micros due = 0;         // a worker must be found by then
+  std::uint64_t key = 0;  // jobs with one key profit from one worker; 0: none
+};
+
+class PlacementClient {
+ public:
+  virtual ~PlacementClient() = default;
+  // It is to be sent to this worker now; its outcome is owed (Ended).
+  virtual void OnPlaced(PlacementId placement, marlquay::WorkerId worker) = 0;
+  // No worker was found for it; the placement is over.
+  virtual void OnRefused(PlacementId placement, Micros retry_after) = 0;
+};
+
+// This node among those that share the workers.
+struct NodeShare {
+  int nodes = 1, self = 0;
+  bool operator==(const NodeShare&) const = default;
+};
+
+class PoolDispatcher {
+ public:
+  PoolDispatcher(Timers* timers, ServiceWorkers* workers, std::string service, std::uint64_t seed);
+  ~PoolDispatcher();
+  PoolDispatcher(const PoolDispatcher&) = delete;
+  PoolDispatcher& operator=(const PoolDispatcher&) = delete;
+
+  void SetShare(NodeShare share);
+  void OnWorkers(std::vector<marlquay::WorkerEntry> changes);
+
+  // The client hears from a later turn, never from inside the call.
+  PlacementId Arrive(const Placement& placement, PlacementClient* client);
+  // It is wanted no more; only before OnPlaced.
+  void Lapse(PlacementId id);
+  // The answer has begun; Progress: it goes on.
+  void Began(PlacementId id);
+  void Progress(PlacementId id);
+  void Ended(PlacementId id, marlquay::Outcome outcome, Micros latency,
+             const std::optional<WorkerLoad>& load);
+
+  int held_live() const { return held_live_; }
+  int held_bulk() const { return held_bulk_; }
+  const NodeShare& share() const { return share_; }
+
+ private:
+  struct Open {
+    Placement placement;
+    PlacementClient* client = nullptr;
+    int number = 0;    // of its class in the settings
+    int arrivals = 0;  // times that the module was told of it; each has its own number there
+    bool out = false, began = false;
+    marlquay::WorkerId worker = 0;
+    Micros sent = 0;
+  };
+
+  void Post(marlquay::Event event);
+  void ArmTurn();
+  void SetTimer(Micros at);
+  void Turn();
+  void Rebuild(Micros now);
+  void PostArrival(PlacementId id, Open* open, bool keyed);
+  void Carry(const marlquay::Action& action);
+  void Place(const marlquay::Send& send);
+  void Refuse(const marlquay::Refuse& refuse);
+  void LogDecision(const marlquay::LogLine& line);
+  void Unhold(const Open& open);
+  void ReleaseKeys();
+  void TeachLimit(marlquay::Knowledge* learned) const;
+  void TeachSlots();
+  int ClassNumber(const JobClass& job_class);
+  void DropUnusedClasses();
+  bool Crowded();
+  marlquay::RequestId RequestOf(PlacementId id, const Open& open) const;
+  Open* Find(marlquay::RequestId request);
+  Micros RetryAfter();
+  marlquay::Settings MakeSettings() const;
+
+  Timers* timers_;
+  ServiceWorkers* workers_;
+  std::string service_;
+  std::uint64_t seed_;
+  NodeShare share_;
+  std::optional<marlquay::Dispatcher> dispatcher_;
+  std::vector<JobClass> classes_;
+  std::unordered_map<PlacementId, Open> open_;
+  std::vector<marlquay::Event> events_;
+  std::vector<PlacementId> keyed_;  // arrived with a key in this turn
+  std::vector<marlquay::Action> actions_;
+  PlacementId last_ = 0;
+  int held_live_ = 0, held_bulk_ = 0;
+  bool rebuild_ = true;     // the settings have changed
+  bool limit_cut_ = false;  // workers were found full: the limit is learned
+  double slots_told_ = 0;   // largest worker that the module was told of
+  bool crowded_ = false;
+  Micros crowded_until_ = 0;  // when that is to be looked at again
+  Timers::Id turn_ = 0, timer_ = 0;
+};
+
+}  // namespace pearreach::proxy
+
+#endif  // PEARREACH_SRC_PROXY_POOL_DISPATCHER_H_
--- /dev/null
+++ b/src/proxy/response_reader.cpp
@@ -0,0 +1,235 @@
+#include "proxy/response_reader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace pearreach::proxy {
+namespace {
+
+constexpr std::size_t kLongestHead = 64 << 10;  // all lines of a head, or of trailers
+constexpr std::size_t kMostHeaders = 200;
+constexpr std::size_t kStatusLineBytes = 12;  // "HTTP/1.1 200"
+constexpr int kFirstFinalStatus = 200;
+constexpr int kSwitchingProtocols = 101;
+
+bool IsTokenByte(char c) {
+  const bool letter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+  const bool digit = c >= '0' && c <= '9';
+  return letter || digit || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+bool IsValueByte(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return byte == '\t' || (byte >= ' ' && byte != 127);
+}
+
+std::string_view Trim(std::string_view text) {
+  const std::size_t first = text.find_first_not_of(" \t");
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+std::optional<std::size_t> ReadNumber(std::string_view text, int base) {
+  std::size_t value = 0;
+  const auto read = std::from_chars(text.data(), text.data() + text.size(), value, base);
+  if (text.empty() || read.ec != std::errc() || read.ptr != text.data() + text.size()) return {};
+  return value;
+}
+
+// Whether a comma-separated list holds a word, in any case.
+bool Holds(std::string_view list, std::string_view word) {
+  for (;;) {
+    const std::size_t comma = list.find(',');
+    if (http::SameName(Trim(list.substr(0, comma)), word)) return true;
+    if (comma == std::string_view::npos) return false;
+    list.remove_prefix(comma + 1);
+  }
+}
+
+}  // namespace
+
+const std::string* ResponseHead::Find(std::string_view name) const {
+  for (const http::Header& header : headers)
+    if (http::SameName(header.name, name)) return &header.value;
+  return nullptr;
+}
+
+void ResponseReader::Start(bool bodiless) {
+  stage_ = Stage::kStatusLine;
+  bodiless_ = bodiless;
+  partial_.clear();
+  head_bytes_ = 0;
+  head_ = {};
+}
+
+ResponseReader::Status ResponseReader::Feed(std::string_view* bytes) {
+  while (!bytes->empty() && stage_ < Stage::kDone) Step(bytes);
+  switch (stage_) {
+    case Stage::kDone:
+      return Status::kDone;
+    case Stage::kBad:
+      return Status::kBad;
+    case Stage::kStopped:
+      return Status::kStopped;
+    default:
+      return Status::kMore;
+  }
+}
+
+ResponseReader::Status ResponseReader::End(bool in_order) {
+  if (stage_ == Stage::kStopped) return Status::kStopped;
+  if (stage_ == Stage::kToClose && in_order) stage_ = Stage::kDone;
+  return stage_ == Stage::kDone ? Status::kDone : Status::kBad;
+}
+
+void ResponseReader::Step(std::string_view* bytes) {
+  std::string_view line;
+  switch (stage_) {
+    case Stage::kStatusLine:
+      if (TakeLine(bytes, &line)) ReadStatusLine(line);
+      return;
+    case Stage::kHeaderLine:
+      if (TakeLine(bytes, &line)) ReadHeaderLine(line);
+      return;
+    case Stage::kChunkSize:
+      if (TakeLine(bytes, &line)) ReadChunkSize(line);
+      return;
+    case Stage::kChunkEnd:
+      if (!TakeLine(bytes, &line)) return;
+      if (!line.empty()) return Bad();
+      stage_ = Stage::kChunkSize;
+      return;
+    case Stage::kTrailer:
+      if (TakeLine(bytes, &line) && line.empty()) stage_ = Stage::kDone;
+      return;
+    case Stage::kSized:
+    case Stage::kChunk:
+    case Stage::kToClose:
+      return Pass(bytes);
+    case Stage::kDone:
+    case Stage::kBad:
+    case Stage::kStopped:
+      return;
+  }
+}
+
+// One line without its end. False: it is not whole yet, or is bad.
+bool ResponseReader::TakeLine(std::string_view* bytes, std::string_view* line) {
+  const std::size_t end = bytes->find('\n');
+  const std::size_t taken = end == std::string_view::npos ? bytes->size() : end + 1;
+  const std::string_view piece = bytes->substr(0, taken);
+  bytes->remove_prefix(taken);
+  head_bytes_ += taken;
+  if (head_bytes_ > kLongestHead) {
+    Bad();
+    return false;
+  }
+  if (end == std::string_view::npos) {
+    partial_.append(piece);
+    return false;
+  }
+  if (partial_.empty()) {
+    *line = piece;
+  } else {
+    partial_.append(piece);
+    line_.swap(partial_);
+    partial_.clear();
+    *line = line_;
+  }
+  if (!line->ends_with("\r\n")) {
+    Bad();
+    return false;
+  }
+  line->remove_suffix(2);
+  return true;
+}
+
+void ResponseReader::ReadStatusLine(std::string_view line) {
+  const bool framed = line.size() >= kStatusLineBytes && line.starts_with("HTTP/1.") &&
+                      (line[7] == '0' || line[7] == '1') && line[8] == ' ' &&
+                      (line.size() == kStatusLineBytes || line[kStatusLineBytes] == ' ');
+  if (!framed) return Bad();
+  const auto status = ReadNumber(line.substr(9, 3), 10);
+  if (!status || *status < 100 || *status > 599) return Bad();
+  minor_version_ = line[7] - '0';
+  head_ = {};
+  head_.status = static_cast<int>(*status);
+  head_.keep_alive = minor_version_ == 1;
+  stage_ = Stage::kHeaderLine;
+}
+
+void ResponseReader::ReadHeaderLine(std::string_view line) {
+  if (line.empty()) return EndHead();
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos || colon == 0) return Bad();
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = Trim(line.substr(colon + 1));
+  // A folded line fails here too: its length could be read in two ways.
+  if (!std::all_of(name.begin(), name.end(), IsTokenByte)) return Bad();
+  if (!std::all_of(value.begin(), value.end(), IsValueByte)) return Bad();
+  if (head_.headers.size() == kMostHeaders) return Bad();
+  head_.headers.push_back({std::string(name), std::string(value)});
+}
+
+void ResponseReader::EndHead() {
+  head_bytes_ = 0;
+  if (head_.status == kSwitchingProtocols) return Bad();
+  if (head_.status < kFirstFinalStatus) {  // an interim answer
+    stage_ = Stage::kStatusLine;
+    return;
+  }
+  const std::string* length = nullptr;
+  const std::string* coding = nullptr;
+  for (const http::Header& header : head_.headers) {
+    if (http::SameName(header.name, "Content-Length")) {
+      if (length != nullptr && *length != header.value) return Bad();
+      length = &header.value;
+    } else if (http::SameName(header.name, "Transfer-Encoding")) {
+      if (coding != nullptr) return Bad();
+      coding = &header.value;
+    } else if (http::SameName(header.name, "Connection")) {
+      if (Holds(header.value, "close")) head_.keep_alive = false;
+      if (minor_version_ == 0 && Holds(header.value, "keep-alive")) head_.keep_alive = true;
+    }
+  }
+  const bool bare = bodiless_ || head_.status == 204 || head_.status == 304;
+  Stage next = Stage::kDone;
+  left_ = 0;
+  if (coding != nullptr) {
+    if (length != nullptr || minor_version_ == 0 || !http::SameName(*coding, "chunked"))
+      return Bad();
+    next = Stage::kChunkSize;
+  } else if (length != nullptr) {
+    const auto size = ReadNumber(*length, 10);
+    if (!size) return Bad();
+    left_ = *size;
+    next = left_ == 0 ? Stage::kDone : Stage::kSized;
+  } else if (!bare) {
+    next = Stage::kToClose;
+    head_.keep_alive = false;
+  }
+  stage_ = bare ? Stage::kDone : next;
+  if (!sink_->OnResponseHead(std::move(head_))) stage_ = Stage::kStopped;
+}
+
+void ResponseReader::ReadChunkSize(std::string_view line) {
+  head_bytes_ = 0;
+  const auto size = ReadNumber(Trim(line.substr(0, line.find(';'))), 16);
+  if (!size) return Bad();
+  left_ = *size;
+  stage_ = left_ == 0 ? Stage::kTrailer : Stage::kChunk;
+}
+
+void ResponseReader::Pass(std::string_view* bytes) {
+  const bool bounded = stage_ != Stage::kToClose;
+  const std::size_t taken = bounded ? std::min(left_, bytes->size()) : bytes->size();
+  const std::string_view piece = bytes->substr(0, taken);
+  bytes->remove_prefix(taken);
+  if (bounded) left_ -= taken;
+  if (bounded && left_ == 0) stage_ = stage_ == Stage::kSized ? Stage::kDone : Stage::kChunkEnd;
+  if (!sink_->OnResponseBody(piece)) stage_ = Stage::kStopped;
+}
+
+}  // namespace pearreach::proxy
--- /dev/null
+++ b/src/proxy/running_job.cpp
@@ -0,0 +1,302 @@
+#include "proxy/running_job.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "proxy/worker_request.h"
+
+namespace pearreach::proxy {
+namespace {
+
+using marlquay::Outcome;
+
+constexpr int kMorePromises = 4;  // sends beyond the tries, for workers that did not run it
+constexpr int kMostNotSent = 16;  // placements at workers that had just gone
+constexpr Micros kUnbounded = 3600 * kSecond;  // for a job without a due time
+constexpr Micros kLeastLeft = 2 * kMs;         // a send with less left serves nobody
+constexpr Micros kDefaultRetryAfter = 200 * kMs;
+
+// A job that has not been offered to a worker by a quarter of its objective is better refused: its
+// client may go elsewhere.
+constexpr double kHoldShare = 0.25;
+constexpr Micros kHoldMargin = 5 * kMs;
+constexpr Micros kHoldLeast = 20 * kMs;
+constexpr Micros kHoldAgain = kSecond;  // one that may have run can't be refused: it may wait
+
+// Silence after which another worker may be asked.
+constexpr Micros kStreamSilence = kSecond;
+constexpr double kStreamSilenceGaps = 8;
+constexpr double kFirstEventTargets = 2;
+constexpr Micros kPlainSilence = 1500 * kMs;
+constexpr double kPlainSilenceTargets = 5;
+
+constexpr double kLargeShare = 0.5;  // a request of this share of a worker's memory may not fit
+
+Micros FromMs(double ms) { return static_cast<Micros>(ms * static_cast<double>(kMs)); }
+
+}  // namespace
+
+RunningJob::RunningJob(std::uint64_t id, JobSpec spec, std::shared_ptr<JobSink> sink,
+                       Timers* timers, ServiceLine* line, JobHost* host)
+    : id_(id),
+      spec_(std::move(spec)),
+      sink_(std::move(sink)),
+      timers_(timers),
+      line_(line),
+      host_(host),
+      started_(Now()),
+      has_due_(spec_.due != 0),
+      last_event_id_(spec_.last_event_id) {
+  if (!has_due_) spec_.due = started_ + kUnbounded;
+}
+
+RunningJob::~RunningJob() { Cancel(); }
+
+void RunningJob::Start() {
+  due_timer_ = timers_->After(spec_.due - started_, [this] {
+    due_timer_ = 0;
+    const auto self = shared_from_this();
+    OnDue();
+  });
+  Ask();
+}
+
+void RunningJob::Cancel() {
+  if (std::exchange(ended_, true)) return;
+  timers_->Cancel(&due_timer_);
+  Leave(Outcome::kCancelled);
+}
+
+// ---------------------------------------------------------------- finding a worker
+
+void RunningJob::Ask() {
+  Placement placement;
+  placement.job_class.rank = spec_.rank;
+  placement.job_class.target = spec_.bulk ? 0 : FromMs(spec_.target_ms);
+  placement.job_class.streamed = spec_.streamed;
+  placement.job_class.bulk = spec_.bulk;
+  placement.due = PlaceBy(Now());
+  placement.key = spec_.prefix_key;
+  placed_ = false;
+  placement_ = line_->dispatcher.Arrive(placement, this);
+}
+
+Micros RunningJob::PlaceBy(Micros now) const {
+  if (spec_.bulk) return spec_.due;
+  if (runs_ > 0) return std::min(spec_.due, now + kHoldAgain);
+  const Micros hold = std::max(FromMs(kHoldShare * spec_.target_ms) - kHoldMargin, kHoldLeast);
+  return std::min(spec_.due, std::max(started_ + hold, now + kHoldLeast));
+}
+
+void RunningJob::OnRefused(PlacementId, Micros retry_after) {
+  const auto self = shared_from_this();
+  placement_ = 0;
+  retry_after_ = retry_after;
+  EndWithoutAnswer();
+}
+
+void RunningJob::OnPlaced(PlacementId, marlquay::WorkerId worker) {
+  const auto self = shared_from_this();
+  placed_ = true;
+  worker_ = worker;
+  const ServiceWorker& chosen = *line_->workers.Find(worker);
+  // Guards drains: the list that the decision rests on may be older than the registry's word.
+  const bool ready = chosen.present && host_->IsReady(chosen.record.worker_id);
+  if (ready && Now() < spec_.due - kLeastLeft) return Send(worker);
+  Settle(Outcome::kMoot);
+  if (!ready) host_->RefreshWorkers();
+  if (++not_sent_ > kMostNotSent || Now() >= spec_.due - kLeastLeft) return EndWithoutAnswer();
+  Ask();
+}
+
+// ---------------------------------------------------------------- the attempt
+
+void RunningJob::Send(marlquay::WorkerId worker) {
+  ServiceWorker& chosen = *line_->workers.Find(worker);
+  sent_ = Now();
+  heard_ = 0;
+  load_.reset();
+  events_.Clear();
+  SendDetails details;
+  details.worker_id = chosen.record.worker_id;
+  details.left = has_due_ ? spec_.due - sent_ : 0;
+  details.last_event_id = last_event_id_;
+  AttemptRequest request;
+  request.bytes = WriteWorkerRequest(spec_, details);
+  request.attempt_id = spec_.attempt_id;
+  request.bodiless = spec_.method == "HEAD";
+  request.streamed = spec_.streamed;
+  request.repeatable = spec_.repeatable;
+  request.connection_limit = host_->ConnectionLimit(spec_.service);
+  ++sends_;
+  ++chosen.in_flight;
+  if (spec_.bulk) ++line_->bulk_in_flight;
+  AttemptListener* const listener = this;
+  attempt_ = std::make_shared<Attempt>(timers_, chosen.connections, std::move(request), listener);
+  if (spec_.repeatable && runs_ + 1 < spec_.tries) WatchSilence(SilenceLimit());
+  const auto attempt = attempt_;  // it may end, and another begin, inside the call
+  attempt->Start();
+}
+
+// Ends what is under way, whatever it is, without a word to the sink.
+void RunningJob::Leave(Outcome outcome) {
+  timers_->Cancel(&silence_timer_);
+  if (attempt_ != nullptr) attempt_->Cancel();
+  if (placement_ == 0) return;
+  if (placed_) return Settle(outcome);
+  line_->dispatcher.Lapse(std::exchange(placement_, 0));
+}
+
+// The placement's outcome is known.
+void RunningJob::Settle(Outcome outcome) {
+  timers_->Cancel(&silence_timer_);
+  if (attempt_ != nullptr) {
+    attempt_.reset();
+    --line_->workers.Find(worker_)->in_flight;
+    if (spec_.bulk) --line_->bulk_in_flight;
+  }
+  if (load_) line_->workers.Tell(worker_, *load_);
+  const Micros latency = sent_ == 0 ? 0 : Now() - sent_;
+  line_->dispatcher.Ended(std::exchange(placement_, 0), outcome, latency, load_);
+  load_.reset();
+}
+
+void RunningJob::OnAttemptEnd(AttemptResult result) {
+  const auto self = shared_from_this();
+  switch (result.end) {
+    case AttemptEnd::kNoConnection:
+      Settle(result.connections_used_up ? Outcome::kFull : Outcome::kNoConnection);
+      return AfterPromise();
+    case AttemptEnd::kLost:
+      ++runs_;
+      Settle(Outcome::kReset);
+      return AfterRun();
+    case AttemptEnd::kAnswered:
+      return OnAnswer(std::move(result));
+  }
+}
+
+void RunningJob::OnAnswer(AttemptResult result) {
+  ResponseHead& head = result.head;
+  worker_status_ = head.status;
+  if (result.passed_on) return OnStreamComplete();
+  load_ = ReadWorkerLoad(head);
+  if (IsPromise(head)) {
+    Settle(NotRunOutcome(head));
+    return AfterPromise();
+  }
+  ++runs_;
+  const bool success = head.status / 100 == 2;
+  const bool failed = head.status >= 500 || (success && head.Find("X-Seal") == nullptr);
+  Settle(head.status == 504 ? Outcome::kTimeout : failed ? Outcome::kError : Outcome::kGood);
+  if (failed && MayRunAgain()) return Ask();
+  // These would promise what the worker has not promised.
+  const bool false_promise = head.status == 503 || head.status == 429 || head.status == 408;
+  if (head_passed_ || false_promise || (success && failed)) return EndWithoutAnswer();
+  PassOn(std::move(head), result.body);
+}
+
+bool RunningJob::IsPromise(const ResponseHead& head) const {
+  if (head.status == 421) return true;
+  const bool may_promise = head.status == 503 || head.status == 429 || head.status == 400;
+  return may_promise && head.Find("X-Not-Run") != nullptr;
+}
+
+// What a promise tells of the worker: only a plain 503 says that it is full.
+Outcome RunningJob::NotRunOutcome(const ResponseHead& head) {
+  if (head.status == 421) {
+    const bool other_version =
+        std::any_of(spec_.headers.begin(), spec_.headers.end(),
+                    [](const http::Header& h) { return http::SameName(h.name, "Expect-Version"); });
+    if (!other_version) line_->dispatcher.OnWorkers(line_->workers.DropWorker(worker_));
+    return Outcome::kMoot;
+  }
+  if (head.status == 400) return Outcome::kMoot;
+  const double room = host_->WorkerTokens(spec_.service);
+  const bool too_large = room > 0 && spec_.tokens > kLargeShare * room;
+  const bool overdue = Now() >= spec_.due - kLeastLeft;
+  return overdue || too_large ? Outcome::kMoot : Outcome::kFull;
+}
+
+// ---------------------------------------------------------------- going on
+
+bool RunningJob::MayRunAgain() const {
+  return spec_.repeatable && runs_ < spec_.tries && sends_ < spec_.tries + kMorePromises &&
+         (!head_passed_ || spec_.resumable) && Now() < spec_.due - kLeastLeft;
+}
+
+void RunningJob::AfterPromise() {
+  const bool stream_lost = head_passed_ && !spec_.resumable;
+  const bool again = (runs_ == 0 || MayRunAgain()) && !stream_lost &&
+                     sends_ < spec_.tries + kMorePromises && Now() < spec_.due - kLeastLeft;
+  if (again) return Ask();
+  EndWithoutAnswer();
+}
+
+void RunningJob::AfterRun() {
+  if (MayRunAgain()) return Ask();
+  EndWithoutAnswer();
+}
+
+void RunningJob::EndWithoutAnswer() {
+  JobResult result;
+  result.worker_status = worker_status_;
+  if (head_passed_) {
+    result.end = JobEnd::kBroken;
+  } else if (runs_ == 0) {
+    result.end = JobEnd::kNotRun;
+    result.retry_after = retry_after_ > 0 ? retry_after_ : kDefaultRetryAfter;
+  } else {
+    result.end = Now() >= spec_.due ? JobEnd::kTimeout : JobEnd::kFailed;
+  }
+  End(result);
+}
+
+void RunningJob::OnDue() {
+  const bool out = attempt_ != nullptr && attempt_->written();
+  const bool silent = out && !attempt_->heard();
+  if (out) ++runs_;
+  Leave(silent ? Outcome::kTimeout : Outcome::kCancelled);
+  EndWithoutAnswer();
+}
+
+void RunningJob::End(JobResult result) {
+  if (ended_) return;
+  Cancel();
+  host_->Forget(id_);
+  const std::shared_ptr<JobSink> sink = std::move(sink_);
+  sink->OnEnd(result);
+}
+
+// ---------------------------------------------------------------- silence
+
+Micros RunningJob::SilenceLimit() const {
+  if (!spec_.streamed)
+    return std::max(kPlainSilence, FromMs(kPlainSilenceTargets * spec_.target_ms));
+  const Micros between = std::max(kStreamSilence, FromMs(kStreamSilenceGaps * spec_.gap_aim_ms));
+  if (heard_ != 0) return between;
+  return std::max(between, FromMs(kFirstEventTargets * spec_.target_ms));
+}
+
+void RunningJob::WatchSilence(Micros after) {
+  timers_->Cancel(&silence_timer_);
+  silence_timer_ = timers_->After(after, [this] {
+    silence_timer_ = 0;
+    const auto self = shared_from_this();
+    OnSilence();
+  });
+}
+
+// Leaves a silent worker only where another may be asked, with time for it.
+void RunningJob::OnSilence() {
+  const Micros now = Now();
+  const Micros silent_at = std::max(sent_, heard_) + SilenceLimit();
+  if (now < silent_at) return WatchSilence(silent_at - now);
+  if (now + FromMs(spec_.target_ms) >= spec_.due) return;
+  if (attempt_ == nullptr || (!spec_.streamed && attempt_->heard())) return;
+  if (attempt_->written()) ++runs_;
+  Leave(Outcome::kTimeout);
+  AfterRun();
+}
+
+}  // namespace pearreach::proxy
--- /dev/null
+++ b/src/proxy/running_job.h
@@ -0,0 +1,111 @@
+// A job under way: asks for a worker, sends, relays the answer, and decides after each outcome
+// whether it may go on at another worker. It keeps the promises of its end: kNotRun only if no
+// attempt may have run.
+#ifndef PEARREACH_SRC_PROXY_RUNNING_JOB_H_
+#define PEARREACH_SRC_PROXY_RUNNING_JOB_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "proxy/attempt.h"
+#include "proxy/event_splitter.h"
+#include "proxy/job.h"
+#include "proxy/service_line.h"
+
+namespace pearreach::proxy {
+
+// What a job needs of its runner.
+class JobHost {
+ public:
+  virtual ~JobHost() = default;
+  // By the registry's newest word the worker may be sent to.
+  virtual bool IsReady(const std::string& worker_id) const = 0;
+  // A worker was chosen by an older word than that: the newest is to be told at once.
+  virtual void RefreshWorkers() = 0;
+  // Connections that this node may have to each worker of the service.
+  virtual std::size_t ConnectionLimit(const std::string& service) const = 0;
+  // Tokens that one worker of the service holds; 0: not known.
+  virtual double WorkerTokens(const std::string& service) const = 0;
+  // The job has ended: its runner forgets it.
+  virtual void Forget(std::uint64_t job) = 0;
+};
+
+class RunningJob : public std::enable_shared_from_this<RunningJob>,
+                   private PlacementClient,
+                   private AttemptListener {
+ public:
+  RunningJob(std::uint64_t id, JobSpec spec, std::shared_ptr<JobSink> sink, Timers* timers,
+             ServiceLine* line, JobHost* host);
+  ~RunningJob() override;
+
+  void Start();
+  // Workers are left at once; the sink hears nothing more.
+  void Cancel();
+
+ private:
+  void OnPlaced(PlacementId placement, marlquay::WorkerId worker) override;
+  void OnRefused(PlacementId placement, Micros retry_after) override;
+  void OnStreamHead(const ResponseHead& head) override;
+  void OnStreamBytes(std::string_view bytes) override;
+  void OnAttemptEnd(AttemptResult result) override;
+
+  void Ask();
+  Micros PlaceBy(Micros now) const;
+  void Send(marlquay::WorkerId worker);
+  void Leave(marlquay::Outcome outcome);
+  void Settle(marlquay::Outcome outcome);
+  void OnAnswer(AttemptResult result);
+  void OnStreamComplete();
+  marlquay::Outcome NotRunOutcome(const ResponseHead& head);
+  bool IsPromise(const ResponseHead& head) const;
+  bool MayRunAgain() const;
+  void AfterPromise();
+  void AfterRun();
+  void PassOn(ResponseHead head, const std::string& body);
+  void PassHead();
+  bool PassEvents();
+  void PassBytes(std::string_view bytes);
+  void BreakStream();
+  void WatchSilence(Micros after);
+  Micros SilenceLimit() const;
+  void OnSilence();
+  void OnDue();
+  void EndWithoutAnswer();
+  void End(JobResult result);
+
+  const std::uint64_t id_;
+  JobSpec spec_;
+  std::shared_ptr<JobSink> sink_;
+  Timers* timers_;
+  ServiceLine* line_;
+  JobHost* host_;
+
+  const Micros started_;
+  const bool has_due_;
+  Timers::Id due_timer_ = 0, silence_timer_ = 0;
+  PlacementId placement_ = 0;  // 0: none is open
+  bool placed_ = false;        // the placement has its worker
+  marlquay::WorkerId worker_ = 0;
+  std::shared_ptr<Attempt> attempt_;
+  std::optional<WorkerLoad> load_;  // told in the attempt's answer
+  Micros sent_ = 0;
+  Micros heard_ = 0;          // the last event of the attempt; 0: none
+  Micros progress_told_ = 0;  // to the decision module
+  int sends_ = 0;             // attempts made
+  int runs_ = 0;              // of these, how many may have run
+  int not_sent_ = 0;          // placements that came to nothing before a send
+  Micros retry_after_ = 0;
+  int worker_status_ = 0;
+
+  EventSplitter events_;
+  std::uint64_t last_event_id_ = 0;
+  std::optional<ResponseHead> head_;  // of the stream's first worker, until it is passed on
+  bool head_passed_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace pearreach::proxy
+
+#endif  // PEARREACH_SRC_PROXY_RUNNING_JOB_H_
--- /dev/null
+++ b/src/proxy/running_job_answer.cpp
@@ -0,0 +1,107 @@
+// The part of a running job that passes answers on to its sink.
+#include <utility>
+
+#include "proxy/running_job.h"
+#include "proxy/worker_request.h"
+
+namespace pearreach::proxy {
+namespace {
+
+using marlquay::Outcome;
+
+constexpr Micros kProgressEvery = 2 * kSecond;  // the decision module hears of a stream this often
+constexpr std::size_t kMostBacklog = 16 << 20;  // bytes that a client may leave untaken
+
+}  // namespace
+
+void RunningJob::PassOn(ResponseHead head, const std::string& body) {
+  const auto self = shared_from_this();
+  const std::shared_ptr<JobSink> sink = sink_;
+  sink->OnHead(head.status, EndToEnd(std::move(head.headers)));
+  if (!ended_ && !body.empty()) sink->OnBody(body);
+  JobResult result;
+  result.end = JobEnd::kComplete;
+  result.worker_status = worker_status_;
+  End(result);
+}
+
+// A stream's head waits for its first event: until then another worker may still give both.
+void RunningJob::OnStreamHead(const ResponseHead& head) {
+  if (const auto load = ReadWorkerLoad(head)) line_->workers.Tell(worker_, *load);
+  worker_status_ = head.status;
+  if (!head_passed_) head_ = head;
+}
+
+void RunningJob::PassHead() {
+  if (std::exchange(head_passed_, true)) return;
+  sink_->OnHead(head_->status, EndToEnd(std::move(head_->headers)));
+  head_.reset();
+}
+
+void RunningJob::PassBytes(std::string_view bytes) {
+  if (bytes.empty() || ended_) return;
+  PassHead();
+  if (!ended_) sink_->OnBody(bytes);
+}
+
+void RunningJob::OnStreamBytes(std::string_view bytes) {
+  const auto self = shared_from_this();
+  events_.Append(bytes);
+  if (!PassEvents()) return BreakStream();
+  if (ended_) return;
+  if (sink_->backlog() <= kMostBacklog) return;
+  Leave(Outcome::kCancelled);
+  EndWithoutAnswer();
+}
+
+// Whole events, none twice and without gaps, those that came together in one piece. False: the
+// worker's events do not follow what was passed on.
+bool RunningJob::PassEvents() {
+  std::string_view together;
+  StreamEvent event;
+  bool follows = true;
+  while (events_.Next(&event)) {
+    const bool heard = event.id.has_value() || !spec_.resumable;
+    if (heard) heard_ = Now();
+    if (event.id && spec_.resumable) {
+      if (*event.id <= last_event_id_) continue;
+      follows = last_event_id_ == 0 || *event.id == last_event_id_ + 1;
+      if (!follows) break;
+    }
+    if (event.id) last_event_id_ = *event.id;
+    const bool joins = !together.empty() && together.data() + together.size() == event.bytes.data();
+    if (!joins) PassBytes(together);
+    together = joins ? std::string_view(together.data(), together.size() + event.bytes.size())
+                     : event.bytes;
+  }
+  if (heard_ != 0 && placement_ != 0) {
+    line_->dispatcher.Began(placement_);
+    if (heard_ - progress_told_ >= kProgressEvery) {
+      progress_told_ = heard_;
+      line_->dispatcher.Progress(placement_);
+    }
+  }
+  PassBytes(together);
+  return follows;
+}
+
+void RunningJob::BreakStream() {
+  ++runs_;
+  Leave(Outcome::kError);
+  AfterRun();
+}
+
+void RunningJob::OnStreamComplete() {
+  ++runs_;
+  Settle(Outcome::kGood);
+  const std::shared_ptr<JobSink> sink = sink_;
+  PassHead();
+  // A last event without its empty line is part of the worker's whole body all the same.
+  if (!ended_) PassBytes(events_.Rest());
+  JobResult result;
+  result.end = JobEnd::kComplete;
+  result.worker_status = worker_status_;
+  End(result);
+}
+
+}  // namespace pearreach::proxy
--- /dev/null
+++ b/src/proxy/service_line.h
@@ -0,0 +1,24 @@
+// One service at this node: its workers and the admission to them.
+#ifndef PEARREACH_SRC_PROXY_SERVICE_LINE_H_
+#define PEARREACH_SRC_PROXY_SERVICE_LINE_H_
+
+#include <string>
+
+#include "proxy/pool_dispatcher.h"
+#include "proxy/service_workers.h"
+
+namespace pearreach::proxy {
+
+struct ServiceLine {
+  ServiceLine(Timers* timers, const std::string& service, const std::string& zone,
+              std::uint64_t seed)
+      : workers(timers, zone), dispatcher(timers, &workers, service, seed) {}
+
+  ServiceWorkers workers;
+  PoolDispatcher dispatcher;
+  int bulk_in_flight = 0;
+};
+
+}  // namespace pearreach::proxy
+
+#endif  // PEARREACH_SRC_PROXY_SERVICE_LINE_H_
--- /dev/null
+++ b/src/proxy/service_workers.cpp
@@ -0,0 +1,188 @@
+#include "proxy/service_workers.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace pearreach::proxy {
+namespace {
+
+constexpr double kColdWeight = 0.5;      // of a worker that warms up, beside a warm one
+constexpr Micros kLoadMemory = kSecond;  // what a worker told of its load fades over this
+constexpr std::uint64_t kHashStart = 0xcbf29ce484222325u, kHashPrime = 0x100000001b3u;  // FNV-1a
+
+// The same at every node, whatever its library.
+std::uint64_t HashOf(std::string_view text) {
+  std::uint64_t hash = kHashStart;
+  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * kHashPrime;
+  return hash;
+}
+
+bool Same(const marlquay::WorkerEntry& a, const marlquay::WorkerEntry& b) {
+  return a.identity == b.identity && a.zone == b.zone && a.health == b.health &&
+         a.weight == b.weight;
+}
+
+// Most updates of a record say only that its worker was heard again.
+bool SameButHeard(const registry::WorkerRecord& a, const registry::WorkerRecord& b) {
+  return a.phase == b.phase && a.capacity == b.capacity && a.warm_at == b.warm_at &&
+         a.worker_id == b.worker_id && a.address == b.address && a.zone == b.zone;
+}
+
+}  // namespace
+
+std::optional<WorkerLoad> ReadWorkerLoad(const ResponseHead& head) {
+  const std::string* text = head.Find("X-Worker-Load");
+  if (text == nullptr) return {};
+  double numbers[3] = {0, 0, 0};
+  const char* at = text->data();
+  const char* const end = at + text->size();
+  for (double& number : numbers) {
+    while (at != end && (*at == ',' || *at == ' ')) ++at;
+    const auto read = std::from_chars(at, end, number);
+    if (read.ec != std::errc() || number < 0) return {};
+    at = read.ptr;
+  }
+  return WorkerLoad{numbers[0], numbers[1], numbers[2]};
+}
+
+ServiceWorkers::ServiceWorkers(Timers* timers, std::string own_zone) : timers_(timers) {
+  zones_.emplace(std::move(own_zone), 0);
+}
+
+int ServiceWorkers::Zone(const std::string& zone) {
+  return zones_.try_emplace(zone, static_cast<int>(zones_.size())).first->second;
+}
+
+void ServiceWorkers::BeginUpdate() { ++update_; }
+
+void ServiceWorkers::Update(const registry::WorkerRecord& record) {
+  const marlquay::WorkerId number = Number(record);
+  ServiceWorker& worker = workers_[number];
+  const bool moved = worker.connections == nullptr || worker.record.address != record.address;
+  if (moved) worker.connections = std::make_shared<WorkerConnections>(timers_, record.address);
+  if (worker.record.call_seq != record.call_seq && record.call_seq > worker.dropped_at)
+    worker.dropped_at = 0;
+  if (SameButHeard(worker.record, record)) {
+    worker.record.call_seq = record.call_seq;
+  } else {
+    worker.record = record;
+    Zone(record.zone);
+  }
+  worker.present = worker.dropped_at == 0;
+}
+
+marlquay::WorkerId ServiceWorkers::Number(const registry::WorkerRecord& record) {
+  const auto [known, fresh] = by_id_.try_emplace(record.worker_id);
+  known->second.update = update_;
+  if (!fresh) return known->second.number;
+  if (free_.empty()) {
+    free_.push_back(static_cast<marlquay::WorkerId>(workers_.size()));
+    workers_.emplace_back();
+    told_.emplace_back();
+    told_.back().health = marlquay::Health::kGone;
+  }
+  known->second.number = free_.back();
+  free_.pop_back();
+  workers_[known->second.number] = ServiceWorker();
+  return known->second.number;
+}
+
+std::vector<marlquay::WorkerEntry> ServiceWorkers::EndUpdate() {
+  const Micros now = Now();
+  std::vector<marlquay::WorkerEntry> changes;
+  for (auto known = by_id_.begin(); known != by_id_.end();) {
+    const marlquay::WorkerId number = known->second.number;
+    ServiceWorker& worker = workers_[number];
+    const bool gone = known->second.update != update_;
+    if (gone) worker.present = false;
+    const marlquay::WorkerEntry entry = Entry(number, now);
+    if (!Same(entry, told_[number])) {
+      told_[number] = entry;
+      changes.push_back(entry);
+      if (entry.health != marlquay::Health::kInService) worker.connections->CloseIdle();
+    }
+    // A number is used again only when nothing is out under it.
+    const bool forget = gone && worker.in_flight == 0;
+    if (forget) free_.push_back(number);
+    known = forget ? by_id_.erase(known) : std::next(known);
+  }
+  Count(now);
+  return changes;
+}
+
+std::vector<marlquay::WorkerEntry> ServiceWorkers::Everything() const {
+  std::vector<marlquay::WorkerEntry> all;
+  for (const auto& [id, known] : by_id_)
+    if (told_[known.number].health != marlquay::Health::kGone) all.push_back(told_[known.number]);
+  return all;
+}
+
+ServiceWorker* ServiceWorkers::Find(marlquay::WorkerId id) {
+  return id < workers_.size() ? &workers_[id] : nullptr;
+}
+
+std::vector<marlquay::WorkerEntry> ServiceWorkers::DropWorker(marlquay::WorkerId id) {
+  ServiceWorker& worker = workers_[id];
+  worker.dropped_at = std::max<std::uint64_t>(worker.record.call_seq, 1);
+  worker.present = false;
+  worker.connections->CloseIdle();
+  const Micros now = Now();
+  told_[id] = Entry(id, now);
+  Count(now);
+  return {told_[id]};
+}
+
+void ServiceWorkers::Tell(marlquay::WorkerId id, const WorkerLoad& load) {
+  workers_[id].load = load;
+  workers_[id].load_at = Now();
+}
+
+marlquay::WorkerEntry ServiceWorkers::Entry(marlquay::WorkerId id, Micros now) const {
+  const ServiceWorker& worker = workers_[id];
+  const registry::WorkerRecord& record = worker.record;
+  marlquay::WorkerEntry entry;
+  entry.worker = id;
+  entry.identity = HashOf(record.worker_id);
+  entry.zone = zones_.at(record.zone);
+  entry.health = !worker.present || record.phase == registry::WorkerPhase::kGone
+                     ? marlquay::Health::kGone
+                 : record.phase == registry::WorkerPhase::kDraining ? marlquay::Health::kDraining
+                                                                    : marlquay::Health::kInService;
+  entry.weight = std::max(record.capacity, 1) * (record.warm_at > now ? kColdWeight : 1.0);
+  return entry;
+}
+
+void ServiceWorkers::Count(Micros now) {
+  ready_slots_ = largest_capacity_ = 0;
+  largest_.reset();
+  next_warm_ = 0;
+  for (const auto& [id, known] : by_id_) {
+    if (told_[known.number].health != marlquay::Health::kInService) continue;
+    const registry::WorkerRecord& record = workers_[known.number].record;
+    ready_slots_ += record.capacity;
+    if (record.warm_at > now && (next_warm_ == 0 || record.warm_at < next_warm_))
+      next_warm_ = record.warm_at;
+    if (record.capacity <= largest_capacity_) continue;
+    largest_capacity_ = record.capacity;
+    largest_ = known.number;
+  }
+}
+
+double ServiceWorkers::SlotsTaken(Micros now, bool* told) const {
+  double taken = 0;
+  *told = false;
+  for (const auto& [id, known] : by_id_) {
+    if (told_[known.number].health != marlquay::Health::kInService) continue;
+    const ServiceWorker& worker = workers_[known.number];
+    const Micros age = now - worker.load_at;
+    const bool fresh = worker.load_at != 0 && age < kLoadMemory;
+    const double fade = fresh ? 1 - static_cast<double>(age) / kLoadMemory : 0;
+    *told = *told || fresh;
+    taken += std::max<double>(worker.in_flight, fade * (worker.load.running + worker.load.waiting));
+  }
+  return taken;
+}
+
+}  // namespace pearreach::proxy
--- /dev/null
+++ b/src/proxy/service_workers.h
@@ -0,0 +1,87 @@
+// The workers of one service as this node uses them: small numbers for the decision module, their
+// connections, what is out at them and what they told of their load.
+#ifndef PEARREACH_SRC_PROXY_SERVICE_WORKERS_H_
+#define PEARREACH_SRC_PROXY_SERVICE_WORKERS_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/timers.h"
+#include "marlquay/dispatcher.h"
+#include "proxy/response_reader.h"
+#include "proxy/worker_connections.h"
+#include "registry/worker_table.h"
+
+namespace pearreach::proxy {
+
+// What X-Worker-Load says.
+struct WorkerLoad {
+  double running = 0, waiting = 0, slots = 0;
+};
+std::optional<WorkerLoad> ReadWorkerLoad(const ResponseHead& head);
+
+struct ServiceWorker {
+  registry::WorkerRecord record;
+  std::shared_ptr<WorkerConnections> connections;
+  int in_flight = 0;             // attempts of this node
+  bool present = false;          // in the table, and not dropped
+  std::uint64_t dropped_at = 0;  // call_seq at which it was found to be another; 0: it was not
+  WorkerLoad load;
+  Micros load_at = 0;  // 0: it never told
+};
+
+class ServiceWorkers {
+ public:
+  ServiceWorkers(Timers* timers, std::string own_zone);
+
+  // Between these, one call a worker of the service in the table; EndUpdate gives what has changed.
+  void BeginUpdate();
+  void Update(const registry::WorkerRecord& record);
+  std::vector<marlquay::WorkerEntry> EndUpdate();
+  std::vector<marlquay::WorkerEntry> Everything() const;
+
+  ServiceWorker* Find(marlquay::WorkerId id);
+  // Another worker answered at its address: nothing more goes there until it is heard of anew.
+  std::vector<marlquay::WorkerEntry> DropWorker(marlquay::WorkerId id);
+  void Tell(marlquay::WorkerId id, const WorkerLoad& load);
+
+  bool empty() const { return by_id_.empty(); }
+  double ready_slots() const { return ready_slots_; }
+  double largest_capacity() const { return largest_capacity_; }
+  std::optional<marlquay::WorkerId> largest() const { return largest_; }
+  // When the next worker that warms up is warm; 0: none.
+  Micros next_warm() const { return next_warm_; }
+  // Slots taken at ready workers as far as is known; `told`: some load report is fresh.
+  double SlotsTaken(Micros now, bool* told) const;
+
+ private:
+  struct Known {
+    marlquay::WorkerId number = 0;
+    std::uint64_t update = 0;
+  };
+
+  marlquay::WorkerId Number(const registry::WorkerRecord& record);
+  marlquay::WorkerEntry Entry(marlquay::WorkerId id, Micros now) const;
+  void Count(Micros now);
+  int Zone(const std::string& zone);
+
+  Timers* timers_;
+  std::map<std::string, int> zones_;  // the own one is 0
+  std::vector<ServiceWorker> workers_;
+  std::vector<marlquay::WorkerEntry> told_;  // what the decision module was told last
+  std::vector<marlquay::WorkerId> free_;
+  std::unordered_map<std::string, Known> by_id_;
+  std::uint64_t update_ = 0;
+  double ready_slots_ = 0, largest_capacity_ = 0;
+  std::optional<marlquay::WorkerId> largest_;
+  Micros next_warm_ = 0;
+};
+
+}  // namespace pearreach::proxy
+
+#endif  // PEARREACH_SRC_PROXY_SERVICE_WORKERS_H_
--- /dev/null
+++ b/src/proxy/worker_request.cpp
@@ -0,0 +1,60 @@
+#include "proxy/worker_request.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace pearreach::proxy {
+namespace {
+
+constexpr std::size_t kHeadEstimate = 512;
+
+// Headers of a request that are this node's to write, or concern one connection only.
+constexpr std::array<std::string_view, 11> kNotFromJob = {
+    "Connection",      "Content-Length", "Transfer-Encoding", "X-Deadline-Ms", "Expect",
+    "X-Target-Worker", "Last-Event-Id",  "Keep-Alive",        "Upgrade",       "TE",
+    "Proxy-Connection"};
+constexpr std::array<std::string_view, 8> kNotFromWorker = {
+    "Connection", "Content-Length",   "Transfer-Encoding", "Keep-Alive",
+    "Upgrade",    "Proxy-Connection", "Trailer",           "X-Worker-Load"};
+
+template <std::size_t kCount>
+bool IsIn(const std::array<std::string_view, kCount>& names, std::string_view name) {
+  return std::any_of(names.begin(), names.end(), [name](std::string_view one) {
+    return one.size() == name.size() && http::SameName(one, name);
+  });
+}
+
+void AddHeader(std::string* out, std::string_view name, std::string_view value) {
+  out->append(name).append(": ").append(value).append("\r\n");
+}
+
+void AddHeader(std::string* out, std::string_view name, std::uint64_t value) {
+  char digits[24];
+  const auto end = std::to_chars(digits, digits + sizeof digits, value).ptr;
+  AddHeader(out, name, std::string_view(digits, static_cast<std::size_t>(end - digits)));
+}
+
+}  // namespace
+
+std::string WriteWorkerRequest(const JobSpec& job, const SendDetails& send) {
+  std::string out;
+  out.reserve(kHeadEstimate + job.target.size() + job.body.size());
+  out.append(job.method).append(" ").append(job.target).append(" HTTP/1.1\r\n");
+  for (const http::Header& header : job.headers)
+    if (!IsIn(kNotFromJob, header.name)) AddHeader(&out, header.name, header.value);
+  if (send.last_event_id > 0) AddHeader(&out, "Last-Event-Id", send.last_event_id);
+  if (send.left > 0)
+    AddHeader(&out, "X-Deadline-Ms",
+              static_cast<std::uint64_t>(std::max<Micros>(send.left / kMs, 1)));
+  AddHeader(&out, "X-Target-Worker", send.worker_id);
+  AddHeader(&out, "Content-Length", job.body.size());
+  return out.append("\r\n").append(job.body);
+}
+
+std::vector<http::Header> EndToEnd(std::vector<http::Header> headers) {
+  std::erase_if(headers, [](const http::Header& h) { return IsIn(kNotFromWorker, h.name); });
+  return headers;
+}
+
+}  // namespace pearreach::proxy
--- /dev/null
+++ b/src/proxy/worker_request.h
@@ -0,0 +1,28 @@
+// What goes to a worker for a job, and which of its headers go back.
+#ifndef PEARREACH_SRC_PROXY_WORKER_REQUEST_H_
+#define PEARREACH_SRC_PROXY_WORKER_REQUEST_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "proxy/job.h"
+
+namespace pearreach::proxy {
+
+// What one send adds to a job.
+struct SendDetails {
+  std::string_view worker_id;       // the only worker that may run it
+  Micros left = 0;                  // until the client gives up; 0: says nothing
+  std::uint64_t last_event_id = 0;  // the stream goes on after this event; 0: from its start
+};
+
+// The whole request, head and body.
+std::string WriteWorkerRequest(const JobSpec& job, const SendDetails& send);
+// The headers of an answer that concern more than one connection.
+std::vector<http::Header> EndToEnd(std::vector<http::Header> headers);
+
+}  // namespace pearreach::proxy
+
+#endif  // PEARREACH_SRC_PROXY_WORKER_REQUEST_H_
--- /dev/null
+++ b/src/routing/configuration_checks.cpp
@@ -0,0 +1,103 @@
+// What must hold between the entries of a configuration.
+#include <fmt/format.h>
+
+#include <unordered_map>
+#include <unordered_set>
+
+#include "routing/configuration.h"
+
+namespace pearreach::routing {
+namespace {
+
+using FirstPlaces = std::unordered_map<std::string, std::size_t>;
+
+// Which entry had `key` first; the entry itself where it is the first.
+std::size_t FirstWith(const std::string& key, std::size_t position, FirstPlaces* first_places) {
+  return first_places->try_emplace(key, position).first->second;
+}
+
+class Checker {
+ public:
+  Checker(const Configuration& configuration, Findings* findings)
+      : configuration_(configuration), findings_(findings) {}
+
+  void Run() {
+    CheckServices();
+    for (std::size_t i = 0; i < configuration_.routes.size(); ++i) CheckRoute(i);
+  }
+
+ private:
+  void CheckServices() {
+    FirstPlaces names;
+    for (std::size_t i = 0; i < configuration_.services.size(); ++i) {
+      const std::string& name = configuration_.services[i].name;
+      const std::size_t first = FirstWith(name, i, &names);
+      if (first != i) {
+        findings_->Add(PlaceInList("services", i) + ".name",
+                       fmt::format("'{}' is the name of services[{}] too", name, first));
+      }
+      services_.insert(name);
+    }
+  }
+
+  void CheckRoute(std::size_t position) {
+    const Route& route = configuration_.routes[position];
+    const std::string place = PlaceInList("routes", position);
+    CheckName(route, place, position);
+    CheckPrefix(route, place);
+    CheckHostAndPrefix(route, place, position);
+    CheckTargets(route, place);
+  }
+
+  void CheckName(const Route& route, const std::string& place, std::size_t position) {
+    if (route.name.empty()) return;  // reported when it was read
+    const std::size_t first = FirstWith(route.name, position, &route_names_);
+    if (first == position) return;
+    findings_->Add(place + ".name",
+                   fmt::format("'{}' is the name of routes[{}] too", route.name, first));
+  }
+
+  void CheckPrefix(const Route& route, const std::string& place) {
+    const std::string& prefix = route.path_prefix;
+    if (prefix.empty()) return;  // reported when it was read
+    if (prefix.front() == '/' && prefix.back() == '/') return;
+    findings_->Add(place + ".path_prefix", "does not begin and end with '/'");
+  }
+
+  void CheckHostAndPrefix(const Route& route, const std::string& place, std::size_t position) {
+    if (route.host.empty() || route.path_prefix.empty()) return;
+    const std::string key = NormalizeHost(route.host) + route.path_prefix;
+    const std::size_t first = FirstWith(key, position, &host_prefixes_);
+    if (first == position) return;
+    findings_->Add(place, fmt::format("host and path_prefix are those of routes[{}]", first));
+  }
+
+  void CheckTargets(const Route& route, const std::string& place) {
+    if (route.targets.empty()) return;  // reported when it was read
+    double sum = 0;
+    for (const Target& target : route.targets) {
+      sum += target.share;
+      CheckService(target, place);
+    }
+    if (sum <= 0) findings_->Add(place + ".split", "shares sum to 0");
+  }
+
+  void CheckService(const Target& target, const std::string& place) {
+    const bool reported = target.service.empty();
+    if (reported || services_.contains(target.service)) return;
+    findings_->Add(place + ".target", fmt::format("unknown service '{}'", target.service));
+  }
+
+  const Configuration& configuration_;
+  Findings* findings_;
+  std::unordered_set<std::string> services_;
+  FirstPlaces route_names_, host_prefixes_;
+};
+
+}  // namespace
+
+void CheckConfiguration(const Configuration& configuration, Findings* findings) {
+  Checker(configuration, findings).Run();
+}
+
+}  // namespace pearreach::routing
--- /dev/null
+++ b/src/routing/configuration_reader.cpp
@@ -0,0 +1,219 @@
+// From JSON text to a Configuration.
+#include <fmt/format.h>
+#include <rapidjson/document.h>
+#include <rapidjson/error/en.h>
+
+#include <algorithm>
+#include <array>
+#include <unordered_set>
+
+#include "routing/configuration.h"
+#include "routing/object_reader.h"
+
+namespace pearreach::routing {
+namespace {
+
+constexpr int kDeepestNesting = 64;  // far beyond any configuration; bounds the recursion below
+
+// Iterative, so that no text can exhaust the stack.
+constexpr unsigned kParseFlags = rapidjson::kParseIterativeFlag |
+                                 rapidjson::kParseValidateEncodingFlag |
+                                 rapidjson::kParseFullPrecisionFlag;
+
+struct VariantName {
+  std::string_view name;
+  Variant variant;
+};
+
+constexpr std::array<VariantName, 4> kVariantNames = {{
+    {"idempotent", Variant::kIdempotent},
+    {"effectful", Variant::kEffectful},
+    {"streamed", Variant::kStreamed},
+    {"bulk", Variant::kBulk},
+}};
+
+// A name that is not known is taken as `effectful`, which promises the most: it runs at most once.
+Variant VariantOf(std::string_view name) {
+  for (const VariantName& known : kVariantNames) {
+    if (known.name == name) return known.variant;
+  }
+  return Variant::kEffectful;
+}
+
+std::string_view TextOf(const rapidjson::Value& value) {
+  return {value.GetString(), value.GetStringLength()};
+}
+
+std::string PlaceBelow(const std::string& place, std::string_view field) {
+  return place.empty() ? std::string(field) : fmt::format("{}.{}", place, field);
+}
+
+void FindRepeatedKeys(const rapidjson::Value& value, const std::string& place, int depth,
+                      Findings* findings);
+
+void FindRepeatedKeysInObject(const rapidjson::Value& object, const std::string& place, int depth,
+                              Findings* findings) {
+  std::unordered_set<std::string_view> seen;
+  for (const auto& member : object.GetObject()) {
+    const std::string_view name = TextOf(member.name);
+    if (!seen.insert(name).second) findings->Add(PlaceBelow(place, name), "given more than once");
+    const bool nested = member.value.IsObject() || member.value.IsArray();
+    if (nested) FindRepeatedKeys(member.value, PlaceBelow(place, name), depth + 1, findings);
+  }
+}
+
+void FindRepeatedKeys(const rapidjson::Value& value, const std::string& place, int depth,
+                      Findings* findings) {
+  if (depth > kDeepestNesting) return findings->Add(place, "nested too deeply");
+  if (value.IsObject()) return FindRepeatedKeysInObject(value, place, depth, findings);
+  if (!value.IsArray()) return;
+  for (rapidjson::SizeType i = 0; i < value.Size(); ++i) {
+    const bool nested = value[i].IsObject() || value[i].IsArray();
+    if (nested) FindRepeatedKeys(value[i], PlaceInList(place, i), depth + 1, findings);
+  }
+}
+
+std::vector<Target> ReadSplit(const rapidjson::Value& split, const std::string& place,
+                              Findings* findings) {
+  std::vector<Target> targets;
+  targets.reserve(split.Size());
+  for (rapidjson::SizeType i = 0; i < split.Size(); ++i) {
+    const ObjectReader reader(split[i], PlaceInList(place, i), findings);
+    Target target;
+    reader.ReadText("target", Need::kRequired, &target.service);
+    reader.ReadNumber("share", Need::kRequired, &target.share);
+    targets.push_back(std::move(target));
+  }
+  return targets;
+}
+
+void ReadTargets(const ObjectReader& reader, Findings* findings, Route* route) {
+  const bool has_target = reader.Has("target");
+  const bool has_split = reader.Has("split");
+  if (has_target && has_split) findings->Add(reader.place(), "both target and split");
+  if (!has_target && !has_split) findings->Add(reader.place(), "neither target nor split");
+  if (has_split) {
+    const rapidjson::Value* split = reader.ReadArray("split", Need::kRequired);
+    if (split == nullptr) return;
+    if (split->Empty()) findings->Add(reader.PlaceOf("split"), "no target");
+    route->targets = ReadSplit(*split, reader.PlaceOf("split"), findings);
+  } else if (has_target) {
+    Target target;
+    reader.ReadText("target", Need::kRequired, &target.service);
+    route->targets.push_back(std::move(target));
+  }
+}
+
+void ReadTimes(const ObjectReader& reader, Route* route) {
+  const bool bulk = route->variant == Variant::kBulk;
+  // Items of a batch job stand outside limit_ms, so that such a route may go without.
+  reader.ReadNumber("limit_ms", bulk ? Need::kOptional : Need::kRequired, &route->limit_ms);
+  reader.ReadNumber("target_ms", Need::kOptional, &route->target_ms);
+  reader.ReadNumber("gap_aim_ms", Need::kOptional, &route->gap_aim_ms);
+  reader.ReadNumber("due_ms", bulk ? Need::kRequired : Need::kOptional, &route->due_ms);
+  reader.ReadNumber("retain_s", bulk ? Need::kRequired : Need::kOptional, &route->retain_s);
+}
+
+Route ReadRoute(const rapidjson::Value& value, const std::string& place, Findings* findings) {
+  const ObjectReader reader(value, place, findings);
+  Route route;
+  std::string variant = "effectful";
+  reader.ReadText("name", Need::kRequired, &route.name);
+  reader.ReadText("host", Need::kRequired, &route.host);
+  reader.ReadText("path_prefix", Need::kRequired, &route.path_prefix);
+  reader.ReadText("variant", Need::kOptional, &variant);
+  route.variant = VariantOf(variant);
+  ReadTimes(reader, &route);
+  if (reader.Has("limit_ms") && route.limit_ms <= 0) {
+    findings->Add(reader.PlaceOf("limit_ms"), "not above 0");
+  }
+  reader.ReadNumber("token_cap", Need::kOptional, &route.token_cap);
+  reader.ReadCount("rank", Need::kOptional, &route.rank);
+  reader.ReadCount("tries", Need::kOptional, &route.tries);
+  route.tries = std::max(route.tries, 1);
+  reader.ReadFlag("pinned", Need::kOptional, &route.pinned);
+  reader.ReadFlag("resumable", Need::kOptional, &route.resumable);
+  ReadTargets(reader, findings, &route);
+  return route;
+}
+
+Service ReadService(const rapidjson::Value& value, const std::string& place, Findings* findings) {
+  const ObjectReader reader(value, place, findings);
+  Service service;
+  reader.ReadText("name", Need::kRequired, &service.name);
+  reader.ReadText("health_path", Need::kOptional, &service.health_path);
+  reader.ReadCount("max_conns", Need::kOptional, &service.max_conns);
+  const rapidjson::Value* engine = reader.ReadObject("engine", Need::kOptional);
+  if (engine == nullptr) return service;
+  const ObjectReader engine_reader(*engine, reader.PlaceOf("engine"), findings);
+  service.has_engine = true;
+  engine_reader.ReadCount("capacity", Need::kOptional, &service.engine_capacity);
+  engine_reader.ReadNumber("cache_tokens", Need::kOptional, &service.engine_cache_tokens);
+  return service;
+}
+
+HttpLimits ReadLimits(const rapidjson::Value& value, const std::string& place, Findings* findings) {
+  const ObjectReader reader(value, place, findings);
+  HttpLimits limits;
+  reader.ReadSize("max_header_bytes", Need::kOptional, &limits.max_header_bytes);
+  reader.ReadSize("max_body_bytes", Need::kOptional, &limits.max_body_bytes);
+  reader.ReadNumber("header_wait_ms", Need::kOptional, &limits.header_wait_ms);
+  reader.ReadNumber("idle_ms", Need::kOptional, &limits.idle_ms);
+  return limits;
+}
+
+// Reads all elements of a required list by `read`.
+template <class Element>
+std::vector<Element> ReadList(const ObjectReader& reader, std::string_view field,
+                              Element (*read)(const rapidjson::Value&, const std::string&,
+                                              Findings*),
+                              Findings* findings) {
+  std::vector<Element> elements;
+  const rapidjson::Value* list = reader.ReadArray(field, Need::kRequired);
+  if (list == nullptr) return elements;
+  elements.reserve(list->Size());
+  for (rapidjson::SizeType i = 0; i < list->Size(); ++i) {
+    elements.push_back(read((*list)[i], PlaceInList(field, i), findings));
+  }
+  return elements;
+}
+
+Configuration ReadRoot(const rapidjson::Value& root, Findings* findings) {
+  Configuration configuration;
+  const ObjectReader reader(root, "", findings);
+  reader.ReadWhole("version_no", Need::kRequired, &configuration.version);
+  if (reader.Has("version_no") && configuration.version <= 0) {
+    findings->Add("version_no", "not a positive whole number");
+  }
+  configuration.services = ReadList<Service>(reader, "services", &ReadService, findings);
+  configuration.routes = ReadList<Route>(reader, "routes", &ReadRoute, findings);
+  const rapidjson::Value* limits = reader.ReadObject("limits", Need::kOptional);
+  if (limits != nullptr) configuration.limits = ReadLimits(*limits, "limits", findings);
+  return configuration;
+}
+
+}  // namespace
+
+std::string PlaceInList(std::string_view list, std::size_t position) {
+  return fmt::format("{}[{}]", list, position);
+}
+
+Configuration ReadConfiguration(const std::string& json, Findings* findings) {
+  // The parser takes a NUL for the end of the text and would pass over what follows.
+  const std::size_t nul = json.find('\0');
+  if (nul != std::string::npos) {
+    findings->Add(fmt::format("byte {}", nul), "a NUL");
+    return {};
+  }
+  rapidjson::Document document;
+  document.Parse<kParseFlags>(json.data(), json.size());
+  if (document.HasParseError()) {
+    findings->Add(fmt::format("byte {}", document.GetErrorOffset()),
+                  rapidjson::GetParseError_En(document.GetParseError()));
+    return {};
+  }
+  FindRepeatedKeys(document, "", 0, findings);
+  return ReadRoot(document, findings);
+}
+
+}  // namespace pearreach::routing
--- /dev/null
+++ b/src/routing/object_reader.cpp
@@ -0,0 +1,111 @@
+#include "routing/object_reader.h"
+
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace pearreach::routing {
+namespace {
+
+constexpr double kLargestWhole = 9007199254740992.0;  // 2^53: above it a double skips whole numbers
+
+}  // namespace
+
+ObjectReader::ObjectReader(const rapidjson::Value& value, std::string place, Findings* findings)
+    : object_(value.IsObject() ? &value : nullptr), place_(std::move(place)), findings_(findings) {
+  if (object_ == nullptr) {
+    findings_->Add(place_.empty() ? "configuration" : place_, "not an object");
+  }
+}
+
+std::string ObjectReader::PlaceOf(std::string_view field) const {
+  if (place_.empty()) return std::string(field);
+  return place_ + "." + std::string(field);
+}
+
+const rapidjson::Value* ObjectReader::Find(std::string_view field) const {
+  if (object_ == nullptr) return nullptr;
+  const auto name =
+      rapidjson::StringRef(field.data(), static_cast<rapidjson::SizeType>(field.size()));
+  const auto member = object_->FindMember(rapidjson::Value(name));
+  return member == object_->MemberEnd() ? nullptr : &member->value;
+}
+
+const rapidjson::Value* ObjectReader::FindNeeded(std::string_view field, Need need) const {
+  const rapidjson::Value* value = Find(field);
+  const bool missing = value == nullptr && object_ != nullptr;
+  if (missing && need == Need::kRequired) Report(field, "missing");
+  return value;
+}
+
+void ObjectReader::Report(std::string_view field, std::string_view text) const {
+  findings_->Add(PlaceOf(field), text);
+}
+
+void ObjectReader::ReadText(std::string_view field, Need need, std::string* out) const {
+  const rapidjson::Value* value = FindNeeded(field, need);
+  if (value == nullptr) return;
+  if (!value->IsString()) return Report(field, "not a text");
+  out->assign(value->GetString(), value->GetStringLength());
+  if (out->empty() && need == Need::kRequired) Report(field, "empty");
+}
+
+void ObjectReader::ReadFlag(std::string_view field, Need need, bool* out) const {
+  const rapidjson::Value* value = FindNeeded(field, need);
+  if (value == nullptr) return;
+  if (!value->IsBool()) return Report(field, "neither true nor false");
+  *out = value->GetBool();
+}
+
+void ObjectReader::ReadNumber(std::string_view field, Need need, double* out) const {
+  const rapidjson::Value* value = FindNeeded(field, need);
+  if (value == nullptr) return;
+  if (!value->IsNumber()) return Report(field, "not a number");
+  if (value->GetDouble() < 0) return Report(field, "negative");
+  *out = value->GetDouble();
+}
+
+void ObjectReader::ReadWhole(std::string_view field, Need need, std::int64_t* out) const {
+  const rapidjson::Value* value = FindNeeded(field, need);
+  if (value == nullptr) return;
+  if (!value->IsNumber()) return Report(field, "not a number");
+  if (value->IsInt64()) {
+    *out = value->GetInt64();
+    return;
+  }
+  const double number = value->GetDouble();
+  if (number != std::floor(number)) return Report(field, "not a whole number");
+  if (std::abs(number) > kLargestWhole) return Report(field, "too large");
+  *out = static_cast<std::int64_t>(number);
+}
+
+void ObjectReader::ReadCount(std::string_view field, Need need, int* out) const {
+  std::int64_t whole = *out;
+  ReadWhole(field, need, &whole);
+  if (whole < 0) return Report(field, "negative");
+  if (whole > std::numeric_limits<int>::max()) return Report(field, "too large");
+  *out = static_cast<int>(whole);
+}
+
+void ObjectReader::ReadSize(std::string_view field, Need need, std::size_t* out) const {
+  auto whole = static_cast<std::int64_t>(*out);
+  ReadWhole(field, need, &whole);
+  if (whole < 0) return Report(field, "negative");
+  *out = static_cast<std::size_t>(whole);
+}
+
+const rapidjson::Value* ObjectReader::ReadArray(std::string_view field, Need need) const {
+  const rapidjson::Value* value = FindNeeded(field, need);
+  if (value == nullptr || value->IsArray()) return value;
+  Report(field, "not a list");
+  return nullptr;
+}
+
+const rapidjson::Value* ObjectReader::ReadObject(std::string_view field, Need need) const {
+  const rapidjson::Value* value = FindNeeded(field, need);
+  if (value == nullptr || value->IsObject()) return value;
+  Report(field, "not an object");
+  return nullptr;
+}
+
+}  // namespace pearreach::routing
--- /dev/null
+++ b/src/routing/route_table.cpp
@@ -0,0 +1,111 @@
+#include "routing/route_table.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+#include "routing/configuration.h"
+#include "routing/findings.h"
+
+namespace pearreach::routing {
+namespace {
+
+char ToLower(char letter) {
+  return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter - 'A' + 'a') : letter;
+}
+
+std::string_view WithoutPort(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  if (colon == std::string_view::npos) return host;
+  const bool inside_brackets = host.back() == ']';  // an IPv6 address without a port
+  return inside_brackets ? host : host.substr(0, colon);
+}
+
+}  // namespace
+
+std::string NormalizeHost(std::string_view host) {
+  std::string name(WithoutPort(host));
+  std::transform(name.begin(), name.end(), name.begin(), ToLower);
+  return name;
+}
+
+// Turns a configuration that passed its checks into a table.
+class TableBuilder {
+ public:
+  static std::shared_ptr<const RouteTable> Build(Configuration configuration) {
+    auto table = std::make_shared<RouteTable>();
+    table->version_ = configuration.version;
+    table->limits_ = configuration.limits;
+    table->routes_ = std::move(configuration.routes);
+    AddServices(std::move(configuration.services), table.get());
+    IndexRoutes(table.get());
+    return table;
+  }
+
+ private:
+  static void AddServices(std::vector<Service> services, RouteTable* table) {
+    for (Service& service : services) {
+      std::string name = service.name;
+      table->services_.emplace(std::move(name), std::move(service));
+    }
+  }
+
+  static void IndexRoutes(RouteTable* table) {
+    for (std::size_t i = 0; i < table->routes_.size(); ++i) {
+      const Route& route = table->routes_[i];
+      table->by_name_.emplace(route.name, i);
+      RouteTable::HostRoutes& host = table->by_host_[NormalizeHost(route.host)];
+      host.longest = std::max(host.longest, route.path_prefix.size());
+      host.by_prefix.emplace(route.path_prefix, i);
+    }
+  }
+};
+
+absl::StatusOr<std::shared_ptr<const RouteTable>> RouteTable::Parse(const std::string& json) {
+  Findings findings;
+  Configuration configuration = ReadConfiguration(json, &findings);
+  CheckConfiguration(configuration, &findings);
+  if (!findings.empty()) return findings.ToStatus();
+  return TableBuilder::Build(std::move(configuration));
+}
+
+const Service* RouteTable::FindService(std::string_view name) const {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+const Route* RouteTable::FindRoute(std::string_view name) const {
+  const auto found = by_name_.find(name);
+  return found == by_name_.end() ? nullptr : &routes_[found->second];
+}
+
+const Route* RouteTable::Match(std::string_view host, std::string_view path) const {
+  const auto found = by_host_.find(NormalizeHost(host));
+  if (found == by_host_.end()) return nullptr;
+  const HostRoutes& routes = found->second;
+  // Prefixes end with a slash: only beginnings of the path that do are looked up, longest first.
+  path = path.substr(0, path.find('?')).substr(0, routes.longest);
+  for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos;
+       slash = path.rfind('/')) {
+    const auto route = routes.by_prefix.find(path.substr(0, slash + 1));
+    if (route != routes.by_prefix.end()) return &routes_[route->second];
+    path = path.substr(0, slash);
+  }
+  return nullptr;
+}
+
+const Target& RouteTable::Pick(const Route& route, double point) {
+  const auto add_share = [](double sum, const Target& target) { return sum + target.share; };
+  const double sum = std::accumulate(route.targets.begin(), route.targets.end(), 0.0, add_share);
+  double left = point * sum;
+  const Target* last = &route.targets.front();
+  for (const Target& target : route.targets) {
+    if (target.share <= 0) continue;
+    if (left < target.share) return target;
+    left -= target.share;
+    last = &target;
+  }
+  return *last;  // rounding: the last that has a share
+}
+
+}  // namespace pearreach::routing
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -6,7 +6,9 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -71,12 +73,29 @@
   static const Target& Pick(const Route& route, double point);
 
  private:
-  friend class TableReader;
+  friend class TableBuilder;
+
+  // Looks names up by string_view without a copy.
+  struct NameHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view name) const {
+      return std::hash<std::string_view>()(name);
+    }
+  };
+  template <class Value>
+  using ByName = std::unordered_map<std::string, Value, NameHash, std::equal_to<>>;
+
+  struct HostRoutes {
+    std::size_t longest = 0;        // bytes of the longest prefix
+    ByName<std::size_t> by_prefix;  // positions in routes_
+  };
+
   std::int64_t version_ = 0;
   HttpLimits limits_;
   std::vector<Route> routes_;
-  std::unordered_map<std::string, std::vector<std::size_t>> by_host_;  // longest prefix first
-  std::unordered_map<std::string, Service> services_;
+  ByName<HostRoutes> by_host_;  // lower case, without a port
+  ByName<std::size_t> by_name_;
+  ByName<Service> services_;
 };
 
 }  // namespace pearreach::routing
