--- a/src/coordination/chain_replica.h
+++ b/src/coordination/chain_replica.h
@@ -10,6 +10,7 @@
 #ifndef PEARREACH_SRC_COORDINATION_CHAIN_REPLICA_H_
 #define PEARREACH_SRC_COORDINATION_CHAIN_REPLICA_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
@@ -18,6 +19,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "coordination/chain.h"
