Read no new request once a stopping node may go; heartbeats go to few nodes

It stops accepting first now. Workers are named one of the quorum members for their heartbeats, and a leaving that no other node has is not acknowledged.

--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -21,17 +21,17 @@
   auto operator<=>(const StoreId&) const = default;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & name & disk_id;
+    archive& name& disk_id;
   }
 };
 
 struct Partition {
-  std::uint64_t epoch = 0;          // rises with each change of this partition
-  std::vector<StoreId> replicas;    // the first is the primary; each holds all that was acknowledged
-  std::vector<StoreId> joining;     // gets all new writes and is being filled; not counted yet
+  std::uint64_t epoch = 0;        // rises with each change of this partition
+  std::vector<StoreId> replicas;  // the first is the primary; each holds all that was acknowledged
+  std::vector<StoreId> joining;   // gets all new writes and is being filled; not counted yet
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & epoch & replicas & joining;
+    archive& epoch& replicas& joining;
   }
 };
 
@@ -42,7 +42,7 @@
   std::vector<std::string> retired;   // emptied: they hold nothing that is needed
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & epoch & partitions & retiring & retired;
+    archive& epoch& partitions& retiring& retired;
   }
 };
 
@@ -59,7 +59,7 @@
   double tokens = 0;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & item_id & path & headers & body & tokens;
+    archive& item_id& path& headers& body& tokens;
   }
 };
 
@@ -72,8 +72,8 @@
   std::vector<ItemSpec> items;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & lot_id & route & host & fingerprint & token_cap & quota_excess & tries & due_ms &
-        retain_s & status_s & items;
+    archive& lot_id& route& host& fingerprint& token_cap& quota_excess& tries& due_ms& retain_s&
+        status_s& items;
   }
 };
 
@@ -84,7 +84,7 @@
   LotSpec lot;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & placement_epoch & lot;
+    archive& placement_epoch& lot;
   }
 };
 enum class CreateStatus : std::uint8_t { kAccepted, kOverQuota };  // kAccepted also when repeated
@@ -92,7 +92,7 @@
   CreateStatus status = CreateStatus::kAccepted;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & status;
+    archive& status;
   }
 };
 
@@ -103,7 +103,7 @@
   std::string content;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & item_id & phase & content;
+    archive& item_id& phase& content;
   }
 };
 
@@ -115,7 +115,7 @@
   std::uint64_t max_bytes = 1'000'000;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & placement_epoch & lot_id & start_after & wait_ms & max_bytes;
+    archive& placement_epoch& lot_id& start_after& wait_ms& max_bytes;
   }
 };
 struct ReadLotAnswer {
@@ -124,7 +124,7 @@
   std::vector<ItemOutput> outputs;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & found & total & outputs;
+    archive& found& total& outputs;
   }
 };
 
@@ -133,7 +133,7 @@
   std::string lot_id, item_id;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & placement_epoch & lot_id & item_id;
+    archive& placement_epoch& lot_id& item_id;
   }
 };
 struct ReadItemBodyAnswer {
@@ -141,7 +141,7 @@
   std::string body;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & found & body;
+    archive& found& body;
   }
 };
 
@@ -150,33 +150,33 @@
   std::string lot_id;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & placement_epoch & lot_id;
+    archive& placement_epoch& lot_id;
   }
 };
 struct CancelLotAnswer {
   bool found = false;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & found;
+    archive& found;
   }
 };
 
 // ---------------------------------------------------------------- leases of items
 
 struct TakeItems {
-  std::string node;             // name of the edge node
-  std::uint64_t process = 0;    // of its process: leases of an earlier one are void
+  std::string node;           // name of the edge node
+  std::uint64_t process = 0;  // of its process: leases of an earlier one are void
   std::uint64_t placement_epoch = 0;
   std::map<std::string, int> room;  // by route name: how many items it would run now
   std::int64_t wait_ms = 0;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & node & process & placement_epoch & room & wait_ms;
+    archive& node& process& placement_epoch& room& wait_ms;
   }
 };
 struct LeasedItem {
   std::string lot_id, route, host;
-  std::uint64_t lease = 0;  // unique at its store process; results and renewals name it
+  std::uint64_t lease = 0;      // unique at its store process; results and renewals name it
   std::int64_t expires_ms = 0;  // from now: give the item up by then unless renewed
   std::uint32_t failures = 0;   // answers of 500 so far
   int tries = 1;
@@ -184,14 +184,14 @@
   ItemSpec item;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & lot_id & route & host & lease & expires_ms & failures & tries & retain_left_ms & item;
+    archive& lot_id& route& host& lease& expires_ms& failures& tries& retain_left_ms& item;
   }
 };
 struct TakeItemsAnswer {
   std::vector<LeasedItem> items;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & items;
+    archive& items;
   }
 };
 
@@ -208,7 +208,7 @@
   std::string content;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & lot_id & item_id & lease & outcome & content;
+    archive& lot_id& item_id& lease& outcome& content;
   }
 };
 // The answer to an ItemResult is empty: it has been made durable or is of no more use. The edge
@@ -219,14 +219,14 @@
   std::vector<std::pair<std::string, std::string>> held;  // lot and item
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & node & process & held;
+    archive& node& process& held;
   }
 };
 struct RenewLeasesAnswer {
   std::vector<std::pair<std::string, std::string>> stop;  // of ended lots or done: cancel these
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & stop;
+    archive& stop;
   }
 };
 
@@ -236,7 +236,7 @@
   std::vector<std::pair<std::uint32_t, std::uint64_t>> filled;  // partition, its epoch
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive & store & filled;
+    archive& store& filled;
   }
 };
 
--- a/src/batch/replication.cpp
+++ b/src/batch/replication.cpp
@@ -87,7 +87,7 @@
     const bool fresh = link == nullptr;
     if (fresh) link = std::make_shared<ReplicaLink>(peer, this, environment_);
     link->counts = counts;
-    link->required = counts || link->streaming();
+    Require(link.get());
     if (fresh) link->Synchronise();
   };
   for (const StoreId& peer : table_.replicas) connect(peer, true);
@@ -141,7 +141,8 @@
   std::vector<StoreId> filled;
   if (!active_) return filled;
   for (const auto& [peer, link] : links_) {
-    if (!link->counts && link->required && link->streaming()) filled.push_back(peer);
+    const bool held = link->required && link->streaming() && link->acknowledged() >= link->owed;
+    if (!link->counts && held) filled.push_back(peer);
   }
   return filled;
 }
@@ -150,15 +151,20 @@
   return {self_, to, partition_, table_.epoch, process_, attempt};
 }
 
+// A joiner that has been reported to hold everything may count at any moment until the epoch
+// changes: no change may be acknowledged without it from before it is reported.
+void PartitionReplica::Require(ReplicaLink* link) const {
+  const bool required = link->counts || link->streaming();
+  if (required && !link->required) link->owed = last_sequence_;
+  link->required = required;
+}
+
 void PartitionReplica::LinkAdvanced() {
-  bool filled = false;
   for (const auto& [peer, link] : links_) {
-    if (link->counts || link->required || !link->streaming()) continue;
-    link->required = true;  // before anybody is told that it holds everything
-    filled = true;
+    if (!link->required) Require(link.get());
   }
   CheckActive();
-  if (filled && active_) environment_->OnFilled(partition_);
+  if (!FilledJoiners().empty()) environment_->OnFilled(partition_);
   CheckConfirmations();
   Advance();
 }
--- a/src/batch/replication.h
+++ b/src/batch/replication.h
@@ -99,6 +99,7 @@
   std::uint64_t last_sequence() const override { return last_sequence_; }
   const LotTable& link_lots() const override { return lots_; }
   void LinkAdvanced() override;
+  void Require(ReplicaLink* link) const;
 
   void BecomePrimary();
   void StepDown();
--- a/src/batch/replication_link.h
+++ b/src/batch/replication_link.h
@@ -51,6 +51,9 @@
 
   bool counts = false;    // a replica of the table
   bool required = false;  // changes wait for it
+  // Of a joiner that is required: it holds everything once it has this sequence. Changes up to it
+  // may have been acknowledged without the joiner.
+  std::uint64_t owed = 0;
 
  private:
   enum class State { kWaiting, kSynchronising, kStreaming };
--- a/src/disk/table_store.h
+++ b/src/disk/table_store.h
@@ -22,14 +22,14 @@
 class TableStore {
  public:
   virtual ~TableStore() = default;
-  // `done` is called on the main loop once the batch is synced to disk (or has failed), in the order
-  // of the commits. Batches that come while one is being synced go together in the next.
+  // `done` is called on the main loop once the batch is synced to disk (or has failed), in the
+  // order of the commits. Batches that come while one is being synced go together in the next.
   virtual void Commit(std::vector<Write> batch, std::function<void(absl::Status)> done) = 0;
   // Reads what has been committed (synced), by key order from `prefix` on.
   virtual absl::StatusOr<std::string> Get(std::string_view key) const = 0;  // NOT_FOUND
-  virtual void ForEach(std::string_view prefix,
-                       const std::function<void(std::string_view key, std::string_view value)>& visit)
-      const = 0;
+  virtual void ForEach(
+      std::string_view prefix,
+      const std::function<void(std::string_view key, std::string_view value)>& visit) const = 0;
   // A random name of this disk's contents, made when the folder was first used; a wiped disk gets
   // another one.
   virtual const std::string& disk_id() const = 0;
--- a/src/registry/worker_registry.cpp
+++ b/src/registry/worker_registry.cpp
@@ -20,8 +20,14 @@
   return options;
 }
 
-void AnswerOk(front::Exchange* exchange) {
-  exchange->Respond(200, {{"Content-Type", "application/json"}}, "{}");
+std::string PortOf(const std::string& address) { return address.substr(address.rfind(':') + 1); }
+std::string IpOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
+
+// FNV-1a, the same on every node.
+std::uint64_t Hash(const std::string& text) {
+  std::uint64_t hash = 14695981039346656037ull;
+  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ull;
+  return hash ^ hash >> 32;
 }
 
 }  // namespace
@@ -29,11 +35,13 @@
 struct WorkerRegistry::Spread {
   std::string body;
   std::set<std::string> missing;
+  std::size_t acknowledged = 0;
   Micros until = 0;
-  std::function<void()> done;
+  SpreadDone done;
 
   void Finish() {
-    if (done) std::exchange(done, nullptr)();
+    // Where others are alive and not one has it, this node is the one that is cut off.
+    if (done) std::exchange(done, nullptr)(acknowledged > 0 || missing.empty());
   }
 };
 
@@ -43,6 +51,7 @@
       mesh_(mesh),
       control_(control),
       self_(settings.node_name),
+      control_port_(settings.bind.control.empty() ? "" : PortOf(settings.bind.control)),
       period_(static_cast<Micros>(settings.beat_ms * 1000 / 2)),
       ack_bound_(
           std::min<Micros>(kAnswerBound, static_cast<Micros>(settings.bounds.drain_ms * 1000 / 2))),
@@ -91,15 +100,16 @@
     Changed();
   }
   if (record->phase == WorkerPhase::kReady || spread_.contains(worker_id)) {
-    AnswerOk(exchange.get());
+    Acknowledge(exchange.get(), worker_id);
     if (changed) Broadcast(worker_id, nullptr);
     return;
   }
   waiting_[worker_id].push_back(std::move(exchange));
   if (waiting_[worker_id].size() > 1) return;
-  Broadcast(worker_id, [this, worker_id] {
-    spread_.insert(worker_id);
-    for (const auto& each : std::exchange(waiting_[worker_id], {})) AnswerOk(each.get());
+  Broadcast(worker_id, [this, worker_id](bool reached) {
+    if (reached) spread_.insert(worker_id);
+    for (const auto& each : std::exchange(waiting_[worker_id], {}))
+      AnswerLeaving(each.get(), worker_id, reached);
     waiting_.erase(worker_id);
   });
 }
@@ -110,7 +120,37 @@
     logging::Info(kModule, "worker departed", {logging::F("worker", worker_id)});
     Changed();
   }
-  Broadcast(worker_id, [exchange] { AnswerOk(exchange.get()); });
+  Broadcast(worker_id, [this, exchange, worker_id](bool reached) {
+    AnswerLeaving(exchange.get(), worker_id, reached);
+  });
+}
+
+void WorkerRegistry::AnswerLeaving(front::Exchange* exchange, const std::string& worker_id,
+                                   bool reached) {
+  if (reached) return Acknowledge(exchange, worker_id);
+  exchange->Respond(503, {}, "no other node can be reached");
+}
+
+void WorkerRegistry::Acknowledge(front::Exchange* exchange, const std::string& worker_id) {
+  const std::string target = BeatTarget(worker_id);
+  const std::string body = target.empty() ? "{}" : "{\"beat_target\":\"" + target + "\"}";
+  exchange->Respond(200, {{"Content-Type", "application/json"}}, body);
+}
+
+// A few nodes take all heartbeats, so that what is spread of them comes from few: of the live
+// quorum members (of all control nodes where there is none) one by the worker's id.
+std::string WorkerRegistry::BeatTarget(const std::string& worker_id) const {
+  using coordination::MemberInfo;
+  std::vector<std::string> takers;
+  for (const std::uint8_t role : {MemberInfo::kQuorumMember, MemberInfo::kServesControl}) {
+    for (const auto& [name, member] : control_->members())
+      if (member.status == coordination::MemberStatus::kAlive && member.info.Is(role) &&
+          member.info.Is(MemberInfo::kServesControl))
+        takers.push_back(IpOf(member.info.address));
+    if (!takers.empty()) break;
+  }
+  if (takers.empty() || control_port_.empty()) return "";
+  return takers[Hash(worker_id) % takers.size()] + ":" + control_port_;
 }
 
 void WorkerRegistry::ReportGone(const std::string& worker_id) {
@@ -173,7 +213,7 @@
   return found == control_->members().end() ? "" : found->second.info.address;
 }
 
-void WorkerRegistry::Broadcast(const std::string& worker_id, std::function<void()> done) {
+void WorkerRegistry::Broadcast(const std::string& worker_id, SpreadDone done) {
   auto spread = std::make_shared<Spread>();
   WorkerUpdate update;
   update.items.push_back(state_.ExportOne(Now(), worker_id));
@@ -193,6 +233,7 @@
               [this, spread, node](absl::StatusOr<std::string> answer) {
                 if (answer.ok()) {
                   spread->missing.erase(node);
+                  ++spread->acknowledged;
                   if (spread->missing.empty()) spread->Finish();
                   return;
                 }
--- a/src/registry/worker_registry.h
+++ b/src/registry/worker_registry.h
@@ -41,6 +41,8 @@
 
  private:
   struct Spread;  // one change on its way to all edge nodes
+  // Whether any other node has it, where there are others.
+  using SpreadDone = std::function<void(bool reached)>;
 
   void OnHeartbeat(std::shared_ptr<front::Exchange> exchange, const std::string& worker_id);
   void OnDeparture(std::shared_ptr<front::Exchange> exchange, const std::string& worker_id);
@@ -49,7 +51,10 @@
   void Import(const WorkerUpdate& update);
   void Changed();
   // Tells all live edge nodes; `done` when each has acknowledged or the bound has passed.
-  void Broadcast(const std::string& worker_id, std::function<void()> done);
+  void Broadcast(const std::string& worker_id, SpreadDone done);
+  void Acknowledge(front::Exchange* exchange, const std::string& worker_id);
+  void AnswerLeaving(front::Exchange* exchange, const std::string& worker_id, bool reached);
+  std::string BeatTarget(const std::string& worker_id) const;
   void SendTo(const std::shared_ptr<Spread>& spread, const std::string& node);
   void Tick();
   void SendSummaries();
@@ -61,8 +66,9 @@
   mesh::Mesh* const mesh_;
   control::ControlClient* const control_;
   const std::string self_;
-  const Micros period_;     // between summaries
-  const Micros ack_bound_;  // longest wait for the others before a leaving is acknowledged
+  const std::string control_port_;  // the same on all machines
+  const Micros period_;             // between summaries
+  const Micros ack_bound_;          // longest wait for the others before a leaving is acknowledged
   const Micros spread_bound_;
   WorkerState state_;
   std::shared_ptr<const WorkerTable> table_ = std::make_shared<WorkerTable>();
--- a/src/tier/node.cpp
+++ b/src/tier/node.cpp
@@ -246,8 +246,10 @@
   bool done = true;
   if (edge_server_ != nullptr) {
     const Micros notices = std::min(kPlatformNotices, grace / 2);
+    // Guards requests that come at the very end: nothing new is read once the process may go.
+    if (since > notices) edge_server_->StopAccepting();
     if (since > grace / 2) gateway_->SetDraining(true);
-    done = since > notices && items_returned_ && edge_server_->unanswered() == 0;
+    done = since > notices && items_returned_ && edge_server_->connections() == 0;
   }
   if (done || since > grace - kExitMargin - kLeaveTime) return Leave();
   timers_.After(kPoll, [this] { AwaitEnd(); });
--- /dev/null
+++ b/tests/tier/batch/store_server_test.cpp
@@ -0,0 +1,324 @@
+// Whole stores on the main loop, joined by a mesh in memory: a lot's way from hand-in to results,
+// with one replica and two, and the quota.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+#include "batch/lot_store.h"
+#include "edge_fakes.h"
+#include "store_simulation.h"
+
+namespace pearreach::batch {
+namespace {
+
+using edge_test::FakeControl;
+using edge_test::TurnUntil;
+
+// Calls between the stores of a test by address, answered on a later turn of the loop.
+class LocalMesh final : public mesh::Mesh {
+ public:
+  LocalMesh(Timers* timers, std::map<std::string, LocalMesh*>* peers)
+      : timers_(timers), peers_(peers) {}
+  void Handle(mesh::MessageType type, mesh::Handler handler) override {
+    handlers_[type] = std::move(handler);
+  }
+  void Call(const std::string& address, mesh::MessageType type, std::string body, Micros,
+            mesh::Done done) override {
+    timers_->After(0, [this, address, type, body = std::move(body), done = std::move(done)] {
+      const auto peer = peers_->find(address);
+      const bool there = peer != peers_->end() && peer->second->handlers_.contains(type);
+      const auto later = [this, done](absl::StatusOr<std::string> answer) {
+        timers_->After(0, [done, answer = std::move(answer)] { done(answer); });
+      };
+      if (there) {
+        peer->second->handlers_.at(type)("test", body, later);
+      } else {
+        later(absl::UnavailableError("no such peer"));
+      }
+    });
+  }
+  void HandleDatagrams(mesh::DatagramHandler) override {}
+  void SendDatagram(const std::string&, std::string_view) override {}
+
+ private:
+  Timers* timers_;
+  std::map<std::string, LocalMesh*>* peers_;
+  std::map<mesh::MessageType, mesh::Handler> handlers_;
+};
+
+// A disk whose writes are done on a later turn of the loop.
+class LoopDisk final : public disk::TableStore {
+ public:
+  explicit LoopDisk(Timers* timers) : timers_(timers) {}
+  void Commit(std::vector<disk::Write> batch, std::function<void(absl::Status)> done) override {
+    timers_->After(0, [this, batch = std::move(batch), done = std::move(done)] {
+      memory_.Write(batch);
+      done(absl::OkStatus());
+    });
+  }
+  absl::StatusOr<std::string> Get(std::string_view key) const override { return memory_.Get(key); }
+  void ForEach(
+      std::string_view prefix,
+      const std::function<void(std::string_view, std::string_view)>& visit) const override {
+    memory_.ForEach(prefix, visit);
+  }
+  const std::string& disk_id() const override { return memory_.disk_id(); }
+  bool was_empty() const override { return memory_.was_empty(); }
+
+ private:
+  Timers* timers_;
+  MemoryDisk memory_;
+};
+
+struct TestStore {
+  std::unique_ptr<LocalMesh> mesh;
+  std::unique_ptr<LoopDisk> disk;
+  std::unique_ptr<StoreServer> server;
+};
+
+class Fleet {
+ public:
+  explicit Fleet(int stores) : caller_(&timers_, &peers_) {
+    for (int i = 0; i < stores; ++i) AddStore("s" + std::to_string(i));
+  }
+
+  void AddStore(const std::string& name) {
+    control_.AddStore(name, "d" + name);
+    TestStore& store = stores_[name];
+    store.mesh = std::make_unique<LocalMesh>(&timers_, &peers_);
+    store.disk = std::make_unique<LoopDisk>(&timers_);
+    peers_[name + ":1"] = store.mesh.get();
+    Start(name);
+  }
+  void Start(const std::string& name) {
+    TestStore& store = stores_[name];
+    store.server.reset();
+    store.server = std::make_unique<StoreServer>(&timers_, store.mesh.get(), store.disk.get(),
+                                                 &control_, StoreId{name, "d" + name},
+                                                 settings::Bounds{}, settings::Tolerance{});
+  }
+  void Place(const std::vector<std::string>& replicas) {
+    PlacementTable table;
+    table.epoch = ++epoch_;
+    Partition partition;
+    partition.epoch = epoch_;
+    for (const std::string& name : replicas) partition.replicas.push_back({name, "d" + name});
+    table.partitions.assign(kPartitions, partition);
+    control_.SetTable(table);
+    primary_ = replicas.front();
+    const bool active = TurnUntil([&] {
+      return stores_[primary_].server->active_partitions() == static_cast<int>(kPartitions);
+    });
+    CPPUNIT_ASSERT(active);
+  }
+  template <class Answer, class Message>
+  absl::StatusOr<Answer> Ask(mesh::MessageType type, const Message& message) {
+    const auto answer = AskBytes(type, message);
+    if (!answer.ok()) return answer.status();
+    return codec::Decode<Answer>(*answer);
+  }
+  template <class Message>
+  absl::StatusOr<std::string> AskBytes(mesh::MessageType type, const Message& message) {
+    auto answer = std::make_shared<absl::StatusOr<std::string>>(absl::UnknownError("silence"));
+    auto done = std::make_shared<bool>(false);
+    caller_.Call(primary_ + ":1", type, codec::Encode(message), kSecond,
+                 [answer, done](absl::StatusOr<std::string> bytes) {
+                   *answer = std::move(bytes);
+                   *done = true;
+                 });
+    TurnUntil([done] { return *done; });
+    return *answer;
+  }
+
+ private:
+  Timers timers_;
+  std::map<std::string, LocalMesh*> peers_;
+  LocalMesh caller_;
+  FakeControl control_;
+  std::map<std::string, TestStore> stores_;
+  std::string primary_;
+  std::uint64_t epoch_ = 0;
+};
+
+LotSpec Spec(const std::string& lot_id, int items, double cap = 0) {
+  LotSpec spec;
+  spec.lot_id = lot_id;
+  spec.route = "route";
+  spec.host = "host.example";
+  spec.fingerprint = 7;
+  spec.token_cap = cap;
+  spec.tries = 2;
+  spec.due_ms = 5000;
+  spec.retain_s = 60;
+  spec.status_s = 120;
+  for (int i = 0; i < items; ++i) {
+    ItemSpec item;
+    item.item_id = lot_id + "-" + std::to_string(i);
+    item.path = "/p/" + std::to_string(i);
+    item.body = std::string("bytes\0of ", 9) + item.item_id;
+    item.tokens = 10;
+    spec.items.push_back(std::move(item));
+  }
+  return spec;
+}
+
+class StoreServerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreServerTest);
+  CPPUNIT_TEST(ALotsWayWithOneReplica);
+  CPPUNIT_TEST(ALotsWayWithTwoReplicas);
+  CPPUNIT_TEST(FailuresAreCountedOnceForALease);
+  CPPUNIT_TEST(AnEndedLotIsHandedOutNoMore);
+  CPPUNIT_TEST(TakersShareWhatWaits);
+  CPPUNIT_TEST(TheQuotaHoldsAndFreesUp);
+  CPPUNIT_TEST(ABackupTakesOver);
+  CPPUNIT_TEST(ARestartKeepsEverything);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ALotsWayWithOneReplica() { PlayLot({"s0"}); }
+  void ALotsWayWithTwoReplicas() { PlayLot({"s0", "s1"}); }
+
+  void FailuresAreCountedOnceForALease() {
+    Fleet fleet(2);
+    fleet.Place({"s0", "s1"});
+    Create(&fleet, Spec("lot", 1));
+    const auto first = Take(&fleet, "n", 1, 0);
+    Tell(&fleet, first.at(0), RunOutcome::kFailed, "");
+    Tell(&fleet, first.at(0), RunOutcome::kFailed, "");
+    const auto second = Take(&fleet, "n", 1, 0);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, second.at(0).failures);
+    Tell(&fleet, second.at(0), RunOutcome::kFailed, "");
+    const auto read = Read(&fleet, "lot", 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, read.outputs.size());
+    CPPUNIT_ASSERT(read.outputs[0].phase == ItemPhase::kAbandoned);
+  }
+
+  void AnEndedLotIsHandedOutNoMore() {
+    Fleet fleet(2);
+    fleet.Place({"s0", "s1"});
+    Create(&fleet, Spec("lot", 4));
+    const auto taken = Take(&fleet, "n", 1, 0);
+    for (int i = 0; i < 2; ++i) {
+      const auto ended =
+          fleet.Ask<CancelLotAnswer>(mesh::MessageType::kLotCancel, CancelLot{0, "lot"});
+      CPPUNIT_ASSERT(ended.ok() && ended->found);
+    }
+    CPPUNIT_ASSERT(Take(&fleet, "n", 4, 0).empty());
+    const auto renewed = fleet.Ask<RenewLeasesAnswer>(
+        mesh::MessageType::kItemRenew, RenewLeases{"n", 1, {{"lot", taken[0].item.item_id}}});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, renewed->stop.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, Read(&fleet, "lot", 0).total);
+    const auto unknown =
+        fleet.Ask<CancelLotAnswer>(mesh::MessageType::kLotCancel, CancelLot{0, "none"});
+    CPPUNIT_ASSERT(unknown.ok() && !unknown->found);
+  }
+
+  void TakersShareWhatWaits() {
+    Fleet fleet(1);
+    fleet.Place({"s0"});
+    Take(&fleet, "n1", 8, 0);
+    Take(&fleet, "n2", 8, 0);
+    Create(&fleet, Spec("lot", 6));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Take(&fleet, "n1", 8, 0).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Take(&fleet, "n2", 8, 0).size());
+  }
+
+  void TheQuotaHoldsAndFreesUp() {
+    Fleet fleet(2);
+    fleet.Place({"s0", "s1"});
+    CPPUNIT_ASSERT(CreateStatus::kAccepted == Create(&fleet, Spec("a", 3, 50)));
+    CPPUNIT_ASSERT(CreateStatus::kOverQuota == Create(&fleet, Spec("b", 3, 50)));
+    CPPUNIT_ASSERT(CreateStatus::kAccepted == Create(&fleet, Spec("a", 3, 50)));
+    const auto taken = Take(&fleet, "n", 2, 0);
+    for (const LeasedItem& item : taken) Tell(&fleet, item, RunOutcome::kComplete, "x");
+    CPPUNIT_ASSERT(TurnUntil([&] {  // reported within a moment
+      return Create(&fleet, Spec("b", 3, 50)) == CreateStatus::kAccepted;
+    }));
+  }
+
+  void ABackupTakesOver() {
+    Fleet fleet(2);
+    fleet.Place({"s0", "s1"});
+    Create(&fleet, Spec("lot", 3));
+    const auto taken = Take(&fleet, "n", 2, 0);
+    Tell(&fleet, taken.at(0), RunOutcome::kComplete, "first");
+    fleet.Place({"s1"});
+    CPPUNIT_ASSERT_EQUAL(std::string("first"), Read(&fleet, "lot", 0).outputs.at(0).content);
+    CPPUNIT_ASSERT(Take(&fleet, "m", 8, 0).empty());  // they may still run for somebody
+    Tell(&fleet, taken.at(1), RunOutcome::kComplete, "second");
+    Tell(&fleet, taken.at(0), RunOutcome::kComplete, "first again");
+    const auto read = Read(&fleet, "lot", 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read.outputs.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("second"), read.outputs[1].content);
+  }
+
+  void ARestartKeepsEverything() {
+    Fleet fleet(2);
+    fleet.Place({"s0", "s1"});
+    Create(&fleet, Spec("lot", 3));
+    Tell(&fleet, Take(&fleet, "n", 1, 0).at(0), RunOutcome::kComplete, "first");
+    fleet.Start("s0");
+    fleet.Place({"s0", "s1"});
+    const auto read = Read(&fleet, "lot", 0);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, read.total);
+    CPPUNIT_ASSERT_EQUAL(std::string("first"), read.outputs.at(0).content);
+  }
+
+ private:
+  static CreateStatus Create(Fleet* fleet, const LotSpec& spec) {
+    const auto answer =
+        fleet->Ask<CreateLotAnswer>(mesh::MessageType::kLotCreate, CreateLot{0, spec});
+    CPPUNIT_ASSERT_MESSAGE(answer.status().ToString(), answer.ok());
+    return answer->status;
+  }
+  static std::vector<LeasedItem> Take(Fleet* fleet, const std::string& node, int room,
+                                      std::int64_t wait_ms) {
+    const auto answer = fleet->Ask<TakeItemsAnswer>(
+        mesh::MessageType::kItemTake, TakeItems{node, 1, 0, {{"route", room}}, wait_ms});
+    CPPUNIT_ASSERT(answer.ok());
+    return answer->items;
+  }
+  static void Tell(Fleet* fleet, const LeasedItem& item, RunOutcome outcome,
+                   const std::string& content) {
+    const ItemResult result{item.lot_id, item.item.item_id, item.lease, outcome, content};
+    CPPUNIT_ASSERT(fleet->AskBytes(mesh::MessageType::kItemResult, result).ok());
+  }
+  static ReadLotAnswer Read(Fleet* fleet, const std::string& lot_id, std::uint64_t start) {
+    const auto answer = fleet->Ask<ReadLotAnswer>(mesh::MessageType::kLotRead,
+                                                  ReadLot{0, lot_id, start, 0, 1'000'000});
+    CPPUNIT_ASSERT_MESSAGE(answer.status().ToString(), answer.ok());
+    return *answer;
+  }
+
+  static void PlayLot(const std::vector<std::string>& replicas) {
+    Fleet fleet(2);
+    fleet.Place(replicas);
+    CPPUNIT_ASSERT(!Read(&fleet, "lot", 0).found);
+    const LotSpec spec = Spec("lot", 3);
+    CPPUNIT_ASSERT(CreateStatus::kAccepted == Create(&fleet, spec));
+    CPPUNIT_ASSERT(CreateStatus::kAccepted == Create(&fleet, spec));
+    const auto body = fleet.Ask<ReadItemBodyAnswer>(mesh::MessageType::kLotItemBody,
+                                                    ReadItemBody{0, "lot", "lot-1"});
+    CPPUNIT_ASSERT_EQUAL(spec.items[1].body, body->body);
+    const auto taken = Take(&fleet, "n", 8, 100);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, taken.size());
+    CPPUNIT_ASSERT_EQUAL(spec.items[0].body, taken[0].item.body);
+    for (int i : {2, 0})
+      Tell(&fleet, taken[static_cast<std::size_t>(i)], RunOutcome::kComplete,
+           "text " + std::to_string(i));
+    Tell(&fleet, taken[1], RunOutcome::kImpossible, "");
+    Tell(&fleet, taken[1], RunOutcome::kComplete, "too late");
+    const auto read = Read(&fleet, "lot", 0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, read.outputs.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("text 2"), read.outputs[0].content);
+    CPPUNIT_ASSERT_EQUAL(std::string("lot-0"), read.outputs[1].item_id);
+    CPPUNIT_ASSERT(read.outputs[2].phase == ItemPhase::kAbandoned);
+    CPPUNIT_ASSERT(Read(&fleet, "lot", 3).outputs.empty());
+    CPPUNIT_ASSERT(Take(&fleet, "n", 8, 0).empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreServerTest);
+
+}  // namespace
+}  // namespace pearreach::batch
