Pace items of lots by prompts that workers have not read yet

One unread prompt of bulk a worker over all nodes now. Ruled out: slots (70% were the bound), processor time of the nodes (0.02 of a core). A heartbeat after a departure is no change of the registry any more (its test failed).

--- a/src/proxy/job_runner.cpp
+++ b/src/proxy/job_runner.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t kLeastConnections = 2;  // to each worker, however many nodes there are
 constexpr std::size_t kDefaultConnections = 16;  // of a service that names no limit
 constexpr double kBulkFill = 0.7;  // of the slots; what lies above is kept for live jobs
+// Bulk jobs whose prompts are unread, a worker and all nodes together; and those held ready behind.
+constexpr double kUnreadBulk = 1;
+constexpr int kBulkAhead = 4;
 
 class Runner final : public JobRunner, private JobHost {
  public:
@@ -38,6 +41,7 @@
   void Refresh();
   void ArmRefresh(Micros delay);
   void LookAtShare();
+  void PaceBulk(ServiceLine* line);
   const routing::Service* FindService(const std::string& service) const;
 
   Timers* timers_;
@@ -113,8 +117,9 @@
   // Where workers tell nothing, the other nodes are taken to use as much as this one.
   const double free = told ? usable - taken : usable - taken * nodes;
   if (free < 1) return 0;
-  const int held = line.dispatcher.held_bulk();
-  const int room = static_cast<int>(std::floor(free / nodes)) - held;
+  const int held = line.dispatcher.held_bulk() + static_cast<int>(line.bulk_gate.waiting());
+  const int ahead = kBulkAhead * line.bulk_gate.allowance() - held;
+  const int room = std::min(static_cast<int>(std::floor(free / nodes)) - held, ahead);
   const bool idle = line.bulk_in_flight + held == 0;
   return std::max(room, idle ? 1 : 0);
 }
@@ -161,6 +166,7 @@
   Micros next_warm = 0;
   for (auto& [name, line] : lines_) {
     line->dispatcher.OnWorkers(line->workers.EndUpdate());
+    PaceBulk(line.get());
     const Micros warm = line->workers.next_warm();
     if (warm != 0 && (next_warm == 0 || warm < next_warm)) next_warm = warm;
   }
@@ -196,7 +202,15 @@
   share.nodes = std::max(share.nodes, 1);
   if (share == share_) return;
   share_ = share;
-  for (auto& [name, line] : lines_) line->dispatcher.SetShare(share);
+  for (auto& [name, line] : lines_) {
+    line->dispatcher.SetShare(share);
+    PaceBulk(line.get());
+  }
+}
+
+void Runner::PaceBulk(ServiceLine* line) {
+  const double part = kUnreadBulk * line->workers.ready_count() / share_.nodes;
+  line->bulk_gate.SetAllowance(static_cast<int>(std::lround(part)));
 }
 
 }  // namespace
--- a/src/proxy/running_job.cpp
+++ b/src/proxy/running_job.cpp
@@ -65,11 +65,29 @@
   if (std::exchange(ended_, true)) return;
   timers_->Cancel(&due_timer_);
   Leave(Outcome::kCancelled);
+  if (spec_.bulk) line_->bulk_gate.Withdraw(id_);
+  LeaveGate();
 }
 
 // ---------------------------------------------------------------- finding a worker
 
+// A bulk job waits here until its prompt would delay live requests little enough.
+bool RunningJob::PassGate() {
+  if (!spec_.bulk || in_gate_) return true;
+  in_gate_ = line_->bulk_gate.Enter(id_, [this] {
+    const auto self = shared_from_this();
+    in_gate_ = true;
+    Ask();
+  });
+  return in_gate_;
+}
+
+void RunningJob::LeaveGate() {
+  if (std::exchange(in_gate_, false)) line_->bulk_gate.Leave();
+}
+
 void RunningJob::Ask() {
+  if (!PassGate()) return;
   Placement placement;
   placement.job_class.rank = spec_.rank;
   placement.job_class.target = spec_.bulk ? 0 : FromMs(spec_.target_ms);
@@ -149,6 +167,7 @@
 
 // The placement's outcome is known.
 void RunningJob::Settle(Outcome outcome) {
+  LeaveGate();
   timers_->Cancel(&silence_timer_);
   if (attempt_ != nullptr) {
     attempt_.reset();
--- a/src/proxy/running_job.h
+++ b/src/proxy/running_job.h
@@ -52,6 +52,8 @@
   void OnAttemptEnd(AttemptResult result) override;
 
   void Ask();
+  bool PassGate();
+  void LeaveGate();
   Micros PlaceBy(Micros now) const;
   void Send(marlquay::WorkerId worker);
   void Leave(marlquay::Outcome outcome);
@@ -87,6 +89,7 @@
   Timers::Id due_timer_ = 0, silence_timer_ = 0;
   PlacementId placement_ = 0;  // 0: none is open
   bool placed_ = false;        // the placement has its worker
+  bool in_gate_ = false;       // a bulk job that holds a place of its line's gate
   marlquay::WorkerId worker_ = 0;
   std::shared_ptr<Attempt> attempt_;
   std::optional<WorkerLoad> load_;  // told in the attempt's answer
--- a/src/proxy/running_job_answer.cpp
+++ b/src/proxy/running_job_answer.cpp
@@ -74,6 +74,7 @@
     together = joins ? std::string_view(together.data(), together.size() + event.bytes.size())
                      : event.bytes;
   }
+  if (heard_ != 0) LeaveGate();  // its prompt has been read
   if (heard_ != 0 && placement_ != 0) {
     line_->dispatcher.Began(placement_);
     if (heard_ - progress_told_ >= kProgressEvery) {
--- a/src/proxy/service_line.h
+++ b/src/proxy/service_line.h
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "proxy/bulk_gate.h"
 #include "proxy/pool_dispatcher.h"
 #include "proxy/service_workers.h"
 
@@ -17,6 +18,7 @@
   ServiceWorkers workers;
   PoolDispatcher dispatcher;
   int bulk_in_flight = 0;
+  BulkGate bulk_gate;
 };
 
 }  // namespace pearreach::proxy
--- a/src/proxy/service_workers.cpp
+++ b/src/proxy/service_workers.cpp
@@ -156,12 +156,14 @@
 
 void ServiceWorkers::Count(Micros now) {
   ready_slots_ = largest_capacity_ = 0;
+  ready_count_ = 0;
   largest_.reset();
   next_warm_ = 0;
   for (const auto& [id, known] : by_id_) {
     if (told_[known.number].health != marlquay::Health::kInService) continue;
     const registry::WorkerRecord& record = workers_[known.number].record;
     ready_slots_ += record.capacity;
+    ++ready_count_;
     if (record.warm_at > now && (next_warm_ == 0 || record.warm_at < next_warm_))
       next_warm_ = record.warm_at;
     if (record.capacity <= largest_capacity_) continue;
--- a/src/proxy/service_workers.h
+++ b/src/proxy/service_workers.h
@@ -52,6 +52,7 @@
 
   bool empty() const { return by_id_.empty(); }
   double ready_slots() const { return ready_slots_; }
+  int ready_count() const { return ready_count_; }
   double largest_capacity() const { return largest_capacity_; }
   std::optional<marlquay::WorkerId> largest() const { return largest_; }
   // When the next worker that warms up is warm; 0: none.
@@ -78,6 +79,7 @@
   std::unordered_map<std::string, Known> by_id_;
   std::uint64_t update_ = 0;
   double ready_slots_ = 0, largest_capacity_ = 0;
+  int ready_count_ = 0;
   std::optional<marlquay::WorkerId> largest_;
   Micros next_warm_ = 0;
 };
--- a/src/registry/worker_state.cpp
+++ b/src/registry/worker_state.cpp
@@ -26,7 +26,8 @@
   const WorkerPhase phase = std::max(known.record.phase, record.phase);
   bool changed = phase != known.record.phase || known.listed != was_listed;
   if (later) {
-    changed = changed || record.address != known.record.address;
+    const bool moved = record.address != known.record.address;
+    changed = changed || (moved && phase != WorkerPhase::kGone);
     known.record = record;
   }
   known.record.phase = phase;
--- /dev/null
+++ b/tests/tier/proxy/bulk_gate_test.cpp
@@ -0,0 +1,62 @@
+// Bulk jobs pass in their order, only so many at a time, and none is forgotten.
+#include "proxy/bulk_gate.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace pearreach::proxy {
+namespace {
+
+class BulkGateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(BulkGateTest);
+  CPPUNIT_TEST(OnlyTheAllowancePassesAndTheRestInOrder);
+  CPPUNIT_TEST(OneThatWithdrawsIsPassedOver);
+  CPPUNIT_TEST(ALargerAllowanceAdmitsAtOnceAndOneAlwaysPasses);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void OnlyTheAllowancePassesAndTheRestInOrder() {
+    gate_.SetAllowance(2);
+    CPPUNIT_ASSERT(Enter(1));
+    CPPUNIT_ASSERT(Enter(2));
+    CPPUNIT_ASSERT(!Enter(3));
+    CPPUNIT_ASSERT(!Enter(4));
+    gate_.Leave();
+    CPPUNIT_ASSERT((admitted_ == std::vector<std::uint64_t>{3}));
+    gate_.Leave();
+    CPPUNIT_ASSERT((admitted_ == std::vector<std::uint64_t>{3, 4}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, gate_.waiting());
+  }
+
+  void OneThatWithdrawsIsPassedOver() {
+    CPPUNIT_ASSERT(Enter(1));
+    CPPUNIT_ASSERT(!Enter(2));
+    CPPUNIT_ASSERT(!Enter(3));
+    gate_.Withdraw(2);
+    gate_.Leave();
+    CPPUNIT_ASSERT((admitted_ == std::vector<std::uint64_t>{3}));
+  }
+
+  void ALargerAllowanceAdmitsAtOnceAndOneAlwaysPasses() {
+    gate_.SetAllowance(0);
+    CPPUNIT_ASSERT(Enter(1));
+    CPPUNIT_ASSERT(!Enter(2));
+    CPPUNIT_ASSERT(!Enter(3));
+    gate_.SetAllowance(3);
+    CPPUNIT_ASSERT((admitted_ == std::vector<std::uint64_t>{2, 3}));
+  }
+
+ private:
+  bool Enter(std::uint64_t job) {
+    return gate_.Enter(job, [this, job] { admitted_.push_back(job); });
+  }
+
+  BulkGate gate_;
+  std::vector<std::uint64_t> admitted_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BulkGateTest);
+
+}  // namespace
+}  // namespace pearreach::proxy
