--- /dev/null
+++ b/tests/fuzz/tier_fuzz.cpp
@@ -0,0 +1,140 @@
+// Bytes as clients, workers, operators, other nodes and disks might have them, to each reader of
+// the serving tier: nothing may end the process, and nothing may read differently when it is cut
+// into pieces elsewhere. The first byte picks the reader.
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "batch/lot_json.h"
+#include "batch/lot_state.h"
+#include "batch/messages.h"
+#include "control/messages.h"
+#include "coordination/chain_messages.h"
+#include "coordination/membership.h"
+#include "mesh/frame.h"
+#include "proxy/event_splitter.h"
+#include "proxy/prompt_headers.h"
+#include "proxy/response_reader.h"
+#include "registry/worker_messages.h"
+#include "registry/worker_registry.h"
+#include "routing/route_table.h"
+#include "settings/node_settings.h"
+
+namespace {
+
+using namespace pearreach;
+
+// What a reader of answers tells, as one text.
+struct Collector : proxy::ResponseSink {
+  std::string seen;
+  bool OnResponseHead(proxy::ResponseHead head) override {
+    seen += "head " + std::to_string(head.status) + "\n";
+    return true;
+  }
+  bool OnResponseBody(std::string_view bytes) override {
+    seen += bytes;
+    return true;
+  }
+};
+
+std::string ReadAnswer(const std::vector<std::string_view>& pieces) {
+  Collector collector;
+  proxy::ResponseReader reader(&collector);
+  reader.Start(false);
+  for (std::string_view piece : pieces) {
+    const auto status = reader.Feed(&piece);
+    if (status == proxy::ResponseReader::Status::kBad) return "bad";
+    if (status == proxy::ResponseReader::Status::kDone) return collector.seen + "done";
+  }
+  return collector.seen;
+}
+
+void Answer(std::string_view bytes) {
+  const std::size_t middle = bytes.size() / 2;
+  const std::string whole = ReadAnswer({bytes});
+  if (ReadAnswer({bytes.substr(0, middle), bytes.substr(middle)}) != whole) std::abort();
+}
+
+std::string ReadEvents(const std::vector<std::string_view>& pieces) {
+  proxy::EventSplitter splitter;
+  std::string seen;
+  proxy::StreamEvent event;
+  for (const std::string_view piece : pieces) {
+    splitter.Append(piece);
+    while (splitter.Next(&event)) {
+      seen += event.id ? std::to_string(*event.id) : "none";
+      seen += event.bytes;
+    }
+  }
+  return seen + "|" + std::string(splitter.Rest());
+}
+
+void Events(std::string_view bytes) {
+  const std::size_t middle = bytes.size() / 2;
+  if (ReadEvents({bytes.substr(0, middle), bytes.substr(middle)}) != ReadEvents({bytes}))
+    std::abort();
+}
+
+void Frames(std::string_view bytes) {
+  mesh::FrameReader reader;
+  mesh::Frame frame;
+  reader.Feed(bytes);
+  while (reader.Next(&frame) == mesh::FrameReader::State::kFrame) {
+    std::string again;
+    mesh::AppendFrame(frame, &again);
+    if (again.size() != mesh::kFrameHead + frame.body.size()) std::abort();
+  }
+}
+
+void Datagrams(std::string_view bytes) {
+  coordination::MembershipOptions options;
+  options.self.name = "self";
+  options.self.address = "10.0.0.1:1";
+  options.self.incarnation = 5;
+  coordination::Membership membership(options, 1, 0);
+  std::vector<coordination::Datagram> out;
+  membership.Receive(1, "10.0.0.2", bytes, &out);
+  membership.Tick(1'000'000, &out);
+  const auto self = membership.members().find("self");
+  if (self == membership.members().end()) std::abort();
+  if (self->second.status != coordination::MemberStatus::kAlive) std::abort();
+}
+
+template <class Message>
+void AsMessage(std::string_view bytes) {
+  (void)codec::Decode<Message>(bytes);
+}
+
+using Reader = void (*)(std::string_view);
+constexpr Reader kReaders[] = {
+    Answer,
+    Events,
+    Frames,
+    Datagrams,
+    [](std::string_view bytes) { (void)coordination::chain::DecodeEnvelope(bytes); },
+    [](std::string_view bytes) { (void)routing::RouteTable::Parse(std::string(bytes)); },
+    [](std::string_view bytes) { (void)settings::ParseSettings(std::string(bytes)); },
+    [](std::string_view bytes) { (void)batch::ParseItems(std::string(bytes)); },
+    [](std::string_view bytes) { (void)batch::UnpackResult(bytes); },
+    [](std::string_view bytes) { (void)registry::ParseHeartbeat("w", std::string(bytes), 0); },
+    [](std::string_view bytes) {
+      (void)proxy::TokenCount(bytes);
+      (void)proxy::PrefixKey("m", bytes);
+    },
+    AsMessage<registry::WorkerUpdate>,
+    AsMessage<registry::WorkerSummary>,
+    AsMessage<batch::PlacementTable>,
+    AsMessage<batch::CreateLot>,
+    AsMessage<batch::TakeItems>,
+    AsMessage<batch::ItemResult>,
+};
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  if (size == 0) return 0;
+  const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
+  kReaders[data[0] % std::size(kReaders)](bytes);
+  return 0;
+}
