--- /dev/null
+++ b/lab/stand_in_worker/life.h
@@ -0,0 +1,54 @@
+// The life of a stand-in worker at the tier: heartbeats from its start, `draining` before its end,
+// time for what is still sent to it, a departure.
+#ifndef PEARREACH_LAB_STAND_IN_WORKER_LIFE_H_
+#define PEARREACH_LAB_STAND_IN_WORKER_LIFE_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/io.h"
+#include "base/timers.h"
+#include "lab/stand_in_worker/control_caller.h"
+#include "lab/stand_in_worker/worker.h"
+
+namespace pearreach::stand_in {
+
+struct LifeOptions {
+  std::vector<std::string> control;  // addresses that take heartbeats
+  std::string service, address, zone;
+  Micros beat = kSecond;       // between heartbeats
+  Micros drain = 2 * kSecond;  // served on after the acknowledged `draining`
+};
+
+class Life {
+ public:
+  Life(Timers* timers, Worker* worker, LifeOptions options, std::function<void()> finished);
+  ~Life();
+  Life(const Life&) = delete;
+  Life& operator=(const Life&) = delete;
+
+  void Start() { Beat(); }
+  void Stop();  // `finished` is called within the drain time and a few seconds
+
+ private:
+  void Beat();
+  void OnBeatDone(bool acknowledged);
+  void Depart();
+  std::string BeatText();
+
+  Timers* const timers_;
+  Worker* const worker_;
+  const LifeOptions options_;
+  const std::function<void()> finished_;
+  ControlCaller caller_;
+  Timers::Id next_ = 0;
+  std::uint64_t calls_ = 0;
+  bool stopping_ = false, heard_ = false, leaves_ = false;
+  int draining_beats_ = 0;  // sent without an acknowledgement
+};
+
+}  // namespace pearreach::stand_in
+
+#endif  // PEARREACH_LAB_STAND_IN_WORKER_LIFE_H_
--- /dev/null
+++ b/lab/stand_in_worker/worker.h
@@ -0,0 +1,53 @@
+// What a stand-in worker answers: plain answers and streams of events with their ids, refusals that
+// promise that nothing ran, and its health.
+#ifndef PEARREACH_LAB_STAND_IN_WORKER_WORKER_H_
+#define PEARREACH_LAB_STAND_IN_WORKER_WORKER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "base/io.h"
+#include "base/timers.h"
+#include "front/exchange.h"
+
+namespace pearreach::stand_in {
+
+struct WorkerOptions {
+  std::string worker_id;
+  std::string health_path = "/health";
+  int capacity = 4;                   // requests at once; more are refused
+  Micros event_pause = 20 * kMs;      // between events, and before a plain answer
+  std::uint64_t default_events = 10;  // of a stream whose request names no tokens
+};
+
+class Worker {
+ public:
+  Worker(Timers* timers, WorkerOptions options);
+
+  void Handle(std::shared_ptr<front::Exchange> exchange);
+  void SetDraining() { draining_ = true; }
+  const WorkerOptions& options() const { return options_; }
+  int running() const { return running_; }
+
+ private:
+  struct Run;
+
+  void AnswerHealth(front::Exchange* exchange) const;
+  bool Refuses(front::Exchange* exchange) const;
+  void BeginRun(std::shared_ptr<front::Exchange> exchange);
+  void AnswerPlain(const std::shared_ptr<Run>& run);
+  void SendEvent(const std::shared_ptr<Run>& run);
+  void After(const std::shared_ptr<Run>& run, void (Worker::*step)(const std::shared_ptr<Run>&));
+  void End(const std::shared_ptr<Run>& run);
+
+  Timers* const timers_;
+  const WorkerOptions options_;
+  bool draining_ = false;
+  int running_ = 0;
+  std::uint64_t runs_ = 0;  // begun so far
+};
+
+}  // namespace pearreach::stand_in
+
+#endif  // PEARREACH_LAB_STAND_IN_WORKER_WORKER_H_
--- a/src/batch/lot_api.cpp
+++ b/src/batch/lot_api.cpp
@@ -13,6 +13,8 @@
 namespace pearreach::batch {
 namespace {
 
+constexpr char kModule[] = "batch";
+
 constexpr std::string_view kLotsPath = "/lots/";
 constexpr std::string_view kItemsPath = "/items/";
 constexpr char kWriteRetryAfter[] = "0.5";
@@ -132,6 +134,8 @@
 
 void AnswerSubmit(const std::shared_ptr<front::Exchange>& exchange,
                   const absl::StatusOr<CreateLotAnswer>& answer) {
+  if (!answer.ok())
+    logging::Warning(kModule, "lot not taken", {{"why", std::string(answer.status().message())}});
   if (answer.ok() && answer->status == CreateStatus::kAccepted) {
     Answer(exchange, 202, "{}");
   } else if (answer.ok()) {
--- a/src/batch/replication.cpp
+++ b/src/batch/replication.cpp
@@ -53,6 +53,9 @@
   barrier_done_ = false;
   sole_asking_ = false;
   stream_open_ = false;
+  // Each term is a process of its own to the backups: one that was primary before, and is again,
+  // must not be taken for its former self, whose late calls they refuse.
+  process_ = environment_->Random() | 1;
   ++term_;
   const std::uint64_t term = term_;
   environment_->Commit({}, [this, term](const absl::Status& status) {
--- a/src/batch/replication.h
+++ b/src/batch/replication.h
@@ -134,7 +134,7 @@
   std::map<StoreId, std::shared_ptr<ReplicaLink>> links_;
   std::vector<Confirmation> confirmations_;
   Timers::Id confirm_timer_ = 0;
-  const std::uint64_t process_;
+  std::uint64_t process_;  // of this term as primary
   std::uint64_t attempts_ = 0;
   // As a backup: the primary's process and its last synchronisation, whether that is complete and
   // the next sequence of the stream that follows it.
--- a/src/batch/store_client.cpp
+++ b/src/batch/store_client.cpp
@@ -38,6 +38,7 @@
   Finished finished;
   bool unclear = false;     // a store may have carried it out without saying so
   std::uint64_t tries = 0;  // numbers the attempt whose answer counts
+  std::string last_error;   // of a store, for the log
   Timers::Id timer = 0;
 };
 
@@ -144,6 +145,7 @@
     return;
   }
   if (!IsRefusal(answer.status())) call->unclear = true;
+  call->last_error = std::string(answer.status().message());
   RetryLater(id, call);
 }
 
@@ -161,10 +163,11 @@
 
 void StoreClient::GiveUp(CallId id, const Call& call) {
   if (call.unclear) {
-    Finish(id, absl::DeadlineExceededError("no store has answered; it may have been carried out"));
+    Finish(id, absl::DeadlineExceededError("no store has answered; it may have been carried out: " +
+                                           call.last_error));
     return;
   }
-  Finish(id, absl::UnavailableError("no store could be asked"));
+  Finish(id, absl::UnavailableError("no store could be asked: " + call.last_error));
 }
 
 void StoreClient::Finish(CallId id, absl::StatusOr<std::string> answer) {
--- a/src/codec/archive.h
+++ b/src/codec/archive.h
@@ -6,17 +6,22 @@
 
 #include <absl/status/statusor.h>
 
-#include <boost/archive/binary_iarchive.hpp>
+#include <boost/archive/archive_exception.hpp>
+#include <boost/archive/binary_iarchive_impl.hpp>
 #include <boost/archive/binary_oarchive.hpp>
-#include <boost/iostreams/device/array.hpp>
+#include <boost/archive/impl/archive_serializer_map.ipp>
+#include <boost/archive/impl/basic_binary_iarchive.ipp>
+#include <boost/archive/impl/basic_binary_iprimitive.ipp>
 #include <boost/iostreams/device/back_inserter.hpp>
 #include <boost/iostreams/stream.hpp>
+#include <boost/serialization/array_optimization.hpp>
 #include <boost/serialization/map.hpp>
 #include <boost/serialization/optional.hpp>
 #include <boost/serialization/string.hpp>
 #include <boost/serialization/utility.hpp>
 #include <boost/serialization/vector.hpp>
 #include <exception>
+#include <streambuf>
 #include <string>
 #include <string_view>
 
@@ -35,11 +40,81 @@
   return bytes;
 }
 
+namespace internal {
+
+// Reads bytes where they lie.
+class MemoryBuffer : public std::streambuf {
+ public:
+  explicit MemoryBuffer(std::string_view bytes) {
+    char* const begin = const_cast<char*>(bytes.data());  // a get area is never written to
+    setg(begin, begin, begin + bytes.size());
+  }
+  std::size_t left() const { return static_cast<std::size_t>(egptr() - gptr()); }
+};
+
+class BoundedInput;
+using BoundedInputBase =
+    boost::archive::binary_iarchive_impl<BoundedInput, char, std::char_traits<char>>;
+
+// A binary archive that believes no length beyond the bytes that are left: the library makes room
+// for what a length tells before it reads.
+class BoundedInput : public BoundedInputBase {
+ public:
+  explicit BoundedInput(MemoryBuffer* buffer)
+      : BoundedInputBase(*buffer, kArchiveFlags), buffer_(buffer) {}
+
+  template <class Value>
+  void load_override(Value& value) {
+    BoundedInputBase::load_override(value);
+  }
+  void load_override(boost::serialization::collection_size_type& count) {
+    BoundedInputBase::load_override(count);
+    Check(count);
+  }
+
+  template <class Value>
+  void load(Value& value) {
+    BoundedInputBase::load(value);
+  }
+  void load(bool& flag) {
+    unsigned char byte = 0;
+    BoundedInputBase::load(byte);
+    if (byte > 1) Refuse();
+    flag = byte == 1;
+  }
+  void load(std::string& text) {
+    std::size_t length = 0;
+    BoundedInputBase::load(length);
+    Check(length);
+    text.resize(length);
+    if (length > 0) load_binary(text.data(), length);
+  }
+
+ private:
+  [[noreturn]] static void Refuse() {
+    using boost::archive::archive_exception;
+    throw archive_exception(archive_exception::input_stream_error);
+  }
+  void Check(std::size_t length) const {
+    if (length > buffer_->left()) Refuse();
+  }
+
+  MemoryBuffer* buffer_;
+};
+
+}  // namespace internal
+}  // namespace pearreach::codec
+
+// Without it lists of numbers would be read in another form than the one they are written in.
+BOOST_SERIALIZATION_USE_ARRAY_OPTIMIZATION(pearreach::codec::internal::BoundedInput)
+
+namespace pearreach::codec {
+
 template <class Message>
 absl::StatusOr<Message> Decode(std::string_view bytes) {
   try {
-    boost::iostreams::stream<boost::iostreams::array_source> in(bytes.data(), bytes.size());
-    boost::archive::binary_iarchive archive(in, kArchiveFlags);
+    internal::MemoryBuffer buffer(bytes);
+    internal::BoundedInput archive(&buffer);
     Message message;
     archive >> message;
     return message;
--- a/tests/tier/batch/store_replication_test.cpp
+++ b/tests/tier/batch/store_replication_test.cpp
@@ -234,6 +234,7 @@
   CPPUNIT_TEST(ASoleReplicaServes);
   CPPUNIT_TEST(AWipedReplicaIsFilledAgain);
   CPPUNIT_TEST(ADeposedPrimaryIsNotConfirmed);
+  CPPUNIT_TEST(APrimaryThatWasOneBeforeServesAgain);
   CPPUNIT_TEST(SeededRunsLoseNothing);
   CPPUNIT_TEST_SUITE_END();
 
@@ -312,6 +313,20 @@
     CPPUNIT_ASSERT(!confirmed);
   }
 
+  // A hunted day (a store added, then emptied) left such a partition without service for 20 s.
+  void APrimaryThatWasOneBeforeServesAgain() {
+    Run run(6, 3);
+    const StoreId backup = run.simulation.stores[2]->id();
+    for (const int primary : {0, 1, 0, 1}) {
+      Partition next;
+      next.replicas = {run.simulation.stores[static_cast<std::size_t>(primary)]->id(), backup};
+      run.simulation.Publish(next);
+      run.simulation.RunUntil(run.simulation.now + 3 * kSecond);
+      CPPUNIT_ASSERT(run.simulation.Active() ==
+                     run.simulation.stores[static_cast<std::size_t>(primary)].get());
+    }
+  }
+
   void SeededRunsLoseNothing() {
     int accepted = 0, results = 0, reads = 0;
     for (std::uint64_t seed = 1; seed <= static_cast<std::uint64_t>(kSeeds); ++seed) {
