Send large shared prompts to the workers that keep them; the limit starts at zero

A module-digest's shared 13,300 tokens were read anew at several workers, as the module samples more than two places for a key and each zone prefers its own. Room for lots rests on this node's own part of the slots.

--- a/src/batch/item_job.cpp
+++ b/src/batch/item_job.cpp
@@ -51,8 +51,12 @@
   spec.headers = HeadersOf(leased, route);
   const std::string_view counts = HeaderOf(leased.item, proxy::kTokenCountHeader);
   spec.tokens = counts.empty() ? leased.item.tokens : proxy::TokenCount(counts);
-  spec.prefix_key = proxy::PrefixKey(HeaderOf(leased.item, proxy::kModelHeader),
-                                     HeaderOf(leased.item, proxy::kPromptPrefixHeader));
+  const proxy::PromptShape prompt =
+      proxy::ReadPromptShape(HeaderOf(leased.item, proxy::kModelHeader),
+                             HeaderOf(leased.item, proxy::kPromptPrefixHeader));
+  spec.prefix_key = prompt.key;
+  spec.shared_tokens = prompt.shared_tokens;
+  spec.own_tokens = prompt.own_tokens;
   spec.target = std::move(leased.item.path);
   spec.body = std::move(leased.item.body);
   spec.attempt_id = std::move(leased.item.item_id);
--- a/src/gateway/job_builder.cpp
+++ b/src/gateway/job_builder.cpp
@@ -69,8 +69,11 @@
   spec.streamed = route.variant == routing::Variant::kStreamed;
   spec.resumable = spec.streamed && route.resumable;
   spec.last_event_id = ReadNumber<std::uint64_t>(request->Find("Last-Event-Id")).value_or(0);
-  spec.prefix_key = proxy::PrefixKey(ValueOf(*request, proxy::kModelHeader),
-                                     ValueOf(*request, proxy::kPromptPrefixHeader));
+  const proxy::PromptShape prompt = proxy::ReadPromptShape(
+      ValueOf(*request, proxy::kModelHeader), ValueOf(*request, proxy::kPromptPrefixHeader));
+  spec.prefix_key = prompt.key;
+  spec.shared_tokens = prompt.shared_tokens;
+  spec.own_tokens = prompt.own_tokens;
   spec.tokens = proxy::TokenCount(ValueOf(*request, proxy::kTokenCountHeader));
   spec.method = request->method;
   spec.target = std::move(request->target);
--- a/src/proxy/job.h
+++ b/src/proxy/job.h
@@ -32,7 +32,9 @@
   bool bulk = false;         // an item of a lot: yields to live jobs
   bool stop_on_500 = false;  // a 500 of a worker ends the job: no further worker gets it
   std::uint64_t last_event_id = 0;  // of the request; 0: from the start
-  std::uint64_t prefix_key = 0;     // hash of the shared parts of its prompt; 0: none
+  std::uint64_t prefix_key = 0;     // of the shared parts of its prompt (PromptShape); 0: none
+  double shared_tokens = 0;         // of these parts
+  double own_tokens = 0;            // of its prompt, shared with nobody
   double tokens = 0;                // of the prompt and most out
 };
 
--- a/src/proxy/job_runner.cpp
+++ b/src/proxy/job_runner.cpp
@@ -15,7 +15,8 @@
 constexpr Micros kShareEvery = 2 * kSecond;   // this node's share is looked at no more often
 constexpr std::size_t kLeastConnections = 2;  // to each worker, however many nodes there are
 constexpr std::size_t kDefaultConnections = 16;  // of a service that names no limit
-constexpr double kBulkFill = 0.7;  // of the slots; what lies above is kept for live jobs
+constexpr double kBulkFill = 0.85;  // of this node's slots; what lies above is kept for live jobs
+constexpr double kMostFill = 0.9;   // of all slots, by what workers told; beyond it bulk jobs wait
 // Bulk jobs whose prompts are unread, a worker and all nodes together; and those held ready behind.
 constexpr double kUnreadBulk = 1;
 constexpr int kBulkAhead = 4;
@@ -28,7 +29,7 @@
 
   std::uint64_t Submit(JobSpec spec, std::shared_ptr<JobSink> sink) override;
   void Cancel(std::uint64_t job) override;
-  int BulkRoom(const std::string& service) const override;
+  int BulkRoom(const std::string& service) const override;  // of JobHost, too
 
  private:
   bool IsReady(const std::string& worker_id) const override;
@@ -99,7 +100,8 @@
   running->Cancel();
 }
 
-// This node's part of the slots that are free below the fill, less what waits here already.
+// What this node's part of the slots leaves below the fill. Each node keeps to its own part, whose
+// use it knows at once: what workers tell of all nodes' jobs comes too late for a burst.
 int Runner::BulkRoom(const std::string& service) const {
   const auto found = lines_.find(service);
   if (found == lines_.end()) {
@@ -112,15 +114,14 @@
   if (line.dispatcher.held_live() > 0) return 0;
   bool told = false;
   const double taken = line.workers.SlotsTaken(Now(), &told);
-  const double usable = kBulkFill * line.workers.ready_slots();
-  const double nodes = share_.nodes;
-  // Where workers tell nothing, the other nodes are taken to use as much as this one.
-  const double free = told ? usable - taken : usable - taken * nodes;
-  if (free < 1) return 0;
+  const double slots = line.workers.ready_slots();
+  if (slots < 1 || (told && taken > kMostFill * slots)) return 0;
+  const double usable = kBulkFill * slots / share_.nodes;
   const int held = line.dispatcher.held_bulk() + static_cast<int>(line.bulk_gate.waiting());
+  const int out = line.workers.InFlight();
   const int ahead = kBulkAhead * line.bulk_gate.allowance() - held;
-  const int room = std::min(static_cast<int>(std::floor(free / nodes)) - held, ahead);
-  const bool idle = line.bulk_in_flight + held == 0;
+  const int room = std::min(static_cast<int>(std::floor(usable)) - out - held, ahead);
+  const bool idle = out + held == 0;
   return std::max(room, idle ? 1 : 0);
 }
 
--- /dev/null
+++ b/src/proxy/kept_prefixes.cpp
@@ -0,0 +1,21 @@
+#include "proxy/kept_prefixes.h"
+
+namespace pearreach::proxy {
+
+void KeptPrefixes::Use(std::uint64_t key, double shared_tokens, double own_tokens, double room) {
+  const auto known = by_key_.find(key);
+  if (known != by_key_.end()) {
+    tokens_ -= known->second->tokens;
+    recent_.erase(known->second);
+  }
+  recent_.push_front({key, shared_tokens + own_tokens});
+  by_key_[key] = recent_.begin();
+  tokens_ += shared_tokens + own_tokens;
+  while (recent_.size() > 1 && (recent_.size() > kMostPrefixes || (room > 0 && tokens_ > room))) {
+    tokens_ -= recent_.back().tokens;
+    by_key_.erase(recent_.back().key);
+    recent_.pop_back();
+  }
+}
+
+}  // namespace pearreach::proxy
--- a/src/proxy/pool_dispatcher.cpp
+++ b/src/proxy/pool_dispatcher.cpp
@@ -15,16 +15,22 @@
 constexpr double kBulkWorth = 0.001;  // less than that of any live rank
 constexpr double kLateValue = 0.4;    // share of the worth of an answer after its objective
 constexpr Micros kBulkAim = 2 * kSecond;
-constexpr double kConnectPrice = 0.01;    // open connections are preferred
-constexpr double kCrowded = 0.6;          // share of the slots in use; beyond it load alone counts
-constexpr Micros kCrowdedFor = 50 * kMs;  // one look serves for so long
+constexpr double kConnectPrice = 0.01;  // open connections are preferred
+constexpr Micros kHomeWait = 6 * kMs;   // a job waits for room under the limit at each home
 constexpr Micros kSilentProgress = 2 * kSecond;  // streams under way are told of this often
 constexpr Micros kRetryFirst = 100 * kMs;  // a refused client comes back after this, and more for
 constexpr Micros kRetryEach = 5 * kMs;     // each job that waits here
 constexpr Micros kRetryLast = kSecond;
 constexpr std::size_t kMostClasses = 64;    // then those that no job uses now are dropped
 constexpr Micros kOutFor = 3600 * kSecond;  // an attempt under way is not ended by the module
-constexpr std::uint64_t kMostArrivals = 2;  // of one placement at the module: with a key, without
+constexpr std::size_t kMostHomes = 3;       // of one placement that are tried
+constexpr std::uint64_t kMostArrivals = kMostHomes + 1;  // of one placement at the module
+constexpr int kTryLimit = 2;  // attempts at the module: the one that binds it, the one that is sent
+
+JobClass Bound(JobClass job_class) {
+  job_class.bound = true;
+  return job_class;
+}
 
 }  // namespace
 
@@ -35,6 +41,7 @@
 PoolDispatcher::~PoolDispatcher() {
   timers_->Cancel(&turn_);
   timers_->Cancel(&timer_);
+  timers_->Cancel(&homes_timer_);
 }
 
 void PoolDispatcher::SetShare(NodeShare share) {
@@ -50,11 +57,6 @@
   list.entries = std::move(changes);
   Post(std::move(list));
   TeachSlots();
-  if (limit_cut_) return;
-  marlquay::Knowledge learned;
-  learned.pools = dispatcher_->Learned(Now()).pools;
-  TeachLimit(&learned);
-  Post(std::move(learned));
 }
 
 // ---------------------------------------------------------------- placements
@@ -65,27 +67,48 @@
   open.placement = placement;
   open.client = client;
   open.number = ClassNumber(placement.job_class);
+  if (open.placement.homes.size() > kMostHomes) open.placement.homes.resize(kMostHomes);
+  if (!open.placement.homes.empty()) open.bound_number = ClassNumber(Bound(placement.job_class));
   ++(placement.job_class.bulk ? held_bulk_ : held_live_);
-  if (rebuild_)
+  if (rebuild_) {
     ArmTurn();
-  else
-    PostArrival(id, &open, placement.key != 0 && !Crowded());
+  } else if (open.placement.homes.empty()) {
+    PostArrival(id, &open);
+  } else {
+    bound_.push_back(id);
+    PostBound(id, &open, open.placement.homes.front());
+  }
   return id;
 }
 
-void PoolDispatcher::PostArrival(PlacementId id, Open* open, bool keyed) {
+void PoolDispatcher::PostArrival(PlacementId id, Open* open) {
   ++open->arrivals;
+  open->attempt = 0;
   marlquay::RequestArrived arrived;
   arrived.request = RequestOf(id, *open);
   arrived.cls = open->number;
   arrived.due = open->placement.due;
-  if (keyed) {
-    arrived.key = open->placement.key;
-    keyed_.push_back(id);
-  }
   Post(std::move(arrived));
 }
 
+// Has the module choose among one worker, under the same limit and health as ever. It keeps a job
+// of a class whose repeats are safe within one cell only to the cell of its first attempt, and each
+// worker is a cell: so the job arrives with an attempt there.
+void PoolDispatcher::PostBound(PlacementId id, Open* open, marlquay::WorkerId home) {
+  const Micros now = Now();
+  ++open->arrivals;
+  open->attempt = 1;
+  open->bound_at = now;
+  marlquay::RequestArrived arrived;
+  arrived.request = RequestOf(id, *open);
+  arrived.cls = open->bound_number;
+  arrived.due = open->placement.due;
+  const marlquay::RequestId request = arrived.request;
+  Post(std::move(arrived));
+  Post(marlquay::AttemptAdopted{request, home, now, true,
+                                marlquay::AttemptAdopted::Was::kMayHaveRun});
+}
+
 void PoolDispatcher::Lapse(PlacementId id) {
   const auto found = open_.find(id);
   if (found == open_.end()) return;
@@ -97,13 +120,15 @@
 void PoolDispatcher::Began(PlacementId id) {
   const auto found = open_.find(id);
   if (found == open_.end() || std::exchange(found->second.began, true)) return;
-  Post(marlquay::StreamBegan{RequestOf(id, found->second), 0, found->second.worker});
+  Post(marlquay::StreamBegan{RequestOf(id, found->second), found->second.attempt,
+                             found->second.worker});
 }
 
 void PoolDispatcher::Progress(PlacementId id) {
   const auto found = open_.find(id);
   if (found == open_.end()) return;
-  Post(marlquay::AttemptProgress{RequestOf(id, found->second), 0, found->second.worker, 0});
+  Post(marlquay::AttemptProgress{RequestOf(id, found->second), found->second.attempt,
+                                 found->second.worker, 0});
 }
 
 // A placement is over with its one attempt; the job places itself anew if it goes on.
@@ -113,6 +138,7 @@
   if (found == open_.end()) return;
   marlquay::AttemptEnded ended;
   ended.request = RequestOf(id, found->second);
+  ended.attempt = found->second.attempt;
   ended.worker = found->second.worker;
   ended.outcome = outcome;
   ended.latency = latency;
@@ -178,17 +204,16 @@
   dispatcher_->Handle(now, events, &actions_);
   const std::vector<marlquay::Action> actions = std::exchange(actions_, {});
   for (const marlquay::Action& action : actions) Carry(action);
-  if (!keyed_.empty()) ReleaseKeys();
+  if (!bound_.empty()) TryNextHomes();
 }
 
 // A new module takes over: it is told of all workers, what the old one has learned, what waits and
 // what is out.
 void PoolDispatcher::Rebuild(Micros now) {
   events_.clear();
-  keyed_.clear();
+  bound_.clear();
   rebuild_ = false;
-  marlquay::Knowledge learned;
-  if (dispatcher_) learned = dispatcher_->Learned(now);
+  marlquay::Knowledge learned = Learned(now);
   if (classes_.size() > kMostClasses) {
     DropUnusedClasses();
     learned.classes.clear();  // their numbers are others now
@@ -199,13 +224,12 @@
   list.form = marlquay::WorkerList::Form::kComplete;
   list.entries = workers_->Everything();
   events_.push_back(std::move(list));
-  TeachLimit(&learned);
   if (!learned.pools.empty()) events_.push_back(std::move(learned));
   slots_told_ = 0;
   TeachSlots();
   for (auto& [id, open] : open_) {
     open.arrivals = 0;
-    PostArrival(id, &open, false);
+    PostArrival(id, &open);
     if (!open.out) continue;
     const marlquay::RequestId request = RequestOf(id, open);
     std::get<marlquay::RequestArrived>(events_.back()).due =
@@ -216,22 +240,14 @@
   }
 }
 
-// Guards the start: a limit that grows from nothing would refuse jobs while workers are free. Until
-// workers were found full, this node's part of all slots is what may be out.
-void PoolDispatcher::TeachLimit(marlquay::Knowledge* learned) const {
-  if (classes_.empty()) return;
-  if (learned->pools.empty()) {
-    marlquay::PoolKnowledge first;
-    first.ran = first.worked = static_cast<double>(std::max<Micros>(classes_[0].target, kMs));
-    learned->pools.push_back(first);
-  }
-  marlquay::PoolKnowledge& pool = learned->pools.front();
-  if (limit_cut_) {
-    pool.found = pool.limit;
-    return;
-  }
-  const double part = workers_->ready_slots() / share_.nodes;
-  pool.limit = pool.found = std::max(pool.limit, part);
+// What outlives a module's replacement here. The first module starts from a limit of zero; a later
+// one takes on the limit as it stands, which jobs served and backlog have raised and refusals cut.
+marlquay::Knowledge PoolDispatcher::Learned(Micros now) const {
+  marlquay::Knowledge learned;
+  if (!dispatcher_) return learned;
+  learned = dispatcher_->Learned(now);
+  for (marlquay::PoolKnowledge& pool : learned.pools) pool.found = pool.limit;
+  return learned;
 }
 
 // The module counts slots by what workers tell; the registry knows them before any has answered.
@@ -278,14 +294,45 @@
   client->OnRefused(id, refuse.retry_after > 0 ? refuse.retry_after : RetryAfter());
 }
 
-// Guards load over affinity: where the workers of its key had no room at once, any other will do.
-void PoolDispatcher::ReleaseKeys() {
-  for (const PlacementId id : std::exchange(keyed_, {})) {
+// Guards load over affinity: a home that does not take the job at once is passed over for the next
+// one, and after the last one any worker will do. Where the limit has no room for any worker, the
+// job waits a moment for it with its home.
+void PoolDispatcher::TryNextHomes() {
+  const Micros now = Now();
+  const bool no_room = NoRoom();
+  for (const PlacementId id : std::exchange(bound_, {})) {
     const auto found = open_.find(id);
     if (found == open_.end() || found->second.out || rebuild_) continue;
-    Post(marlquay::RequestLapsed{RequestOf(id, found->second)});
-    PostArrival(id, &found->second, false);
+    Open& open = found->second;
+    if (no_room && now < open.bound_at + kHomeWait) {
+      bound_.push_back(id);
+      continue;
+    }
+    Post(marlquay::RequestLapsed{RequestOf(id, open)});
+    const std::vector<marlquay::WorkerId>& homes = open.placement.homes;
+    const std::size_t next = static_cast<std::size_t>(open.arrivals);
+    if (next >= homes.size() || no_room) {
+      PostArrival(id, &open);
+    } else {
+      bound_.push_back(id);
+      PostBound(id, &open, homes[next]);
+    }
   }
+  if (bound_.empty() || homes_timer_ != 0) return;
+  homes_timer_ = timers_->After(kHomeWait, [this] {
+    homes_timer_ = 0;
+    ArmTurn();
+  });
+}
+
+bool PoolDispatcher::limit_grows() const {
+  if (limit_cut_ || !dispatcher_) return !limit_cut_;
+  return dispatcher_->PoolLimit(0) < workers_->ready_slots() / share_.nodes;
+}
+
+bool PoolDispatcher::NoRoom() const {
+  const double busy = dispatcher_->PoolBusy(0);
+  return busy > 0 && busy + 1 > dispatcher_->PoolLimit(0);
 }
 
 void PoolDispatcher::LogDecision(const marlquay::LogLine& line) {
@@ -321,7 +368,11 @@
 // Configurations come and go, and each may bring classes of its own.
 void PoolDispatcher::DropUnusedClasses() {
   classes_.clear();
-  for (auto& [id, open] : open_) open.number = ClassNumber(open.placement.job_class);
+  for (auto& [id, open] : open_) {
+    open.number = ClassNumber(open.placement.job_class);
+    if (!open.placement.homes.empty())
+      open.bound_number = ClassNumber(Bound(open.placement.job_class));
+  }
   rebuild_ = false;  // this is the new module's making
 }
 
@@ -331,7 +382,10 @@
   settings.self = std::clamp(share_.self, 0, settings.balancers - 1);
   for (const JobClass& job_class : classes_) {
     marlquay::ClassSettings cls;
-    cls.effect = marlquay::Effect::kRepeatable;  // each placement is sent once; the job repeats
+    // Each placement is sent once; the job repeats. See PostBound for the others.
+    cls.effect = job_class.bound ? marlquay::Effect::kByKey : marlquay::Effect::kRepeatable;
+    cls.key_scope = marlquay::KeyScope::kCell;
+    cls.key_window = kOutFor;
     cls.aim = job_class.bulk ? kBulkAim : std::max<Micros>(job_class.target, kMs);
     // A stream's objective is its first event, while its work is all of it.
     cls.aim_stretch = job_class.streamed || job_class.bulk ? 1 : 0;
@@ -341,6 +395,7 @@
     settings.classes.push_back(cls);
   }
   if (settings.classes.empty()) settings.classes.emplace_back();
+  settings.try_limit = kTryLimit;
   settings.worth_by_work = true;
   settings.weighted_workers = true;
   settings.retry_after = true;
@@ -350,18 +405,6 @@
   return settings;
 }
 
-bool PoolDispatcher::Crowded() {
-  const Micros now = Now();
-  if (now < crowded_until_) return crowded_;
-  crowded_until_ = now + kCrowdedFor;
-  bool told = false;
-  const double taken = workers_->SlotsTaken(now, &told);
-  const double slots = workers_->ready_slots();
-  crowded_ =
-      told ? taken > kCrowded * slots : dispatcher_->PoolBusy(0) > kCrowded * slots / share_.nodes;
-  return crowded_;
-}
-
 Micros PoolDispatcher::RetryAfter() {
   const Micros wait = std::min(kRetryFirst + kRetryEach * held_live_, kRetryLast);
   seed_ = seed_ * 6364136223846793005u + 1442695040888963407u;
--- a/src/proxy/pool_dispatcher.h
+++ b/src/proxy/pool_dispatcher.h
@@ -23,13 +23,15 @@
   int rank = 0;
   Micros target = 0;  // objective for the first byte
   bool streamed = false, bulk = false;
+  bool bound = false;  // to one worker for a moment; set by the dispatcher
   bool operator==(const JobClass&) const = default;
 };
 
 struct Placement {
   JobClass job_class;
-  Micros due = 0;         // a worker must be found by then
-  std::uint64_t key = 0;  // jobs with one key profit from one worker; 0: none
+  Micros due = 0;  // a worker must be found by then
+  // Workers that it profits from, the best one first: tried in this order, before all others.
+  std::vector<marlquay::WorkerId> homes;
 };
 
 class PlacementClient {
@@ -69,14 +71,21 @@
 
   int held_live() const { return held_live_; }
   int held_bulk() const { return held_bulk_; }
+  // The limit has not come to this node's part of the slots, and no worker was found full yet.
+  bool limit_grows() const;
+  // When a client that is refused now should come again.
+  Micros RetryAfter();
   const NodeShare& share() const { return share_; }
 
  private:
   struct Open {
     Placement placement;
     PlacementClient* client = nullptr;
-    int number = 0;    // of its class in the settings
-    int arrivals = 0;  // times that the module was told of it; each has its own number there
+    int number = 0;        // of its class in the settings
+    int bound_number = 0;  // of its class while it is bound to a home
+    int arrivals = 0;      // times that the module was told of it; each has its own number there
+    int attempt = 0;       // number of its send at the module
+    Micros bound_at = 0;   // to the home in hand
     bool out = false, began = false;
     marlquay::WorkerId worker = 0;
     Micros sent = 0;
@@ -87,21 +96,21 @@
   void SetTimer(Micros at);
   void Turn();
   void Rebuild(Micros now);
-  void PostArrival(PlacementId id, Open* open, bool keyed);
+  void PostArrival(PlacementId id, Open* open);
+  void PostBound(PlacementId id, Open* open, marlquay::WorkerId home);
   void Carry(const marlquay::Action& action);
   void Place(const marlquay::Send& send);
   void Refuse(const marlquay::Refuse& refuse);
   void LogDecision(const marlquay::LogLine& line);
   void Unhold(const Open& open);
-  void ReleaseKeys();
-  void TeachLimit(marlquay::Knowledge* learned) const;
+  void TryNextHomes();
+  bool NoRoom() const;
+  marlquay::Knowledge Learned(Micros now) const;
   void TeachSlots();
   int ClassNumber(const JobClass& job_class);
   void DropUnusedClasses();
-  bool Crowded();
   marlquay::RequestId RequestOf(PlacementId id, const Open& open) const;
   Open* Find(marlquay::RequestId request);
-  Micros RetryAfter();
   marlquay::Settings MakeSettings() const;
 
   Timers* timers_;
@@ -113,16 +122,14 @@
   std::vector<JobClass> classes_;
   std::unordered_map<PlacementId, Open> open_;
   std::vector<marlquay::Event> events_;
-  std::vector<PlacementId> keyed_;  // arrived with a key in this turn
+  std::vector<PlacementId> bound_;  // wait for room at a home
   std::vector<marlquay::Action> actions_;
   PlacementId last_ = 0;
   int held_live_ = 0, held_bulk_ = 0;
   bool rebuild_ = true;     // the settings have changed
   bool limit_cut_ = false;  // workers were found full: the limit is learned
   double slots_told_ = 0;   // largest worker that the module was told of
-  bool crowded_ = false;
-  Micros crowded_until_ = 0;  // when that is to be looked at again
-  Timers::Id turn_ = 0, timer_ = 0;
+  Timers::Id turn_ = 0, timer_ = 0, homes_timer_ = 0;
 };
 
 }  // namespace pearreach::proxy
--- a/src/proxy/prompt_headers.cpp
+++ b/src/proxy/prompt_headers.cpp
@@ -1,5 +1,6 @@
 #include "proxy/prompt_headers.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace pearreach::proxy {
@@ -16,6 +17,8 @@
   return hash;
 }
 
+constexpr double kMostOfShared = 0.75;  // a run of leading parts that holds so much is the key
+
 double Number(std::string_view text) {
   const std::size_t begin = text.find_first_not_of(' ');
   if (begin == std::string_view::npos) return 0;
@@ -26,6 +29,23 @@
   return value;
 }
 
+// Of one part, "ID:TOKENS".
+double PartTokens(std::string_view part) {
+  const std::size_t colon = part.rfind(':');
+  return colon == std::string_view::npos ? 0 : Number(part.substr(colon + 1));
+}
+
+// Calls `see` with where each part ends and its tokens.
+template <class See>
+void ForEachPart(std::string_view parts, See see) {
+  std::size_t begin = 0;
+  while (begin < parts.size()) {
+    const std::size_t end = std::min(parts.find(',', begin), parts.size());
+    see(end, PartTokens(parts.substr(begin, end - begin)));
+    begin = end + 1;
+  }
+}
+
 }  // namespace
 
 std::uint64_t PrefixKey(std::string_view model, std::string_view prefix_header) {
@@ -37,6 +57,25 @@
   return hash == 0 ? 1 : hash;
 }
 
+PromptShape ReadPromptShape(std::string_view model, std::string_view prefix_header) {
+  PromptShape shape;
+  const std::size_t last = prefix_header.rfind(',');
+  const bool shares = last != std::string_view::npos;
+  shape.own_tokens = PartTokens(shares ? prefix_header.substr(last + 1) : prefix_header);
+  if (!shares) return shape;
+  const std::string_view shared = prefix_header.substr(0, last);
+  ForEachPart(shared, [&](std::size_t, double tokens) { shape.shared_tokens += tokens; });
+  std::size_t key_end = 0;
+  double read = 0;
+  ForEachPart(shared, [&](std::size_t end, double tokens) {
+    if (read < kMostOfShared * shape.shared_tokens) key_end = end;
+    read += tokens;
+  });
+  shape.key = HashOn(HashOn(HashOn(kFnvOffset, model), "\n"), shared.substr(0, key_end));
+  if (shape.key == 0) shape.key = 1;
+  return shape;
+}
+
 double TokenCount(std::string_view header) {
   double sum = 0;
   while (!header.empty()) {
--- a/src/proxy/running_job.cpp
+++ b/src/proxy/running_job.cpp
@@ -18,8 +18,11 @@
 
 // A job that has not been offered to a worker by a quarter of its objective is better refused: its
 // client may go elsewhere.
+// While the limit still grows from its start, the wait for it is short: it pays to hold on longer.
 constexpr double kHoldShare = 0.25;
+constexpr double kGrowingHoldShare = 0.5;
 constexpr Micros kHoldMargin = 5 * kMs;
+constexpr Micros kBulkHold = 400 * kMs;  // an item goes back then: another node may have room
 constexpr Micros kHoldLeast = 20 * kMs;
 constexpr Micros kHoldAgain = kSecond;  // one that may have run can't be refused: it may wait
 
@@ -30,6 +33,12 @@
 constexpr Micros kPlainSilence = 1500 * kMs;
 constexpr double kPlainSilenceTargets = 5;
 
+// Shared parts that are read anew for less time than the search for their worker may cost are not
+// worth it.
+constexpr double kLeastShared = 1000;
+constexpr std::size_t kHomes = 2;   // workers that are tried first for the shared parts of a prompt
+constexpr double kHomeFill = 0.75;  // of its slots in use; a worker above it is no home
+
 constexpr double kLargeShare = 0.5;  // a request of this share of a worker's memory may not fit
 
 Micros FromMs(double ms) { return static_cast<Micros>(ms * static_cast<double>(kMs)); }
@@ -64,6 +73,7 @@
 void RunningJob::Cancel() {
   if (std::exchange(ended_, true)) return;
   timers_->Cancel(&due_timer_);
+  timers_->Cancel(&hold_timer_);
   Leave(Outcome::kCancelled);
   if (spec_.bulk) line_->bulk_gate.Withdraw(id_);
   LeaveGate();
@@ -93,19 +103,72 @@
   placement.job_class.target = spec_.bulk ? 0 : FromMs(spec_.target_ms);
   placement.job_class.streamed = spec_.streamed;
   placement.job_class.bulk = spec_.bulk;
-  placement.due = PlaceBy(Now());
-  placement.key = spec_.prefix_key;
+  const Micros now = Now();
+  const Micros place_by = PlaceBy(now);
+  placement.due = spec_.due;
+  placement.homes = Homes();
   placed_ = false;
   placement_ = line_->dispatcher.Arrive(placement, this);
+  timers_->Cancel(&hold_timer_);
+  hold_timer_ = timers_->After(place_by - now, [this] {
+    hold_timer_ = 0;
+    const auto self = shared_from_this();
+    OnHeldTooLong();
+  });
+}
+
+// The workers that are likely to keep the shared parts of its prompt, as far as these are worth it
+// and the workers are not loaded.
+std::vector<marlquay::WorkerId> RunningJob::Homes() const {
+  std::vector<marlquay::WorkerId> homes;
+  if (spec_.prefix_key == 0 || spec_.shared_tokens < kLeastShared) return homes;
+  const Micros now = Now();
+  homes = line_->workers.HomesOf(spec_.prefix_key, kHomes);
+  std::erase_if(homes,
+                [&](marlquay::WorkerId id) { return line_->workers.Fill(id, now) > kHomeFill; });
+  const auto unread = [&](marlquay::WorkerId id) {
+    const ServiceWorker& worker = *line_->workers.Find(id);
+    const bool first = id == homes.front();
+    const bool kept = first || worker.kept.Has(spec_.prefix_key);
+    return worker.unread_tokens + (kept ? 0 : spec_.shared_tokens);
+  };
+  if (homes.size() > 1 && unread(homes[1]) < unread(homes[0])) std::swap(homes[0], homes[1]);
+  return homes;
+}
+
+void RunningJob::NoteSent(ServiceWorker* worker) {
+  reading_ = true;
+  unread_ = spec_.own_tokens;
+  if (spec_.prefix_key != 0 && spec_.shared_tokens >= kLeastShared) {
+    if (!worker->kept.Has(spec_.prefix_key)) unread_ += spec_.shared_tokens;
+    worker->kept.Use(spec_.prefix_key, spec_.shared_tokens, spec_.own_tokens,
+                     host_->WorkerTokens(spec_.service));
+  }
+  worker->unread_tokens += unread_;
+}
+
+// Its first event has come, or none will.
+void RunningJob::NoteRead() {
+  if (!std::exchange(reading_, false)) return;
+  line_->workers.Find(worker_)->unread_tokens -= unread_;
 }
 
 Micros RunningJob::PlaceBy(Micros now) const {
-  if (spec_.bulk) return spec_.due;
+  if (spec_.bulk) return std::min(spec_.due, now + kBulkHold);
   if (runs_ > 0) return std::min(spec_.due, now + kHoldAgain);
-  const Micros hold = std::max(FromMs(kHoldShare * spec_.target_ms) - kHoldMargin, kHoldLeast);
+  const double share = line_->dispatcher.limit_grows() ? kGrowingHoldShare : kHoldShare;
+  const Micros hold = std::max(FromMs(share * spec_.target_ms) - kHoldMargin, kHoldLeast);
   return std::min(spec_.due, std::max(started_ + hold, now + kHoldLeast));
 }
 
+// The job itself gives up: at the module only what has missed its objective makes slots dear.
+void RunningJob::OnHeldTooLong() {
+  if (placement_ == 0 || placed_) return;
+  retry_after_ = line_->dispatcher.RetryAfter();
+  line_->dispatcher.Lapse(std::exchange(placement_, 0));
+  EndWithoutAnswer();
+}
+
 void RunningJob::OnRefused(PlacementId, Micros retry_after) {
   const auto self = shared_from_this();
   placement_ = 0;
@@ -116,6 +179,7 @@
 void RunningJob::OnPlaced(PlacementId, marlquay::WorkerId worker) {
   const auto self = shared_from_this();
   placed_ = true;
+  timers_->Cancel(&hold_timer_);
   worker_ = worker;
   const ServiceWorker& chosen = *line_->workers.Find(worker);
   // Guards drains: the list that the decision rests on may be older than the registry's word.
@@ -148,7 +212,7 @@
   request.connection_limit = host_->ConnectionLimit(spec_.service);
   ++sends_;
   ++chosen.in_flight;
-  if (spec_.bulk) ++line_->bulk_in_flight;
+  NoteSent(&chosen);
   AttemptListener* const listener = this;
   attempt_ = std::make_shared<Attempt>(timers_, chosen.connections, std::move(request), listener);
   if (spec_.repeatable && runs_ + 1 < spec_.tries) WatchSilence(SilenceLimit());
@@ -169,10 +233,10 @@
 void RunningJob::Settle(Outcome outcome) {
   LeaveGate();
   timers_->Cancel(&silence_timer_);
+  NoteRead();
   if (attempt_ != nullptr) {
     attempt_.reset();
     --line_->workers.Find(worker_)->in_flight;
-    if (spec_.bulk) --line_->bulk_in_flight;
   }
   if (load_) line_->workers.Tell(worker_, *load_);
   const Micros latency = sent_ == 0 ? 0 : Now() - sent_;
--- a/src/proxy/running_job.h
+++ b/src/proxy/running_job.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "proxy/attempt.h"
 #include "proxy/event_splitter.h"
@@ -28,6 +29,8 @@
   virtual std::size_t ConnectionLimit(const std::string& service) const = 0;
   // Tokens that one worker of the service holds; 0: not known.
   virtual double WorkerTokens(const std::string& service) const = 0;
+  // Bulk jobs of this service that would not harm live ones, beside those that wait.
+  virtual int BulkRoom(const std::string& service) const = 0;
   // The job has ended: its runner forgets it.
   virtual void Forget(std::uint64_t job) = 0;
 };
@@ -54,7 +57,11 @@
   void Ask();
   bool PassGate();
   void LeaveGate();
+  void OnHeldTooLong();
   Micros PlaceBy(Micros now) const;
+  std::vector<marlquay::WorkerId> Homes() const;
+  void NoteSent(ServiceWorker* worker);
+  void NoteRead();
   void Send(marlquay::WorkerId worker);
   void Leave(marlquay::Outcome outcome);
   void Settle(marlquay::Outcome outcome);
@@ -86,13 +93,15 @@
 
   const Micros started_;
   const bool has_due_;
-  Timers::Id due_timer_ = 0, silence_timer_ = 0;
+  Timers::Id due_timer_ = 0, hold_timer_ = 0, silence_timer_ = 0;
   PlacementId placement_ = 0;  // 0: none is open
   bool placed_ = false;        // the placement has its worker
   bool in_gate_ = false;       // a bulk job that holds a place of its line's gate
   marlquay::WorkerId worker_ = 0;
   std::shared_ptr<Attempt> attempt_;
   std::optional<WorkerLoad> load_;  // told in the attempt's answer
+  bool reading_ = false;            // no event has come of the attempt
+  double unread_ = 0;               // tokens of its prompt that the worker has yet to read
   Micros sent_ = 0;
   Micros heard_ = 0;          // the last event of the attempt; 0: none
   Micros progress_told_ = 0;  // to the decision module
--- a/src/proxy/running_job_answer.cpp
+++ b/src/proxy/running_job_answer.cpp
@@ -75,6 +75,7 @@
                      : event.bytes;
   }
   if (heard_ != 0) LeaveGate();  // its prompt has been read
+  if (heard_ != 0) NoteRead();
   if (heard_ != 0 && placement_ != 0) {
     line_->dispatcher.Began(placement_);
     if (heard_ - progress_told_ >= kProgressEvery) {
--- a/src/proxy/service_line.h
+++ b/src/proxy/service_line.h
@@ -17,7 +17,6 @@
 
   ServiceWorkers workers;
   PoolDispatcher dispatcher;
-  int bulk_in_flight = 0;
   BulkGate bulk_gate;
 };
 
--- a/src/proxy/service_workers.cpp
+++ b/src/proxy/service_workers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <string_view>
 #include <utility>
 
@@ -19,6 +20,13 @@
   return hash;
 }
 
+// Spreads a hash over all its bits.
+std::uint64_t Scatter(std::uint64_t hash) {
+  hash = (hash ^ (hash >> 33)) * 0xff51afd7ed558ccdu;
+  hash = (hash ^ (hash >> 33)) * 0xc4ceb9fe1a85ec53u;
+  return hash ^ (hash >> 33);
+}
+
 bool Same(const marlquay::WorkerEntry& a, const marlquay::WorkerEntry& b) {
   return a.identity == b.identity && a.zone == b.zone && a.health == b.health &&
          a.weight == b.weight;
@@ -146,6 +154,7 @@
   entry.worker = id;
   entry.identity = HashOf(record.worker_id);
   entry.zone = zones_.at(record.zone);
+  entry.cell = static_cast<int>(id);  // each worker is a group of its own: see PoolDispatcher
   entry.health = !worker.present || record.phase == registry::WorkerPhase::kGone
                      ? marlquay::Health::kGone
                  : record.phase == registry::WorkerPhase::kDraining ? marlquay::Health::kDraining
@@ -177,14 +186,46 @@
   *told = false;
   for (const auto& [id, known] : by_id_) {
     if (told_[known.number].health != marlquay::Health::kInService) continue;
-    const ServiceWorker& worker = workers_[known.number];
-    const Micros age = now - worker.load_at;
-    const bool fresh = worker.load_at != 0 && age < kLoadMemory;
-    const double fade = fresh ? 1 - static_cast<double>(age) / kLoadMemory : 0;
-    *told = *told || fresh;
-    taken += std::max<double>(worker.in_flight, fade * (worker.load.running + worker.load.waiting));
+    taken += Taken(workers_[known.number], now, told);
   }
   return taken;
 }
 
+int ServiceWorkers::InFlight() const {
+  int out = 0;
+  for (const auto& [id, known] : by_id_) out += workers_[known.number].in_flight;
+  return out;
+}
+
+double ServiceWorkers::Taken(const ServiceWorker& worker, Micros now, bool* told) const {
+  const Micros age = now - worker.load_at;
+  const bool fresh = worker.load_at != 0 && age < kLoadMemory;
+  const double fade = fresh ? 1 - static_cast<double>(age) / kLoadMemory : 0;
+  *told = *told || fresh;
+  return std::max<double>(worker.in_flight, fade * (worker.load.running + worker.load.waiting));
+}
+
+double ServiceWorkers::Fill(marlquay::WorkerId id, Micros now) const {
+  bool told = false;
+  const ServiceWorker& worker = workers_[id];
+  return Taken(worker, now, &told) / std::max(worker.record.capacity, 1);
+}
+
+std::vector<marlquay::WorkerId> ServiceWorkers::HomesOf(std::uint64_t prefix_key,
+                                                        std::size_t most) const {
+  std::vector<std::pair<std::uint64_t, marlquay::WorkerId>> order;
+  order.reserve(by_id_.size());
+  for (const auto& [id, known] : by_id_) {
+    const marlquay::WorkerEntry& entry = told_[known.number];
+    if (entry.health == marlquay::Health::kInService)
+      order.emplace_back(Scatter(entry.identity ^ Scatter(prefix_key)), known.number);
+  }
+  most = std::min(most, order.size());
+  std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(most), order.end(),
+                    std::greater<>());
+  std::vector<marlquay::WorkerId> homes;
+  for (std::size_t i = 0; i < most; ++i) homes.push_back(order[i].second);
+  return homes;
+}
+
 }  // namespace pearreach::proxy
--- a/src/proxy/service_workers.h
+++ b/src/proxy/service_workers.h
@@ -13,6 +13,7 @@
 
 #include "base/timers.h"
 #include "marlquay/dispatcher.h"
+#include "proxy/kept_prefixes.h"
 #include "proxy/response_reader.h"
 #include "proxy/worker_connections.h"
 #include "registry/worker_table.h"
@@ -32,7 +33,9 @@
   bool present = false;          // in the table, and not dropped
   std::uint64_t dropped_at = 0;  // call_seq at which it was found to be another; 0: it was not
   WorkerLoad load;
-  Micros load_at = 0;  // 0: it never told
+  Micros load_at = 0;        // 0: it never told
+  KeptPrefixes kept;         // of what this node sent there
+  double unread_tokens = 0;  // of prompts sent there that no event has answered yet
 };
 
 class ServiceWorkers {
@@ -57,6 +60,13 @@
   std::optional<marlquay::WorkerId> largest() const { return largest_; }
   // When the next worker that warms up is warm; 0: none.
   Micros next_warm() const { return next_warm_; }
+  // The workers in service that are the first ones of a prompt prefix, the same at every node: the
+  // order is by a hash of prefix and worker, so that it changes little with the workers.
+  std::vector<marlquay::WorkerId> HomesOf(std::uint64_t prefix_key, std::size_t most) const;
+  // Share of its slots in use, by what this node has out there and what the worker told last.
+  double Fill(marlquay::WorkerId id, Micros now) const;
+  // Attempts of this node under way.
+  int InFlight() const;
   // Slots taken at ready workers as far as is known; `told`: some load report is fresh.
   double SlotsTaken(Micros now, bool* told) const;
 
@@ -69,6 +79,7 @@
   marlquay::WorkerId Number(const registry::WorkerRecord& record);
   marlquay::WorkerEntry Entry(marlquay::WorkerId id, Micros now) const;
   void Count(Micros now);
+  double Taken(const ServiceWorker& worker, Micros now, bool* told) const;
   int Zone(const std::string& zone);
 
   Timers* timers_;
--- /dev/null
+++ b/tests/tier/proxy/prompt_test.cpp
@@ -0,0 +1,134 @@
+// What is read of prompts, what workers are taken to keep of them, and which workers are their
+// homes.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "proxy/kept_prefixes.h"
+#include "proxy/prompt_headers.h"
+#include "proxy/service_workers.h"
+
+namespace pearreach::proxy {
+namespace {
+
+struct ShapeCase {
+  const char* prefix;
+  double shared, own;
+  const char* same_key;   // another prompt with its key
+  const char* other_key;  // and one with another
+};
+
+registry::WorkerRecord Record(const std::string& id) {
+  registry::WorkerRecord record;
+  record.worker_id = id;
+  record.service = "svc";
+  record.address = "127.0.0.1:9";
+  record.zone = "here";
+  record.capacity = 4;
+  record.call_seq = 1;
+  return record;
+}
+
+// One node's view: the workers in the order in which it heard of them.
+struct View {
+  explicit View(const std::vector<std::string>& ids) : workers(&timers, "here") { Set(ids); }
+  void Set(const std::vector<std::string>& ids) {
+    workers.BeginUpdate();
+    for (const std::string& id : ids) workers.Update(Record(id));
+    workers.EndUpdate();
+  }
+  std::vector<std::string> Homes(std::uint64_t key, std::size_t most) {
+    std::vector<std::string> names;
+    for (const marlquay::WorkerId id : workers.HomesOf(key, most))
+      names.push_back(workers.Find(id)->record.worker_id);
+    return names;
+  }
+
+  Timers timers;
+  ServiceWorkers workers;
+};
+
+class PromptTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PromptTest);
+  CPPUNIT_TEST(ReadsShapes);
+  CPPUNIT_TEST(KeepsWhatFits);
+  CPPUNIT_TEST(BoundsWhatItKeeps);
+  CPPUNIT_TEST(NodesAgreeOnHomes);
+  CPPUNIT_TEST(OtherWorkersMoveNoHome);
+  CPPUNIT_TEST(HomesSpread);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ReadsShapes() {
+    const std::vector<ShapeCase> cases = {
+        {"", 0, 0, "a:7", "a:1,b:2"},
+        {"a:300", 0, 300, "b:5", "a:300,b:1"},
+        {"a:300,b:50", 300, 50, "a:300,c:70", "d:300,b:50"},
+        // A small part behind a large one does not part requests,
+        {"a:9000,b:200,c:50", 9200, 50, "a:9000,d:200,e:1", "f:9000,b:200,c:50"},
+        // a large part behind a small one does.
+        {"a:100,b:9000,c:50", 9100, 50, "a:100,b:9000,d:9", "a:100,e:9000,c:50"},
+        {"a:x,b:-4,c:50", 0, 50, "a:x,b:-4,d:1", "a:1,b:2"},
+    };
+    for (const ShapeCase& c : cases) {
+      const PromptShape shape = ReadPromptShape("m", c.prefix);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.prefix, c.shared, shape.shared_tokens);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.prefix, c.own, shape.own_tokens);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.prefix, ReadPromptShape("m", c.same_key).key, shape.key);
+      CPPUNIT_ASSERT_MESSAGE(c.prefix, ReadPromptShape("m", c.other_key).key != shape.key);
+    }
+    CPPUNIT_ASSERT(ReadPromptShape("m", "a:1,b:2").key != ReadPromptShape("n", "a:1,b:2").key);
+  }
+
+  void KeepsWhatFits() {
+    KeptPrefixes kept;
+    kept.Use(1, 400, 0, 1000);
+    kept.Use(2, 400, 0, 1000);
+    kept.Use(1, 400, 100, 1000);  // used again: 2 is the oldest now
+    kept.Use(3, 400, 0, 1000);
+    CPPUNIT_ASSERT(kept.Has(1) && !kept.Has(2) && kept.Has(3));
+    kept.Use(4, 5000, 0, 1000);  // larger than all of it
+    CPPUNIT_ASSERT(kept.Has(4) && !kept.Has(1) && !kept.Has(3));
+  }
+
+  void BoundsWhatItKeeps() {
+    KeptPrefixes kept;
+    for (std::uint64_t key = 1; key <= 3 * KeptPrefixes::kMostPrefixes; ++key)
+      kept.Use(key, 1e6, 0, 0);
+    CPPUNIT_ASSERT_EQUAL(KeptPrefixes::kMostPrefixes, kept.size());
+  }
+
+  void NodesAgreeOnHomes() {
+    View one({"w1", "w2", "w3", "w4", "w5"}), other({"w4", "w1", "w5", "w3", "w2"});
+    for (std::uint64_t key = 1; key <= 50; ++key)
+      CPPUNIT_ASSERT(one.Homes(key, 3) == other.Homes(key, 3));
+  }
+
+  void OtherWorkersMoveNoHome() {
+    View view({"w1", "w2", "w3", "w4", "w5"});
+    std::vector<std::vector<std::string>> before;
+    for (std::uint64_t key = 1; key <= 50; ++key) before.push_back(view.Homes(key, 2));
+    view.Set({"w1", "w2", "w3", "w5"});
+    for (std::uint64_t key = 1; key <= 50; ++key) {
+      const std::vector<std::string>& old = before[key - 1];
+      const std::string next = old[0] == "w4" ? old[1] : old[0];
+      CPPUNIT_ASSERT_EQUAL(next, view.Homes(key, 2)[0]);
+    }
+  }
+
+  void HomesSpread() {
+    View view({"w1", "w2", "w3", "w4"});
+    std::map<std::string, int> homes;
+    for (std::uint64_t key = 1; key <= 400; ++key) ++homes[view.Homes(key, 1)[0]];
+    for (const auto& [id, count] : homes) CPPUNIT_ASSERT_MESSAGE(id, count > 60 && count < 140);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, homes.size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PromptTest);
+
+}  // namespace
+}  // namespace pearreach::proxy
