Give items back that come when their room is used up

Merging the pacing of lots with the room by this node's own part had left out the check at launch; BulkWithoutRoomGoesBack showed it (1 expected, 3 launched).

--- a/src/proxy/job_runner.cpp
+++ b/src/proxy/job_runner.cpp
@@ -117,7 +117,8 @@
   const double slots = line.workers.ready_slots();
   if (slots < 1 || (told && taken > kMostFill * slots)) return 0;
   const double usable = kBulkFill * slots / share_.nodes;
-  const int held = line.dispatcher.held_bulk() + static_cast<int>(line.bulk_gate.waiting());
+  const int held =
+      line.dispatcher.held_bulk() + line.bulk_waiting + static_cast<int>(line.bulk_gate.waiting());
   const int out = line.workers.InFlight();
   const int ahead = kBulkAhead * line.bulk_gate.allowance() - held;
   const int room = std::min(static_cast<int>(std::floor(usable)) - out - held, ahead);
--- a/src/proxy/running_job.cpp
+++ b/src/proxy/running_job.cpp
@@ -22,6 +22,7 @@
 constexpr double kHoldShare = 0.25;
 constexpr double kGrowingHoldShare = 0.5;
 constexpr Micros kHoldMargin = 5 * kMs;
+constexpr Micros kBulkLook = 25 * kMs;   // an item that waits for room looks for it this often
 constexpr Micros kBulkHold = 400 * kMs;  // an item goes back then: another node may have room
 constexpr Micros kHoldLeast = 20 * kMs;
 constexpr Micros kHoldAgain = kSecond;  // one that may have run can't be refused: it may wait
@@ -74,6 +75,7 @@
   if (std::exchange(ended_, true)) return;
   timers_->Cancel(&due_timer_);
   timers_->Cancel(&hold_timer_);
+  StopWaiting();
   Leave(Outcome::kCancelled);
   if (spec_.bulk) line_->bulk_gate.Withdraw(id_);
   LeaveGate();
@@ -81,6 +83,28 @@
 
 // ---------------------------------------------------------------- finding a worker
 
+// An item that comes when the room for it is used up by others waits a while, then goes back.
+bool RunningJob::WaitsForRoom() {
+  if (!spec_.bulk || in_gate_ || sends_ > 0 || host_->BulkRoom(spec_.service) > 0) return false;
+  if (Now() >= started_ + kBulkHold) {
+    EndWithoutAnswer();
+    return true;
+  }
+  ++line_->bulk_waiting;
+  waits_for_room_ = true;
+  hold_timer_ = timers_->After(kBulkLook, [this] {
+    hold_timer_ = 0;
+    const auto self = shared_from_this();
+    StopWaiting();
+    Ask();
+  });
+  return true;
+}
+
+void RunningJob::StopWaiting() {
+  if (std::exchange(waits_for_room_, false)) --line_->bulk_waiting;
+}
+
 // A bulk job waits here until its prompt would delay live requests little enough.
 bool RunningJob::PassGate() {
   if (!spec_.bulk || in_gate_) return true;
@@ -97,7 +121,7 @@
 }
 
 void RunningJob::Ask() {
-  if (!PassGate()) return;
+  if (WaitsForRoom() || !PassGate()) return;
   Placement placement;
   placement.job_class.rank = spec_.rank;
   placement.job_class.target = spec_.bulk ? 0 : FromMs(spec_.target_ms);
--- a/src/proxy/running_job.h
+++ b/src/proxy/running_job.h
@@ -55,6 +55,8 @@
   void OnAttemptEnd(AttemptResult result) override;
 
   void Ask();
+  bool WaitsForRoom();
+  void StopWaiting();
   bool PassGate();
   void LeaveGate();
   void OnHeldTooLong();
@@ -94,9 +96,10 @@
   const Micros started_;
   const bool has_due_;
   Timers::Id due_timer_ = 0, hold_timer_ = 0, silence_timer_ = 0;
-  PlacementId placement_ = 0;  // 0: none is open
-  bool placed_ = false;        // the placement has its worker
-  bool in_gate_ = false;       // a bulk job that holds a place of its line's gate
+  PlacementId placement_ = 0;    // 0: none is open
+  bool placed_ = false;          // the placement has its worker
+  bool waits_for_room_ = false;  // a bulk job that came when there was no room for it
+  bool in_gate_ = false;         // a bulk job that holds a place of its line's gate
   marlquay::WorkerId worker_ = 0;
   std::shared_ptr<Attempt> attempt_;
   std::optional<WorkerLoad> load_;  // told in the attempt's answer
--- a/src/proxy/service_line.h
+++ b/src/proxy/service_line.h
@@ -18,6 +18,7 @@
   ServiceWorkers workers;
   PoolDispatcher dispatcher;
   BulkGate bulk_gate;
+  int bulk_waiting = 0;  // jobs that wait for this node's part of the slots to have room
 };
 
 }  // namespace pearreach::proxy
