--- a/src/batch/lot_state.cpp
+++ b/src/batch/lot_state.cpp
@@ -160,6 +160,16 @@
   return operation;
 }
 
+Operation MakeReservation(const std::string& lot_id, const QuotaReservation& reservation) {
+  return {lot_id, false, {MakeRecord(RecordKind::kReservation, 0, codec::Encode(reservation))}};
+}
+
+Operation MakeRelease(const std::string& lot_id) {
+  Operation operation{lot_id, false, {MakeRecord(RecordKind::kReservation, 0, {})}};
+  operation.records.back().erase = true;
+  return operation;
+}
+
 void AddResult(std::uint32_t position, const ResultRecord& result, Operation* operation) {
   operation->records.push_back(MakeRecord(RecordKind::kResult, position, PackResult(result)));
   Record body = MakeRecord(RecordKind::kItem, result.item, {});
@@ -200,6 +210,7 @@
 
 void LotTable::Load(const disk::TableStore& disk) {
   lots_.clear();
+  reservations_.clear();
   const std::string prefix = PartitionPrefix(partition_);
   disk.ForEach(prefix, [&](std::string_view key, std::string_view value) {
     Record record;
@@ -217,10 +228,12 @@
   if (operation.erase_first) {
     EraseKeys(operation.lot_id, &writes);
     lots_.erase(operation.lot_id);
+    reservations_.erase(operation.lot_id);
   }
   for (const Record& record : operation.records) {
     const auto kind = static_cast<RecordKind>(record.kind);
-    const bool known = kind == RecordKind::kHeader || lots_.contains(operation.lot_id);
+    const bool known = kind == RecordKind::kHeader || kind == RecordKind::kReservation ||
+                       lots_.contains(operation.lot_id);
     if (!known) continue;  // forgotten meanwhile
     std::string key = RecordKey(partition_, operation.lot_id, kind, record.index);
     disk::Write write{key, record.value, record.erase};
@@ -235,14 +248,15 @@
 
 void LotTable::EraseKeys(const std::string& lot_id,
                          std::map<std::string, disk::Write>* writes) const {
-  const auto at = lots_.find(lot_id);
-  if (at == lots_.end()) return;
-  const Lot& lot = at->second;
   const auto erase = [&](RecordKind kind, std::uint32_t index) {
     std::string key = RecordKey(partition_, lot_id, kind, index);
     disk::Write write{key, {}, true};
     (*writes)[std::move(key)] = std::move(write);
   };
+  if (reservations_.contains(lot_id)) erase(RecordKind::kReservation, 0);
+  const auto at = lots_.find(lot_id);
+  if (at == lots_.end()) return;
+  const Lot& lot = at->second;
   erase(RecordKind::kHeader, 0);
   if (lot.ended) erase(RecordKind::kEnded, 0);
   for (std::uint32_t i = 0; i < lot.items.size(); ++i) {
@@ -252,7 +266,20 @@
   for (std::uint32_t i = 0; i < lot.results; ++i) erase(RecordKind::kResult, i);
 }
 
+void LotTable::ApplyReservation(const std::string& lot_id, const Record& record) {
+  auto reservation = codec::Decode<QuotaReservation>(record.value);
+  if (record.erase || !reservation.ok()) {
+    reservations_.erase(lot_id);
+    return;
+  }
+  reservations_[lot_id] = {*std::move(reservation), RecordHash(record.kind, 0, record.value)};
+}
+
 void LotTable::ApplyRecord(const std::string& lot_id, const Record& record) {
+  if (static_cast<RecordKind>(record.kind) == RecordKind::kReservation) {
+    ApplyReservation(lot_id, record);
+    return;
+  }
   if (static_cast<RecordKind>(record.kind) != RecordKind::kHeader) {
     const auto at = lots_.find(lot_id);
     if (at != lots_.end()) ApplyToLot(&at->second, record);
@@ -324,9 +351,18 @@
   return static_cast<std::uint32_t>(Mix(HashBytes(lot_id)) % kDigestBuckets);
 }
 
+std::map<std::string, QuotaReservation> LotTable::Reservations() const {
+  std::map<std::string, QuotaReservation> reservations;
+  for (const auto& [lot_id, held] : reservations_) reservations[lot_id] = held.reservation;
+  return reservations;
+}
+
 std::vector<std::uint64_t> LotTable::BucketDigests() const {
   std::vector<std::uint64_t> digests(kDigestBuckets, 0);
   for (const auto& [id, lot] : lots_) digests[BucketOf(id)] ^= Mix(HashBytes(id) + lot.digest);
+  for (const auto& [id, held] : reservations_) {
+    digests[BucketOf(id)] ^= Mix(HashBytes(id) + held.digest);
+  }
   return digests;
 }
 
@@ -336,11 +372,14 @@
   for (const std::uint32_t bucket : buckets) {
     if (bucket < kDigestBuckets) wanted[bucket] = true;
   }
-  std::vector<std::pair<std::string, std::uint64_t>> digests;
+  std::map<std::string, std::uint64_t> digests;
   for (const auto& [id, lot] : lots_) {
-    if (wanted[BucketOf(id)]) digests.emplace_back(id, lot.digest);
+    if (wanted[BucketOf(id)]) digests[id] ^= lot.digest;
   }
-  return digests;
+  for (const auto& [id, held] : reservations_) {
+    if (wanted[BucketOf(id)]) digests[id] ^= held.digest;
+  }
+  return {digests.begin(), digests.end()};
 }
 
 }  // namespace pearreach::batch
--- a/src/batch/lot_state.h
+++ b/src/batch/lot_state.h
@@ -22,10 +22,11 @@
 // Kinds of records; the header sorts first within its lot.
 enum class RecordKind : char {
   kHeader = 'a',
-  kEnded = 'e',     // the client has ended the lot
-  kFailures = 'f',  // of one item: the leases that ended with a 500
-  kItem = 'i',      // an ItemSpec; erased with the item's result
-  kResult = 'r',    // by position
+  kEnded = 'e',        // the client has ended the lot
+  kFailures = 'f',     // of one item: the leases that ended with a 500
+  kItem = 'i',         // an ItemSpec; erased with the item's result
+  kReservation = 'q',  // a QuotaReservation, in the partition of the route, not of the lot
+  kResult = 'r',       // by position
 };
 
 struct Record {
@@ -96,6 +97,20 @@
   std::optional<std::uint32_t> FindItem(std::string_view item_id) const;
 };
 
+// Tokens that were granted to a lot under its route's cap, kept by the partition of the route until
+// the lot's partition has shown that they wait no longer.
+struct QuotaReservation {
+  std::string route;
+  double tokens = 0;
+  // Of the primary that asked: its partition's epoch, its process and how far its reports were. A
+  // later report of it names the lot as long as it may still be taken.
+  std::uint64_t epoch = 0, process = 0, sequence = 0;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& route& tokens& epoch& process& sequence;
+  }
+};
+
 struct ResultRecord {
   std::uint32_t item = 0;
   ItemPhase phase = ItemPhase::kComplete;
@@ -110,6 +125,8 @@
 Operation MakeEnd(const std::string& lot_id);
 Operation MakeForget(const std::string& lot_id);
 Operation MakeResult(const std::string& lot_id, std::uint32_t position, const ResultRecord& result);
+Operation MakeReservation(const std::string& lot_id, const QuotaReservation& reservation);
+Operation MakeRelease(const std::string& lot_id);  // of a reservation
 void AddFailure(const Lot& lot, std::uint32_t item, std::uint64_t lease, Operation* operation);
 void AddResult(std::uint32_t position, const ResultRecord& result, Operation* operation);
 
@@ -133,6 +150,8 @@
 
   Lot* Find(const std::string& lot_id);
   const std::map<std::string, Lot>& lots() const { return lots_; }
+  // By lot, for routes of this partition.
+  std::map<std::string, QuotaReservation> Reservations() const;
   void MakeAllVisible();
 
   static std::uint32_t BucketOf(std::string_view lot_id);
@@ -141,12 +160,19 @@
       const std::vector<std::uint32_t>& buckets) const;
 
  private:
+  struct HeldReservation {
+    QuotaReservation reservation;
+    std::uint64_t digest = 0;
+  };
+
   void ApplyRecord(const std::string& lot_id, const Record& record);
+  void ApplyReservation(const std::string& lot_id, const Record& record);
   void ApplyToLot(Lot* lot, const Record& record);
   void EraseKeys(const std::string& lot_id, std::map<std::string, disk::Write>* writes) const;
 
   std::uint32_t partition_;
   std::map<std::string, Lot> lots_;
+  std::map<std::string, HeldReservation> reservations_;
 };
 
 }  // namespace pearreach::batch
--- a/src/batch/lot_store_quota.cpp
+++ b/src/batch/lot_store_quota.cpp
@@ -10,12 +10,19 @@
 constexpr Micros kWaitForReports = 700 * kMs;
 constexpr Micros kReportPeriod = 100 * kMs;
 
+// Rises from start to start of a machine's processes.
+std::uint64_t ProcessNumber(StoreContext* context) {
+  constexpr int kRandomBits = 16;
+  const auto started = static_cast<std::uint64_t>(context->WallMs()) << kRandomBits;
+  return started | (context->Random() & ((1U << kRandomBits) - 1));
+}
+
 std::string Verdict(QuotaVerdict verdict) { return codec::Encode(QuotaReserveAnswer{verdict}); }
 
 }  // namespace
 
 QuotaService::QuotaService(StoreContext* context)
-    : context_(context), process_(context->Random() | 1) {}
+    : context_(context), process_(ProcessNumber(context)) {}
 
 const StoreId* QuotaService::OwnerOf(const std::string& route) const {
   const auto& partitions = context_->Placement().partitions;
@@ -36,20 +43,39 @@
     context_->After(0, [done = std::move(done)] { done(QuotaVerdict::kUnknown); });
     return;
   }
-  QuotaReserve reserve{lot.route, lot.lot_id, 0, lot.token_cap};
-  for (const ItemSpec& item : lot.items) reserve.tokens += item.tokens;
+  QuotaReserve reserve{lot.lot_id, {}, lot.token_cap};
+  QuotaReservation& reservation = reserve.reservation;
+  reservation.route = lot.route;
+  for (const ItemSpec& item : lot.items) reservation.tokens += item.tokens;
+  reservation.epoch = context_->Replica(PartitionOf(lot.lot_id)).epoch();
+  reservation.process = process_;
+  reservation.sequence = ++sequence_;
+  asked_[lot.lot_id] = {lot.route, reservation.sequence};
   context_->Send(*owner, mesh::MessageType::kQuotaReserve, codec::Encode(reserve), kReserveTimeout,
-                 [this, done = std::move(done)](const absl::StatusOr<std::string>& bytes) {
-                   if (!bytes.ok()) {
-                     if (absl::IsFailedPrecondition(bytes.status())) context_->RefreshTable();
-                     done(QuotaVerdict::kUnknown);
-                     return;
-                   }
-                   const auto answer = codec::Decode<QuotaReserveAnswer>(*bytes);
-                   done(answer.ok() ? answer->verdict : QuotaVerdict::kUnknown);
+                 [this, lot_id = lot.lot_id, reservation,
+                  done = std::move(done)](const absl::StatusOr<std::string>& bytes) {
+                   OnReserved(lot_id, reservation, bytes, done);
                  });
 }
 
+// Until `done` has been called, reports name the lot as asked for; from then on as waiting here, if
+// it was granted. A grant from before a change of the partition counts no more: the owner may have
+// been told since, by another primary, that there is no such lot.
+void QuotaService::OnReserved(const std::string& lot_id, const QuotaReservation& reservation,
+                              const absl::StatusOr<std::string>& bytes,
+                              const std::function<void(QuotaVerdict)>& done) {
+  const auto at = asked_.find(lot_id);
+  if (at != asked_.end() && at->second.sequence == reservation.sequence) asked_.erase(at);
+  if (!bytes.ok()) {
+    if (absl::IsFailedPrecondition(bytes.status())) context_->RefreshTable();
+    done(QuotaVerdict::kUnknown);
+    return;
+  }
+  const auto answer = codec::Decode<QuotaReserveAnswer>(*bytes);
+  const bool stands = context_->Replica(PartitionOf(lot_id)).epoch() == reservation.epoch;
+  done(answer.ok() && stands ? answer->verdict : QuotaVerdict::kUnknown);
+}
+
 void QuotaService::Update(const std::string& lot_id) {
   PartitionReplica* replica = context_->ActiveReplica(lot_id);
   const Lot* lot = replica == nullptr ? nullptr : replica->lots().Find(lot_id);
@@ -97,6 +123,9 @@
     const PartitionReplica& replica = context_->Replica(partition);
     if (replica.is_active()) report.partitions.emplace_back(partition, replica.epoch());
   }
+  for (const auto& [lot_id, asked] : asked_) {
+    if (asked.route == route) report.asked.push_back(lot_id);
+  }
   const auto at = tokens_.find(route);
   if (at == tokens_.end()) return report;
   for (const auto& [lot_id, tokens] : at->second) report.lots.push_back({lot_id, tokens});
@@ -104,7 +133,9 @@
 }
 
 void QuotaService::OnActive(std::uint32_t partition) {
-  for (const auto& [lot_id, lot] : context_->Replica(partition).lots().lots()) Update(lot_id);
+  const LotTable& lots = context_->Replica(partition).lots();
+  for (const auto& [lot_id, lot] : lots.lots()) Update(lot_id);
+  for (const auto& [lot_id, reservation] : lots.Reservations()) OwnedOf(reservation.route);
 }
 
 void QuotaService::OnInactive(std::uint32_t partition) {
@@ -126,13 +157,13 @@
 // ---------------------------------------------------------------- as the owner of a route
 
 void QuotaService::OnReserve(QuotaReserve reserve, mesh::Respond respond) {
-  if (!IsOwner(reserve.route)) {
+  if (!IsOwner(reserve.reservation.route)) {
     respond(NotPrimary());
     return;
   }
-  PartitionReplica* replica = context_->ActiveReplica(reserve.route);
+  PartitionReplica* replica = context_->ActiveReplica(reserve.reservation.route);
   replica->Confirm([this, reserve = std::move(reserve), respond](bool stands) {
-    if (stands && IsOwner(reserve.route)) {
+    if (stands && IsOwner(reserve.reservation.route)) {
       Grant(reserve, respond);
     } else {
       respond(NotPrimary());
@@ -140,23 +171,54 @@
   });
 }
 
+QuotaService::Owned& QuotaService::OwnedOf(const std::string& route) {
+  const auto [at, fresh] = owned_.try_emplace(route);
+  if (!fresh) return at->second;
+  std::map<std::string, QuotaReservation> held =
+      context_->Replica(PartitionOf(route)).lots().Reservations();
+  std::erase_if(held, [&](const auto& entry) { return entry.second.route != route; });
+  at->second.since = context_->Now();
+  at->second.ledger = QuotaLedger(held, at->second.since);
+  if (!held.empty()) context_->After(0, [this, route] { AskStores(route); });
+  return at->second;
+}
+
+// A new owner knows what was granted but not yet how much of it has been done: a lot that does not
+// fit waits a moment for the first reports.
 void QuotaService::Grant(const QuotaReserve& reserve, const mesh::Respond& respond) {
-  Owned& owned = owned_[reserve.route];
-  const QuotaVerdict verdict = owned.ledger.Reserve(reserve, context_->Now());
-  if (verdict != QuotaVerdict::kUnknown) {
-    respond(Verdict(verdict));
+  const std::string route = reserve.reservation.route;
+  Owned& owned = OwnedOf(route);
+  const Micros now = context_->Now();
+  if (owned.ledger.Reserve(reserve, now) == QuotaVerdict::kGranted) {
+    KeepGrant(reserve, respond);
+    return;
+  }
+  const Micros give_up = owned.since + kWaitForReports;
+  if (owned.ledger.IsFresh() || now >= give_up) {
+    respond(Verdict(QuotaVerdict::kOver));
     return;
   }
-  owned.waiting.push_back({reserve, respond, context_->Now() + kWaitForReports});
-  AskStores(reserve.route);
-  const std::string route = reserve.route;
-  context_->After(kWaitForReports, [this, route] { AnswerWaiting(route); });
+  owned.waiting.push_back({reserve, respond, give_up});
+  AskStores(route);
+  context_->After(give_up - now, [this, route] { AnswerWaiting(route); });
+}
+
+void QuotaService::KeepGrant(const QuotaReserve& reserve, const mesh::Respond& respond) {
+  PartitionReplica& replica = context_->Replica(PartitionOf(reserve.reservation.route));
+  replica.Submit(MakeReservation(reserve.lot_id, reserve.reservation),
+                 [respond](const absl::Status& status) {
+                   if (status.ok()) {
+                     respond(Verdict(QuotaVerdict::kGranted));
+                   } else {
+                     respond(status);
+                   }
+                 });
 }
 
 // Every primary tells what waits on the route; asked again only once all have answered or failed.
 void QuotaService::AskStores(const std::string& route) {
-  Owned& owned = owned_[route];
-  if (owned.asked > 0) return;
+  const auto owned = owned_.find(route);
+  if (owned == owned_.end() || owned->second.asked > 0) return;
   std::set<StoreId> primaries;
   for (const Partition& partition : context_->Placement().partitions) {
     if (!partition.replicas.empty()) primaries.insert(partition.replicas.front());
@@ -165,7 +227,7 @@
   question.route = route;
   question.ask = true;
   const std::string body = codec::Encode(question);
-  owned.asked = static_cast<int>(primaries.size());
+  owned->second.asked = static_cast<int>(primaries.size());
   for (const StoreId& store : primaries) {
     context_->Send(store, mesh::MessageType::kQuotaReport, body, kAskTimeout,
                    [this, route](const absl::StatusOr<std::string>& bytes) {
@@ -174,8 +236,7 @@
                      if (at->second.asked > 0) --at->second.asked;
                      if (!bytes.ok()) return;
                      const auto report = codec::Decode<QuotaReport>(*bytes);
-                     if (report.ok()) at->second.ledger.Report(*report, context_->Now());
-                     AnswerWaiting(route);
+                     if (report.ok()) TakeReport(*report);
                    });
   }
 }
@@ -187,15 +248,26 @@
   std::vector<Waiting> waiting = std::move(at->second.waiting);
   at->second.waiting.clear();
   for (Waiting& one : waiting) {
-    const QuotaVerdict verdict = at->second.ledger.Reserve(one.reserve, now);
-    if (verdict == QuotaVerdict::kUnknown && now < one.give_up) {
-      at->second.waiting.push_back(std::move(one));
+    if (at->second.ledger.Reserve(one.reserve, now) == QuotaVerdict::kGranted) {
+      KeepGrant(one.reserve, one.respond);
+    } else if (at->second.ledger.IsFresh() || now >= one.give_up) {
+      one.respond(Verdict(QuotaVerdict::kOver));
     } else {
-      one.respond(Verdict(verdict));
+      at->second.waiting.push_back(std::move(one));
     }
   }
 }
 
+void QuotaService::TakeReport(const QuotaReport& report) {
+  const auto at = owned_.find(report.route);
+  if (at == owned_.end()) return;
+  PartitionReplica& replica = context_->Replica(PartitionOf(report.route));
+  for (const std::string& lot_id : at->second.ledger.Report(report, context_->Now())) {
+    replica.Submit(MakeRelease(lot_id), [](const absl::Status&) {});
+  }
+  AnswerWaiting(report.route);
+}
+
 void QuotaService::OnReport(const QuotaReport& report, const mesh::Respond& respond) {
   if (report.ask) {
     respond(codec::Encode(ReportOf(report.route)));
@@ -205,16 +277,15 @@
     respond(NotPrimary());
     return;
   }
-  owned_[report.route].ledger.Report(report, context_->Now());
+  OwnedOf(report.route);
   respond(std::string());
-  AnswerWaiting(report.route);
+  TakeReport(report);
 }
 
-// What only a new report can settle is asked for.
 void QuotaService::Tick() {
   const Micros now = context_->Now();
   for (auto& [route, owned] : owned_) {
-    if (owned.ledger.WantsReports(context_->Placement(), now)) AskStores(route);
+    if (owned.ledger.WantsReports(now)) AskStores(route);
   }
 }
 
--- a/src/batch/lot_store_quota.h
+++ b/src/batch/lot_store_quota.h
@@ -1,5 +1,7 @@
 // The tokens that may wait on a route: asks the route's owner for room for new lots, reports to the
-// owners what waits here, and keeps the ledgers of the routes that this store owns.
+// owners what waits here, and keeps the ledgers of the routes that this store owns. A grant is a
+// change of the owner's partition, so it is on disk at every replica before it is told: a later
+// owner knows all that was granted, whoever can be asked.
 #ifndef PEARREACH_SRC_BATCH_LOT_STORE_QUOTA_H_
 #define PEARREACH_SRC_BATCH_LOT_STORE_QUOTA_H_
 
@@ -39,8 +41,13 @@
   };
   struct Owned {
     QuotaLedger ledger;
-    std::vector<Waiting> waiting;
-    int asked = 0;  // stores that have not answered yet
+    Micros since = 0;
+    std::vector<Waiting> waiting;  // for the first reports
+    int asked = 0;                 // stores that have not answered yet
+  };
+  struct Asked {
+    std::string route;
+    std::uint64_t sequence = 0;
   };
 
   const StoreId* OwnerOf(const std::string& route) const;
@@ -49,15 +56,22 @@
   void MarkChanged(const std::string& route);
   void SendReports();
   void SendReport(const std::string& route);
+  void OnReserved(const std::string& lot_id, const QuotaReservation& reservation,
+                  const absl::StatusOr<std::string>& bytes,
+                  const std::function<void(QuotaVerdict)>& done);
+  Owned& OwnedOf(const std::string& route);
   void Grant(const QuotaReserve& reserve, const mesh::Respond& respond);
+  void KeepGrant(const QuotaReserve& reserve, const mesh::Respond& respond);
+  void TakeReport(const QuotaReport& report);
   void AskStores(const std::string& route);
   void AnswerWaiting(const std::string& route);
 
   StoreContext* const context_;
-  const std::uint64_t process_;
+  const std::uint64_t process_;  // by the time of its start
   std::uint64_t sequence_ = 0;
   std::map<std::string, std::map<std::string, double>> tokens_;  // by route and lot, of this store
   std::map<std::string, std::string> routes_;                    // of the lots in `tokens_`
+  std::map<std::string, Asked> asked_;                           // by lot: reservations under way
   std::set<std::string> changed_;                                // routes to be reported
   Timers::Id report_timer_ = 0;
   std::map<std::string, Owned> owned_;  // by route
--- a/src/batch/quota.cpp
+++ b/src/batch/quota.cpp
@@ -1,72 +1,88 @@
 #include "batch/quota.h"
 
+#include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace pearreach::batch {
 
-void QuotaLedger::Report(const QuotaReport& report, Micros now) {
-  std::set<std::uint32_t> taken;
+QuotaLedger::QuotaLedger(const std::map<std::string, QuotaReservation>& reservations, Micros now)
+    : since_(now) {
+  for (const auto& [lot, reservation] : reservations) {
+    entries_[lot] = {reservation, true, reservation.tokens, now};
+  }
+}
+
+// Whether a report that does not name the lot tells that it does not wait and will not: the report
+// was made after the reservation had been asked for, and would name it while that is under way.
+bool QuotaLedger::IsOver(const Entry& entry, const Reporter& reporter) {
+  if (!entry.reserved) return true;
+  const QuotaReservation& asked = entry.reservation;
+  if (reporter.epoch != asked.epoch) return reporter.epoch > asked.epoch;
+  if (reporter.process == asked.process) return reporter.sequence > asked.sequence;
+  return reporter.process > asked.process && reporter.reported >= entry.granted + kReservationSpan;
+}
+
+std::vector<std::string> QuotaLedger::Report(const QuotaReport& report, Micros now) {
+  std::map<std::uint32_t, Reporter> taken;
   for (const auto& [partition, epoch] : report.partitions) {
     if (partition >= kPartitions) continue;
-    PartitionTokens& known = partitions_[partition];
-    const bool same = known.process == report.process && known.epoch == epoch;
-    const bool late = epoch < known.epoch || (same && report.sequence < known.sequence);
+    const Reporter reporter{epoch, report.process, report.sequence, now};
+    Reporter& known = reporters_[partition];
+    const bool late = std::tie(reporter.epoch, reporter.process, reporter.sequence) <
+                      std::tie(known.epoch, known.process, known.sequence);
     if (late) continue;
-    known = {epoch, report.process, report.sequence, now, {}};
-    taken.insert(partition);
+    known = reporter;
+    taken[partition] = reporter;
   }
+  std::map<std::string, double> waiting;
   for (const LotTokens& lot : report.lots) {
-    const std::uint32_t partition = PartitionOf(lot.lot_id);
-    if (!taken.contains(partition)) continue;
-    partitions_[partition].lots[lot.lot_id] = lot.tokens;
-    reservations_.erase(lot.lot_id);
+    if (taken.contains(PartitionOf(lot.lot_id))) waiting[lot.lot_id] = lot.tokens;
   }
-  DropReservations(now);
-}
-
-// A reservation ends with its lot's first report, or once a report that is later than its time
-// shows that there is no such lot.
-void QuotaLedger::DropReservations(Micros now) {
-  std::erase_if(reservations_, [&](const auto& entry) {
-    if (now < entry.second.until) return false;
-    const auto at = partitions_.find(PartitionOf(entry.first));
-    return at != partitions_.end() && at->second.reported >= entry.second.until;
+  const std::set<std::string> asked(report.asked.begin(), report.asked.end());
+  std::vector<std::string> released;
+  std::erase_if(entries_, [&](const auto& entry) {
+    const auto reporter = taken.find(PartitionOf(entry.first));
+    if (reporter == taken.end() || waiting.contains(entry.first)) return false;
+    if (asked.contains(entry.first) || !IsOver(entry.second, reporter->second)) return false;
+    if (entry.second.reserved) released.push_back(entry.first);
+    return true;
   });
+  for (const auto& [lot, tokens] : waiting) entries_[lot].tokens = tokens;
+  return released;
 }
 
 double QuotaLedger::Sum() const {
   double sum = 0;
-  for (const auto& [partition, tokens] : partitions_) {
-    for (const auto& [lot, waiting] : tokens.lots) sum += waiting;
-  }
-  for (const auto& [lot, reservation] : reservations_) sum += reservation.tokens;
+  for (const auto& [lot, entry] : entries_) sum += entry.tokens;
   return sum;
 }
 
-bool QuotaLedger::WantsReports(const PlacementTable& table, Micros now) const {
-  for (const auto& [lot, reservation] : reservations_) {
-    if (now >= reservation.until) return true;
-  }
-  for (const auto& [partition, tokens] : partitions_) {
-    const bool known = partition < table.partitions.size() && !tokens.lots.empty();
-    if (known && tokens.epoch < table.partitions[partition].epoch) return true;
-  }
-  return false;
+bool QuotaLedger::IsFresh() const {
+  return std::all_of(entries_.begin(), entries_.end(), [this](const auto& entry) {
+    return reporters_.contains(PartitionOf(entry.first));
+  });
+}
+
+bool QuotaLedger::WantsReports(Micros now) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& entry) {
+    const auto reporter = reporters_.find(PartitionOf(entry.first));
+    const Micros heard = reporter == reporters_.end() ? since_ : reporter->second.reported;
+    return now - std::max(heard, entry.second.granted) >= kReportSpan;
+  });
 }
 
 QuotaVerdict QuotaLedger::Reserve(const QuotaReserve& reserve, Micros now) {
-  if (!Complete()) return QuotaVerdict::kUnknown;
-  DropReservations(now);
-  const auto partition = partitions_.find(PartitionOf(reserve.lot_id));
-  const bool counted = partition->second.lots.contains(reserve.lot_id);
-  const auto reserved = reservations_.find(reserve.lot_id);
-  if (counted) return QuotaVerdict::kGranted;
-  if (reserved != reservations_.end()) {
-    reserved->second.until = now + kReservationSpan;
-    return QuotaVerdict::kGranted;
+  Entry& entry = entries_[reserve.lot_id];
+  const double tokens = reserve.reservation.tokens;
+  if (!entry.reserved && Sum() - entry.tokens + tokens > reserve.cap) {
+    if (entry.tokens == 0) entries_.erase(reserve.lot_id);
+    return QuotaVerdict::kOver;
   }
-  if (Sum() + reserve.tokens > reserve.cap) return QuotaVerdict::kOver;
-  reservations_[reserve.lot_id] = {reserve.tokens, now + kReservationSpan};
+  if (!entry.reserved) entry.tokens = tokens;
+  entry.reservation = reserve.reservation;
+  entry.reserved = true;
+  entry.granted = now;
   return QuotaVerdict::kGranted;
 }
 
--- a/src/batch/quota.h
+++ b/src/batch/quota.h
@@ -1,5 +1,6 @@
-// The tokens that may wait on one route, as its owner counts them: what the partitions report and
-// what has been reserved for lots that are on their way. A pure machine.
+// The tokens that may wait on one route, as its owner counts them: what was granted to lots, which
+// is on disk at every replica of the route's partition, lowered by what the lots' partitions
+// report. A partition that cannot report keeps all that was granted to it. A pure machine.
 #ifndef PEARREACH_SRC_BATCH_QUOTA_H_
 #define PEARREACH_SRC_BATCH_QUOTA_H_
 
@@ -10,24 +11,29 @@
 #include <vector>
 
 #include "base/timers.h"
+#include "batch/lot_state.h"
 #include "batch/messages.h"
 
 namespace pearreach::batch {
 
+// Of a reservation whose primary has started anew: how long its lot may still be on its way.
 constexpr Micros kReservationSpan = 3 * kSecond;
+// A partition that tokens were granted to is asked again once it has been silent this long.
+constexpr Micros kReportSpan = 2 * kSecond;
 
 enum class QuotaVerdict : std::uint8_t {
   kGranted,
   kOver,
-  kUnknown,  // not all partitions have reported yet, or this is not the owner
+  kUnknown,  // nobody who could tell has answered
 };
 
 struct QuotaReserve {
-  std::string route, lot_id;
-  double tokens = 0, cap = 0;
+  std::string lot_id;
+  QuotaReservation reservation;
+  double cap = 0;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& route& lot_id& tokens& cap;
+    archive& lot_id& reservation& cap;
   }
 };
 struct QuotaReserveAnswer {
@@ -47,45 +53,56 @@
   }
 };
 
-// All lots of a route with tokens that wait, in the partitions of which the reporter is the active
+// All lots of a route with tokens that wait in the partitions of which the reporter is the active
 // primary. With `ask` it is a question from the route's owner; the answer is a report.
 struct QuotaReport {
   std::string route;
-  std::uint64_t process = 0, sequence = 0;  // of the reporter; later reports of it have more
+  // Of the reporter: a process that starts later has a higher number, a later report a higher
+  // sequence.
+  std::uint64_t process = 0, sequence = 0;
   bool ask = false;
   std::vector<std::pair<std::uint32_t, std::uint64_t>> partitions;  // with their epochs
   std::vector<LotTokens> lots;
+  std::vector<std::string> asked;  // lots for which a reservation is under way
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& route& process& sequence& ask& partitions& lots;
+    archive& route& process& sequence& ask& partitions& lots& asked;
   }
 };
 
 class QuotaLedger {
  public:
-  void Report(const QuotaReport& report, Micros now);
-  bool Complete() const { return partitions_.size() == kPartitions; }
-  // Grants where all that waits with `tokens` stays within the cap. A lot that is counted already
-  // is granted again.
+  QuotaLedger() = default;
+  // With the reservations that are on disk, of this route alone.
+  QuotaLedger(const std::map<std::string, QuotaReservation>& reservations, Micros now);
+
+  // Takes over what the report tells. Returns the lots whose reservations are over.
+  std::vector<std::string> Report(const QuotaReport& report, Micros now);
+  // Counts the lot from now on where all that waits with its tokens stays within the cap: it may be
+  // taken once the reservation is on disk. A lot with a reservation is granted again.
   QuotaVerdict Reserve(const QuotaReserve& reserve, Micros now);
   double Sum() const;
-  // A reservation is over its time, or a partition with waiting tokens has another epoch now.
-  bool WantsReports(const PlacementTable& table, Micros now) const;
+  // All partitions that tokens were granted to have reported to this ledger.
+  bool IsFresh() const;
+  // A partition that tokens were granted to has been silent for kReportSpan.
+  bool WantsReports(Micros now) const;
 
  private:
-  struct PartitionTokens {
+  struct Entry {
+    QuotaReservation reservation;
+    bool reserved = false;  // else it is known from a report alone
+    double tokens = 0;      // that still wait, as far as it is known
+    Micros granted = 0;
+  };
+  struct Reporter {
     std::uint64_t epoch = 0, process = 0, sequence = 0;
     Micros reported = 0;
-    std::map<std::string, double> lots;
-  };
-  struct Reservation {
-    double tokens = 0;
-    Micros until = 0;
   };
-  void DropReservations(Micros now);
+  static bool IsOver(const Entry& entry, const Reporter& reporter);
 
-  std::map<std::uint32_t, PartitionTokens> partitions_;
-  std::map<std::string, Reservation> reservations_;
+  std::map<std::string, Entry> entries_;         // by lot
+  std::map<std::uint32_t, Reporter> reporters_;  // by partition
+  Micros since_ = 0;
 };
 
 }  // namespace pearreach::batch
--- /dev/null
+++ b/tests/tier/batch/store_fleet.h
@@ -0,0 +1,310 @@
+// Whole stores with all their partitions in virtual time: the placement planner, lots, items and
+// the quota as they run in service; disks, links and troubles are the test's, drawn from a seed.
+#ifndef PEARREACH_TESTS_TIER_BATCH_STORE_FLEET_H_
+#define PEARREACH_TESTS_TIER_BATCH_STORE_FLEET_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "batch/lot_store_changes.h"
+#include "batch/lot_store_context.h"
+#include "batch/lot_store_items.h"
+#include "batch/lot_store_quota.h"
+#include "batch/lot_store_reads.h"
+#include "batch/placement.h"
+#include "store_simulation.h"
+
+namespace pearreach::batch::fleet_test {
+
+class Fleet;
+
+// The process of one store machine; a restart makes another one on the same disk.
+class VirtualStore final : public StoreContext {
+ public:
+  VirtualStore(Fleet* fleet, StoreId id, MemoryDisk* disk);
+  ~VirtualStore() override;
+
+  void Adopt(const PlacementTable& table);
+  void Receive(mesh::MessageType type, const std::string& body, const mesh::Respond& respond);
+  void Tick();
+  LotChanges& changes() { return changes_; }
+  LotItems& items() { return items_; }
+
+  Micros Now() const override;
+  std::uint64_t Random() override;
+  Timers::Id After(Micros delay, std::function<void()> callback) override;
+  void Cancel(Timers::Id* id) override;
+  void Send(const StoreId& to, mesh::MessageType type, std::string body, Micros timeout,
+            mesh::Done done) override;
+  const disk::TableStore& Disk() const override { return *disk_; }
+  void Commit(std::vector<disk::Write> batch, std::function<void(absl::Status)> done) override;
+  void RefreshTable() override;
+  void ConfirmEpoch(std::uint32_t partition, std::uint64_t epoch,
+                    std::function<void(bool)> done) override;
+  void OnActive(std::uint32_t partition) override;
+  void OnInactive(std::uint32_t partition) override;
+  void OnFilled(std::uint32_t) override {}
+  const StoreId& Self() const override { return id_; }
+  const PlacementTable& Placement() const override { return placement_; }
+  PartitionReplica& Replica(std::uint32_t partition) override { return *replicas_[partition]; }
+  std::int64_t WallMs() const override;
+
+ private:
+  std::function<void()> Guard(std::function<void()> callback);
+
+  Fleet* const fleet_;
+  const StoreId id_;
+  MemoryDisk* const disk_;
+  PlacementTable placement_;
+  std::set<Timers::Id> timers_;
+  Micros disk_free_ = 0;
+  LotReads reads_;
+  QuotaService quota_;
+  LotItems items_;
+  LotChanges changes_;
+  std::vector<std::unique_ptr<PartitionReplica>> replicas_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+class Fleet {
+ public:
+  struct Machine {
+    StoreId id;
+    std::unique_ptr<MemoryDisk> disk;
+    std::unique_ptr<VirtualStore> store;
+    int wipes = 0;
+  };
+
+  Fleet(std::uint64_t seed, int stores) : random(seed) {
+    for (int i = 0; i < stores; ++i) {
+      const std::string name = "s" + std::to_string(i);
+      machines[name] = {{name, name + "-disk0"}, std::make_unique<MemoryDisk>(), nullptr, 0};
+      Start(name);
+    }
+    Look();
+    Tick();
+  }
+
+  void At(Micros delay, std::function<void()> callback) {
+    events_.emplace(std::make_pair(now + delay, ++last_), std::move(callback));
+  }
+  void RunUntil(Micros end) {
+    while (!events_.empty() && events_.begin()->first.first <= end) {
+      auto node = events_.extract(events_.begin());
+      now = std::max(now, node.key().first);
+      node.mapped()();
+    }
+    now = std::max(now, end);
+  }
+  Micros Between(Micros low, Micros high) {
+    return std::uniform_int_distribution<Micros>(low, high)(random);
+  }
+  bool Chance(double probability) {
+    return std::uniform_real_distribution<double>(0, 1)(random) < probability;
+  }
+  VirtualStore* Find(const StoreId& id) {
+    const auto at = machines.find(id.name);
+    return at != machines.end() && at->second.id == id ? at->second.store.get() : nullptr;
+  }
+  VirtualStore* PrimaryOf(std::string_view key) {
+    return Find(table.partitions[PartitionOf(key)].replicas.front());
+  }
+
+  void Start(const std::string& name) {
+    Machine& machine = machines[name];
+    machine.store = std::make_unique<VirtualStore>(this, machine.id, machine.disk.get());
+    machine.store->Adopt(table);
+  }
+  void Stop(const std::string& name, bool wipe) {
+    Machine& machine = machines[name];
+    machine.store.reset();
+    if (!wipe) return;
+    machine.disk = std::make_unique<MemoryDisk>();
+    machine.id.disk_id = name + "-disk" + std::to_string(++machine.wipes);
+  }
+
+  // The placement duty looks, and all stores learn of a new table within a moment.
+  void Look() {
+    PlacementInput input;
+    for (const auto& [name, machine] : machines) {
+      const auto condition = machine.store ? StoreCondition::kLive : StoreCondition::kGone;
+      input.stores[name] = {machine.id, name, condition};
+      if (machine.store == nullptr) continue;
+      for (std::uint32_t i = 0; i < kPartitions; ++i) {
+        for (const StoreId& store : machine.store->Replica(i).FilledJoiners()) {
+          input.filled.insert({store, i, machine.store->Replica(i).epoch()});
+        }
+      }
+    }
+    auto next = NextPlacement(table.partitions.empty() ? nullptr : &table, input);
+    if (!next.has_value()) return;
+    table = *std::move(next);
+    for (const auto& [name, machine] : machines) {
+      At(Between(1 * kMs, 300 * kMs), [this, name = name] {
+        if (machines[name].store != nullptr) machines[name].store->Adopt(table);
+      });
+    }
+  }
+
+  std::mt19937_64 random;
+  Micros now = 1000 * kSecond;
+  PlacementTable table;
+  double loss = 0;
+  int muted = -1;  // a partition whose replicas do not hear each other
+  std::map<std::string, Machine> machines;
+
+ private:
+  void Tick() {
+    for (const auto& [name, machine] : machines) {
+      if (machine.store != nullptr) machine.store->Tick();
+    }
+    At(500 * kMs, [this] { Tick(); });
+  }
+
+  std::map<std::pair<Micros, std::uint64_t>, std::function<void()>> events_;
+  std::uint64_t last_ = 0;
+};
+
+inline VirtualStore::VirtualStore(Fleet* fleet, StoreId id, MemoryDisk* disk)
+    : fleet_(fleet),
+      id_(std::move(id)),
+      disk_(disk),
+      reads_(this),
+      quota_(this),
+      items_(
+          this, [this](const std::string& lot_id) { reads_.OnVisible(lot_id); },
+          [this](const std::string& lot_id) { quota_.Update(lot_id); }),
+      changes_(this, &items_, &reads_, &quota_) {
+  ReplicationEnvironment* const environment = this;
+  for (std::uint32_t i = 0; i < kPartitions; ++i) {
+    replicas_.push_back(std::make_unique<PartitionReplica>(i, id_, environment));
+  }
+}
+
+inline VirtualStore::~VirtualStore() {
+  alive_.reset();
+  replicas_.clear();
+}
+
+inline void VirtualStore::Adopt(const PlacementTable& table) {
+  if (table.epoch <= placement_.epoch) return;
+  placement_ = table;
+  for (std::uint32_t i = 0; i < kPartitions; ++i) replicas_[i]->SetTable(table.partitions[i]);
+}
+
+inline void VirtualStore::Tick() {
+  quota_.Tick();
+  changes_.Sweep();
+}
+
+inline Micros VirtualStore::Now() const { return fleet_->now; }
+inline std::int64_t VirtualStore::WallMs() const { return fleet_->now / kMs; }
+inline std::uint64_t VirtualStore::Random() { return fleet_->random(); }
+
+inline std::function<void()> VirtualStore::Guard(std::function<void()> callback) {
+  return [alive = std::weak_ptr<bool>(alive_), callback = std::move(callback)] {
+    if (!alive.expired()) callback();
+  };
+}
+
+inline Timers::Id VirtualStore::After(Micros delay, std::function<void()> callback) {
+  static Timers::Id last = 0;
+  const Timers::Id id = ++last;
+  timers_.insert(id);
+  fleet_->At(delay, Guard([this, id, callback = std::move(callback)] {
+               if (timers_.erase(id) > 0) callback();
+             }));
+  return id;
+}
+
+inline void VirtualStore::Cancel(Timers::Id* id) {
+  timers_.erase(*id);
+  *id = 0;
+}
+
+inline void VirtualStore::Send(const StoreId& to, mesh::MessageType type, std::string body,
+                               Micros timeout, mesh::Done done) {
+  auto open = std::make_shared<bool>(true);
+  const auto finish = [open, done = std::move(done)](absl::StatusOr<std::string> answer) {
+    if (!*open) return;
+    *open = false;
+    done(std::move(answer));
+  };
+  fleet_->At(timeout, Guard([finish] { finish(absl::DeadlineExceededError("silence")); }));
+  if (fleet_->Chance(fleet_->loss)) return;
+  const Micros delay = fleet_->Chance(fleet_->loss) ? fleet_->Between(0, 2 * kSecond)
+                                                    : fleet_->Between(300, 2 * kMs);
+  const mesh::Respond respond = [this, alive = std::weak_ptr<bool>(alive_), fleet = fleet_,
+                                 finish](absl::StatusOr<std::string> answer) {
+    if (fleet->Chance(fleet->loss)) return;
+    fleet->At(1 * kMs, [alive, finish, answer = std::move(answer)] {
+      if (!alive.expired()) finish(answer);
+    });
+  };
+  fleet_->At(delay, [fleet = fleet_, to, type, body = std::move(body), respond] {
+    VirtualStore* peer = fleet->Find(to);
+    if (peer != nullptr) peer->Receive(type, body, respond);
+  });
+}
+
+inline void VirtualStore::Receive(mesh::MessageType type, const std::string& body,
+                                  const mesh::Respond& respond) {
+  const auto is_muted = [this](const ReplicaScope& scope) {
+    return static_cast<int>(scope.partition) == fleet_->muted;
+  };
+  if (type == mesh::MessageType::kReplicate) {
+    auto message = *codec::Decode<Replicate>(body);
+    if (is_muted(message.scope)) return;
+    Replica(message.scope.partition).OnReplicate(std::move(message), respond);
+  } else if (type == mesh::MessageType::kRepairDigest) {
+    const auto message = *codec::Decode<RepairDigest>(body);
+    if (!is_muted(message.scope)) Replica(message.scope.partition).OnRepairDigest(message, respond);
+  } else if (type == mesh::MessageType::kQuotaReserve) {
+    quota_.OnReserve(*codec::Decode<QuotaReserve>(body), respond);
+  } else {
+    quota_.OnReport(*codec::Decode<QuotaReport>(body), respond);
+  }
+}
+
+inline void VirtualStore::Commit(std::vector<disk::Write> batch,
+                                 std::function<void(absl::Status)> done) {
+  disk_free_ = std::max(disk_free_, fleet_->now) + fleet_->Between(1, 6 * kMs);
+  fleet_->At(disk_free_ - fleet_->now,
+             Guard([this, batch = std::move(batch), done = std::move(done)] {
+               disk_->Write(batch);
+               done(absl::OkStatus());
+             }));
+}
+
+inline void VirtualStore::RefreshTable() {
+  fleet_->At(2 * kMs, Guard([this] { Adopt(fleet_->table); }));
+}
+
+inline void VirtualStore::ConfirmEpoch(std::uint32_t partition, std::uint64_t epoch,
+                                       std::function<void(bool)> done) {
+  fleet_->At(2 * kMs, Guard([this, partition, epoch, done = std::move(done)] {
+               done(fleet_->table.partitions[partition].epoch == epoch);
+             }));
+}
+
+inline void VirtualStore::OnActive(std::uint32_t partition) {
+  items_.OnActive(partition);
+  quota_.OnActive(partition);
+}
+
+inline void VirtualStore::OnInactive(std::uint32_t partition) {
+  items_.OnInactive(partition);
+  reads_.OnInactive(partition);
+  quota_.OnInactive(partition);
+}
+
+}  // namespace pearreach::batch::fleet_test
+
+#endif  // PEARREACH_TESTS_TIER_BATCH_STORE_FLEET_H_
--- /dev/null
+++ b/tests/tier/batch/store_quota_test.cpp
@@ -0,0 +1,253 @@
+// The tokens that may wait on a route: the ledger by itself, and whole stores in virtual time whose
+// clients count what the rule counts: accepted items that no worker has finished, at each 202.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cstdlib>
+
+#include "store_fleet.h"
+
+namespace pearreach::batch {
+namespace {
+
+using fleet_test::Fleet;
+using fleet_test::VirtualStore;
+
+constexpr double kCap = 400, kItemTokens = 10;
+constexpr const char* kRoute = "route";
+
+// Hands lots in, runs items and ends lots, and checks the rule with what it has been told.
+class Clients {
+ public:
+  explicit Clients(Fleet* fleet) : fleet_(fleet) {}
+
+  void Submit() {
+    LotSpec lot;
+    lot.lot_id = "lot" + std::to_string(next_++);
+    lot.route = kRoute;
+    lot.fingerprint = 7;
+    lot.token_cap = kCap;
+    lot.tries = 2;
+    lot.status_s = 120;
+    const Micros items = fleet_->Between(1, 8);
+    for (Micros i = 0; i < items; ++i) {
+      ItemSpec item;
+      item.item_id = lot.lot_id + "-" + std::to_string(i);
+      item.tokens = kItemTokens;
+      lot.items.push_back(item);
+    }
+    Try(lot, 4);
+  }
+
+  // A worker finishes an item; its result reaches the lot's primary some time later, or again.
+  void Finish() {
+    if (open_.empty()) return;
+    auto lot = open_.begin();
+    std::advance(lot, fleet_->Between(0, static_cast<Micros>(open_.size()) - 1));
+    const std::string item = *lot->second.begin();
+    const ItemResult result{lot->first, item, 1, RunOutcome::kComplete, "text"};
+    lot->second.erase(lot->second.begin());
+    if (lot->second.empty()) open_.erase(lot);
+    Tell(result);
+  }
+
+  void End() {
+    if (open_.empty()) return;
+    const std::string lot_id = open_.begin()->first;
+    open_.erase(open_.begin());
+    fleet_->At(2 * kMs, [this, lot_id] {
+      VirtualStore* primary = fleet_->PrimaryOf(lot_id);
+      if (primary != nullptr) primary->changes().OnCancel({0, lot_id}, [](const auto&) {});
+    });
+  }
+
+  double Waiting() const {
+    double tokens = 0;
+    for (const auto& [lot, items] : open_)
+      tokens += kItemTokens * static_cast<double>(items.size());
+    return tokens;
+  }
+  bool AnyOpenIn(std::uint32_t partition) const {
+    return std::any_of(open_.begin(), open_.end(),
+                       [&](const auto& lot) { return PartitionOf(lot.first) == partition; });
+  }
+
+  int accepted = 0, over = 0;
+  double most = 0;
+
+ private:
+  void Try(const LotSpec& lot, int tries) {
+    if (tries == 0) return;
+    auto open = std::make_shared<bool>(true);
+    fleet_->At(2 * kSecond, [this, lot, tries, open] {
+      if (std::exchange(*open, false)) Try(lot, tries - 1);
+    });
+    VirtualStore* primary = fleet_->PrimaryOf(lot.lot_id);
+    if (primary == nullptr) return;
+    primary->changes().OnCreate({0, lot}, [this, lot, tries, open](const auto& bytes) {
+      fleet_->At(1 * kMs, [this, lot, tries, open, bytes] { OnAnswer(lot, tries, open, bytes); });
+    });
+  }
+
+  void OnAnswer(const LotSpec& lot, int tries, const std::shared_ptr<bool>& open,
+                const absl::StatusOr<std::string>& bytes) {
+    if (!*open) return;
+    if (!bytes.ok()) {
+      fleet_->At(100 * kMs, [this, lot, tries, open] {
+        if (std::exchange(*open, false)) Try(lot, tries - 1);
+      });
+      return;
+    }
+    *open = false;
+    if (codec::Decode<CreateLotAnswer>(*bytes)->status == CreateStatus::kOverQuota) {
+      ++over;
+      return;
+    }
+    ++accepted;
+    for (const ItemSpec& item : lot.items) open_[lot.lot_id].insert(item.item_id);
+    most = std::max(most, Waiting());
+  }
+
+  void Tell(const ItemResult& result) {
+    fleet_->At(fleet_->Between(1 * kMs, 100 * kMs), [this, result] {
+      VirtualStore* primary = fleet_->PrimaryOf(result.lot_id);
+      auto told = std::make_shared<bool>(false);
+      fleet_->At(1 * kSecond, [this, result, told] {
+        if (!*told) Tell(result);
+      });
+      if (primary == nullptr) return;
+      primary->items().OnResult(result, [told](const auto& answer) { *told = answer.ok(); });
+    });
+  }
+
+  Fleet* const fleet_;
+  std::map<std::string, std::set<std::string>> open_;  // accepted lots: items not finished
+  int next_ = 0;
+};
+
+class StoreQuotaFleetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreQuotaFleetTest);
+  CPPUNIT_TEST(ALotWithAReservationIsGrantedAgain);
+  CPPUNIT_TEST(AReservationEndsWithALaterReportOnly);
+  CPPUNIT_TEST(AnotherPrimarysReportEndsIt);
+  CPPUNIT_TEST(ASilentPartitionStopsNoOther);
+  CPPUNIT_TEST(SeededRunsKeepTheCap);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ALotWithAReservationIsGrantedAgain() {
+    QuotaLedger ledger({}, 0);
+    CPPUNIT_ASSERT(QuotaVerdict::kGranted == ledger.Reserve(Reserve("a", 60, 5), 0));
+    CPPUNIT_ASSERT(QuotaVerdict::kOver == ledger.Reserve(Reserve("b", 60, 6), 0));
+    CPPUNIT_ASSERT(QuotaVerdict::kGranted == ledger.Reserve(Reserve("a", 60, 7), 0));
+    CPPUNIT_ASSERT_EQUAL(60.0, ledger.Sum());
+  }
+
+  void AReservationEndsWithALaterReportOnly() {
+    QuotaLedger ledger({}, 0);
+    ledger.Reserve(Reserve("a", 60, 5), 0);
+    CPPUNIT_ASSERT(ledger.Report(Report(1, 1, 4), 1).empty());
+    QuotaReport asked = Report(1, 1, 6);
+    asked.asked = {"a"};
+    CPPUNIT_ASSERT(ledger.Report(asked, 2).empty());
+    CPPUNIT_ASSERT_EQUAL(60.0, ledger.Sum());
+    QuotaReport taken = Report(1, 1, 7);
+    taken.lots = {{"a", 20}};
+    ledger.Report(taken, 3);
+    CPPUNIT_ASSERT_EQUAL(20.0, ledger.Sum());
+    CPPUNIT_ASSERT(ledger.Report(Report(1, 1, 6), 4).empty());  // a late one
+    CPPUNIT_ASSERT_EQUAL(20.0, ledger.Sum());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ledger.Report(Report(1, 1, 8), 5).size());
+    CPPUNIT_ASSERT_EQUAL(0.0, ledger.Sum());
+  }
+
+  void AnotherPrimarysReportEndsIt() {
+    QuotaLedger ledger({{"a", Reserve("a", 60, 5).reservation}}, 0);
+    CPPUNIT_ASSERT(!ledger.IsFresh());
+    CPPUNIT_ASSERT_EQUAL(60.0, ledger.Sum());
+    CPPUNIT_ASSERT(ledger.Report(Report(1, 2, 1), 1).empty());  // it may still be on its way
+    CPPUNIT_ASSERT(ledger.IsFresh());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ledger.Report(Report(2, 1, 1), 2).size());
+  }
+
+  // One partition cannot report, and the route's owner is lost: what it was granted stays counted,
+  // the others go on.
+  void ASilentPartitionStopsNoOther() {
+    Fleet fleet(3, 4);
+    Clients clients(&fleet);
+    fleet.RunUntil(fleet.now + 3 * kSecond);
+    for (int i = 0; i < 40; ++i) Step(&fleet, &clients, 0.3);
+    std::uint32_t silent = 0;
+    const auto owner = fleet.table.partitions[PartitionOf(kRoute)].replicas.front();
+    while (silent == PartitionOf(kRoute) || !clients.AnyOpenIn(silent)) ++silent;
+    CPPUNIT_ASSERT(silent < kPartitions);
+    fleet.muted = static_cast<int>(silent);
+    fleet.Stop(owner.name, false);
+    for (int i = 0; i < 20; ++i) Step(&fleet, &clients, 1);
+    const int before = clients.accepted;
+    for (int i = 0; i < 100; ++i) Step(&fleet, &clients, 1);
+    CPPUNIT_ASSERT(clients.accepted > before + 10);
+    CPPUNIT_ASSERT(clients.most <= kCap);
+  }
+
+  void SeededRunsKeepTheCap() {
+    const char* text = std::getenv("PEARREACH_SEEDS");
+    const std::uint64_t seeds = text == nullptr ? 6 : std::strtoull(text, nullptr, 10);
+    std::string failures;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+      Fleet fleet(seed, 4);
+      Clients clients(&fleet);
+      Play(seed, &fleet, &clients);
+      const bool kept = clients.most <= kCap && clients.most > 0.75 * kCap;
+      const bool served = clients.accepted > 60 && clients.over > 10;
+      if (kept && served) continue;
+      failures += "seed " + std::to_string(seed) + ": most " + std::to_string(clients.most) +
+                  ", accepted " + std::to_string(clients.accepted) + ", over " +
+                  std::to_string(clients.over) + "\n";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+  }
+
+ private:
+  static QuotaReserve Reserve(const std::string& lot, double tokens, std::uint64_t sequence) {
+    return {lot, {kRoute, tokens, 1, 1, sequence}, 100};
+  }
+  static QuotaReport Report(std::uint64_t epoch, std::uint64_t process, std::uint64_t sequence) {
+    QuotaReport report;
+    report.route = kRoute;
+    report.process = process;
+    report.sequence = sequence;
+    report.partitions = {{PartitionOf("a"), epoch}};
+    return report;
+  }
+
+  static void Step(Fleet* fleet, Clients* clients, double finished) {
+    clients->Submit();
+    for (int i = 0; i < 5; ++i) {
+      if (fleet->Chance(finished)) clients->Finish();
+    }
+    if (fleet->Chance(0.03)) clients->End();
+    fleet->RunUntil(fleet->now + 100 * kMs);
+    fleet->Look();
+  }
+
+  static void Play(std::uint64_t seed, Fleet* fleet, Clients* clients) {
+    fleet->RunUntil(fleet->now + 3 * kSecond);
+    fleet->loss = seed % 3 == 0 ? 0 : 0.02;
+    std::string down;
+    for (int step = 0; step < 300; ++step) {
+      Step(fleet, clients, 0.7);
+      if (!down.empty() && fleet->Chance(0.1)) {
+        fleet->Start(std::exchange(down, ""));
+      } else if (down.empty() && fleet->Chance(0.05) && IsSettled(fleet->table, 2)) {
+        down = "s" + std::to_string(fleet->Between(0, 3));
+        fleet->Stop(down, fleet->Chance(0.5));
+      }
+      if (fleet->Chance(0.02)) fleet->muted = static_cast<int>(fleet->Between(-31, 31));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreQuotaFleetTest);
+
+}  // namespace
+}  // namespace pearreach::batch
