Hold the duty of placing lots under an epoch that the control state refuses to go below

A node that was frozen while it held the duty, or whose view lagged, was kept from acting by the revision of the table alone: once it had read the newest table again it could act as if it still held the duty. Now the first live node of the view takes the duty by a change of duty/placement, whose revision is the epoch, and each of its changes carries that epoch as a fence: the head of the chain refuses it once the key has a later revision. A claim and a change under the epoch before never share a version. Nothing on disk changes its form: a state without the key is that of epoch 0. A number inside the table was ruled out, as operators' orders write the table too.

--- a/src/batch/placement_duty.cpp
+++ b/src/batch/placement_duty.cpp
@@ -19,6 +19,7 @@
 // A store of the table that a new holder of the duty has not heard of is gone after this.
 constexpr Micros kUnknownTime = 10 * kSecond;
 constexpr Micros kChangeTimeout = 2 * kSecond;
+constexpr char kDutyName[] = "placement";
 
 StoreCondition ConditionOf(coordination::MemberStatus status) {
   switch (status) {
@@ -49,8 +50,11 @@
 }
 
 PlacementDuty::PlacementDuty(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control,
-                             std::size_t replicas)
-    : timers_(timers), control_(control), replicas_(replicas) {
+                             std::string self, std::size_t replicas)
+    : timers_(timers),
+      control_(control),
+      duty_(control, kDutyName, std::move(self), [this] { LookLater(0); }),
+      replicas_(replicas) {
   mesh->Handle(mesh::MessageType::kStoreStatus,
                [this, alive = alive_](const std::string&, std::string_view body,
                                       const mesh::Respond& respond) {
@@ -81,7 +85,7 @@
     respond(status.status());
     return;
   }
-  if (!control_->IsDutyHolder()) {
+  if (!duty_.Update(Now())) {
     respond(absl::FailedPreconditionError("this node does not place partitions"));
     return;
   }
@@ -165,9 +169,9 @@
 
 void PlacementDuty::Look() {
   const Micros now = Now();
-  if (!control_->IsDutyHolder()) {
+  if (!duty_.Update(now)) {
     if (on_duty_) EndDuty();
-    LookLater(kOffDutyPeriod);
+    LookLater(control_->IsDutyHolder() ? kBusyPeriod : kOffDutyPeriod);
     return;
   }
   if (!on_duty_) BeginDuty(now);
@@ -186,12 +190,12 @@
   proposing_ = true;
   logging::Info("batch", "placement proposed",
                 {logging::F("epoch", table.epoch), logging::F("revision", revision)});
-  control_->Change(control::kStoresKey, revision, codec::Encode(table), kChangeTimeout,
-                   [this, alive = alive_](const control::ChangeOutcome&) {
-                     if (!*alive) return;
-                     proposing_ = false;
-                     LookLater(0);
-                   });
+  control_->ChangeFenced(duty_.fence(), control::kStoresKey, revision, codec::Encode(table),
+                         kChangeTimeout, [this, alive = alive_](const control::ChangeOutcome&) {
+                           if (!*alive) return;
+                           proposing_ = false;
+                           LookLater(0);
+                         });
 }
 
 }  // namespace pearreach::batch
--- a/src/batch/placement_duty.h
+++ b/src/batch/placement_duty.h
@@ -1,5 +1,6 @@
-// The duty of placing partitions on stores, carried by the head of the control chain: watches the
-// stores' membership and their reports, and proposes the next placement table.
+// The duty of placing partitions on stores, held by one node at a time under an epoch
+// (control::DutyHolder): watches the stores' membership and their reports, and proposes the next
+// placement table, which the control state refuses once another node has taken the duty.
 #ifndef PEARREACH_SRC_BATCH_PLACEMENT_DUTY_H_
 #define PEARREACH_SRC_BATCH_PLACEMENT_DUTY_H_
 
@@ -14,6 +15,7 @@
 #include "batch/messages.h"
 #include "batch/placement.h"
 #include "control/control_client.h"
+#include "control/duty_holder.h"
 #include "mesh/mesh.h"
 
 namespace pearreach::batch {
@@ -24,9 +26,10 @@
 
 class PlacementDuty {
  public:
-  // `replicas`: machines that may be lost at once, plus 1. Handles kStoreStatus; a node that does
-  // not hold the duty answers it FAILED_PRECONDITION.
-  PlacementDuty(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control,
+  // `self`: a name of this process that no other one has. `replicas`: machines that may be lost at
+  // once, plus 1. Handles kStoreStatus; a node that does not hold the duty answers it
+  // FAILED_PRECONDITION.
+  PlacementDuty(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control, std::string self,
                 std::size_t replicas);
   ~PlacementDuty();
   PlacementDuty(const PlacementDuty&) = delete;
@@ -54,6 +57,7 @@
 
   Timers* timers_;
   control::ControlClient* control_;
+  control::DutyHolder duty_;
   const std::size_t replicas_;
   Timers::Id timer_ = 0;
   bool on_duty_ = false, proposing_ = false;
--- a/src/control/change_relay.cpp
+++ b/src/control/change_relay.cpp
@@ -87,7 +87,7 @@
 
 void ChangeRelay::TryHere(const AttemptPtr& attempt, Micros left) {
   const WriteRequest& request = attempt->request;
-  replica_->Change(request.key, request.expected, request.value, left,
+  replica_->Change({0, request.key, request.expected, request.value, request.fence}, left,
                    callbacks_.Bind([this, attempt](const coordination::ChangeResult& result) {
                      Settle(attempt, AnswerOf(result));
                    }));
--- a/src/control/control_client.h
+++ b/src/control/control_client.h
@@ -44,16 +44,28 @@
   // Passed on to the head, wherever it is. kUnavailable: it may come into force or not.
   virtual void Change(const std::string& key, std::uint64_t expected_revision, std::string value,
                       Micros timeout, std::function<void(ChangeOutcome)> done) = 0;
+  // As Change, and refused with kFenced once the fence's key has a later revision. A client without
+  // fences changes nothing.
+  virtual void ChangeFenced(const coordination::Fence& fence, const std::string& key,
+                            std::uint64_t expected_revision, std::string value, Micros timeout,
+                            std::function<void(ChangeOutcome)> done);
   // A read that no older state can answer.
   virtual void StrictRead(
       Micros timeout,
       std::function<void(absl::StatusOr<std::shared_ptr<const ControlSnapshot>>)> done) = 0;
-  // This node carries a duty of the whole system now: it is the head of the current view.
+  // This node is the first live one in the order of the current view, so that duties of the whole
+  // system are its to take (see DutyHolder).
   virtual bool IsDutyHolder() const = 0;
   // Membership as this node sees it.
   virtual const std::map<std::string, coordination::Member>& members() const = 0;
 };
 
+inline void ControlClient::ChangeFenced(const coordination::Fence&, const std::string&,
+                                        std::uint64_t, std::string, Micros,
+                                        std::function<void(ChangeOutcome)> done) {
+  done({});
+}
+
 }  // namespace pearreach::control
 
 #endif  // PEARREACH_SRC_CONTROL_CONTROL_CLIENT_H_
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -123,7 +123,14 @@
 
 void ControlNode::Change(const std::string& key, std::uint64_t expected_revision, std::string value,
                          Micros timeout, std::function<void(ChangeOutcome)> done) {
+  ChangeFenced({}, key, expected_revision, std::move(value), timeout, std::move(done));
+}
+
+void ControlNode::ChangeFenced(const coordination::Fence& fence, const std::string& key,
+                               std::uint64_t expected_revision, std::string value, Micros timeout,
+                               std::function<void(ChangeOutcome)> done) {
   WriteRequest request;
+  request.fence = fence;
   request.key = key;
   request.expected = expected_revision;
   request.value = std::move(value);
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -47,6 +47,9 @@
   void OnChange(std::function<void()> listener) override;
   void Change(const std::string& key, std::uint64_t expected_revision, std::string value,
               Micros timeout, std::function<void(ChangeOutcome)> done) override;
+  void ChangeFenced(const coordination::Fence& fence, const std::string& key,
+                    std::uint64_t expected_revision, std::string value, Micros timeout,
+                    std::function<void(ChangeOutcome)> done) override;
   void StrictRead(Micros timeout, StrictReader::Done done) override;
   bool IsDutyHolder() const override { return reach_.HoldsDuty(); }
   const MemberMap& members() const override { return membership_.members(); }
--- a/src/control/messages.h
+++ b/src/control/messages.h
@@ -60,10 +60,11 @@
   std::string key, value;
   std::uint64_t expected = 0;
   std::int64_t timeout = 0;
-  std::uint32_t hops = 0;  // nodes that have passed it on
+  std::uint32_t hops = 0;       // nodes that have passed it on
+  coordination::Fence fence{};  // of the duty under which it is made
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& key& value& expected& timeout& hops;
+    archive& key& value& expected& timeout& hops& fence.key& fence.revision;
   }
 };
 
--- a/src/control/replica_driver.cpp
+++ b/src/control/replica_driver.cpp
@@ -84,9 +84,9 @@
   CarryOut(std::move(effects));
 }
 
-void ReplicaDriver::Change(const std::string& key, std::uint64_t expected, std::string value,
-                           Micros timeout, ChangeDone done) {
+void ReplicaDriver::Change(coordination::ChangeRequest request, Micros timeout, ChangeDone done) {
   const std::uint64_t ticket = ++last_ticket_;
+  request.ticket = ticket;
   const Timers::Id timer = time_->After(timeout, [this, ticket] {
     coordination::ChangeResult late;
     late.ticket = ticket;
@@ -94,7 +94,7 @@
   });
   changes_[ticket] = {std::move(done), timer};
   coordination::Effects effects;
-  replica_.Change(time_->Now(), ticket, key, expected, std::move(value), &effects);
+  replica_.Change(time_->Now(), std::move(request), &effects);
   CarryOut(std::move(effects));
 }
 
--- a/src/control/replica_driver.h
+++ b/src/control/replica_driver.h
@@ -35,8 +35,8 @@
   void SetFounders(std::vector<coordination::ReplicaId> founders);
 
   // `done` is called exactly once, within `timeout`; kUnavailable and not ok if nothing came.
-  void Change(const std::string& key, std::uint64_t expected, std::string value, Micros timeout,
-              ChangeDone done);
+  // The request's ticket is given here.
+  void Change(coordination::ChangeRequest request, Micros timeout, ChangeDone done);
   void Read(Micros timeout, ReadDone done);
 
   bool is_head() const { return replica_.is_head(); }
--- a/src/coordination/chain.h
+++ b/src/coordination/chain.h
@@ -57,6 +57,23 @@
   kConflict,     // the key's revision is another one: nothing was changed
   kUnavailable,  // nothing is promised: it may come into force or not
   kNotHead,      // nothing was changed; `hint` names the head as far as known
+  kFenced,       // the fence's key has a later revision: nothing was changed
+};
+
+// Refuses a change once `key` has a later revision than this one: what was decided while `revision`
+// was the newest does not come into force after it.
+struct Fence {
+  std::string key;  // empty: none
+  std::uint64_t revision = 0;
+};
+
+// Sets `key` to `value` where its revision is `expected` and the fence stands.
+struct ChangeRequest {
+  std::uint64_t ticket = 0;
+  std::string key;
+  std::uint64_t expected = 0;
+  std::string value;
+  Fence fence;
 };
 
 struct ChangeResult {
@@ -128,9 +145,8 @@
   Micros NextTick() const;
   void Tick(Micros now, Effects* out);
 
-  // At the head only: sets `key` where its revision is `expected`. The result comes as an effect.
-  void Change(Micros now, std::uint64_t ticket, const std::string& key, std::uint64_t expected,
-              std::string value, Effects* out);
+  // At the head only. The result comes as an effect.
+  void Change(Micros now, ChangeRequest request, Effects* out);
   // Answered from the tail once a majority confirms that the view still stands.
   void Read(Micros now, std::uint64_t ticket, Effects* out);
 
--- a/src/coordination/chain_replica.cpp
+++ b/src/coordination/chain_replica.cpp
@@ -185,9 +185,8 @@
 
 void ChainReplica::Tick(Micros now, Effects* out) { impl_->Tick(now, out); }
 
-void ChainReplica::Change(Micros now, std::uint64_t ticket, const std::string& key,
-                          std::uint64_t expected, std::string value, Effects* out) {
-  impl_->Change(now, ticket, key, expected, std::move(value), out);
+void ChainReplica::Change(Micros now, ChangeRequest request, Effects* out) {
+  impl_->Change(now, std::move(request), out);
 }
 
 void ChainReplica::Read(Micros now, std::uint64_t ticket, Effects* out) {
--- a/src/coordination/chain_replica.h
+++ b/src/coordination/chain_replica.h
@@ -63,8 +63,7 @@
   void Receive(Micros now, const std::string& from, std::string_view bytes, Effects* out);
   void Persisted(Micros now, std::uint64_t token, Effects* out);
   void Tick(Micros now, Effects* out) { Run(now, out); }
-  void Change(Micros now, std::uint64_t ticket, const std::string& key, std::uint64_t expected,
-              std::string value, Effects* out);
+  void Change(Micros now, ChangeRequest request, Effects* out);
   void Read(Micros now, std::uint64_t ticket, Effects* out);
 
   Micros NextTick() const { return wake_; }
@@ -72,11 +71,7 @@
   bool IsHead() const;
 
  private:
-  struct QueuedChange {
-    std::uint64_t ticket = 0;
-    std::string key;
-    std::uint64_t expected = 0;
-    std::string value;
+  struct QueuedChange : ChangeRequest {
     Micros deadline = 0;
     bool is_newest = false;  // a strict read since has found what this head has to be the newest
   };
@@ -132,6 +127,7 @@
   void ResolveAfterViewChange();
   void FinishChange(const QueuedChange& change, ChangeStatus status, std::uint64_t revision);
   std::uint64_t CommittedRevision(const std::string& key) const;
+  bool IsFenced(const QueuedChange& change) const;
   void On(Micros now, const chain::Header& header, const chain::Append& append);
   void On(Micros now, const chain::Header& header, const chain::CommitNotice& notice);
   void On(Micros now, const chain::Header& header, const chain::Probe& probe);
--- a/src/coordination/chain_replication.cpp
+++ b/src/coordination/chain_replication.cpp
@@ -7,14 +7,13 @@
 
 namespace pearreach::coordination {
 
-void ChainReplica::Impl::Change(Micros now, std::uint64_t ticket, const std::string& key,
-                                std::uint64_t expected, std::string value, Effects* out) {
+void ChainReplica::Impl::Change(Micros now, ChangeRequest request, Effects* out) {
   out_ = out;
-  QueuedChange change{ticket, key, expected, std::move(value), now + options_.call_timeout};
+  QueuedChange change{std::move(request), now + options_.call_timeout};
   if (IsHead()) {
     queued_.push_back(std::move(change));
   } else {
-    FinishChange(change, ChangeStatus::kNotHead, CommittedRevision(key));
+    FinishChange(change, ChangeStatus::kNotHead, CommittedRevision(change.key));
   }
   Run(now, out);
 }
@@ -26,6 +25,10 @@
   return found == map->end() ? 0 : found->second.revision;
 }
 
+bool ChainReplica::Impl::IsFenced(const QueuedChange& change) const {
+  return !change.fence.key.empty() && CommittedRevision(change.fence.key) > change.fence.revision;
+}
+
 void ChainReplica::Impl::FinishChange(const QueuedChange& change, ChangeStatus status,
                                       std::uint64_t revision) {
   ChangeResult result{change.ticket, status, revision, {}};
@@ -64,11 +67,11 @@
 }
 
 // A change on top of one that is not committed yet stays in the queue, and is judged by what has
-// been committed in this view only.
+// been committed in this view only. A key and the fence on it never change together.
 void ChainReplica::Impl::AppendQueued(Micros now) {
   if (queued_.empty() || state_.pending() || !state_.started()) return;
   std::vector<chain::KeyChange> changes;
-  std::set<std::string> keys;
+  std::set<std::string> keys, fences;
   std::deque<QueuedChange> later;
   for (QueuedChange& change : queued_) {
     const std::uint64_t revision = CommittedRevision(change.key);
@@ -77,9 +80,14 @@
       later.push_back(std::move(change));
     } else if (revision != change.expected) {
       FinishChange(change, ChangeStatus::kConflict, revision);
-    } else if (!keys.insert(change.key).second) {
+    } else if (IsFenced(change)) {
+      FinishChange(change, ChangeStatus::kFenced, revision);
+    } else if (keys.count(change.key) + keys.count(change.fence.key) + fences.count(change.key) >
+               0) {
       later.push_back(std::move(change));
     } else {
+      keys.insert(change.key);
+      if (!change.fence.key.empty()) fences.insert(change.fence.key);
       changes.push_back({change.key, {change.value, revision + 1}});
       in_flight_.push_back(std::move(change));
     }
--- /dev/null
+++ b/src/coordination/duty.h
@@ -0,0 +1,56 @@
+// One node's part in a duty that one node at a time does for the whole system. The first live node
+// in an agreed order takes the duty under an epoch, which the taker commits in the control state:
+// the epoch is the revision of the duty's key, and the key's value names the holder. Everything
+// that a holder does is a change of the control state that carries its epoch (Fence), and the
+// control state refuses an epoch below the greatest that it has seen. So it does not matter that a
+// node that was frozen or cut off still takes itself for the holder.
+//
+// A pure machine: no clock, no transport.
+#ifndef PEARREACH_SRC_COORDINATION_DUTY_H_
+#define PEARREACH_SRC_COORDINATION_DUTY_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "coordination/chain.h"
+
+namespace pearreach::coordination {
+
+// The newest committed state of a duty. Epoch 0: nobody has taken it yet.
+struct DutyRecord {
+  std::uint64_t epoch = 0;
+  std::string holder;
+};
+
+class Duty {
+ public:
+  // `self` names the process, not only the node: a restarted one takes the duty anew. `pause`:
+  // between two claims of this process.
+  Duty(std::string self, Micros pause);
+
+  // Whether this node is the first live one in the agreed order, as far as it knows.
+  void SetFirst(bool first) { first_ = first; }
+  // What the control state says; an older record than one that is known is passed over.
+  void Observe(const DutyRecord& record);
+
+  // The epoch that a claim must follow, if one is due: the caller sets the duty's key to `self`
+  // where its revision is this one, and says how that ended.
+  std::optional<std::uint64_t> NextClaim(Micros now);
+  void ClaimEnded(ChangeStatus status, std::uint64_t revision);
+
+  // The epoch under which this process may act; none: it may not.
+  std::optional<std::uint64_t> acting() const;
+  const DutyRecord& record() const { return record_; }
+
+ private:
+  const std::string self_;
+  const Micros pause_;
+  bool first_ = false, claiming_ = false;
+  DutyRecord record_;
+  Micros next_claim_ = 0;
+};
+
+}  // namespace pearreach::coordination
+
+#endif  // PEARREACH_SRC_COORDINATION_DUTY_H_
--- a/src/tier/node.cpp
+++ b/src/tier/node.cpp
@@ -1,5 +1,7 @@
 #include "tier/node.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -197,8 +199,9 @@
   config_api_ = std::make_unique<control::ConfigApi>(control_.get());
   config_api_->Register(&router_);
   if (registry_ != nullptr) registry_->RegisterCalls(&router_);
-  placement_duty_ =
-      std::make_unique<batch::PlacementDuty>(&timers_, mesh_.get(), control_.get(), replicas);
+  placement_duty_ = std::make_unique<batch::PlacementDuty>(
+      &timers_, mesh_.get(), control_.get(),
+      fmt::format("{}#{}", settings_.node_name, incarnation_), replicas);
   control_->OnMembersChanged([this](const std::vector<std::string>&) { placement_duty_->Look(); });
   retire_api_ = std::make_unique<batch::RetireApi>(&timers_, control_.get(), replicas);
   retire_api_->AddTo(&router_);
--- a/tests/tier/batch/edge_fakes.h
+++ b/tests/tier/batch/edge_fakes.h
@@ -91,6 +91,10 @@
   void Change(const std::string& key, std::uint64_t expected, std::string value, Micros,
               std::function<void(control::ChangeOutcome)> done) override {
     changed_keys.push_back(key);
+    if (key != control::kStoresKey) {
+      done(ChangeOther(key, expected, std::move(value)));
+      return;
+    }
     if (conflicts > 0 || expected != snapshot->stores_revision) {
       conflicts = conflicts > 0 ? conflicts - 1 : 0;
       done({coordination::ChangeStatus::kConflict, snapshot->stores_revision});
@@ -102,6 +106,34 @@
     Set(std::move(next));
     done({coordination::ChangeStatus::kCommitted, snapshot->stores_revision});
   }
+  void ChangeFenced(const coordination::Fence& fence, const std::string& key,
+                    std::uint64_t expected, std::string value, Micros timeout,
+                    std::function<void(control::ChangeOutcome)> done) override {
+    fences.push_back(fence);
+    if (RevisionOf(fence.key) > fence.revision) {
+      done({coordination::ChangeStatus::kFenced, snapshot->stores_revision});
+      return;
+    }
+    Change(key, expected, std::move(value), timeout, std::move(done));
+  }
+  // Of a key other than that of the stores.
+  std::uint64_t RevisionOf(const std::string& key) const {
+    if (snapshot->map == nullptr) return 0;
+    const auto found = snapshot->map->find(key);
+    return found == snapshot->map->end() ? 0 : found->second.revision;
+  }
+  control::ChangeOutcome ChangeOther(const std::string& key, std::uint64_t expected,
+                                     std::string value) {
+    const std::uint64_t revision = RevisionOf(key);
+    if (expected != revision) return {coordination::ChangeStatus::kConflict, revision};
+    auto map = std::make_shared<coordination::Map>();
+    if (snapshot->map != nullptr) *map = *snapshot->map;
+    (*map)[key] = {std::move(value), revision + 1};
+    auto next = std::make_shared<control::ControlSnapshot>(*snapshot);
+    next->map = std::move(map);
+    Set(std::move(next));
+    return {coordination::ChangeStatus::kCommitted, revision + 1};
+  }
   void StrictRead(
       Micros,
       std::function<void(absl::StatusOr<std::shared_ptr<const control::ControlSnapshot>>)> done)
@@ -142,6 +174,7 @@
   std::vector<std::function<void()>> listeners;
   std::map<std::string, coordination::Member> member_map;
   std::vector<std::string> changed_keys;
+  std::vector<coordination::Fence> fences;
   int conflicts = 0;
   bool is_duty_holder = false;
 };
--- a/tests/tier/batch/placement_duty_test.cpp
+++ b/tests/tier/batch/placement_duty_test.cpp
@@ -13,10 +13,14 @@
 
 using namespace edge_test;
 
+constexpr char kDutyKey[] = "duty/placement";
+
 class PlacementDutyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlacementDutyTest);
   CPPUNIT_TEST(ProposesTheFirstTable);
   CPPUNIT_TEST(ProposesNothingOffDuty);
+  CPPUNIT_TEST(ProposesNothingAfterAnotherTookTheDuty);
+  CPPUNIT_TEST(TakesTheDutyFromAnEarlierHolder);
   CPPUNIT_TEST(TakesReportsOfFilledStores);
   CPPUNIT_TEST(RefusesReportsOffDuty);
   CPPUNIT_TEST(AnswersRetireBegin);
@@ -53,33 +57,70 @@
   void ProposesTheFirstTable() {
     control_.is_duty_holder = true;
     AddStores(3);
-    PlacementDuty duty(&timers_, &mesh_, &control_, 2);
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", 2);
     CPPUNIT_ASSERT(TurnUntil([&] { return !control_.snapshot->stores.empty(); }));
     CPPUNIT_ASSERT(IsSettled(control_.Table(), 2));
-    CPPUNIT_ASSERT_EQUAL(std::string(control::kStoresKey), control_.changed_keys.front());
+    CPPUNIT_ASSERT(control_.changed_keys ==
+                   std::vector<std::string>({kDutyKey, control::kStoresKey}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, control_.fences.size());
+    CPPUNIT_ASSERT_EQUAL(std::string(kDutyKey), control_.fences.front().key);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, control_.fences.front().revision);
   }
 
   void ProposesNothingOffDuty() {
     AddStores(3);
-    PlacementDuty duty(&timers_, &mesh_, &control_, 2);
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", 2);
     duty.Look();
     CPPUNIT_ASSERT(control_.changed_keys.empty());
   }
 
+  // Its own view still has it first: it takes the duty back only under an epoch of its own.
+  void ProposesNothingAfterAnotherTookTheDuty() {
+    control_.is_duty_holder = true;
+    AddStores(2);
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", 2);
+    CPPUNIT_ASSERT(TurnUntil([&] { return !control_.snapshot->stores.empty(); }));
+    control_.is_duty_holder = false;
+    control_.ChangeOther(kDutyKey, 1, "n2#1");
+    control_.fences.clear();
+    PlacementTable table = control_.Table();
+    table.partitions[5] = {7, {{"s0", "d"}}, {{"s1", "d"}}};
+    control_.SetTable(table);
+    CPPUNIT_ASSERT(absl::IsFailedPrecondition(Send({{"s1", "d"}, {{5, 7}}}).status()));
+    duty.Look();
+    CPPUNIT_ASSERT(control_.fences.empty());
+    control_.is_duty_holder = true;
+    CPPUNIT_ASSERT(TurnUntil([&] { return Send({{"s1", "d"}, {{5, 7}}}).ok(); }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, control_.RevisionOf(kDutyKey));
+    for (const auto& fence : control_.fences)
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, fence.revision);
+    CPPUNIT_ASSERT(IsSettled(control_.Table(), 2));
+  }
+
+  void TakesTheDutyFromAnEarlierHolder() {
+    control_.is_duty_holder = true;
+    AddStores(2);
+    control_.ChangeOther(kDutyKey, 0, "n1#0");
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", 2);
+    CPPUNIT_ASSERT(TurnUntil([&] { return !control_.snapshot->stores.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, control_.RevisionOf(kDutyKey));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, control_.fences.back().revision);
+  }
+
   void TakesReportsOfFilledStores() {
     control_.is_duty_holder = true;
     AddStores(2);
     PlacementTable table = TableOf({"s0", "d"}, {"s1", "d"});
     table.partitions[5] = {7, {{"s0", "d"}}, {{"s1", "d"}}};
     control_.SetTable(table);
-    PlacementDuty duty(&timers_, &mesh_, &control_, 2);
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", 2);
     CPPUNIT_ASSERT(Send({{"s1", "d"}, {{5, 7}}}).ok());
     CPPUNIT_ASSERT(IsSettled(control_.Table(), 2));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, control_.Table().partitions[5].epoch);
   }
 
   void RefusesReportsOffDuty() {
-    PlacementDuty duty(&timers_, &mesh_, &control_, 2);
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", 2);
     CPPUNIT_ASSERT(absl::IsFailedPrecondition(Send({{"s1", "d"}, {{5, 7}}}).status()));
   }
 
--- a/tests/tier/coordination/chain_cluster.cpp
+++ b/tests/tier/coordination/chain_cluster.cpp
@@ -218,6 +218,7 @@
   for (const SendMessage& message : effects.messages) Deliver(machine->name, message);
   for (const Committed& committed : effects.committed) {
     history_.OnMap(machine->name, committed.version, *committed.map);
+    maps_.emplace(committed.version, committed.map);
   }
   const Version version = machine->replica->committed_version();
   if (version < machine->greatest) history_.Find(machine->name + ": the version went back");
@@ -341,15 +342,17 @@
 std::string ChainCluster::TryChange(const std::string& name, const std::string& key,
                                     std::uint64_t expected) {
   const std::string value = key + "#" + std::to_string(++values_);
-  if (!machines_.at(name).up() || machines_.at(name).frozen) return value;
-  const std::uint64_t ticket = ++tickets_;
-  changes_[ticket] = {key, value, expected};
-  Call(name, [&](ChainReplica& replica, Effects* out) {
-    replica.Change(now_, ticket, key, expected, value, out);
-  });
+  TryRequest(name, {0, key, expected, value, {}});
   return value;
 }
 
+void ChainCluster::TryRequest(const std::string& name, ChangeRequest request) {
+  if (!machines_.at(name).up() || machines_.at(name).frozen) return;
+  request.ticket = ++tickets_;
+  changes_[request.ticket] = {request.key, request.value, request.expected};
+  Call(name, [&](ChainReplica& replica, Effects* out) { replica.Change(now_, request, out); });
+}
+
 void ChainCluster::TryRead(const std::string& name) {
   if (!machines_.at(name).up() || machines_.at(name).frozen) return;
   const std::uint64_t ticket = ++tickets_;
--- a/tests/tier/coordination/chain_cluster.h
+++ b/tests/tier/coordination/chain_cluster.h
@@ -110,6 +110,8 @@
 
   // Tries one change at `name`; the outcome lands in the history. Returns the value.
   std::string TryChange(const std::string& name, const std::string& key, std::uint64_t expected);
+  // Values must be unique.
+  void TryRequest(const std::string& name, ChangeRequest request);
   void TryRead(const std::string& name);
   std::optional<ChangeResult> ResultOf(const std::string& value) const;
   // A change through whoever is head commits within the span.
@@ -117,6 +119,8 @@
   std::string HeadName() const;  // of the greatest view anywhere
   // All machines are members of the greatest view, up on their disks, and have committed in it.
   bool IsRepaired() const;
+  // All maps that any replica has taken for committed.
+  const std::map<Version, std::shared_ptr<const Map>>& maps() const { return maps_; }
   std::uint64_t sent() const { return sent_; }
   std::uint64_t ticks() const { return ticks_; }
   Micros NextTick() const;
@@ -160,6 +164,7 @@
   std::set<std::pair<std::string, std::string>> cuts_;
   std::vector<ReplicaId> founders_;
   History history_;
+  std::map<Version, std::shared_ptr<const Map>> maps_;
   std::map<std::uint64_t, PendingChange> changes_;
   std::map<std::string, ChangeResult> results_;
   std::map<std::uint64_t, History::Revisions> reads_;
