Split the module's decisions by concern into nine files, decisions unchanged

They now stand in layers of one class, a file each: job_value.h, retry_rules.h, slot_limit.h, worker_health.h, worker_membership.h, worker_choice.h, request_queue.h, attempts.h and policy.cpp on top. A layer calls only what is below it, and the compiler holds that.

What decides nothing moved out: the settings, the actions of a call, the log's rate, the opening and closing of an attempt, the pool's members and the timer are bookkeeping.h; state.h is split into records.h, request_table.h and state.h. One class with a source file a concern was ruled out: its declarations stand twice and cost some 130 lines. Merged while there: the outcome's two parts, the block of a worker with its back-off, who may run on a pool, the queue worth most. A flag that chose between two equal check periods is gone, so a checkpoint has another layout.

--- a/src/module/checkpoint.cpp
+++ b/src/module/checkpoint.cpp
@@ -70,7 +70,7 @@
   MARLQUAY_FIELDS(RequestTable, slab, free, index)
   MARLQUAY_FIELDS(State, random, now, table, workers, pools, classes, queues, due, looks, lists,
                   keys, quota, gap, subscribe_at, subscribe_wait, next_check, armed, logged,
-                  largest_weight, held, refused, awaited)
+                  largest_weight, held, refused)
 
   class Saver {
    public:
--- a/src/module/checkpoint.h
+++ b/src/module/checkpoint.h
@@ -1,7 +1,7 @@
 // Checkpoints: the whole state of a Dispatcher as bytes, its random source included, so that one
 // made from them goes on exactly as the first would have. It owns the list of fields of every
-// record in state.h; it must never decide anything, and never hand out a Dispatcher whose state
-// does not hold together, whatever the bytes were.
+// record in state.h, request_table.h and records.h; it must never decide anything, and never hand
+// out a Dispatcher whose state does not hold together, whatever the bytes were.
 #ifndef MARLQUAY_SRC_MODULE_CHECKPOINT_H_
 #define MARLQUAY_SRC_MODULE_CHECKPOINT_H_
 
