Take lots only where all disks have room for them; pace repair between stores

And each partition repaired at its own pace: a store that came back empty was filled by all of them at once over the links that live changes use.

- Room by sizes: pages in use (LMDB's own counts), results that open lots may still add, and what a store takes over when another is lost.
Replicas tell it with each answer.
No room: 503 with Retry-After 2 before anything is staged, and one line of the log a second at most.
Where room is short, lots are forgotten 5 s after they may be instead of 30.
- A write that fails all the same is repaired: erasures go first and by themselves.
- One pacer for all partitions of a store: a quarter of the link, up to three quarters where half of sync_s asks for it, four calls in flight, parts of 64 KiB instead of 256; progress once a second.

Tests: disk_room by itself and with whole stores in virtual time (200 lots on 4 MB disks, a wiped store filled meanwhile: no write fails; served again after status_s), a real LMDB map full under a store, the pacer's bounds. The disk test of a full file also checks the sizes that it tells.

--- a/src/batch/lot_api.cpp
+++ b/src/batch/lot_api.cpp
@@ -18,6 +18,7 @@
 constexpr std::string_view kLotsPath = "/lots/";
 constexpr std::string_view kItemsPath = "/items/";
 constexpr char kWriteRetryAfter[] = "0.5";
+constexpr char kNoRoomRetryAfter[] = "2";  // disks are freed as lots grow old
 constexpr char kReadRetryAfter[] = "0.3";
 // The longest hold of a read, whatever the client allows.
 constexpr std::int64_t kLongestWaitMs = 10'000;
@@ -138,6 +139,8 @@
     logging::Warning(kModule, "lot not taken", {{"why", std::string(answer.status().message())}});
   if (answer.ok() && answer->status == CreateStatus::kAccepted) {
     Answer(exchange, 202, "{}");
+  } else if (answer.ok() && answer->status == CreateStatus::kNoRoom) {
+    Refuse(exchange, 503, kNoRoomRetryAfter);
   } else if (answer.ok()) {
     Refuse(exchange, 429, kWriteRetryAfter);
   } else if (absl::IsUnavailable(answer.status())) {
--- a/src/batch/lot_store.cpp
+++ b/src/batch/lot_store.cpp
@@ -16,6 +16,7 @@
 constexpr int kSweepTicks = 4;
 constexpr Micros kRefreshPause = 200 * kMs;  // between strict reads that were not asked to confirm
 constexpr Micros kStrictTimeout = 1 * kSecond;
+constexpr Micros kNoRoomLogPeriod = 1 * kSecond;
 constexpr Micros kFilledPeriod = 500 * kMs;
 
 bool IsThere(const coordination::Member& member) {
@@ -26,8 +27,9 @@
 }  // namespace
 
 StoreServer::StoreServer(Timers* timers, mesh::Mesh* mesh, disk::TableStore* disk,
-                         control::ControlClient* control, StoreId self, const settings::Bounds&,
-                         const settings::Tolerance&)
+                         control::ControlClient* control, StoreId self,
+                         const settings::Bounds& bounds, const settings::Tolerance& tolerance,
+                         double link_mbps)
     : timers_(timers),
       mesh_(mesh),
       disk_(disk),
@@ -36,6 +38,13 @@
       random_((static_cast<std::uint64_t>(std::random_device()()) << 32) ^ std::random_device()()),
       wall_at_start_ms_(g_get_real_time() / kMs),
       start_(pearreach::Now()),
+      replicas_wanted_(static_cast<std::size_t>(tolerance.machines) + 1),
+      sync_s_(bounds.sync_s),
+      link_mbps_(link_mbps),
+      repair_pacer_({[] { return pearreach::Now(); },
+                     [this](Micros delay, std::function<void()> callback) {
+                       After(delay, std::move(callback));
+                     }}),
       reads_(this),
       quota_(this),
       items_(
@@ -51,6 +60,7 @@
     if (!alive.expired()) AdoptTable(*control_->Current());
   });
   AdoptTable(*control_->Current());
+  CountRoom();
   tick_timer_ = After(kTickPeriod, [this] { Tick(); });
 }
 
@@ -283,7 +293,47 @@
     return at != control_->members().end() && !IsThere(at->second);
   });
   quota_.Tick();
-  if (++ticks_ % kSweepTicks == 0) changes_.Sweep();
+  if (++ticks_ % kSweepTicks != 0) return;
+  changes_.Sweep(room_.IsShort(disk_->space()));
+  CountRoom();
+}
+
+// ---------------------------------------------------------------- room and pace
+
+void StoreServer::PaceRepair(bool urgent, RepairPacer::Send send) {
+  repair_pacer_.Ask(urgent, std::move(send));
+}
+
+void StoreServer::CountRoom() {
+  std::uint64_t owed = 0;
+  std::set<std::string> stores;
+  for (const auto& replica : replicas_) {
+    for (const auto& [lot_id, lot] : replica->lots().lots()) owed += OwedBytes(lot);
+    for (const StoreId& store : replica->table().replicas) stores.insert(store.name);
+  }
+  for (const std::string& name : placement_.retiring) stores.erase(name);
+  room_.SetOwed(owed);
+  room_.SetStores(stores.size(), replicas_wanted_);
+  repair_pacer_.SetRate(RepairRate(link_mbps_, disk_->space().used_bytes, sync_s_));
+}
+
+bool StoreServer::HasRoom(const Partition& table, std::uint64_t bytes) {
+  const auto lacking = room_.Lacking(table, self_, disk_->space(), bytes);
+  const Micros now = Now();
+  if (lacking.has_value() && now - no_room_logged_at_ >= kNoRoomLogPeriod) {
+    no_room_logged_at_ = now;
+    logging::Warning("batch", "no room on disk for a lot",
+                     {logging::F("store", lacking->name), logging::F("bytes", bytes),
+                      logging::F("used", disk_->space().used_bytes),
+                      logging::F("limit", disk_->space().limit_bytes)});
+  }
+  return !lacking.has_value();
+}
+
+bool StoreServer::TakeRoom(const Partition& table, std::uint64_t bytes) {
+  if (!HasRoom(table, bytes)) return false;
+  room_.Take(table, self_, bytes);
+  return true;
 }
 
 }  // namespace pearreach::batch
--- a/src/batch/lot_store.h
+++ b/src/batch/lot_store.h
@@ -12,12 +12,14 @@
 #include <vector>
 
 #include "base/timers.h"
+#include "batch/disk_room.h"
 #include "batch/lot_store_changes.h"
 #include "batch/lot_store_context.h"
 #include "batch/lot_store_items.h"
 #include "batch/lot_store_quota.h"
 #include "batch/lot_store_reads.h"
 #include "batch/messages.h"
+#include "batch/repair_pacer.h"
 #include "batch/replication.h"
 #include "control/control_client.h"
 #include "disk/table_store.h"
@@ -32,7 +34,7 @@
   // as long; the disk's pending writes must be done with, or dropped, before this goes.
   StoreServer(Timers* timers, mesh::Mesh* mesh, disk::TableStore* disk,
               control::ControlClient* control, StoreId self, const settings::Bounds& bounds,
-              const settings::Tolerance& tolerance);
+              const settings::Tolerance& tolerance, double link_mbps = 0);
   ~StoreServer() override;
   StoreServer(const StoreServer&) = delete;
   StoreServer& operator=(const StoreServer&) = delete;
@@ -70,6 +72,14 @@
   void AdoptTable(const control::ControlSnapshot& snapshot);
   void StrictRead();
   void ReportFilled();
+  void PaceRepair(bool urgent, RepairPacer::Send send) override;
+  std::uint64_t Room() const override { return room_.Own(disk_->space()); }
+  void NoteRoom(const StoreId& store, std::uint64_t bytes) override {
+    room_.NotePeer(store, bytes);
+  }
+  bool HasRoom(const Partition& table, std::uint64_t bytes) override;
+  bool TakeRoom(const Partition& table, std::uint64_t bytes) override;
+  void CountRoom();
   void Tick();
 
   Timers* const timers_;
@@ -80,6 +90,11 @@
   std::mt19937_64 random_;
   std::int64_t wall_at_start_ms_ = 0;
   Micros start_ = 0;
+  const std::size_t replicas_wanted_;
+  const double sync_s_, link_mbps_;
+  DiskRoom room_;
+  Micros no_room_logged_at_ = 0;
+  RepairPacer repair_pacer_;
   PlacementTable placement_;
   std::uint64_t stores_revision_ = 0;
   std::map<mesh::MessageType, Handler> handlers_;
--- a/src/batch/lot_store_changes.cpp
+++ b/src/batch/lot_store_changes.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "batch/disk_room.h"
+
 namespace pearreach::batch {
 namespace {
 
 constexpr std::size_t kLongestLotId = 200;
 // Clocks of machines differ a little; later costs nothing.
-constexpr double kAbandonMarginMs = 5'000, kForgetMarginMs = 30'000;
+constexpr double kAbandonMarginMs = 5'000, kForgetMarginMs = 30'000, kShortMarginMs = 5'000;
 
 bool IsProperId(const std::string& lot_id) {
   return !lot_id.empty() && lot_id.size() <= kLongestLotId &&
@@ -20,9 +22,9 @@
          age_ms > lot.header.retain_s * 1000 + kAbandonMarginMs;
 }
 
-bool MayForget(const Lot& lot, double age_ms) {
+bool MayForget(const Lot& lot, double age_ms, double margin_ms) {
   const double kept_ms = std::max(lot.header.retain_s, lot.header.status_s) * 1000;
-  return lot.accepted && !lot.Open() && age_ms > kept_ms + kForgetMarginMs;
+  return lot.accepted && !lot.Open() && age_ms > kept_ms + margin_ms;
 }
 
 }  // namespace
@@ -55,6 +57,10 @@
     under_way->second.waiting.push_back(std::move(respond));
     return;
   }
+  if (!context_->HasRoom(replica->table(), LotBytes(*lot))) {
+    respond(codec::Encode(CreateLotAnswer{CreateStatus::kNoRoom}));
+    return;
+  }
   creating_[lot->lot_id] = {lot->fingerprint, {std::move(respond)}};
   if (lot->token_cap <= 0) {
     Stage(lot);
@@ -77,6 +83,11 @@
     Finish(lot->lot_id, NotPrimary());
     return;
   }
+  if (!context_->TakeRoom(replica->table(), LotBytes(*lot))) {
+    if (lot->token_cap > 0) quota_->Drop(lot->route);
+    Finish(lot->lot_id, CreateStatus::kNoRoom);
+    return;
+  }
   const std::string lot_id = lot->lot_id;
   replica->Submit(MakeCreate(*lot, context_->WallMs()), [this, lot_id](const absl::Status& status) {
     if (!status.ok()) {
@@ -135,20 +146,20 @@
   quota_->Update(lot_id);
 }
 
-void LotChanges::Sweep() {
+void LotChanges::Sweep(bool is_short) {
   for (std::uint32_t partition = 0; partition < kPartitions; ++partition) {
     PartitionReplica& replica = context_->Replica(partition);
-    if (replica.is_active()) SweepPartition(&replica);
+    if (replica.is_active()) SweepPartition(&replica, is_short ? kShortMarginMs : kForgetMarginMs);
   }
 }
 
-void LotChanges::SweepPartition(PartitionReplica* replica) {
+void LotChanges::SweepPartition(PartitionReplica* replica, double margin_ms) {
   std::vector<std::string> over, old;
   const std::int64_t now = context_->WallMs();
   for (const auto& [lot_id, lot] : replica->lots().lots()) {
     const auto age_ms = static_cast<double>(now - lot.header.created_wall_ms);
     if (MayAbandon(lot, age_ms)) over.push_back(lot_id);
-    if (MayForget(lot, age_ms)) old.push_back(lot_id);
+    if (MayForget(lot, age_ms, margin_ms)) old.push_back(lot_id);
   }
   for (const std::string& lot_id : over) items_->Abandon(replica, lot_id);
   for (const std::string& lot_id : old) {
--- a/src/batch/lot_store_changes.h
+++ b/src/batch/lot_store_changes.h
@@ -24,7 +24,8 @@
   void OnCreate(CreateLot create, mesh::Respond respond);
   void OnCancel(const CancelLot& cancel, mesh::Respond respond);
   // Gives up items and forgets lots whose time is over, in the partitions that are active here.
-  void Sweep();
+  // Where the disk is short of room, lots are forgotten as soon as they may be.
+  void Sweep(bool is_short);
 
  private:
   struct Creation {
@@ -34,7 +35,7 @@
 
   void Stage(const std::shared_ptr<const LotSpec>& lot);
   void Finish(const std::string& lot_id, const absl::StatusOr<CreateStatus>& outcome);
-  void SweepPartition(PartitionReplica* replica);
+  void SweepPartition(PartitionReplica* replica, double margin_ms);
 
   StoreContext* const context_;
   LotItems* const items_;
--- a/src/batch/lot_store_context.h
+++ b/src/batch/lot_store_context.h
@@ -23,6 +23,10 @@
   virtual const StoreId& Self() const = 0;
   virtual const PlacementTable& Placement() const = 0;
   virtual PartitionReplica& Replica(std::uint32_t partition) = 0;
+  // Whether the disks of all replicas have room for a lot of so many bytes; the second sets it
+  // aside.
+  virtual bool HasRoom(const Partition& /*table*/, std::uint64_t /*bytes*/) { return true; }
+  virtual bool TakeRoom(const Partition& /*table*/, std::uint64_t /*bytes*/) { return true; }
   // Milliseconds since 1970; does not jump while this process lives.
   virtual std::int64_t WallMs() const = 0;
 
--- a/src/batch/lot_store_quota.h
+++ b/src/batch/lot_store_quota.h
@@ -24,6 +24,8 @@
 
   // For a lot that is to be taken here.
   void Reserve(const LotSpec& lot, std::function<void(QuotaVerdict)> done);
+  // A lot for which a reservation was made is not taken after all.
+  void Drop(const std::string& route) { MarkChanged(route); }
   // The lot's waiting tokens may have changed.
   void Update(const std::string& lot_id);
 
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -87,7 +87,11 @@
     archive& placement_epoch& lot;
   }
 };
-enum class CreateStatus : std::uint8_t { kAccepted, kOverQuota };  // kAccepted also when repeated
+enum class CreateStatus : std::uint8_t {
+  kAccepted,  // also when repeated
+  kOverQuota,
+  kNoRoom,  // on the disk of a replica
+};
 struct CreateLotAnswer {
   CreateStatus status = CreateStatus::kAccepted;
   template <class Archive>
--- a/src/batch/replication.cpp
+++ b/src/batch/replication.cpp
@@ -376,11 +376,13 @@
     next_ = message.first;
   }
   if (batch.empty() && commits_.idle()) {  // nothing to wait for
+    answer.room = environment_->Room();
     respond(codec::Encode(answer));
     return;
   }
-  commits_.Commit(std::move(batch), [this, answer, respond](const absl::Status& status) {
+  commits_.Commit(std::move(batch), [this, answer, respond](const absl::Status& status) mutable {
     if (status.ok()) {
+      answer.room = environment_->Room();
       respond(codec::Encode(answer));
       return;
     }
--- a/src/batch/replication.h
+++ b/src/batch/replication.h
@@ -9,17 +9,20 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/timers.h"
 #include "batch/commit_queue.h"
 #include "batch/lot_state.h"
 #include "batch/messages.h"
+#include "batch/repair_pacer.h"
 #include "batch/replication_link.h"
 #include "batch/replication_messages.h"
 #include "disk/table_store.h"
@@ -47,6 +50,13 @@
   // This store may serve the partition from now on, or no longer.
   virtual void OnActive(std::uint32_t partition) = 0;
   virtual void OnInactive(std::uint32_t partition) = 0;
+  // Calls `send` once the store may send a part of a repair.
+  virtual void PaceRepair(bool /*urgent*/, RepairPacer::Send send) {
+    After(0, [send = std::move(send)] { send(nullptr); });
+  }
+  // Bytes that this store's disk has for further lots; as another store told it.
+  virtual std::uint64_t Room() const { return std::numeric_limits<std::uint64_t>::max(); }
+  virtual void NoteRoom(const StoreId& /*store*/, std::uint64_t /*bytes*/) {}
   // A joiner holds all of the partition, under its present epoch.
   virtual void OnFilled(std::uint32_t partition) = 0;
 };
--- a/src/batch/replication_link.cpp
+++ b/src/batch/replication_link.cpp
@@ -14,7 +14,7 @@
 constexpr Micros kRetryDelay = 150 * kMs;
 constexpr Micros kBehindDelay = 40 * kMs;
 // About; one operation may be larger.
-constexpr std::size_t kMessageBytes = 1 << 20, kFillBytes = 1 << 18;
+constexpr std::size_t kMessageBytes = 1 << 20, kFillBytes = 1 << 16;
 
 }  // namespace
 
@@ -110,27 +110,44 @@
                            });
 }
 
+// A part at a time, as the store's pace of repair allows.
 void ReplicaLink::Fill() {
   if (to_send_.empty() && to_erase_.empty()) {
     Begin();
     return;
   }
+  const std::weak_ptr<ReplicaLink> weak = weak_from_this();
+  const std::uint64_t generation = generation_;
+  environment_->PaceRepair(counts, [weak, generation](const RepairPacer::Slot& slot) {
+    const auto self = weak.lock();
+    const bool wanted = self != nullptr && self->generation_ == generation;
+    return wanted ? self->SendFill(slot) : std::size_t{0};
+  });
+}
+
+// What is to go first, and by itself: a full disk takes nothing else.
+std::size_t ReplicaLink::SendFill(const RepairPacer::Slot& slot) {
   Replicate message;
   message.scope = Scope();
   message.fill = true;
   std::size_t bytes = 0;
-  while (!to_erase_.empty() && bytes < kFillBytes) {
-    message.operations.push_back(MakeForget(to_erase_.front()));
-    bytes += message.operations.back().Bytes();
-    to_erase_.pop_front();
-  }
-  while (!to_send_.empty() && bytes < kFillBytes) {
-    message.operations.push_back(owner_->link_lots().Whole(environment_->Disk(), to_send_.front()));
+  const bool erases = !to_erase_.empty();
+  auto& lots = erases ? to_erase_ : to_send_;
+  while (!lots.empty() && bytes < kFillBytes) {
+    message.operations.push_back(
+        erases ? MakeForget(lots.front())
+               : owner_->link_lots().Whole(environment_->Disk(), lots.front()));
     bytes += message.operations.back().Bytes();
-    to_send_.pop_front();
+    lots.pop_front();
   }
+  auto held = std::make_shared<RepairPacer::Slot>(slot);
   Call<ReplicateAnswer>(mesh::MessageType::kReplicate, codec::Encode(message), kFillTimeout,
-                        [this](const ReplicateAnswer&) { Fill(); });
+                        [this, held](const ReplicateAnswer& answer) {
+                          held->reset();
+                          environment_->NoteRoom(peer_, answer.room);
+                          Fill();
+                        });
+  return bytes;
 }
 
 void ReplicaLink::Begin() {
@@ -141,7 +158,8 @@
   message.begin = true;
   const Micros sent = environment_->Now();
   Call<ReplicateAnswer>(mesh::MessageType::kReplicate, codec::Encode(message), kFillTimeout,
-                        [this, sent](const ReplicateAnswer&) {
+                        [this, sent](const ReplicateAnswer& answer) {
+                          environment_->NoteRoom(peer_, answer.room);
                           state_ = State::kStreaming;
                           OnTaken(base_, sent);
                         });
@@ -177,7 +195,8 @@
   const Micros sent = environment_->Now();
   Call<ReplicateAnswer>(mesh::MessageType::kReplicate, codec::Encode(message),
                         bytes < kMessageBytes / 4 ? kStreamTimeout : kFillTimeout,
-                        [this, last, sent](const ReplicateAnswer&) {
+                        [this, last, sent](const ReplicateAnswer& answer) {
+                          environment_->NoteRoom(peer_, answer.room);
                           in_flight_ = false;
                           OnTaken(last, sent);
                         });
--- a/src/batch/replication_link.h
+++ b/src/batch/replication_link.h
@@ -16,6 +16,7 @@
 #include "batch/commit_queue.h"
 #include "batch/lot_state.h"
 #include "batch/messages.h"
+#include "batch/repair_pacer.h"
 #include "batch/replication_messages.h"
 #include "mesh/mesh.h"
 
@@ -71,6 +72,7 @@
   void SendBuckets();
   void SendLots(std::vector<std::uint32_t> buckets);
   void Fill();
+  std::size_t SendFill(const RepairPacer::Slot& slot);
   void Begin();
   void Pump();
   void OnTaken(std::uint64_t last, Micros sent);
--- a/src/batch/replication_messages.h
+++ b/src/batch/replication_messages.h
@@ -48,9 +48,10 @@
 
 struct ReplicateAnswer {
   ReplicaVerdict verdict = ReplicaVerdict::kTaken;
+  std::uint64_t room = 0;  // bytes that the replica's disk has for further lots; only if taken
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& verdict;
+    archive& verdict& room;
   }
 };
 
--- a/src/disk/environment.cpp
+++ b/src/disk/environment.cpp
@@ -94,7 +94,10 @@
 }
 
 absl::Status Environment::OpenSnapshot() {
-  return LmdbStatus(mdb_txn_begin(env_, nullptr, MDB_RDONLY, &snapshot_), "begin to read");
+  absl::Status status =
+      LmdbStatus(mdb_txn_begin(env_, nullptr, MDB_RDONLY, &snapshot_), "begin to read");
+  if (status.ok()) CountPages();
+  return status;
 }
 
 // ---------------------------------------------------------------- writing
@@ -150,7 +153,21 @@
   if (snapshot_ == nullptr) return absl::OkStatus();
   const std::lock_guard<std::recursive_mutex> lock(snapshot_mutex_);
   mdb_txn_reset(snapshot_);
-  return LmdbStatus(mdb_txn_renew(snapshot_), "renew the snapshot");
+  absl::Status status = LmdbStatus(mdb_txn_renew(snapshot_), "renew the snapshot");
+  if (status.ok()) CountPages();
+  return status;
+}
+
+// Of the trees themselves: what is free within the file does not count.
+void Environment::CountPages() {
+  constexpr MDB_dbi kFreePages = 0, kTablesByName = 1;
+  std::size_t bytes = 0;
+  for (const MDB_dbi table : {kFreePages, kTablesByName, tables_.about, tables_.data}) {
+    MDB_stat stat;
+    if (mdb_stat(snapshot_, table, &stat) != MDB_SUCCESS) return;
+    bytes += stat.ms_psize * (stat.ms_branch_pages + stat.ms_leaf_pages + stat.ms_overflow_pages);
+  }
+  used_bytes_ = bytes;
 }
 
 absl::Status Environment::SetLimit(Limit limit) {
--- a/src/disk/environment.h
+++ b/src/disk/environment.h
@@ -8,6 +8,7 @@
 #include <absl/status/statusor.h>
 #include <lmdb.h>
 
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -44,6 +45,9 @@
       std::string_view prefix,
       const std::function<void(std::string_view key, std::string_view value)>& visit) const;
 
+  // Any thread; as of the last sync.
+  Space space() const { return {used_bytes_.load(), options_.put_limit_bytes}; }
+
   // Of the table about the file itself.
   absl::Status SetDiskId(const std::string& disk_id);
   absl::StatusOr<std::string> ReadDiskId() const;
@@ -64,6 +68,7 @@
   absl::Status ApplyAndSync(MDB_dbi table, const std::vector<const std::vector<Write>*>& batches);
   absl::Status Sync();
   absl::Status RenewSnapshot();
+  void CountPages();
   absl::Status SetLimit(Limit limit);
   absl::StatusOr<std::string> GetFrom(MDB_dbi table, std::string_view key) const;
 
@@ -73,6 +78,7 @@
   absl::Status failed_;                          // writer's thread: the sync that failed
   mutable std::recursive_mutex snapshot_mutex_;  // a visitor may read as well
   MDB_txn* snapshot_ = nullptr;                  // guarded by it
+  std::atomic<std::size_t> used_bytes_ = 0;
 };
 
 }  // namespace pearreach::disk
--- a/src/disk/table_store.cpp
+++ b/src/disk/table_store.cpp
@@ -54,6 +54,7 @@
     logging::Error("disk", "tables not read to the end", {logging::F("error", status.ToString())});
   }
 
+  Space space() const override { return environment_->space(); }
   const std::string& disk_id() const override { return disk_id_; }
   bool was_empty() const override { return was_empty_; }
 
--- a/src/disk/table_store.h
+++ b/src/disk/table_store.h
@@ -5,7 +5,9 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -19,6 +21,12 @@
   bool erase = false;
 };
 
+// Whole pages; those that a change has given up count as free once it is synced.
+struct Space {
+  std::size_t used_bytes = 0;
+  std::size_t limit_bytes = std::numeric_limits<std::size_t>::max();  // that puts may use
+};
+
 class TableStore {
  public:
   virtual ~TableStore() = default;
@@ -33,6 +41,7 @@
   // A random name of this disk's contents, made when the folder was first used; a wiped disk gets
   // another one.
   virtual const std::string& disk_id() const = 0;
+  virtual Space space() const { return {}; }
   virtual bool was_empty() const = 0;  // the folder held nothing when it was opened
 };
 
--- a/src/tier/node.cpp
+++ b/src/tier/node.cpp
@@ -150,7 +150,7 @@
   store_server_ = std::make_unique<batch::StoreServer>(
       &timers_, mesh_.get(), disk_.get(), control_.get(),
       batch::StoreId{settings_.node_name, disk_ == nullptr ? "" : disk_->disk_id()},
-      settings_.bounds, settings_.tolerance);
+      settings_.bounds, settings_.tolerance, settings_.limits.link_mbps);
 }
 
 absl::Status Node::Impl::StartEdge() {
--- a/tests/tier/batch/edge_lot_api_test.cpp
+++ b/tests/tier/batch/edge_lot_api_test.cpp
@@ -100,6 +100,7 @@
     const std::vector<Case> cases = {
         {codec::Encode(CreateLotAnswer{CreateStatus::kAccepted}), 202},
         {codec::Encode(CreateLotAnswer{CreateStatus::kOverQuota}), 429},
+        {codec::Encode(CreateLotAnswer{CreateStatus::kNoRoom}), 503},
         {absl::InternalError("x"), 504},
     };
     for (const Case& c : cases) {
--- a/tests/tier/batch/store_fleet.h
+++ b/tests/tier/batch/store_fleet.h
@@ -13,12 +13,14 @@
 #include <utility>
 #include <vector>
 
+#include "batch/disk_room.h"
 #include "batch/lot_store_changes.h"
 #include "batch/lot_store_context.h"
 #include "batch/lot_store_items.h"
 #include "batch/lot_store_quota.h"
 #include "batch/lot_store_reads.h"
 #include "batch/placement.h"
+#include "batch/repair_pacer.h"
 #include "store_simulation.h"
 
 namespace pearreach::batch::fleet_test {
@@ -51,6 +53,21 @@
   void OnActive(std::uint32_t partition) override;
   void OnInactive(std::uint32_t partition) override;
   void OnFilled(std::uint32_t) override {}
+  std::uint64_t Room() const override { return room_.Own(disk_->space()); }
+  void NoteRoom(const StoreId& store, std::uint64_t bytes) override {
+    room_.NotePeer(store, bytes);
+  }
+  bool HasRoom(const Partition& table, std::uint64_t bytes) override {
+    return !room_.Lacking(table, id_, disk_->space(), bytes).has_value();
+  }
+  bool TakeRoom(const Partition& table, std::uint64_t bytes) override {
+    if (!HasRoom(table, bytes)) return false;
+    room_.Take(table, id_, bytes);
+    return true;
+  }
+  void PaceRepair(bool urgent, RepairPacer::Send send) override {
+    pacer_.Ask(urgent, std::move(send));
+  }
   const StoreId& Self() const override { return id_; }
   const PlacementTable& Placement() const override { return placement_; }
   PartitionReplica& Replica(std::uint32_t partition) override { return *replicas_[partition]; }
@@ -65,6 +82,9 @@
   PlacementTable placement_;
   std::set<Timers::Id> timers_;
   Micros disk_free_ = 0;
+  int ticks_ = 0;
+  DiskRoom room_;
+  RepairPacer pacer_;
   LotReads reads_;
   QuotaService quota_;
   LotItems items_;
@@ -176,6 +196,10 @@
     : fleet_(fleet),
       id_(std::move(id)),
       disk_(disk),
+      pacer_({[fleet] { return fleet->now; },
+              [this](Micros delay, std::function<void()> callback) {
+                After(delay, std::move(callback));
+              }}),
       reads_(this),
       quota_(this),
       items_(
@@ -201,7 +225,16 @@
 
 inline void VirtualStore::Tick() {
   quota_.Tick();
-  changes_.Sweep();
+  if (++ticks_ % 4 != 0) return;
+  changes_.Sweep(room_.IsShort(disk_->space()));
+  std::uint64_t owed = 0;
+  std::set<std::string> stores;
+  for (const auto& replica : replicas_) {
+    for (const auto& [lot_id, lot] : replica->lots().lots()) owed += OwedBytes(lot);
+    for (const StoreId& store : replica->table().replicas) stores.insert(store.name);
+  }
+  room_.SetOwed(owed);
+  room_.SetStores(stores.size(), 2);
 }
 
 inline Micros VirtualStore::Now() const { return fleet_->now; }
@@ -278,8 +311,7 @@
   disk_free_ = std::max(disk_free_, fleet_->now) + fleet_->Between(1, 6 * kMs);
   fleet_->At(disk_free_ - fleet_->now,
              Guard([this, batch = std::move(batch), done = std::move(done)] {
-               disk_->Write(batch);
-               done(absl::OkStatus());
+               done(disk_->TryWrite(batch));
              }));
 }
 
--- /dev/null
+++ b/tests/tier/batch/store_pacer_test.cpp
@@ -0,0 +1,115 @@
+// The pace of repair over all partitions of a store, in virtual time.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "batch/repair_pacer.h"
+
+namespace pearreach::batch {
+namespace {
+
+constexpr std::size_t kPart = 10'000;
+constexpr double kRate = 1'000'000;
+
+class StorePacerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StorePacerTest);
+  CPPUNIT_TEST(KeepsToItsRate);
+  CPPUNIT_TEST(KeepsFewCallsInFlight);
+  CPPUNIT_TEST(WhatIsUrgentGoesAtOnceAndCounts);
+  CPPUNIT_TEST(PartsThatAreNotWantedAnyMoreTakeNoTime);
+  CPPUNIT_TEST(TheRateFollowsTheLinkAndWhatMustBeSent);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void setUp() override {
+    now_ = kSecond;
+    sent_.clear();
+    events_.clear();
+    pacer_ = std::make_unique<RepairPacer>(
+        RepairPacer::Surroundings{[this] { return now_; },
+                                  [this](Micros delay, std::function<void()> callback) {
+                                    events_.emplace(now_ + delay, std::move(callback));
+                                  }});
+    pacer_->SetRate(kRate);
+  }
+
+  void KeepsToItsRate() {
+    for (int i = 0; i < 300; ++i) pacer_->Ask(false, Part());
+    RunUntil(now_ + kSecond);
+    CPPUNIT_ASSERT(sent_.size() >= 100 && sent_.size() <= 101);
+    RunUntil(now_ + 3 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{300}, sent_.size());
+  }
+
+  void KeepsFewCallsInFlight() {
+    std::vector<RepairPacer::Slot> held;
+    for (int i = 0; i < 20; ++i) {
+      pacer_->Ask(false, [&](RepairPacer::Slot slot) {
+        held.push_back(std::move(slot));
+        return kPart;
+      });
+    }
+    RunUntil(now_ + 10 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, held.size());
+    held.erase(held.begin());
+    RunUntil(now_ + kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, held.size());
+    held.clear();
+    RunUntil(now_ + kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, held.size());
+  }
+
+  void WhatIsUrgentGoesAtOnceAndCounts() {
+    for (int i = 0; i < 50; ++i) pacer_->Ask(false, Part());
+    for (int i = 0; i < 10; ++i) pacer_->Ask(true, Part());
+    RunUntil(now_ + kMs);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, sent_.size());
+    RunUntil(now_ + 98 * kMs);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, sent_.size());
+    RunUntil(now_ + 2 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{60}, sent_.size());
+  }
+
+  void PartsThatAreNotWantedAnyMoreTakeNoTime() {
+    for (int i = 0; i < 100; ++i) pacer_->Ask(false, [](const auto&) { return std::size_t{0}; });
+    pacer_->Ask(false, Part());
+    RunUntil(now_ + kMs);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sent_.size());
+  }
+
+  void TheRateFollowsTheLinkAndWhatMustBeSent() {
+    constexpr double kLinkBytes = 60 * 125'000;
+    CPPUNIT_ASSERT_EQUAL(kLinkBytes / 4, RepairRate(60, 0, 5));
+    CPPUNIT_ASSERT_EQUAL(4e6, RepairRate(60, 10'000'000, 5));
+    CPPUNIT_ASSERT_EQUAL(kLinkBytes * 3 / 4, RepairRate(60, 100'000'000, 5));
+    CPPUNIT_ASSERT(RepairRate(0, 0, 0) > 0);
+  }
+
+ private:
+  RepairPacer::Send Part() {
+    return [this](const RepairPacer::Slot&) {
+      sent_.push_back(now_);
+      return kPart;
+    };
+  }
+  void RunUntil(Micros end) {
+    while (!events_.empty() && events_.begin()->first <= end) {
+      auto node = events_.extract(events_.begin());
+      now_ = std::max(now_, node.key());
+      node.mapped()();
+    }
+    now_ = end;
+  }
+
+  Micros now_ = 0;
+  std::vector<Micros> sent_;
+  std::multimap<Micros, std::function<void()>> events_;
+  std::unique_ptr<RepairPacer> pacer_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StorePacerTest);
+
+}  // namespace
+}  // namespace pearreach::batch
--- /dev/null
+++ b/tests/tier/batch/store_room_test.cpp
@@ -0,0 +1,129 @@
+// Room on the disks of stores: by itself, and whole stores in virtual time whose clients hand in
+// more than the disks hold.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "batch/disk_room.h"
+#include "store_fleet.h"
+
+namespace pearreach::batch {
+namespace {
+
+using fleet_test::Fleet;
+using fleet_test::VirtualStore;
+
+constexpr std::size_t kDisk = 4 << 20;
+
+class StoreRoomTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoreRoomTest);
+  CPPUNIT_TEST(ALotNeedsRoomAtAllHolders);
+  CPPUNIT_TEST(RoomStaysForTheLossOfAStore);
+  CPPUNIT_TEST(ResultsToComeAreCounted);
+  CPPUNIT_TEST(FullStoresRefuseAndServeAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void ALotNeedsRoomAtAllHolders() {
+    const StoreId self{"a", "1"}, peer{"b", "1"}, joiner{"c", "1"};
+    const Partition table{1, {self, peer}, {joiner}};
+    const disk::Space space{0, 16'000};
+    DiskRoom room;
+    CPPUNIT_ASSERT(!room.Lacking(table, self, space, 5000).has_value());
+    room.NotePeer(joiner, 6000);
+    room.Take(table, self, 5000);
+    CPPUNIT_ASSERT(joiner == room.Lacking(table, self, space, 5000));
+    room.NotePeer(joiner, 60'000);
+    CPPUNIT_ASSERT(!room.Lacking(table, self, space, 10'000).has_value());
+    CPPUNIT_ASSERT(self == room.Lacking(table, self, space, 10'001));
+    room.SetOwed(0);  // what was taken may not be on disk yet
+    CPPUNIT_ASSERT(self == room.Lacking(table, self, space, 10'001));
+    room.SetOwed(0);
+    CPPUNIT_ASSERT(!room.Lacking(table, self, space, 10'001).has_value());
+  }
+
+  void RoomStaysForTheLossOfAStore() {
+    const disk::Space space{0, 16'000};
+    DiskRoom room;
+    room.SetStores(3, 2);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{10'000}, room.Own(space));
+    room.SetStores(2, 2);  // one is lost
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{15'000}, room.Own(space));
+  }
+
+  void ResultsToComeAreCounted() {
+    const LotSpec spec = Spec(0);
+    LotTable table(PartitionOf(spec.lot_id));
+    table.Apply(MakeCreate(spec, 1));
+    const std::uint64_t owed = OwedBytes(*table.Find(spec.lot_id));
+    CPPUNIT_ASSERT(owed > 10 * 4 * 1000 && owed < LotBytes(spec));
+    table.Apply(MakeResult(spec.lot_id, 0, {3, ItemPhase::kComplete, "text"}));
+    CPPUNIT_ASSERT_EQUAL(owed - owed / 10, OwedBytes(*table.Find(spec.lot_id)));
+    table.Apply(MakeEnd(spec.lot_id));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, OwedBytes(*table.Find(spec.lot_id)));
+  }
+
+  // No write ever fails, also while a store that lost its disk is filled; and once lots are old
+  // enough to be forgotten, others are taken.
+  void FullStoresRefuseAndServeAgain() {
+    Fleet fleet(5, 3);
+    for (auto& [name, machine] : fleet.machines) machine.disk->LimitTo(kDisk);
+    fleet.RunUntil(fleet.now + 3 * kSecond);
+    for (int i = 0; i < 200; ++i) Submit(&fleet, i);
+    CPPUNIT_ASSERT(accepted_ > 10 && refused_ > 50);
+    fleet.Stop("s1", true);
+    fleet.machines["s1"].disk->LimitTo(kDisk);
+    for (int i = 0; i < 20; ++i) Turn(&fleet);
+    fleet.Start("s1");
+    for (int i = 0; i < 50; ++i) Turn(&fleet);
+    CPPUNIT_ASSERT(IsSettled(fleet.table, 2));
+    const int before = accepted_;
+    for (int i = 0; i < 1500; ++i) Turn(&fleet);
+    for (int i = 200; i < 205; ++i) Submit(&fleet, i);
+    CPPUNIT_ASSERT_EQUAL(before + 5, accepted_);
+    for (const auto& [name, machine] : fleet.machines) {
+      CPPUNIT_ASSERT_EQUAL(0, machine.disk->failed_writes());
+    }
+  }
+
+ private:
+  static LotSpec Spec(int number) {
+    LotSpec lot;
+    lot.lot_id = "lot" + std::to_string(number);
+    lot.route = "route";
+    lot.fingerprint = 7;
+    lot.retain_s = 20;
+    lot.status_s = 60;
+    for (int i = 0; i < 10; ++i) {
+      ItemSpec item;
+      item.item_id = lot.lot_id + "-" + std::to_string(i);
+      item.body.assign(3000, 'b');
+      item.tokens = 1000;
+      lot.items.push_back(item);
+    }
+    return lot;
+  }
+
+  static void Turn(Fleet* fleet) {
+    fleet->RunUntil(fleet->now + 100 * kMs);
+    fleet->Look();
+  }
+
+  void Submit(Fleet* fleet, int number) {
+    VirtualStore* primary = fleet->PrimaryOf("lot" + std::to_string(number));
+    CPPUNIT_ASSERT(primary != nullptr);
+    primary->changes().OnCreate(
+        {0, Spec(number)}, [this](const absl::StatusOr<std::string>& bytes) {
+          CPPUNIT_ASSERT_MESSAGE(bytes.status().ToString(), bytes.ok());
+          const CreateStatus status = codec::Decode<CreateLotAnswer>(*bytes)->status;
+          CPPUNIT_ASSERT(status != CreateStatus::kOverQuota);
+          ++(status == CreateStatus::kAccepted ? accepted_ : refused_);
+        });
+    Turn(fleet);
+  }
+
+  int accepted_ = 0, refused_ = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreRoomTest);
+
+}  // namespace
+}  // namespace pearreach::batch
--- a/tests/tier/batch/store_server_test.cpp
+++ b/tests/tier/batch/store_server_test.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "batch/lot_store.h"
+#include "disk/rig.h"
 #include "edge_fakes.h"
 #include "store_simulation.h"
 
@@ -72,13 +73,16 @@
 
 struct TestStore {
   std::unique_ptr<LocalMesh> mesh;
-  std::unique_ptr<LoopDisk> disk;
+  std::unique_ptr<disk::Folder> folder;
+  std::unique_ptr<disk::TableStore> disk;
   std::unique_ptr<StoreServer> server;
 };
 
 class Fleet {
  public:
-  explicit Fleet(int stores) : caller_(&timers_, &peers_) {
+  // Disks in memory, or files of so many bytes.
+  explicit Fleet(int stores, std::size_t capacity = 0)
+      : caller_(&timers_, &peers_), capacity_(capacity) {
     for (int i = 0; i < stores; ++i) AddStore("s" + std::to_string(i));
   }
 
@@ -86,7 +90,12 @@
     control_.AddStore(name, "d" + name);
     TestStore& store = stores_[name];
     store.mesh = std::make_unique<LocalMesh>(&timers_, &peers_);
-    store.disk = std::make_unique<LoopDisk>(&timers_);
+    if (capacity_ == 0) {
+      store.disk = std::make_unique<LoopDisk>(&timers_);
+    } else {
+      store.folder = std::make_unique<disk::Folder>();
+      store.disk = disk::Open(*store.folder, capacity_);
+    }
     peers_[name + ":1"] = store.mesh.get();
     Start(name);
   }
@@ -111,6 +120,7 @@
     });
     CPPUNIT_ASSERT(active);
   }
+  disk::TableStore* Disk(const std::string& name) { return stores_[name].disk.get(); }
   template <class Answer, class Message>
   absl::StatusOr<Answer> Ask(mesh::MessageType type, const Message& message) {
     const auto answer = AskBytes(type, message);
@@ -119,21 +129,25 @@
   }
   template <class Message>
   absl::StatusOr<std::string> AskBytes(mesh::MessageType type, const Message& message) {
+    const auto answer = Send(type, message);
+    TurnUntil([answer] { return !absl::IsUnknown(answer->status()); });
+    return *answer;
+  }
+  // UNKNOWN until the answer is there.
+  template <class Message>
+  std::shared_ptr<absl::StatusOr<std::string>> Send(mesh::MessageType type,
+                                                    const Message& message) {
     auto answer = std::make_shared<absl::StatusOr<std::string>>(absl::UnknownError("silence"));
-    auto done = std::make_shared<bool>(false);
     caller_.Call(primary_ + ":1", type, codec::Encode(message), kSecond,
-                 [answer, done](absl::StatusOr<std::string> bytes) {
-                   *answer = std::move(bytes);
-                   *done = true;
-                 });
-    TurnUntil([done] { return *done; });
-    return *answer;
+                 [answer](absl::StatusOr<std::string> bytes) { *answer = std::move(bytes); });
+    return answer;
   }
 
  private:
   Timers timers_;
   std::map<std::string, LocalMesh*> peers_;
   LocalMesh caller_;
+  const std::size_t capacity_;
   FakeControl control_;
   std::map<std::string, TestStore> stores_;
   std::string primary_;
@@ -172,6 +186,7 @@
   CPPUNIT_TEST(TheQuotaHoldsAndFreesUp);
   CPPUNIT_TEST(ABackupTakesOver);
   CPPUNIT_TEST(ARestartKeepsEverything);
+  CPPUNIT_TEST(AFullDiskRefusesLotsAndWritesAgainOnceItHasRoom);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -264,7 +279,42 @@
     CPPUNIT_ASSERT_EQUAL(std::string("first"), read.outputs.at(0).content);
   }
 
+  void AFullDiskRefusesLotsAndWritesAgainOnceItHasRoom() {
+    Fleet fleet(2, 1 << 20);
+    fleet.Place({"s0", "s1"});
+    int lots = 0;
+    while (Create(&fleet, Large(lots)) == CreateStatus::kAccepted) ++lots;
+    CPPUNIT_ASSERT(Create(&fleet, Large(lots)) == CreateStatus::kNoRoom);
+    CPPUNIT_ASSERT(lots > 3);
+    // The rest of the backup's file is taken otherwise: now writes do fail.
+    disk::TableStore* backup = fleet.Disk("s1");
+    int fillers = 0;
+    const std::string filler(1000, 'f');
+    while (disk::CommitAndWait(backup, {{"x" + std::to_string(fillers), filler, false}}).ok()) {
+      ++fillers;
+    }
+    const LeasedItem taken = Take(&fleet, "n", 1, 0).at(0);
+    const ItemResult result{taken.lot_id, taken.item.item_id, taken.lease, RunOutcome::kComplete,
+                            std::string(30'000, 'r')};
+    const auto told = fleet.Send(mesh::MessageType::kItemResult, result);
+    const auto failed = disk::CommitAndWait(backup, {{"y", std::string(30'000, 'f'), false}});
+    CPPUNIT_ASSERT(absl::IsResourceExhausted(failed));
+    const auto unsure = fleet.Ask<ReadLotAnswer>(mesh::MessageType::kLotRead,
+                                                 ReadLot{0, taken.lot_id, 0, 0, 1'000'000});
+    CPPUNIT_ASSERT(!unsure.ok() || unsure->outputs.empty());
+    for (int i = 0; i < fillers; ++i) {
+      CPPUNIT_ASSERT(disk::CommitAndWait(backup, {{"x" + std::to_string(i), "", true}}).ok());
+    }
+    CPPUNIT_ASSERT(TurnUntil([&] { return told->ok(); }));
+    CPPUNIT_ASSERT_EQUAL(result.content, Read(&fleet, taken.lot_id, 0).outputs.at(0).content);
+  }
+
  private:
+  static LotSpec Large(int number) {
+    LotSpec spec = Spec("lot" + std::to_string(number), 3);
+    for (ItemSpec& item : spec.items) item.body.assign(10'000, 'b');
+    return spec;
+  }
   static CreateStatus Create(Fleet* fleet, const LotSpec& spec) {
     const auto answer =
         fleet->Ask<CreateLotAnswer>(mesh::MessageType::kLotCreate, CreateLot{0, spec});
--- a/tests/tier/batch/store_simulation.h
+++ b/tests/tier/batch/store_simulation.h
@@ -3,9 +3,11 @@
 #ifndef PEARREACH_TESTS_TIER_BATCH_STORE_SIMULATION_H_
 #define PEARREACH_TESTS_TIER_BATCH_STORE_SIMULATION_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -27,13 +29,31 @@
   }
   void Write(const std::vector<disk::Write>& batch) {
     for (const disk::Write& write : batch) {
+      used_ -= BytesOf(write.key);
       if (write.erase) {
         tables_.erase(write.key);
       } else {
         tables_[write.key] = write.value;
       }
+      used_ += BytesOf(write.key);
     }
   }
+  void LimitTo(std::size_t bytes) { limit_ = bytes; }
+  disk::Space space() const override { return {used_, limit_}; }
+  // Like Write, unless it would pass the limit.
+  absl::Status TryWrite(const std::vector<disk::Write>& batch) {
+    const bool puts = std::any_of(batch.begin(), batch.end(),
+                                  [](const disk::Write& write) { return !write.erase; });
+    auto tables = puts && limit_ != kNoLimit ? tables_ : decltype(tables_)();
+    const std::size_t used = used_;
+    Write(batch);
+    if (!puts || used_ <= limit_) return absl::OkStatus();
+    tables_ = std::move(tables);
+    used_ = used;
+    ++failed_writes_;
+    return absl::ResourceExhaustedError("full");
+  }
+  int failed_writes() const { return failed_writes_; }
   absl::StatusOr<std::string> Get(std::string_view key) const override {
     const auto at = tables_.find(std::string(key));
     if (at == tables_.end()) return absl::NotFoundError("no such key");
@@ -51,8 +71,21 @@
   bool was_empty() const override { return tables_.empty(); }
 
  private:
+  static constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
+
+  // As on disk, about: larger values have pages of their own.
+  std::size_t BytesOf(const std::string& key) const {
+    constexpr std::size_t kPage = 4096;
+    const auto at = tables_.find(key);
+    if (at == tables_.end()) return 0;
+    const std::size_t bytes = key.size() + at->second.size() + 24;
+    return bytes < kPage / 2 ? bytes * 5 / 4 : (bytes + kPage - 1) / kPage * kPage;
+  }
+
   std::map<std::string, std::string> tables_;
   std::string disk_id_;
+  std::size_t used_ = 0, limit_ = kNoLimit;
+  int failed_writes_ = 0;
 };
 
 class Simulation;
--- a/tests/tier/disk/table_store_test.cpp
+++ b/tests/tier/disk/table_store_test.cpp
@@ -159,15 +159,20 @@
     }
     CPPUNIT_ASSERT_MESSAGE(status.ToString(), absl::IsResourceExhausted(status));
     CPPUNIT_ASSERT(kept > 20);
+    const Space full = store->space();
+    CPPUNIT_ASSERT(full.used_bytes <= full.limit_bytes && full.limit_bytes < kSmall);
+    CPPUNIT_ASSERT(full.used_bytes > full.limit_bytes * 8 / 10);
     AssertKept(*store, kept, value);
     store.reset();
     CPPUNIT_ASSERT(folder.ReadTables().size() <= kSmall);
     store = Open(folder, kSmall);
+    CPPUNIT_ASSERT_EQUAL(full.used_bytes, store->space().used_bytes);
     AssertKept(*store, kept, value);
     for (int i = 0; i < kept; ++i) {
       status = CommitAndWait(store.get(), {{"key" + std::to_string(i), "", true}});
       CPPUNIT_ASSERT_MESSAGE(status.ToString(), status.ok());
     }
+    CPPUNIT_ASSERT(store->space().used_bytes < full.used_bytes / 5);
     CPPUNIT_ASSERT_EQUAL(std::string(), Listed(*store, ""));
     for (int i = 0; i < kept / 2; ++i) Put(store.get(), "new" + std::to_string(i), value);
     CPPUNIT_ASSERT(folder.ReadTables().size() <= kSmall);
