Keep large prompts with their home while the limit has no room

Cause: a job with a home waited 6 ms for room under the learned limit, then was told to any worker. A home above 0.75 of its slots was passed over likewise, which during a burst of lots (0.85 of the slots) held for all of them.

Change: such a job stays with its home until the limit has room, and a home counts as filled at all of its slots.

HomesWaitUnderTheLimitToo now asserts that all 8 jobs go to their home.

--- a/src/proxy/pool_dispatcher.cpp
+++ b/src/proxy/pool_dispatcher.cpp
@@ -16,7 +16,7 @@
 constexpr double kLateValue = 0.4;    // share of the worth of an answer after its objective
 constexpr Micros kBulkAim = 2 * kSecond;
 constexpr double kConnectPrice = 0.01;  // open connections are preferred
-constexpr Micros kHomeWait = 6 * kMs;   // a job waits for room under the limit at each home
+constexpr Micros kHomeLook = 6 * kMs;   // jobs that wait with their homes are looked at this often
 constexpr Micros kSilentProgress = 2 * kSecond;  // streams under way are told of this often
 constexpr Micros kRetryFirst = 100 * kMs;  // a refused client comes back after this, and more for
 constexpr Micros kRetryEach = 5 * kMs;     // each job that waits here
@@ -98,7 +98,6 @@
   const Micros now = Now();
   ++open->arrivals;
   open->attempt = 1;
-  open->bound_at = now;
   marlquay::RequestArrived arrived;
   arrived.request = RequestOf(id, *open);
   arrived.cls = open->bound_number;
@@ -296,22 +295,21 @@
 
 // Guards load over affinity: a home that does not take the job at once is passed over for the next
 // one, and after the last one any worker will do. Where the limit has no room for any worker, the
-// job waits a moment for it with its home.
+// job waits for it with its home: elsewhere it would wait as long, and have its prompt read anew.
 void PoolDispatcher::TryNextHomes() {
-  const Micros now = Now();
   const bool no_room = NoRoom();
   for (const PlacementId id : std::exchange(bound_, {})) {
     const auto found = open_.find(id);
     if (found == open_.end() || found->second.out || rebuild_) continue;
     Open& open = found->second;
-    if (no_room && now < open.bound_at + kHomeWait) {
+    if (no_room) {
       bound_.push_back(id);
       continue;
     }
     Post(marlquay::RequestLapsed{RequestOf(id, open)});
     const std::vector<marlquay::WorkerId>& homes = open.placement.homes;
     const std::size_t next = static_cast<std::size_t>(open.arrivals);
-    if (next >= homes.size() || no_room) {
+    if (next >= homes.size()) {
       PostArrival(id, &open);
     } else {
       bound_.push_back(id);
@@ -319,7 +317,7 @@
     }
   }
   if (bound_.empty() || homes_timer_ != 0) return;
-  homes_timer_ = timers_->After(kHomeWait, [this] {
+  homes_timer_ = timers_->After(kHomeLook, [this] {
     homes_timer_ = 0;
     ArmTurn();
   });
--- a/src/proxy/pool_dispatcher.h
+++ b/src/proxy/pool_dispatcher.h
@@ -85,7 +85,6 @@
     int bound_number = 0;  // of its class while it is bound to a home
     int arrivals = 0;      // times that the module was told of it; each has its own number there
     int attempt = 0;       // number of its send at the module
-    Micros bound_at = 0;   // to the home in hand
     bool out = false, began = false;
     marlquay::WorkerId worker = 0;
     Micros sent = 0;
--- a/src/proxy/running_job.cpp
+++ b/src/proxy/running_job.cpp
@@ -37,8 +37,8 @@
 // Shared parts that are read anew for less time than the search for their worker may cost are not
 // worth it.
 constexpr double kLeastShared = 1000;
-constexpr std::size_t kHomes = 2;   // workers that are tried first for the shared parts of a prompt
-constexpr double kHomeFill = 0.75;  // of its slots in use; a worker above it is no home
+constexpr std::size_t kHomes = 2;  // workers that are tried first for the shared parts of a prompt
+constexpr double kHomeFill = 1.0;  // of its slots in use; a worker above it is no home
 
 constexpr double kLargeShare = 0.5;  // a request of this share of a worker's memory may not fit
 
--- a/tests/tier/proxy/pool_dispatcher_test.cpp
+++ b/tests/tier/proxy/pool_dispatcher_test.cpp
@@ -151,6 +151,8 @@
     for (int i = 0; i < 8; ++i) pool.Arrive({1});
     CPPUNIT_ASSERT(pool.PlacedAtOnce() <= 2);
     CPPUNIT_ASSERT(pool.AwaitPlaced(8));
+    for (const auto& [id, worker] : pool.client.placed)  // the wait is no reason to go elsewhere
+      CPPUNIT_ASSERT_EQUAL(marlquay::WorkerId{1}, worker);
     CPPUNIT_ASSERT_EQUAL(0, pool.client.refused);
   }
 
