Have a node that has just started hold back items until it knows the others

Cause: a node's part of the slots rests on the number of live edge nodes, which was looked at each 2 s.

Ruled out: the slot limit learned anew too slowly (held jobs waited 1 to 10 ms in the mean), cold prompts (large prompts at their homes waited as long).

Change: the number is looked at each 200 ms (a walk over the members in memory), and for the first second of a process bulk jobs go one by one. The second is an option of the runner, 0 in the present tests, whose only node is theirs.

--- a/src/proxy/job_runner.cpp
+++ b/src/proxy/job_runner.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Micros kRefreshDelay = 5 * kMs;     // changes of the worker table within it go together
-constexpr Micros kShareEvery = 2 * kSecond;   // this node's share is looked at no more often
+constexpr Micros kShareEvery = 200 * kMs;     // this node's share is looked at no more often
 constexpr std::size_t kLeastConnections = 2;  // to each worker, however many nodes there are
 constexpr std::size_t kDefaultConnections = 16;  // of a service that names no limit
 constexpr double kBulkFill = 0.85;  // of this node's slots; what lies above is kept for live jobs
@@ -53,6 +53,7 @@
   NodeShare share_;
   Micros share_seen_ = 0;  // when it was looked at last; 0: never
   Timers::Id refresh_ = 0, warm_ = 0;
+  const Micros started_ = Now();
   std::unordered_map<std::string, std::unique_ptr<ServiceLine>> lines_;
   std::unordered_map<std::uint64_t, std::shared_ptr<RunningJob>> jobs_;
   std::uint64_t last_job_ = 0;
@@ -121,8 +122,10 @@
       line.dispatcher.held_bulk() + line.bulk_waiting + static_cast<int>(line.bulk_gate.waiting());
   const int out = line.workers.InFlight();
   const int ahead = kBulkAhead * line.bulk_gate.allowance() - held;
-  const int room = std::min(static_cast<int>(std::floor(usable)) - out - held, ahead);
   const bool idle = out + held == 0;
+  // Guards a start: a node that does not know the others yet takes all slots for its own part.
+  if (Now() < started_ + options_.settle) return idle ? 1 : 0;
+  const int room = std::min(static_cast<int>(std::floor(usable)) - out - held, ahead);
   return std::max(room, idle ? 1 : 0);
 }
 
--- a/src/proxy/job_runner.h
+++ b/src/proxy/job_runner.h
@@ -17,6 +17,8 @@
   std::string node_name;   // as membership names this node
   std::string zone;        // its zone
   std::uint64_t seed = 1;  // of the decision module's choices
+  // So long after its start a node may not know the others yet: it runs bulk jobs one by one.
+  Micros settle = kSecond;
 };
 
 // All must outlive the runner; listeners that it adds end with it.
--- a/tests/tier/proxy/job_runner_test.cpp
+++ b/tests/tier/proxy/job_runner_test.cpp
@@ -46,6 +46,8 @@
   CPPUNIT_TEST(AnotherWorkerAtTheAddressIsDropped);
   CPPUNIT_TEST(NewClassesKeepJobs);
   CPPUNIT_TEST(BulkRoomFollowsSlots);
+  CPPUNIT_TEST(BulkGoesOneByOneAfterAStart);
+  CPPUNIT_TEST(BulkRoomFollowsTheNodes);
   CPPUNIT_TEST(BulkWithoutRoomGoesBack);
   CPPUNIT_TEST(BulkRunsOnceThereIsRoom);
   CPPUNIT_TEST(LeavesASilentWorkerForAnother);
@@ -321,6 +323,33 @@
     CPPUNIT_ASSERT_EQUAL(0, rig.runner->BulkRoom("svc"));
   }
 
+  // A node that has just started takes itself for the only one.
+  void BulkGoesOneByOneAfterAStart() {
+    Rig rig(10 * kSecond);
+    for (int i = 0; i < 2; ++i) rig.Add({Silence()});
+    JobSpec spec = PlainJob();
+    spec.bulk = true;
+    rig.Submit(spec);
+    CPPUNIT_ASSERT(RunUntil([&] { return rig.Calls() == 1; }));
+    CPPUNIT_ASSERT_EQUAL(0, rig.runner->BulkRoom("svc"));
+  }
+
+  void BulkRoomFollowsTheNodes() {
+    Rig rig;
+    for (int i = 0; i < 2; ++i) rig.Add({Good("ok")});
+    rig.Run(PlainJob());
+    CPPUNIT_ASSERT(rig.runner->BulkRoom("svc") > 3);  // 0.85 of 8 slots
+    for (const char* name : {"me", "other"}) {
+      rig.control.members_[name].status = coordination::MemberStatus::kAlive;
+      rig.control.members_[name].info.roles = coordination::MemberInfo::kServesEdge;
+    }
+    const auto halved = [&] {
+      rig.Run(PlainJob());
+      return rig.runner->BulkRoom("svc") == 3;
+    };
+    CPPUNIT_ASSERT(RunUntil(halved, kSecond));
+  }
+
   // An item that was taken before the room was used up goes back unrun, while live jobs go on.
   void BulkWithoutRoomGoesBack() {
     Rig rig;
--- a/tests/tier/proxy/proxy_rig.h
+++ b/tests/tier/proxy/proxy_rig.h
@@ -242,7 +242,10 @@
 };
 
 struct Rig {
-  Rig() { runner = MakeJobRunner(&timers, &workers, &control, {"me", "here", 7}); }
+  // `settle`: see RunnerOptions.
+  explicit Rig(Micros settle = 0) {
+    runner = MakeJobRunner(&timers, &workers, &control, {"me", "here", 7, settle});
+  }
 
   // Workers answer by their scripts; the least numbered ones are not preferred.
   ScriptedWorker& Add(std::vector<ScriptedWorker::Step> steps) {
