Hold a worker up while its client reads slowly; send bodies in pieces

Cause: a stream ended once its client had left 16 MB untaken, and until then the node kept all of it; a request's body was held twice for each send (the job's and the connection's), however slowly the worker read.

Ruled out: holding up the client's connection for a slow worker (requests are read whole before they go out, since another worker may get them: max_body_bytes bounds them); passing plain answers on as they come (an answer that is cut may still come from another worker).

Change: Stream can pause its reading and tells when what a slow peer had left has gone out. Above 64 KiB untaken a job pauses its worker's connection, and the client's connection resumes it once all is taken; the worker counts as making progress meanwhile, and the job is not taken to another one for silence. Bodies are shared by all sends of a job and go out in pieces of 64 KiB as the worker takes them; a connection whose worker has answered before it read the whole body is not used again.

--- a/src/base/io.cpp
+++ b/src/base/io.cpp
@@ -107,7 +107,8 @@
   wants_in_ = in;
   wants_out_ = out;
   const int fd = g_socket_get_fd(socket_);
-  if (!Poller::Default().Set(fd, (in ? EPOLLIN : 0u) | (out ? EPOLLOUT : 0u), this))
+  const bool reads = in && !paused_;
+  if (!Poller::Default().Set(fd, (reads ? EPOLLIN : 0u) | (out ? EPOLLOUT : 0u), this))
     CountFault("poll_failed", g_strerror(errno));
 }
 
@@ -118,6 +119,16 @@
   if (socket_ != nullptr && wants_in_ && (events & (EPOLLIN | kEnd)) != 0) OnReadable();
 }
 
+void Stream::PauseReading() {
+  if (std::exchange(paused_, true) || socket_ == nullptr) return;
+  Want(wants_in_, wants_out_);
+}
+
+void Stream::ResumeReading() {
+  if (!std::exchange(paused_, false) || socket_ == nullptr) return;
+  Want(wants_in_, wants_out_);
+}
+
 void Stream::Close() {
   if (socket_ == nullptr) return;
   Poller::Default().Remove(g_socket_get_fd(socket_));
@@ -206,10 +217,10 @@
     if (socket_ != nullptr && !Flush()) Break();
     return;
   }
-  if (!Flush())
-    Break();
-  else if (closing_)
-    CloseAfterWrite();
+  if (!Flush()) return Break();
+  if (closing_) return CloseAfterWrite();
+  const auto drained = handlers_.drained;
+  if (unsent() == 0 && drained) drained();
 }
 
 void Stream::OnReadable() {
--- a/src/base/io.h
+++ b/src/base/io.h
@@ -57,6 +57,8 @@
     std::function<void()> connected;
     std::function<void(std::string_view)> data;
     std::function<void()> closed;  // by the peer or a failure; the stream is closed already
+    // All that a slow peer had left untaken of what was written has gone out.
+    std::function<void()> drained = {};
   };
 
   // Null where no socket can be had or the address is not one.
@@ -74,6 +76,10 @@
   // all.
   bool WriteWith(std::string_view bytes, int descriptor);
   std::size_t unsent() const { return out_.size() - sent_; }
+  // Between these nothing is read, so that the peer's writes are held up once the system's buffers
+  // are full. A connection that has failed meanwhile is read to its end all the same.
+  void PauseReading();
+  void ResumeReading();
   bool open() const { return socket_ != nullptr; }
   int descriptor() const { return socket_ == nullptr ? -1 : g_socket_get_fd(socket_); }
   bool Quiet() const;  // open, and the peer has neither sent nor closed
@@ -95,7 +101,7 @@
   void OnWritable();
 
   GSocket* socket_ = nullptr;
-  bool wants_in_ = false, wants_out_ = false;
+  bool wants_in_ = false, wants_out_ = false, paused_ = false;
   Handlers handlers_;
   std::function<void(int)> descriptors_;
   std::string out_;
--- a/src/front/client_exchange.cpp
+++ b/src/front/client_exchange.cpp
@@ -48,7 +48,13 @@
   if (open()) closed_ = std::move(closed);
 }
 
+void ClientExchange::Drained() {
+  const auto drained = drained_;  // it may drop the exchange
+  if (drained) drained();
+}
+
 void ClientExchange::ClientGone() {
+  drained_ = nullptr;
   const auto closed = std::exchange(closed_, nullptr);
   if (closed) closed();
 }
--- a/src/front/client_exchange.h
+++ b/src/front/client_exchange.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "front/exchange.h"
@@ -30,17 +31,20 @@
   void Finish() override;
   void Abort() override;
   std::size_t unsent() const override;
+  void OnDrained(std::function<void()> drained) override { drained_ = std::move(drained); }
   void OnClosed(std::function<void()> closed) override;
 
   // Of the connection: it has ended before the answer was whole. This may drop the exchange.
   void ClientGone();
+  // Likewise: it has sent all that was written.
+  void Drained();
 
  private:
   bool streaming_ = false;
   std::shared_ptr<Connection> connection_;
   http::Message request_;
   Micros arrived_;
-  std::function<void()> closed_;
+  std::function<void()> closed_, drained_;
 };
 
 }  // namespace pearreach::front
--- a/src/front/connection.cpp
+++ b/src/front/connection.cpp
@@ -39,6 +39,10 @@
   handlers.data = [weak](std::string_view bytes) {
     if (const auto self = weak.lock()) self->OnData(bytes);
   };
+  handlers.drained = [weak] {
+    const auto self = weak.lock();
+    if (self != nullptr && self->current_ != nullptr) self->current_->Drained();
+  };
   handlers.closed = [weak] {
     if (const auto self = weak.lock()) self->Ended();
   };
--- a/src/front/exchange.h
+++ b/src/front/exchange.h
@@ -33,6 +33,8 @@
   virtual void Abort() = 0;
   // Bytes accepted by Write that the client's connection has not taken yet.
   virtual std::size_t unsent() const = 0;
+  // Called each time the client's connection has taken all that it had left of `unsent`.
+  virtual void OnDrained(std::function<void()>) {}
   // Called once when the client's connection ends before the answer is whole.
   virtual void OnClosed(std::function<void()> closed) = 0;
 };
--- a/src/gateway/live_request.cpp
+++ b/src/gateway/live_request.cpp
@@ -27,6 +27,10 @@
   exchange_->OnClosed([weak] {
     if (const auto self = weak.lock()) self->OnClientGone();
   });
+  exchange_->OnDrained([weak] {
+    const auto self = weak.lock();
+    if (self != nullptr && self->submitted_) self->context_.runner->Resume(self->job_);
+  });
   const std::uint64_t job = context_.runner->Submit(std::move(spec), shared_from_this());
   if (ended_) return;
   job_ = job;
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -10,6 +10,7 @@
 constexpr Micros kConnectTimeout = 300 * kMs;  // of a connection that gives no sign
 constexpr int kMostSurplus = 4;                // answers of earlier requests on one connection
 constexpr std::size_t kMostBuffered = 32 << 20;
+constexpr std::size_t kBodyPiece = 64 << 10;  // a worker that reads slowly leaves no more untaken
 // A worker counts a connection as idle earlier than this node does.
 constexpr Micros kKeepAliveMargin = 500 * kMs;
 
@@ -76,12 +77,15 @@
 void Attempt::Send() {
   const auto self = shared_from_this();
   reader_.Start(request_.bodiless);
-  if (connection_->stream().Write(request_.bytes)) {
+  body_sent_ = 0;
+  std::string first = request_.head;
+  first.append(NextPiece());
+  if (connection_->stream().Write(first)) {
     written_ = true;
-    request_.bytes = std::string();  // large, and of no more use
+    if (!SendBody()) Fail();
     return;
   }
-  written_ = connection_->stream().unsent() < request_.bytes.size();
+  written_ = connection_->stream().unsent() < first.size();
   const bool was_idle = connection_->used_before();
   if (written_ || !was_idle) return Fail();
   // The worker had closed it: nothing went out, so another connection may be tried.
@@ -90,6 +94,42 @@
   Connect(Freshness::kPreferNew);
 }
 
+std::string_view Attempt::NextPiece() {
+  if (request_.body == nullptr) return {};
+  const std::string_view piece = std::string_view(*request_.body).substr(body_sent_, kBodyPiece);
+  body_sent_ += piece.size();
+  return piece;
+}
+
+bool Attempt::SentWhole() const {
+  return request_.body == nullptr || body_sent_ == request_.body->size();
+}
+
+// Gives the connection as much of the body as the worker takes at once, and one piece more. False:
+// the connection has broken.
+bool Attempt::SendBody() {
+  while (!SentWhole() && connection_->stream().unsent() == 0)
+    if (!connection_->stream().Write(NextPiece())) return false;
+  return true;
+}
+
+void Attempt::OnConnectionDrained() {
+  const auto self = shared_from_this();
+  if (written_ && !SendBody()) Fail();
+}
+
+void Attempt::PauseReading() {
+  if (connection_ != nullptr) connection_->stream().PauseReading();
+}
+
+void Attempt::ResumeReading() {
+  if (connection_ != nullptr) connection_->stream().ResumeReading();
+}
+
+std::size_t Attempt::unsent() const {
+  return connection_ == nullptr ? 0 : connection_->stream().unsent();
+}
+
 void Attempt::OnConnectionData(std::string_view bytes) {
   const auto self = shared_from_this();
   heard_ = true;
@@ -140,9 +180,11 @@
 
 // The answer is whole. A connection that has more bytes, or had a surplus answer, is not trusted.
 void Attempt::EndAnswer(std::string_view rest) {
+  // A request that the worker has not read whole would run into the next one.
   const bool trusted = rest.empty() && surplus_ == 0 && connection_->stream().open() &&
-                       connection_->stream().unsent() == 0;
+                       SentWhole() && connection_->stream().unsent() == 0;
   const Micros keep_for = trusted ? KeepFor(result_.head) : 0;
+  connection_->stream().ResumeReading();
   connections_->GiveBack(std::exchange(connection_, nullptr), keep_for);
   result_.end = AttemptEnd::kAnswered;
   End(std::move(result_));
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -3,6 +3,7 @@
 #ifndef PEARREACH_SRC_PROXY_ATTEMPT_H_
 #define PEARREACH_SRC_PROXY_ATTEMPT_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -38,10 +39,11 @@
 };
 
 struct AttemptRequest {
-  std::string bytes;        // head and body as the worker gets them
-  std::string attempt_id;   // what its answer must repeat
-  bool bodiless = false;    // HEAD
-  bool streamed = false;    // a stream of events is passed on as it comes
+  std::string head;                         // as the worker gets it
+  std::shared_ptr<const std::string> body;  // follows the head, in pieces; null: none
+  std::string attempt_id;                   // what its answer must repeat
+  bool bodiless = false;                    // HEAD
+  bool streamed = false;                    // a stream of events is passed on as it comes
   bool repeatable = false;  // if not, no connection that was idle for long, where that can be had
   std::size_t connection_limit = 1;
 };
@@ -57,6 +59,11 @@
   void Start();
   // The worker is left at once; the listener hears nothing more.
   void Cancel();
+  // While paused, nothing is read of the worker's answer, and the worker is held up.
+  void PauseReading();
+  void ResumeReading();
+  // Bytes of the request that its connection holds and the worker has not taken.
+  std::size_t unsent() const;
   // Something of the request may have reached the worker.
   bool written() const { return written_; }
   // Something of the worker's answer has come.
@@ -65,12 +72,16 @@
  private:
   void OnConnected() override;
   void OnConnectionData(std::string_view bytes) override;
+  void OnConnectionDrained() override;
   void OnConnectionClosed(bool in_order) override;
   bool OnResponseHead(ResponseHead head) override;
   bool OnResponseBody(std::string_view bytes) override;
 
   void Connect(Freshness freshness);
   void Send();
+  bool SendBody();
+  std::string_view NextPiece();
+  bool SentWhole() const;
   void EndAnswer(std::string_view rest);
   void Fail();
   void End(AttemptResult result);
@@ -87,6 +98,7 @@
   bool written_ = false, heard_ = false;
   bool skipping_ = false;  // the answer in hand is a surplus one
   int surplus_ = 0;
+  std::size_t body_sent_ = 0;  // bytes of the body that were given to the connection
 };
 
 }  // namespace pearreach::proxy
--- a/src/proxy/job.h
+++ b/src/proxy/job.h
@@ -60,7 +60,8 @@
   virtual void OnHead(int status, const std::vector<http::Header>& headers) = 0;
   virtual void OnBody(std::string_view bytes) = 0;
   virtual void OnEnd(const JobResult& result) = 0;
-  // Bytes that the receiver has not taken; the worker's connection is read no further while large.
+  // Bytes that the receiver has not taken. Once there are many, the worker's connection is read no
+  // further until JobRunner::Resume.
   virtual std::size_t backlog() const { return 0; }
 };
 
@@ -71,6 +72,8 @@
   virtual std::uint64_t Submit(JobSpec spec, std::shared_ptr<JobSink> sink) = 0;
   // The client is gone or the lot was ended: workers are left at once, the sink hears nothing more.
   virtual void Cancel(std::uint64_t job) = 0;
+  // The receiver of this job's answer has taken all that it had left: its worker is read on.
+  virtual void Resume(std::uint64_t) {}
   // How many more bulk jobs of this service this node would run now without harm to live ones;
   // 0 where workers are unknown or filled.
   virtual int BulkRoom(const std::string& service) const = 0;
--- a/src/proxy/job_runner.cpp
+++ b/src/proxy/job_runner.cpp
@@ -29,6 +29,7 @@
 
   std::uint64_t Submit(JobSpec spec, std::shared_ptr<JobSink> sink) override;
   void Cancel(std::uint64_t job) override;
+  void Resume(std::uint64_t job) override;
   int BulkRoom(const std::string& service) const override;  // of JobHost, too
 
  private:
@@ -52,8 +53,8 @@
   std::shared_ptr<const registry::WorkerTable> table_;
   NodeShare share_;
   Micros share_seen_ = 0;  // when it was looked at last; 0: never
-  Timers::Id refresh_ = 0, warm_ = 0;
   const Micros started_ = Now();
+  Timers::Id refresh_ = 0, warm_ = 0;
   std::unordered_map<std::string, std::unique_ptr<ServiceLine>> lines_;
   std::unordered_map<std::uint64_t, std::shared_ptr<RunningJob>> jobs_;
   std::uint64_t last_job_ = 0;
@@ -101,6 +102,11 @@
   running->Cancel();
 }
 
+void Runner::Resume(std::uint64_t job) {
+  const auto found = jobs_.find(job);
+  if (found != jobs_.end()) std::shared_ptr(found->second)->Resume();
+}
+
 // What this node's part of the slots leaves below the fill. Each node keeps to its own part, whose
 // use it knows at once: what workers tell of all nodes' jobs comes too late for a burst.
 int Runner::BulkRoom(const std::string& service) const {
--- a/src/proxy/running_job.cpp
+++ b/src/proxy/running_job.cpp
@@ -32,6 +32,7 @@
 constexpr double kStreamSilenceGaps = 4;  // clients leave after eight at the soonest
 constexpr double kFirstEventTargets = 2;
 constexpr Micros kPlainSilence = 1500 * kMs;
+constexpr Micros kProgressWhilePaused = kSecond;
 constexpr double kPlainSilenceTargets = 5;
 
 // Shared parts that are read anew for less time than the search for their worker may cost are not
@@ -50,6 +51,7 @@
                        Timers* timers, ServiceLine* line, JobHost* host)
     : id_(id),
       spec_(std::move(spec)),
+      body_(std::make_shared<const std::string>(std::exchange(spec_.body, {}))),
       sink_(std::move(sink)),
       timers_(timers),
       line_(line),
@@ -222,13 +224,15 @@
   sent_ = Now();
   heard_ = 0;
   load_.reset();
+  paused_ = false;
   events_.Clear();
   SendDetails details;
   details.worker_id = chosen.record.worker_id;
   details.left = has_due_ ? spec_.due - sent_ : 0;
   details.last_event_id = last_event_id_;
   AttemptRequest request;
-  request.bytes = WriteWorkerRequest(spec_, details);
+  request.head = WriteWorkerHead(spec_, details, body_->size());
+  request.body = body_;
   request.attempt_id = spec_.attempt_id;
   request.bodiless = spec_.method == "HEAD";
   request.streamed = spec_.streamed;
@@ -398,6 +402,11 @@
 // Leaves a silent worker only where another may be asked, with time for it.
 void RunningJob::OnSilence() {
   const Micros now = Now();
+  // This node does not read: the worker is not silent, and other jobs may go there.
+  if (paused_) {
+    TellProgress();
+    return WatchSilence(kProgressWhilePaused);
+  }
   const Micros silent_at = std::max(sent_, heard_) + SilenceLimit();
   if (now < silent_at) return WatchSilence(silent_at - now);
   if (now + FromMs(spec_.target_ms) >= spec_.due) return;
--- a/src/proxy/running_job.h
+++ b/src/proxy/running_job.h
@@ -46,6 +46,8 @@
   void Start();
   // Workers are left at once; the sink hears nothing more.
   void Cancel();
+  // The sink has room again for what the worker sends.
+  void Resume();
 
  private:
   void OnPlaced(PlacementId placement, marlquay::WorkerId worker) override;
@@ -79,6 +81,8 @@
   bool PassEvents();
   void PassBytes(std::string_view bytes);
   void BreakStream();
+  void Pause();
+  void TellProgress();
   void WatchSilence(Micros after);
   Micros SilenceLimit() const;
   void OnSilence();
@@ -87,7 +91,8 @@
   void End(JobResult result);
 
   const std::uint64_t id_;
-  JobSpec spec_;
+  JobSpec spec_;  // without its body
+  const std::shared_ptr<const std::string> body_;
   std::shared_ptr<JobSink> sink_;
   Timers* timers_;
   ServiceLine* line_;
@@ -118,6 +123,7 @@
   std::uint64_t last_event_id_ = 0;
   std::optional<ResponseHead> head_;  // of the stream's first worker, until it is passed on
   bool head_passed_ = false;
+  bool paused_ = false;  // the worker is held up, as the sink's receiver takes too little
   bool ended_ = false;
 };
 
--- a/src/proxy/running_job_answer.cpp
+++ b/src/proxy/running_job_answer.cpp
@@ -10,7 +10,8 @@
 using marlquay::Outcome;
 
 constexpr Micros kProgressEvery = 2 * kSecond;  // the decision module hears of a stream this often
-constexpr std::size_t kMostBacklog = 16 << 20;  // bytes that a client may leave untaken
+// Bytes that a client may leave untaken before its worker is held up, beside those of one read.
+constexpr std::size_t kMostBacklog = 64 << 10;
 
 }  // namespace
 
@@ -48,10 +49,29 @@
   const auto self = shared_from_this();
   events_.Append(bytes);
   if (!PassEvents()) return BreakStream();
-  if (ended_) return;
-  if (sink_->backlog() <= kMostBacklog) return;
-  Leave(Outcome::kCancelled);
-  EndWithoutAnswer();
+  if (!ended_ && sink_->backlog() > kMostBacklog) Pause();
+}
+
+// Holds up this worker's answer alone: the worker and its other jobs go on.
+void RunningJob::Pause() {
+  if (attempt_ == nullptr || std::exchange(paused_, true)) return;
+  attempt_->PauseReading();
+  WatchSilence(0);
+}
+
+void RunningJob::Resume() {
+  if (!std::exchange(paused_, false)) return;
+  timers_->Cancel(&silence_timer_);
+  heard_ = Now();
+  TellProgress();
+  if (attempt_ == nullptr) return;
+  if (spec_.repeatable && runs_ + 1 < spec_.tries) WatchSilence(SilenceLimit());
+  attempt_->ResumeReading();
+}
+
+void RunningJob::TellProgress() {
+  progress_told_ = Now();
+  if (placement_ != 0) line_->dispatcher.Progress(placement_);
 }
 
 // Whole events, none twice and without gaps, those that came together in one piece. False: the
@@ -78,10 +98,7 @@
   if (heard_ != 0) NoteRead();
   if (heard_ != 0 && placement_ != 0) {
     line_->dispatcher.Began(placement_);
-    if (heard_ - progress_told_ >= kProgressEvery) {
-      progress_told_ = heard_;
-      line_->dispatcher.Progress(placement_);
-    }
+    if (heard_ - progress_told_ >= kProgressEvery) TellProgress();
   }
   PassBytes(together);
   return follows;
--- a/src/proxy/worker_connections.cpp
+++ b/src/proxy/worker_connections.cpp
@@ -20,6 +20,9 @@
   handlers.data = [weak](std::string_view bytes) {
     if (const auto self = weak.lock()) self->OnData(bytes);
   };
+  handlers.drained = [weak] {
+    if (const auto self = weak.lock()) self->OnDrained();
+  };
   handlers.closed = [weak] {
     if (const auto self = weak.lock()) self->OnClosed();
   };
@@ -43,6 +46,10 @@
   if (ended_while_idle_) ended_while_idle_(this);
 }
 
+void WorkerConnection::OnDrained() {
+  if (user_ != nullptr) user_->OnConnectionDrained();
+}
+
 void WorkerConnection::OnClosed() {
   if (user_ != nullptr) return user_->OnConnectionClosed(stream_->ended_in_order());
   if (ended_while_idle_) ended_while_idle_(this);
--- a/src/proxy/worker_connections.h
+++ b/src/proxy/worker_connections.h
@@ -23,6 +23,8 @@
   virtual ~ConnectionUser() = default;
   virtual void OnConnected() = 0;
   virtual void OnConnectionData(std::string_view bytes) = 0;
+  // The worker has taken what it had left of the bytes written to it.
+  virtual void OnConnectionDrained() = 0;
   // `in_order`: the worker ended it; else it was reset or has failed.
   virtual void OnConnectionClosed(bool in_order) = 0;
 };
@@ -41,6 +43,7 @@
   friend class WorkerConnections;
   void OnConnected();
   void OnData(std::string_view bytes);
+  void OnDrained();
   void OnClosed();
 
   std::shared_ptr<Stream> stream_;
--- a/src/proxy/worker_request.cpp
+++ b/src/proxy/worker_request.cpp
@@ -37,9 +37,9 @@
 
 }  // namespace
 
-std::string WriteWorkerRequest(const JobSpec& job, const SendDetails& send) {
+std::string WriteWorkerHead(const JobSpec& job, const SendDetails& send, std::size_t body_size) {
   std::string out;
-  out.reserve(kHeadEstimate + job.target.size() + job.body.size());
+  out.reserve(kHeadEstimate + job.target.size());
   out.append(job.method).append(" ").append(job.target).append(" HTTP/1.1\r\n");
   for (const http::Header& header : job.headers)
     if (!IsIn(kNotFromJob, header.name)) AddHeader(&out, header.name, header.value);
@@ -48,8 +48,8 @@
     AddHeader(&out, "X-Deadline-Ms",
               static_cast<std::uint64_t>(std::max<Micros>(send.left / kMs, 1)));
   AddHeader(&out, "X-Target-Worker", send.worker_id);
-  AddHeader(&out, "Content-Length", job.body.size());
-  return out.append("\r\n").append(job.body);
+  AddHeader(&out, "Content-Length", body_size);
+  return out.append("\r\n");
 }
 
 std::vector<http::Header> EndToEnd(std::vector<http::Header> headers) {
--- a/src/proxy/worker_request.h
+++ b/src/proxy/worker_request.h
@@ -2,6 +2,7 @@
 #ifndef PEARREACH_SRC_PROXY_WORKER_REQUEST_H_
 #define PEARREACH_SRC_PROXY_WORKER_REQUEST_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -18,8 +19,8 @@
   std::uint64_t last_event_id = 0;  // the stream goes on after this event; 0: from its start
 };
 
-// The whole request, head and body.
-std::string WriteWorkerRequest(const JobSpec& job, const SendDetails& send);
+// The head of the request, up to the empty line that ends it; `body_size` bytes follow it.
+std::string WriteWorkerHead(const JobSpec& job, const SendDetails& send, std::size_t body_size);
 // The headers of an answer that concern more than one connection.
 std::vector<http::Header> EndToEnd(std::vector<http::Header> headers);
 
--- a/tests/tier/front/http_server_test.cpp
+++ b/tests/tier/front/http_server_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(DroppedExchangeEndsTheConnection);
   CPPUNIT_TEST(TellsThatTheClientHasGone);
   CPPUNIT_TEST(HalfCloseCountsAsGone);
+  CPPUNIT_TEST(TellsWhenASlowClientHasTakenAll);
   CPPUNIT_TEST_SUITE_END();
 
  private:
@@ -264,6 +265,24 @@
   void HalfCloseCountsAsGone() {
     CheckGone([](RawClient* client) { client->EndSending(); });
   }
+
+  void TellsWhenASlowClientHasTakenAll() {
+    OpenKeeping();
+    const auto client = Client();
+    client->Send(kGet);
+    CPPUNIT_ASSERT(Handed(1));
+    int told = 0;
+    exchanges_[0]->OnDrained([&] { ++told; });
+    exchanges_[0]->BeginStream(200, {});
+    exchanges_[0]->Write("few");
+    CPPUNIT_ASSERT(client->GotAll("few"));
+    CPPUNIT_ASSERT_EQUAL(0, told);                     // nothing was left untaken
+    exchanges_[0]->Write(std::string(30 << 20, 'x'));  // more than the system buffers
+    CPPUNIT_ASSERT(exchanges_[0]->unsent() > 0);
+    CPPUNIT_ASSERT(RunUntil([&] { return !client->got().empty() && told > 0; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, exchanges_[0]->unsent());
+    CPPUNIT_ASSERT_EQUAL(1, told);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerTest);
--- a/tests/tier/gateway/doubles.h
+++ b/tests/tier/gateway/doubles.h
@@ -52,6 +52,7 @@
     done = aborted = true;
   }
   std::size_t unsent() const override { return waiting; }
+  void OnDrained(std::function<void()> drained) override { drained_ = std::move(drained); }
   void OnClosed(std::function<void()> closed) override { closed_ = std::move(closed); }
 
   void Leave() {
@@ -59,6 +60,9 @@
     const auto closed = std::exchange(closed_, nullptr);
     if (closed) closed();
   }
+  void Drain() const {
+    if (drained_) drained_();
+  }
   std::string Header(std::string_view name) const {
     for (const http::Header& header : headers)
       if (http::SameName(header.name, name)) return header.value;
@@ -79,7 +83,7 @@
 
   http::Message request_;
   Micros arrived_ = Now();
-  std::function<void()> closed_;
+  std::function<void()> closed_, drained_;
 };
 
 class HeldRunner final : public proxy::JobRunner {
@@ -97,6 +101,7 @@
     cancelled.push_back(job);
     sinks.erase(job);
   }
+  void Resume(std::uint64_t job) override { resumed.push_back(job); }
   int BulkRoom(const std::string&) const override { return 0; }
 
   std::shared_ptr<proxy::JobSink> sink() const { return sinks.at(specs.size()); }
@@ -111,7 +116,7 @@
 
   std::vector<proxy::JobSpec> specs;
   std::map<std::uint64_t, std::shared_ptr<proxy::JobSink>> sinks;
-  std::vector<std::uint64_t> cancelled;
+  std::vector<std::uint64_t> cancelled, resumed;
   std::function<void(proxy::JobSink&)> at_once;
 };
 
--- a/tests/tier/gateway/gateway_test.cpp
+++ b/tests/tier/gateway/gateway_test.cpp
@@ -232,6 +232,9 @@
     CPPUNIT_ASSERT_EQUAL(std::string("id: 1\n\n"), exchange->body);
     exchange->waiting = 700;
     CPPUNIT_ASSERT_EQUAL(std::size_t{700}, sink->backlog());
+    exchange->Drain();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runner_->resumed.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{runner_->specs.size()}, runner_->resumed.back());
     runner_->End(proxy::JobEnd::kComplete);
     CPPUNIT_ASSERT(exchange->finished);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, sink->backlog());
--- a/tests/tier/proxy/proxy_rig.h
+++ b/tests/tier/proxy/proxy_rig.h
@@ -234,7 +234,10 @@
     this->result = result;
   }
 
+  std::size_t backlog() const override { return untaken; }
+
   int heads = 0, ends = 0, status = 0;
+  std::size_t untaken = 0;
   std::vector<http::Header> headers;
   std::string body;
   JobResult result;
--- a/tests/tier/proxy/stream_test.cpp
+++ b/tests/tier/proxy/stream_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(ResumesAfterSilence);
   CPPUNIT_TEST(CancelFromTheSink);
   CPPUNIT_TEST(DeadlineBreaks);
+  CPPUNIT_TEST(SlowClientHoldsItsWorkerUp);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -161,6 +162,43 @@
     CPPUNIT_ASSERT_EQUAL(EventRun(1, 2), sink->body);
   }
 
+  // A client that takes nothing holds up its own stream and no other job of the worker; that the
+  // stream stands still is no silence of the worker.
+  void SlowClientHoldsItsWorkerUp() {
+    constexpr int kLargeEvents = 3000;  // with these, more than the system buffers
+    constexpr std::size_t kMostPassed = 256 << 10;
+    std::string events, answer = StreamHeadText("a1");
+    for (int i = 1; i <= kLargeEvents; ++i) {
+      const std::string event =
+          "id: " + std::to_string(i) + "\ndata: " + std::string(10'000, 'x') + "\n\n";
+      events += event;
+      answer += Chunk(event);
+    }
+    Rig rig;
+    std::shared_ptr<Stream> held;
+    ScriptedWorker& worker = rig.Add({[&](ScriptedWorker::Call& call) {
+                                        held = call.stream;
+                                        held->Write(answer + "0\r\n\r\n");
+                                      },
+                                      Good("ok")});
+    const auto slow = rig.Submit(StreamJob(true));
+    const std::uint64_t job = rig.last_job;
+    slow->untaken = 1 << 20;
+    CPPUNIT_ASSERT(RunUntil([&] { return !slow->body.empty(); }));
+    const std::size_t passed = slow->body.size();
+    CPPUNIT_ASSERT(passed <= kMostPassed);
+    CPPUNIT_ASSERT(rig.Run(PlainJob("a2"))->result.end == JobEnd::kComplete);
+    RunFor(1200 * kMs);  // longer than a worker may be silent
+    CPPUNIT_ASSERT_EQUAL(passed, slow->body.size());
+    CPPUNIT_ASSERT(held->unsent() > 0);
+    slow->untaken = 0;
+    rig.runner->Resume(job);
+    CPPUNIT_ASSERT(RunUntil([&] { return slow->ends == 1; }));
+    CPPUNIT_ASSERT(slow->result.end == JobEnd::kComplete);
+    CPPUNIT_ASSERT(slow->body == events);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, worker.calls().size());
+  }
+
  private:
   static void Check(const StreamCase& c) {
     Rig rig;
