Let a job name the workers it prefers, tried first while they have a free slot

The tier sends jobs of a shared prompt to the workers that keep it. The module knew no preference, so src/proxy tells it of an attempt at the prompt's home as kMayHaveRun, which never was, in a class of its own that binds the job there. RequestArrived::preferred is the list that was missing: the first of them with a free slot, by this node's tally and the worker's reports, takes the job, under the same limit, health and rules as any other; with none free the choice is made as ever. Binding to the list was ruled out: a home that does not serve would hold its jobs.

Captures keep the list (an optional field: older ones read as before) and refuse a worker without a name in it; checkpoints hold it.

--- a/include/marlquay/dispatcher.h
+++ b/include/marlquay/dispatcher.h
@@ -114,6 +114,7 @@
   std::optional<Micros> hint;        // expected work on a standard core
   std::optional<std::uint64_t> key;  // requests with one key profit from one worker
   std::optional<bool> over_share;    // its tenant's, where the nodes share that; none: own count
+  std::vector<WorkerId> preferred;   // the first of these with a free slot takes it, if any has one
 };
 
 struct AttemptTaken {  // the worker has it; it may wait there. Only if Settings::tells_taken
--- a/src/capture/record.cpp
+++ b/src/capture/record.cpp
@@ -66,6 +66,7 @@
     if (e.hint) out->set_hint(*e.hint);
     if (e.key) out->set_key(*e.key);
     if (e.over_share) out->set_over_share(*e.over_share);
+    for (const marlquay::WorkerId worker : e.preferred) out->add_preferred(worker);
   }
   void operator()(const marlquay::AttemptTaken& e) { Attempt(e.request, e.attempt, e.worker); }
   void operator()(const marlquay::AttemptStarted& e) { Attempt(e.request, e.attempt, e.worker); }
@@ -190,6 +191,7 @@
         Must(Within(e.hint.value_or(0), kMostHint), "a hint out of range");
         if (in.has_key()) e.key = in.key();
         if (in.has_over_share()) e.over_share = in.over_share();
+        for (const std::uint32_t worker : in.preferred()) e.preferred.push_back(Worker(worker));
         return e;
       }
       case wire::ATTEMPT_TAKEN:
--- a/src/module/bookkeeping.h
+++ b/src/module/bookkeeping.h
@@ -86,6 +86,7 @@
     r.due = e.due;
     r.hint = e.hint;
     r.key = e.key;
+    r.preferred = e.preferred;
     return r;
   }
 
--- a/src/module/checkpoint.cpp
+++ b/src/module/checkpoint.cpp
@@ -57,7 +57,7 @@
   MARLQUAY_FIELDS(Attempt, worker, sent, started, ran, taken, given_up, late, written_off, zone,
                   cell)
   MARLQUAY_FIELDS(Request, id, generation, live, held, late, ended, over_share, cls, slots, arrived,
-                  due, hint, key, attempts, out, asked_at)
+                  due, hint, key, preferred, attempts, out, asked_at)
   MARLQUAY_FIELDS(WorkerEntry, worker, identity, zone, kind, cell, health, weight, ready_at)
   MARLQUAY_FIELDS(Worker, blocked_until, next_trial, full_until, full_level, busy, slowness,
                   waiting, idle, failures, silent, member, used, known, recalled, judged, named,
--- a/src/module/records.h
+++ b/src/module/records.h
@@ -46,6 +46,7 @@
   Micros arrived = 0, due = 0;
   std::optional<Micros> hint;
   std::optional<std::uint64_t> key;
+  std::vector<WorkerId> preferred;
   std::vector<Attempt> attempts;
   int out = 0;          // attempts without outcome
   Micros asked_at = 0;  // workers were probed for its next attempt; 0: not yet
--- a/src/module/request_queue.h
+++ b/src/module/request_queue.h
@@ -83,12 +83,11 @@
     const Permit p = PermitFor(r);
     if (r.ended) return;
     End(r, false);
-    if (p.refuse) {
-      ++refused_;
+    refused_ += p.refuse ? 1 : 0;
+    if (p.refuse)
       Act(Refuse{r.id, hopeless ? s_.max_retry_after : 0});
-    } else {
+    else
       Act(Fail{r.id});
-    }
     Abandon(r);
   }
 
--- a/src/module/worker_choice.h
+++ b/src/module/worker_choice.h
@@ -36,8 +36,9 @@
     FindRoom(r);
     sample_.clear();
     if (open_.empty()) return nullptr;
-    if (r.key && TallySaysLittle()) return AskByKey(r, permit);
-    r.key ? SampleByKey(r, permit, 0) : Sample(r, permit);
+    SamplePreferred(r, permit);
+    if (sample_.empty() && r.key && TallySaysLittle()) return AskByKey(r, permit);
+    if (sample_.empty()) r.key ? SampleByKey(r, permit, 0) : Sample(r, permit);
     const auto best = std::min_element(sample_.begin(), sample_.end(), [&](WorkerId a, WorkerId b) {
       return Cost(a, r) < Cost(b, r);
     });
@@ -67,22 +68,32 @@
     }
   }
 
+  // The first of the job's preferred workers that has a free slot for it, by what is known here.
+  void SamplePreferred(const Request& r, const Permit& permit) {
+    for (const WorkerId id : r.preferred) {
+      if (id >= workers_.size() || !sample_.empty()) continue;
+      Worker& w = workers_[id];
+      if (w.member && std::ranges::count(open_, &PoolOf(w)) > 0 && HasRoom(w, r, 0) &&
+          InGroup(r, permit, w) && Usable(w, r))
+        sample_.push_back(id);
+    }
+  }
+
   // Where crossing zones has a price, workers of this one that have room; then home workers, and
   // open connections where a new one has a price. All others are looked at only when these yield
   // nobody, and not again while nothing has changed: the ordinary send costs the same however many
   // workers there are.
   void Sample(Request& r, const Permit& permit) {
-    const auto any = [](const Worker&) { return true; };
     const auto linked = [&](const Worker& w) { return Connected(w); };
     const auto home = [&](Worker& w) { return HomeRoom(w, r); };
-    const auto room = [&](const Worker& w) { return HasRoom(w, r); };
+    const auto room = [&](const Worker& w) { return HasRoom(w, r, kPricedRemote); };
     const bool priced = s_.connect_price > 0;
     if (s_.cross_zone_price > 0 && Look(&Pool::local, r, permit, room, kLocalLooks)) return;
     if (priced && Look(&Pool::home, r, permit, [&](Worker& w) { return home(w) && linked(w); }))
       return;
     if (Look(&Pool::home, r, permit, home)) return;
     if (priced && Look(&Pool::used, r, permit, linked)) return;
-    if (Look(&Pool::members, r, permit, any)) return;
+    if (Look(&Pool::members, r, permit, [](const Worker&) { return true; })) return;
     for (Pool* p : open_) {
       p->shut_until = kNever;
       p->shut_slots = r.slots;
@@ -110,11 +121,11 @@
     return !sample_.empty();
   }
 
-  // By this node's tally and what it told of others' jobs, the job there waits for less than going
-  // to another zone costs.
-  bool HasRoom(const Worker& w, const Request& r) const {
+  // By this node's tally and what it told of others' jobs, no more than so many slots' jobs wait
+  // there with this one: in its own zone for less than going to another one costs.
+  bool HasRoom(const Worker& w, const Request& r, double wait) const {
     const double taken = w.taken.Now(now_, kTakenMemory);
-    return w.busy + taken + r.slots <= PoolOf(w).slots_seen + kPricedRemote;
+    return w.busy + taken + r.slots <= PoolOf(w).slots_seen + wait;
   }
 
   // Its slots that are this node's part are not all in use. On its own part a node's tally tells
--- a/src/module/worker_health.h
+++ b/src/module/worker_health.h
@@ -95,13 +95,12 @@
   void Report(Worker& w, const LoadReport& load) {
     Pool& p = PoolOf(w);
     if (load.in_flight) w.others = std::max(0.0, *load.in_flight - w.busy);
-    if (load.free_slots) {
-      p.told = true;
-      p.slots_seen = std::max(p.slots_seen, std::floor(*load.free_slots));
-      const double taken = std::max(0.0, p.slots_seen - *load.free_slots - w.running);
-      const double before = w.taken.Now(now_, kTakenMemory);
-      w.taken = {before + kTakenLearn * (taken - before), now_};
-    }
+    if (!load.free_slots) return;
+    p.told = true;
+    p.slots_seen = std::max(p.slots_seen, std::floor(*load.free_slots));
+    const double taken = std::max(0.0, p.slots_seen - *load.free_slots - w.running);
+    const double before = w.taken.Now(now_, kTakenMemory);
+    w.taken = {before + kTakenLearn * (taken - before), now_};
   }
 
   void On(const ProbeEnded& e) {
--- a/tests/capture/format_test.cpp
+++ b/tests/capture/format_test.cpp
@@ -133,6 +133,25 @@
 }
 
 // A record with a good checksum may still be nonsense: it is refused, not handed to the module.
+TEST(Format, PreferredWorkersComeBackInTheirOrder) {
+  Origin origin;
+  origin.settings = lab::BaseSettings();
+  origin.workers = {"a", "b", "c"};
+  SegmentWriter writer(origin, nullptr);
+  marlquay::RequestArrived arrived;
+  arrived.request = 1;
+  arrived.preferred = {2, 0};
+  Turn turn;
+  turn.now = 5;
+  turn.events = {arrived};
+  writer.Add(turn);
+  Segment segment(writer.Finish(""), "f");
+  Turn read;
+  ASSERT_TRUE(segment.Next(&read)) << segment.damage();
+  ASSERT_EQ(read.events.size(), 1u);
+  EXPECT_EQ(std::get<marlquay::RequestArrived>(read.events[0]).preferred, arrived.preferred);
+}
+
 TEST(Format, RecordsThatMakeNoSenseAreRefused) {
   const auto with = [](const marlquay::Event& event, const marlquay::Action& action) {
     Origin origin;
@@ -152,6 +171,9 @@
   marlquay::RequestArrived arrived;
   arrived.slots = std::nan("");
   EXPECT_NE(with(arrived, fine).find("a number that is none"), std::string::npos);
+  arrived.slots = 1;
+  arrived.preferred = {7};
+  EXPECT_NE(with(arrived, fine).find("a worker without a name"), std::string::npos);
   EXPECT_NE(with(marlquay::TimerFired{}, marlquay::Send{1, 7}).find("a worker without a name"),
             std::string::npos);
   EXPECT_EQ(with(marlquay::TimerFired{}, fine), "");
--- a/tests/module/checkpoint_test.cpp
+++ b/tests/module/checkpoint_test.cpp
@@ -39,6 +39,7 @@
       e.slots = 1 + step.a % 3;
       if (step.b % 2 == 0) e.key = step.b % 5;
       if (step.a % 4 == 0) e.hint = static_cast<Micros>(step.a % 900) * kMs;
+      if (step.b % 7 < 2) e.preferred = {step.a % 8, step.b % 9};
       due_[e.request] = e.due;
       events.push_back(e);
       if (step.b % 11 == 3) {  // made before the module's time
--- a/tests/module/policy_test.cpp
+++ b/tests/module/policy_test.cpp
@@ -382,6 +382,51 @@
   EXPECT_GE(WorkersOfAKey(d, 4, 8).size(), 6u);
 }
 
+class Preferred : public ::testing::Test {
+ protected:
+  Preferred() : d(BaseSettings()) {
+    d.Workers(8);
+    d.ServeTogether(100, 40);  // the limit is none here
+  }
+  WorkerId Ask(RequestId id, std::vector<WorkerId> preferred) {
+    RequestArrived e = d.Request(id);
+    e.preferred = std::move(preferred);
+    d.Give({e});
+    return d.sends.size() == 1 ? d.last_worker[id] : ~WorkerId{0};
+  }
+
+  Driver d;
+};
+
+TEST_F(Preferred, TheFirstWithAFreeSlotTakesTheJob) {
+  EXPECT_EQ(Ask(1, {5, 2}), 5u);
+  EXPECT_EQ(Ask(2, {5, 2}), 2u);  // the first has one slot, in use
+  const WorkerId other = Ask(3, {5, 2});
+  EXPECT_LT(other, 8u);  // neither has room: any worker
+  EXPECT_NE(other, 5u);
+  EXPECT_NE(other, 2u);
+  d.Begin(1);
+  d.End(1, Outcome::kGood);
+  EXPECT_EQ(Ask(4, {5, 2}), 5u);
+}
+
+TEST_F(Preferred, OnesThatMayNotBeUsedArePassedOver) {
+  EXPECT_LT(Ask(1, {99}), 8u);  // not on the list
+  std::vector<WorkerEntry> draining = {Driver::Entry(5, Health::kDraining)};
+  d.List(draining, WorkerList::Form::kChanges);
+  EXPECT_EQ(Ask(2, {5, 6}), 6u);
+  d.Begin(2);
+  d.End(2, Outcome::kNoConnection);  // it is blocked for a while
+  EXPECT_NE(Ask(3, {6}), 6u);
+}
+
+TEST_F(Preferred, ARepeatTriesItAgainOnlyOnceItHasRoom) {
+  EXPECT_EQ(Ask(1, {5}), 5u);
+  d.End(1, Outcome::kFull);
+  ASSERT_EQ(d.attempts[1], 2);
+  EXPECT_NE(d.last_worker[1], 5u);
+}
+
 class Asking : public ::testing::Test {
  protected:
   static Settings Many() {
