Name the homes of a large prompt to the module as preferred workers

Cause: the module knew no preference, so the tier told it of an attempt at the prompt's home that never was (kMayHaveRun), in a second class of each kind that binds a job to one worker, lapsed it and let it arrive anew for each further home, looking each 6 ms.

Ruled out: leaving it, as RequestArrived::preferred says the same without a second class, a second arrival or a timer.

Change: a placement arrives once, with its homes as its preferred workers; it has one number and one attempt at the module. Jobs wait with their homes while the limit has no room, as the module chooses only when it has.

--- a/src/proxy/pool_dispatcher.cpp
+++ b/src/proxy/pool_dispatcher.cpp
@@ -15,22 +15,13 @@
 constexpr double kBulkWorth = 0.001;  // less than that of any live rank
 constexpr double kLateValue = 0.4;    // share of the worth of an answer after its objective
 constexpr Micros kBulkAim = 2 * kSecond;
-constexpr double kConnectPrice = 0.01;  // open connections are preferred
-constexpr Micros kHomeLook = 6 * kMs;   // jobs that wait with their homes are looked at this often
+constexpr double kConnectPrice = 0.01;           // open connections are preferred
 constexpr Micros kSilentProgress = 2 * kSecond;  // streams under way are told of this often
 constexpr Micros kRetryFirst = 100 * kMs;  // a refused client comes back after this, and more for
 constexpr Micros kRetryEach = 5 * kMs;     // each job that waits here
 constexpr Micros kRetryLast = kSecond;
 constexpr std::size_t kMostClasses = 64;    // then those that no job uses now are dropped
 constexpr Micros kOutFor = 3600 * kSecond;  // an attempt under way is not ended by the module
-constexpr std::size_t kMostHomes = 3;       // of one placement that are tried
-constexpr std::uint64_t kMostArrivals = kMostHomes + 1;  // of one placement at the module
-constexpr int kTryLimit = 2;  // attempts at the module: the one that binds it, the one that is sent
-
-JobClass Bound(JobClass job_class) {
-  job_class.bound = true;
-  return job_class;
-}
 
 }  // namespace
 
@@ -41,7 +32,6 @@
 PoolDispatcher::~PoolDispatcher() {
   timers_->Cancel(&turn_);
   timers_->Cancel(&timer_);
-  timers_->Cancel(&homes_timer_);
 }
 
 void PoolDispatcher::SetShare(NodeShare share) {
@@ -67,51 +57,27 @@
   open.placement = placement;
   open.client = client;
   open.number = ClassNumber(placement.job_class);
-  if (open.placement.homes.size() > kMostHomes) open.placement.homes.resize(kMostHomes);
-  if (!open.placement.homes.empty()) open.bound_number = ClassNumber(Bound(placement.job_class));
   ++(placement.job_class.bulk ? held_bulk_ : held_live_);
-  if (rebuild_) {
+  if (rebuild_)
     ArmTurn();
-  } else if (open.placement.homes.empty()) {
-    PostArrival(id, &open);
-  } else {
-    bound_.push_back(id);
-    PostBound(id, &open, open.placement.homes.front());
-  }
+  else
+    PostArrival(id, open);
   return id;
 }
 
-void PoolDispatcher::PostArrival(PlacementId id, Open* open) {
-  ++open->arrivals;
-  open->attempt = 0;
-  marlquay::RequestArrived arrived;
-  arrived.request = RequestOf(id, *open);
-  arrived.cls = open->number;
-  arrived.due = open->placement.due;
-  Post(std::move(arrived));
-}
-
-// Has the module choose among one worker, under the same limit and health as ever. It keeps a job
-// of a class whose repeats are safe within one cell only to the cell of its first attempt, and each
-// worker is a cell: so the job arrives with an attempt there.
-void PoolDispatcher::PostBound(PlacementId id, Open* open, marlquay::WorkerId home) {
-  const Micros now = Now();
-  ++open->arrivals;
-  open->attempt = 1;
+void PoolDispatcher::PostArrival(PlacementId id, const Open& open) {
   marlquay::RequestArrived arrived;
-  arrived.request = RequestOf(id, *open);
-  arrived.cls = open->bound_number;
-  arrived.due = open->placement.due;
-  const marlquay::RequestId request = arrived.request;
+  arrived.request = id;
+  arrived.cls = open.number;
+  arrived.due = open.placement.due;
+  arrived.preferred = open.placement.homes;
   Post(std::move(arrived));
-  Post(marlquay::AttemptAdopted{request, home, now, true,
-                                marlquay::AttemptAdopted::Was::kMayHaveRun});
 }
 
 void PoolDispatcher::Lapse(PlacementId id) {
   const auto found = open_.find(id);
   if (found == open_.end()) return;
-  if (!rebuild_) Post(marlquay::RequestLapsed{RequestOf(id, found->second)});
+  if (!rebuild_) Post(marlquay::RequestLapsed{id});
   Unhold(found->second);
   open_.erase(found);
 }
@@ -119,15 +85,13 @@
 void PoolDispatcher::Began(PlacementId id) {
   const auto found = open_.find(id);
   if (found == open_.end() || std::exchange(found->second.began, true)) return;
-  Post(marlquay::StreamBegan{RequestOf(id, found->second), found->second.attempt,
-                             found->second.worker});
+  Post(marlquay::StreamBegan{id, 0, found->second.worker});
 }
 
 void PoolDispatcher::Progress(PlacementId id) {
   const auto found = open_.find(id);
   if (found == open_.end()) return;
-  Post(marlquay::AttemptProgress{RequestOf(id, found->second), found->second.attempt,
-                                 found->second.worker, 0});
+  Post(marlquay::AttemptProgress{id, 0, found->second.worker, 0});
 }
 
 // A placement is over with its one attempt; the job places itself anew if it goes on.
@@ -136,8 +100,7 @@
   const auto found = open_.find(id);
   if (found == open_.end()) return;
   marlquay::AttemptEnded ended;
-  ended.request = RequestOf(id, found->second);
-  ended.attempt = found->second.attempt;
+  ended.request = id;
   ended.worker = found->second.worker;
   ended.outcome = outcome;
   ended.latency = latency;
@@ -158,18 +121,6 @@
   if (!open.out) --(open.placement.job_class.bulk ? held_bulk_ : held_live_);
 }
 
-marlquay::RequestId PoolDispatcher::RequestOf(PlacementId id, const Open& open) const {
-  return id * kMostArrivals + static_cast<std::uint64_t>(std::max(open.arrivals - 1, 0));
-}
-
-PoolDispatcher::Open* PoolDispatcher::Find(marlquay::RequestId request) {
-  const PlacementId id = request / kMostArrivals;
-  const auto found = open_.find(id);
-  // What was told of an earlier arrival of the same placement is out of date.
-  if (found == open_.end() || RequestOf(id, found->second) != request) return nullptr;
-  return &found->second;
-}
-
 // ---------------------------------------------------------------- turns
 
 void PoolDispatcher::Post(marlquay::Event event) {
@@ -203,14 +154,12 @@
   dispatcher_->Handle(now, events, &actions_);
   const std::vector<marlquay::Action> actions = std::exchange(actions_, {});
   for (const marlquay::Action& action : actions) Carry(action);
-  if (!bound_.empty()) TryNextHomes();
 }
 
 // A new module takes over: it is told of all workers, what the old one has learned, what waits and
 // what is out.
 void PoolDispatcher::Rebuild(Micros now) {
   events_.clear();
-  bound_.clear();
   rebuild_ = false;
   marlquay::Knowledge learned = Learned(now);
   if (classes_.size() > kMostClasses) {
@@ -227,15 +176,13 @@
   slots_told_ = 0;
   TeachSlots();
   for (auto& [id, open] : open_) {
-    open.arrivals = 0;
-    PostArrival(id, &open);
+    PostArrival(id, open);
     if (!open.out) continue;
-    const marlquay::RequestId request = RequestOf(id, open);
     std::get<marlquay::RequestArrived>(events_.back()).due =
         std::max(now, open.placement.due) + kOutFor;
-    events_.push_back(marlquay::AttemptAdopted{request, open.worker, open.sent, true,
+    events_.push_back(marlquay::AttemptAdopted{id, open.worker, open.sent, true,
                                                marlquay::AttemptAdopted::Was::kOut});
-    if (open.began) events_.push_back(marlquay::StreamBegan{request, 0, open.worker});
+    if (open.began) events_.push_back(marlquay::StreamBegan{id, 0, open.worker});
   }
 }
 
@@ -274,53 +221,23 @@
 }
 
 void PoolDispatcher::Place(const marlquay::Send& send) {
-  Open* open = Find(send.request);
-  if (open == nullptr || open->out) return;
-  Unhold(*open);
-  open->out = true;
-  open->worker = send.worker;
-  open->sent = Now();
-  open->client->OnPlaced(send.request / kMostArrivals, send.worker);
+  const auto found = open_.find(send.request);
+  if (found == open_.end() || found->second.out) return;
+  Open& open = found->second;
+  Unhold(open);
+  open.out = true;
+  open.worker = send.worker;
+  open.sent = Now();
+  open.client->OnPlaced(send.request, send.worker);
 }
 
 void PoolDispatcher::Refuse(const marlquay::Refuse& refuse) {
-  Open* open = Find(refuse.request);
-  if (open == nullptr || open->out) return;
-  const PlacementId id = refuse.request / kMostArrivals;
-  PlacementClient* client = open->client;
-  Unhold(*open);
-  open_.erase(id);
-  client->OnRefused(id, refuse.retry_after > 0 ? refuse.retry_after : RetryAfter());
-}
-
-// Guards load over affinity: a home that does not take the job at once is passed over for the next
-// one, and after the last one any worker will do. Where the limit has no room for any worker, the
-// job waits for it with its home: elsewhere it would wait as long, and have its prompt read anew.
-void PoolDispatcher::TryNextHomes() {
-  const bool no_room = NoRoom();
-  for (const PlacementId id : std::exchange(bound_, {})) {
-    const auto found = open_.find(id);
-    if (found == open_.end() || found->second.out || rebuild_) continue;
-    Open& open = found->second;
-    if (no_room) {
-      bound_.push_back(id);
-      continue;
-    }
-    Post(marlquay::RequestLapsed{RequestOf(id, open)});
-    const std::vector<marlquay::WorkerId>& homes = open.placement.homes;
-    const std::size_t next = static_cast<std::size_t>(open.arrivals);
-    if (next >= homes.size()) {
-      PostArrival(id, &open);
-    } else {
-      bound_.push_back(id);
-      PostBound(id, &open, homes[next]);
-    }
-  }
-  if (bound_.empty() || homes_timer_ != 0) return;
-  homes_timer_ = timers_->After(kHomeLook, [this] {
-    homes_timer_ = 0;
-    ArmTurn();
-  });
+  const auto found = open_.find(refuse.request);
+  if (found == open_.end() || found->second.out) return;
+  PlacementClient* client = found->second.client;
+  Unhold(found->second);
+  open_.erase(found);
+  client->OnRefused(refuse.request, refuse.retry_after > 0 ? refuse.retry_after : RetryAfter());
 }
 
 bool PoolDispatcher::limit_grows() const {
@@ -328,11 +245,6 @@
   return dispatcher_->PoolLimit(0) < workers_->ready_slots() / share_.nodes;
 }
 
-bool PoolDispatcher::NoRoom() const {
-  const double busy = dispatcher_->PoolBusy(0);
-  return busy > 0 && busy + 1 > dispatcher_->PoolLimit(0);
-}
-
 void PoolDispatcher::LogDecision(const marlquay::LogLine& line) {
   using What = marlquay::LogLine::What;
   if (line.what == What::kLimitCut) {
@@ -366,11 +278,7 @@
 // Configurations come and go, and each may bring classes of its own.
 void PoolDispatcher::DropUnusedClasses() {
   classes_.clear();
-  for (auto& [id, open] : open_) {
-    open.number = ClassNumber(open.placement.job_class);
-    if (!open.placement.homes.empty())
-      open.bound_number = ClassNumber(Bound(open.placement.job_class));
-  }
+  for (auto& [id, open] : open_) open.number = ClassNumber(open.placement.job_class);
   rebuild_ = false;  // this is the new module's making
 }
 
@@ -380,10 +288,8 @@
   settings.self = std::clamp(share_.self, 0, settings.balancers - 1);
   for (const JobClass& job_class : classes_) {
     marlquay::ClassSettings cls;
-    // Each placement is sent once; the job repeats. See PostBound for the others.
-    cls.effect = job_class.bound ? marlquay::Effect::kByKey : marlquay::Effect::kRepeatable;
-    cls.key_scope = marlquay::KeyScope::kCell;
-    cls.key_window = kOutFor;
+    // Each placement is sent once; the job repeats.
+    cls.effect = marlquay::Effect::kRepeatable;
     cls.aim = job_class.bulk ? kBulkAim : std::max<Micros>(job_class.target, kMs);
     // A stream's objective is its first event, while its work is all of it.
     cls.aim_stretch = job_class.streamed || job_class.bulk ? 1 : 0;
@@ -393,7 +299,6 @@
     settings.classes.push_back(cls);
   }
   if (settings.classes.empty()) settings.classes.emplace_back();
-  settings.try_limit = kTryLimit;
   settings.worth_by_work = true;
   settings.weighted_workers = true;
   settings.retry_after = true;
--- a/src/proxy/pool_dispatcher.h
+++ b/src/proxy/pool_dispatcher.h
@@ -23,14 +23,13 @@
   int rank = 0;
   Micros target = 0;  // objective for the first byte
   bool streamed = false, bulk = false;
-  bool bound = false;  // to one worker for a moment; set by the dispatcher
   bool operator==(const JobClass&) const = default;
 };
 
 struct Placement {
   JobClass job_class;
   Micros due = 0;  // a worker must be found by then
-  // Workers that it profits from, the best one first: tried in this order, before all others.
+  // Workers that it profits from, the best one first: the first one with a free slot takes it.
   std::vector<marlquay::WorkerId> homes;
 };
 
@@ -81,10 +80,7 @@
   struct Open {
     Placement placement;
     PlacementClient* client = nullptr;
-    int number = 0;        // of its class in the settings
-    int bound_number = 0;  // of its class while it is bound to a home
-    int arrivals = 0;      // times that the module was told of it; each has its own number there
-    int attempt = 0;       // number of its send at the module
+    int number = 0;  // of its class in the settings
     bool out = false, began = false;
     marlquay::WorkerId worker = 0;
     Micros sent = 0;
@@ -95,21 +91,16 @@
   void SetTimer(Micros at);
   void Turn();
   void Rebuild(Micros now);
-  void PostArrival(PlacementId id, Open* open);
-  void PostBound(PlacementId id, Open* open, marlquay::WorkerId home);
+  void PostArrival(PlacementId id, const Open& open);
   void Carry(const marlquay::Action& action);
   void Place(const marlquay::Send& send);
   void Refuse(const marlquay::Refuse& refuse);
   void LogDecision(const marlquay::LogLine& line);
   void Unhold(const Open& open);
-  void TryNextHomes();
-  bool NoRoom() const;
   marlquay::Knowledge Learned(Micros now) const;
   void TeachSlots();
   int ClassNumber(const JobClass& job_class);
   void DropUnusedClasses();
-  marlquay::RequestId RequestOf(PlacementId id, const Open& open) const;
-  Open* Find(marlquay::RequestId request);
   marlquay::Settings MakeSettings() const;
 
   Timers* timers_;
@@ -121,14 +112,13 @@
   std::vector<JobClass> classes_;
   std::unordered_map<PlacementId, Open> open_;
   std::vector<marlquay::Event> events_;
-  std::vector<PlacementId> bound_;  // wait for room at a home
   std::vector<marlquay::Action> actions_;
   PlacementId last_ = 0;
   int held_live_ = 0, held_bulk_ = 0;
   bool rebuild_ = true;     // the settings have changed
   bool limit_cut_ = false;  // workers were found full: the limit is learned
   double slots_told_ = 0;   // largest worker that the module was told of
-  Timers::Id turn_ = 0, timer_ = 0, homes_timer_ = 0;
+  Timers::Id turn_ = 0, timer_ = 0;
 };
 
 }  // namespace pearreach::proxy
--- a/src/proxy/service_workers.cpp
+++ b/src/proxy/service_workers.cpp
@@ -154,7 +154,6 @@
   entry.worker = id;
   entry.identity = HashOf(record.worker_id);
   entry.zone = zones_.at(record.zone);
-  entry.cell = static_cast<int>(id);  // each worker is a group of its own: see PoolDispatcher
   entry.health = !worker.present || record.phase == registry::WorkerPhase::kGone
                      ? marlquay::Health::kGone
                  : record.phase == registry::WorkerPhase::kDraining ? marlquay::Health::kDraining
