Split src/zones by concern: evidence, verdicts, exchange and standings

zones.cpp did five jobs in 839 lines. Each has a file now: what this node sees (zones.cpp), what the reports together say (evidence.cpp), which verdicts and orders hold (verdicts.cpp), what nodes tell one another (exchange.cpp), and how a zone is in use here (standing.cpp). The message between nodes is a Message in messages.h instead of a Word in words.h, and the long functions are taken apart; nothing that it decides or sends is changed.

zones_test passes (30 tests, only the renamed type touched); lab/trial follows the rename.

--- a/lab/trial/virtual.cpp
+++ b/lab/trial/virtual.cpp
@@ -252,7 +252,7 @@
   }
   // A node that claims of all other zones that they are gone.
   void Lie(int n, std::vector<zones::Zones::Out>* out) {
-    zones::Word w;
+    zones::Message w;
     w.zone = n % plan_.zones;
     w.at = Unix() / 1000 * 1000;
     for (int z = 0; z < plan_.zones; ++z)
--- a/src/zones/words.cpp
+++ b/src/zones/messages.cpp
@@ -1,4 +1,4 @@
-#include "zones/words.h"
+#include "zones/messages.h"
 
 #include <algorithm>
 #include <iterator>
@@ -90,7 +90,7 @@
   return std::tie(a.process, a.number) > std::tie(b.process, b.number);
 }
 
-std::string Encode(const Word& word, std::size_t room, int* left_out) {
+std::string Encode(const Message& word, std::size_t room, int* left_out) {
   wire::Section s;
   s.set_zone(static_cast<std::uint32_t>(word.zone));
   s.set_at(static_cast<std::uint64_t>(std::max<std::int64_t>(0, word.at / 1000 - kEpochMs)));
@@ -113,7 +113,7 @@
   return bytes.size() <= room ? bytes : std::string();
 }
 
-std::optional<Word> Decode(std::string_view bytes) {
+std::optional<Message> Decode(std::string_view bytes) {
   wire::Section s;
   if (!s.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
   if (!Even(s.verdict_target(), s.verdict_for(), s.verdict_number(), s.verdict_step(),
@@ -124,7 +124,7 @@
             s.report_failed()) ||
       !Bounded(s.at()) || s.at() > kMostFigure / 1000 || s.zone() > 10'000)
     return std::nullopt;
-  Word w;
+  Message w;
   w.zone = static_cast<int>(s.zone());
   w.at = (kEpochMs + static_cast<Micros>(s.at())) * 1000;
   w.asks = s.asks();
--- a/src/zones/words.h
+++ b/src/zones/messages.h
@@ -1,8 +1,8 @@
 // What one node says to another of zones, as values and as bytes. Pure and bounded: it reads
 // nothing that it has not checked, must never give more than the caller has room for, and passes
 // over what it does not know.
-#ifndef PEARREACH_SRC_ZONES_WORDS_H_
-#define PEARREACH_SRC_ZONES_WORDS_H_
+#ifndef PEARREACH_SRC_ZONES_MESSAGES_H_
+#define PEARREACH_SRC_ZONES_MESSAGES_H_
 
 #include <cstdint>
 #include <optional>
@@ -69,7 +69,7 @@
 };
 bool Later(const Report& a, const Report& b);
 
-struct Word {
+struct Message {
   int zone = 0;
   Micros at = 0;
   bool asks = false;
@@ -79,9 +79,9 @@
 };
 
 // As much as fits into `room`: orders, verdicts, reports. `*left_out`: entries without room.
-std::string Encode(const Word& word, std::size_t room, int* left_out);
-std::optional<Word> Decode(std::string_view bytes);
+std::string Encode(const Message& word, std::size_t room, int* left_out);
+std::optional<Message> Decode(std::string_view bytes);
 
 }  // namespace pearreach::zones
 
-#endif  // PEARREACH_SRC_ZONES_WORDS_H_
+#endif  // PEARREACH_SRC_ZONES_MESSAGES_H_
--- a/src/zones/zones.h
+++ b/src/zones/zones.h
@@ -19,7 +19,7 @@
 #include <string_view>
 #include <vector>
 
-#include "zones/words.h"
+#include "zones/messages.h"
 
 namespace pearreach::zones {
 
@@ -155,6 +155,10 @@
     std::uint64_t about = 0;
     std::uint32_t good = 0, failed = 0;
   };
+  struct ZoneSum {  // weights of its workers in service
+    double all = 0, tried = 0, bad = 0;
+    std::map<Cause, double> causes;  // of the bad ones
+  };
   struct Key {
     TargetKey target = 0;
     int whose = -1;
@@ -182,8 +186,14 @@
   bool Covers(const Target& target, int zone) const;
   bool IsWell(int zone) const;  // by this node's own evidence
   bool IsBad(int zone) const;
-  void Note(Micros now, bool alone);
-  Evidence Look(Micros now, const Target& target) const;
+  void UpdateReports(Micros now, bool alone);
+  std::vector<ZoneSum> SumByZone(Micros now) const;
+  bool IsFailing(std::size_t zone) const;
+  bool IsSlow(std::size_t zone) const;
+  void WriteReport(Micros now, std::size_t zone, const ZoneSum& sum);
+  Evidence EvidenceOf(Micros now, const Target& target) const;
+  std::set<int> ZonesAgainst(Micros now, const Target& target, int zone, std::map<int, int>* nodes,
+                             Evidence* e) const;
   bool OnlyInside(const Target& target, const Evidence& e) const;
   Tries TriesOf(const Target& target, const Verdict& verdict) const;
   double Weight(int zone) const;
@@ -197,12 +207,14 @@
   bool Supported(Micros now, const Verdict& verdict) const;
   void HearVerdict(Micros now, int from, const Verdict& verdict);
   void HearOrder(const Order& order);
-  void Settle(Micros now);
+  void UpdateStandings(Micros now);
+  const Order* OrderFor(int zone) const;
+  void FollowVerdict(Micros now, const Verdict& verdict, Standing* s) const;
   bool IsLeft(int zone, int whose) const;
   bool KindElsewhere(int kind) const;  // in service outside zones that are left
   bool IsTrier(Micros now, WorkerKey worker, const Worker& w, const Verdict& v) const;
   const Verdict* Governing(int zone) const;
-  void Say(Micros now, int to, std::vector<Out>* out);
+  void SendState(Micros now, int to, std::vector<Out>* out);
   Micros WaitOf(const Verdict& verdict, bool anew) const;
   bool Anew(const Target& target, const Verdict& verdict) const;
 
--- a/tests/zones/zones_test.cpp
+++ b/tests/zones/zones_test.cpp
@@ -228,7 +228,7 @@
     std::vector<zones::Zones::Out> out;
     for (const std::uint64_t number : {4, 5, 4})
       for (const int from : {1, 2}) {
-        zones::Word w;
+        zones::Message w;
         w.zone = from;
         w.at = kUnix;
         w.verdicts.push_back({zones::KeyOf("b"), -1, number,
@@ -267,7 +267,7 @@
         z.Seen(w, w % 3 == 1 ? cause : zones::Cause::kNone, now);
       }
       for (int from = 1; from < 6; ++from) {
-        zones::Word w;
+        zones::Message w;
         w.zone = from % 3;
         w.at = now / 1000 * 1000;
         w.reports.push_back({zones::KeyOf("b"), from, from % 3, kUnix / 1000,
@@ -294,7 +294,7 @@
     std::set<zones::WorkerKey> before;
     std::vector<zones::Zones::Out> out;
     for (std::uint8_t step = zones::kLeft; step <= zones::kLastStep; ++step) {
-      zones::Word w;
+      zones::Message w;
       w.at = kUnix + step * 5 * kSecond;
       w.verdicts.push_back({zones::KeyOf("b"), -1, step, step, zones::Cause::kDead, 3, w.at, 1});
       for (const int from : {(node + 1) % 30, (node + 2) % 30})
@@ -334,7 +334,7 @@
 }
 
 RC_GTEST_PROP(ZonesWords, WhatIsWrittenIsReadAgainWithinItsRoom, ()) {
-  zones::Word w;
+  zones::Message w;
   w.zone = *rc::gen::inRange(0, 20);
   w.at = kUnix;
   w.asks = *rc::gen::arbitrary<bool>();
