Split src/rules by concern: leases, documents, Paxos, proposals, recovery, exchange

A file a concern now: leases.cpp (what may be acted on, until when), documents.cpp (held and fetched), paxos.cpp (acceptor and proposer apart), proposals.cpp (operators), recovery.cpp (a voter that lost what it knew), exchange.cpp (who is told what), stored_state.cpp; rules.cpp has the start and the look-ups. What nodes send is a Message in messages.h. Nothing that it decides, sends or stores is changed.

--- a/src/rules/words.cpp
+++ b/src/rules/messages.cpp
@@ -1,4 +1,4 @@
-#include "rules/words.h"
+#include "rules/messages.h"
 
 #include <algorithm>
 
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-std::string Encode(const Word& word) {
+std::string Encode(const Message& word) {
   wire::Section s;
   s.set_epoch(word.head.epoch);
   s.set_number(word.head.number);
@@ -45,7 +45,7 @@
   return s.SerializeAsString();
 }
 
-std::optional<Word> DecodeWord(std::string_view bytes) {
+std::optional<Message> DecodeMessage(std::string_view bytes) {
   wire::Section s;
   if (!s.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) return std::nullopt;
   if (s.epoch() > kMostFigure || s.number() > kMostFigure || s.schema() < 1 ||
@@ -55,7 +55,7 @@
       s.want_part() > kMostParts || s.part() > kMostParts || s.parts() > kMostParts ||
       s.bytes().size() > kPartBytes || (s.part_of() != 0 && s.part() >= s.parts()))
     return std::nullopt;
-  Word w;
+  Message w;
   w.head = {s.epoch(), s.number(), s.hash()};
   w.age_ms = static_cast<std::int64_t>(s.age());
   w.schema = s.schema();
--- a/src/rules/words.h
+++ b/src/rules/messages.h
@@ -1,8 +1,8 @@
 // What one node says to another of the version of its rules, as values and as bytes. Pure and
 // bounded: it reads nothing that it has not checked, must never give more than the caller has room
 // for, and passes over what it does not know.
-#ifndef PEARREACH_SRC_RULES_WORDS_H_
-#define PEARREACH_SRC_RULES_WORDS_H_
+#ifndef PEARREACH_SRC_RULES_MESSAGES_H_
+#define PEARREACH_SRC_RULES_MESSAGES_H_
 
 #include <compare>
 #include <cstdint>
@@ -22,7 +22,7 @@
 
 enum class Step : std::uint8_t { kNone, kPrepare, kPromise, kAccept, kAccepted, kRefused };
 
-struct Word {
+struct Message {
   Head head;
   std::int64_t age_ms = 0;
   std::uint32_t schema = 1;
@@ -36,12 +36,12 @@
   std::uint64_t want = 0, part_of = 0;
   int want_part = 0, part = 0, parts = 0;
   std::string bytes;
-  bool operator==(const Word&) const = default;
+  bool operator==(const Message&) const = default;
 };
 
-std::string Encode(const Word& word);  // at most 220 bytes
-std::optional<Word> DecodeWord(std::string_view bytes);
+std::string Encode(const Message& word);  // at most 220 bytes
+std::optional<Message> DecodeMessage(std::string_view bytes);
 
 }  // namespace pearreach::rules
 
-#endif  // PEARREACH_SRC_RULES_WORDS_H_
+#endif  // PEARREACH_SRC_RULES_MESSAGES_H_
--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -28,12 +28,15 @@
 #include <vector>
 
 #include "rules/document.h"
-#include "rules/words.h"
+#include "rules/messages.h"
 
 namespace pearreach::rules {
 
 using Micros = std::int64_t;  // of this process's clock, which does not run backwards
 
+constexpr int kSpread = 8;                     // others that hear of a new version at once
+constexpr std::uint64_t kEpochStep = 1 << 10;  // an epoch is a count, and a node where it is forced
+
 struct Options {
   int self = 0, nodes = 1;
   std::vector<int> voters = {0};    // until a version names others
@@ -169,6 +172,11 @@
     std::set<int> promised, accepted;
     bool accepting = false, tried = false;
   };
+  struct VotersHeard {  // what other voters answered, together
+    int sound = 0, answered = 0;
+    bool formed = false;
+    std::uint64_t promised = 0, accepted = 0, accepted_hash = 0;
+  };
   struct Retiring {
     Version version;
     Micros until = 0;        // others may act on it so long
@@ -182,19 +190,32 @@
 
   bool IsVoter(int node) const;
   int Majority() const { return static_cast<int>(voters().size()) / 2 + 1; }
-  Word Base(Micros now) const;
-  void Say(int to, const Word& word, std::vector<Out>* out);
-  void Learn(Micros now, int from, const Head& head, std::int64_t age_ms, std::vector<Out>* out);
+  // exchange.cpp
+  Message Base(Micros now) const;
+  void Send(int to, const Message& message, std::vector<Out>* out);
+  Message AnswerTo(Micros now, const Message& question) const;
+  void OnAnswer(Micros now, int from, const Message& message);
+  // documents.cpp
   void Install(Micros now);
   const std::string* DocumentOf(std::uint64_t hash) const;
-  void Hold(std::uint64_t hash, const std::string& bytes);
-  void Want(Micros now, int from, std::uint64_t hash, std::vector<Out>* out);
-  void HearPart(Micros now, int from, const Word& word, std::vector<Out>* out);
-  void HearStep(Micros now, int from, const Word& word, std::vector<Out>* out);
-  void HearAnswer(Micros now, int from, const Word& word);
+  void StoreDocument(std::uint64_t hash, const std::string& bytes);
+  void RequestDocument(Micros now, int from, std::uint64_t hash, std::vector<Out>* out);
+  void SendParts(Micros now, int to, const Message& request, std::vector<Out>* out);
+  void OnDocumentPart(Micros now, int from, const Message& message, std::vector<Out>* out);
+  // recovery.cpp
+  void Learn(Micros now, int from, const Head& head, std::int64_t age_ms, std::vector<Out>* out);
   void Recover(Micros now);
-  void Begin(Micros now, std::vector<Out>* out);
-  void Push(Micros now, std::vector<Out>* out);
+  VotersHeard VotersHeardSince(Micros since) const;
+  // paxos.cpp
+  void OnStep(Micros now, int from, const Message& message, std::vector<Out>* out);
+  std::optional<Message> ReplyToPrepare(Micros now, int from, const Message& message,
+                                        std::vector<Out>* out);
+  std::optional<Message> ReplyToAccept(Micros now, int from, const Message& message,
+                                       std::vector<Out>* out);
+  void OnReply(Micros now, int from, const Message& message, std::vector<Out>* out);
+  void Advance(Micros now, std::vector<Out>* out);
+  bool EndIfDecided(Micros now);
+  void BeginBallot(Micros now, Proposal* proposal);
   void Chosen(Micros now, std::uint64_t hash, std::vector<Out>* out);
   void End(Outcome::What what, const std::string& text);
   bool Clean() const { return accepted_ == 0; }
--- a/tests/rules/rules_test.cpp
+++ b/tests/rules/rules_test.cpp
@@ -124,7 +124,7 @@
 }
 
 RC_GTEST_PROP(RulesWords, SurviveAndReadNoNonsense, (const std::string& noise)) {
-  rules::Word w;
+  rules::Message w;
   w.head = {*rc::gen::inRange<std::uint64_t>(0, 1000), 7, 9};
   w.ask = *rc::gen::arbitrary<std::uint32_t>();
   w.have = std::string(38, '\xff');
@@ -134,11 +134,11 @@
   w.bytes = std::string(rules::kPartBytes, 'x');
   const std::string bytes = rules::Encode(w);
   RC_ASSERT(bytes.size() <= 220u);
-  RC_ASSERT(*rules::DecodeWord(bytes) == w);
-  if (const auto read = rules::DecodeWord(noise))
+  RC_ASSERT(*rules::DecodeMessage(bytes) == w);
+  if (const auto read = rules::DecodeMessage(noise))
     RC_ASSERT(read->bytes.size() <= rules::kPartBytes);
   w.bytes += 'x';
-  RC_ASSERT(!rules::DecodeWord(rules::Encode(w)).has_value());
+  RC_ASSERT(!rules::DecodeMessage(rules::Encode(w)).has_value());
 }
 
 // ---------------------------------------------------------------- many nodes
@@ -733,7 +733,7 @@
   d.number = 1;
   d.schema = rules::kSchema + 1;
   const std::string bytes = Encode(d);
-  rules::Word w;
+  rules::Message w;
   w.head = {1024, 1, rules::HashOf(bytes)};
   std::vector<Agreement::Out> out;
   m.Hear(2'000'000, 1, rules::Encode(w), &out);
@@ -746,7 +746,7 @@
   out.clear();
   m.Tick(3'000'000, {1}, &out);
   ASSERT_FALSE(out.empty());
-  EXPECT_TRUE(rules::DecodeWord(out.front().section)->refuses);
+  EXPECT_TRUE(rules::DecodeMessage(out.front().section)->refuses);
   EXPECT_TRUE(m.ready(1'000'000 + o.ready_within));  // it serves on
 }
 
@@ -756,7 +756,7 @@
   o.voters = {0, 1, 2};
   Agreement m(o, 1, 0, std::nullopt);
   for (int i = 0; i < 30; ++i) {
-    rules::Word w;
+    rules::Message w;
     w.head = {*rc::gen::inRange<std::uint64_t>(0, 3), *rc::gen::inRange<std::uint64_t>(0, 3),
               *rc::gen::inRange<std::uint64_t>(0, 3)};
     w.answer = *rc::gen::inRange<std::uint32_t>(0, 4);
