--- a/src/disk/environment.cpp
+++ b/src/disk/environment.cpp
@@ -101,6 +101,7 @@
 
 std::vector<absl::Status> Environment::Commit(const std::vector<std::vector<Write>>& batches) {
   std::vector<const std::vector<Write>*> together;
+  together.reserve(batches.size());
   for (const std::vector<Write>& batch : batches) together.push_back(&batch);
   const absl::Status status = CommitTogether(together);
   std::vector<absl::Status> results(batches.size(), status);
@@ -130,7 +131,7 @@
   const int begun = mdb_txn_begin(env_, nullptr, 0, &transaction);
   if (begun != MDB_SUCCESS) return LmdbStatus(begun, "begin");
   for (const std::vector<Write>* batch : batches) {
-    const absl::Status status = Apply(transaction, table, *batch);
+    absl::Status status = Apply(transaction, table, *batch);
     if (status.ok()) continue;
     mdb_txn_abort(transaction);
     return status;
--- a/src/disk/table_store.cpp
+++ b/src/disk/table_store.cpp
@@ -112,7 +112,7 @@
   if (!disk_id.ok()) return disk_id.status();
   auto environment = Environment::Open(OptionsFor(new_file, capacity_bytes));
   if (!environment.ok()) return environment.status();
-  const absl::Status named = (*environment)->SetDiskId(*disk_id);
+  absl::Status named = (*environment)->SetDiskId(*disk_id);
   environment->reset();  // closes it
   if (!named.ok()) return named;
   const std::string file = data_path + "/" + kFileName;
--- a/src/module/bookkeeping.h
+++ b/src/module/bookkeeping.h
@@ -40,7 +40,7 @@
     NoteRepeats(s_);
   }
 
-  void Act(Action a) { actions_->push_back(std::move(a)); }
+  void Act(const Action& action) { actions_->push_back(action); }
 
   // False if a line of this kind was written within kLogEvery; then none is.
   bool Log(LogLine line) {
@@ -120,7 +120,7 @@
     w.idle = Connected(w) ? w.idle - 1 : 0;
     if (!w.silent) pool.busy += r.slots;
     if (a.started < 0) ++w.waiting;
-    w.out.push_back({table_.RefOf(r), static_cast<int>(r.attempts.size()) - 1});
+    w.out.emplace_back(table_.RefOf(r), static_cast<int>(r.attempts.size()) - 1);
     SetUsed(pool.used, w, id, true);
   }
 
--- a/src/module/records.h
+++ b/src/module/records.h
@@ -77,7 +77,7 @@
 // A sum over the last stretch of time only.
 class WindowSum {
  public:
-  void Add(double amount, Micros now) { parts_.push_back({now, amount}); }
+  void Add(double amount, Micros now) { parts_.emplace_back(now, amount); }
   double Now(Micros now, Micros window) {
     std::erase_if(parts_, [&](const auto& p) { return p.first < now - window; });
     double sum = 0;
@@ -229,8 +229,9 @@
   const std::size_t from = size * static_cast<std::size_t>(self), to = from + size;
   std::vector<std::pair<std::size_t, double>> parts;
   for (std::size_t at = from / n; at < size && at * n < to; ++at)
-    parts.push_back({at, static_cast<double>(std::min(to, (at + 1) * n) - std::max(from, at * n)) /
-                             static_cast<double>(parties)});
+    parts.emplace_back(at,
+                       static_cast<double>(std::min(to, (at + 1) * n) - std::max(from, at * n)) /
+                           static_cast<double>(parties));
   return parts;
 }
 
--- a/src/module/state.h
+++ b/src/module/state.h
@@ -25,13 +25,14 @@
   const Pool& PoolOf(const Worker& w) const {
     return pools_[static_cast<std::size_t>(w.entry.kind)];
   }
-  // Of the kind, or of the fastest one that has workers.
+  // Of the kind, or of the fastest one that has workers; 1 where none has.
   double FastestSlowdown(int kind) const {
     if (const Pool* p = Numbered(pools_, kind)) return p->slowdown;
-    double best = kNever;
+    constexpr double kNoSlowdown = std::numeric_limits<double>::infinity();
+    double best = kNoSlowdown;
     for (const Pool& p : pools_)
       if (!p.members.empty()) best = std::min(best, p.slowdown);
-    return best == kNever ? 1.0 : best;
+    return best == kNoSlowdown ? 1.0 : best;
   }
   // Which pools have a class whose jobs may be sent again.
   void NoteRepeats(const Settings& s) {
--- a/src/module/worker_choice.h
+++ b/src/module/worker_choice.h
@@ -148,7 +148,7 @@
     order_.clear();
     for (const Pool* p : open_)
       for (const Member& m : p->members)
-        if (InGroup(r, permit, workers_[m.id])) order_.push_back({Rank(m, *r.key), m.id});
+        if (InGroup(r, permit, workers_[m.id])) order_.emplace_back(Rank(m, *r.key), m.id);
     const double mean = std::min(Work(r), classes_[r.cls].work) * r.slots;
     const double part = keys_.Part(*r.key, mean, kKeyDoubt * mean, now_, kKeyMemory);
     const double wanted = kKeyPlaces + kKeySpread * part * static_cast<double>(order_.size());
--- a/src/settings/yaml_reader.cpp
+++ b/src/settings/yaml_reader.cpp
@@ -1,5 +1,7 @@
 #include "settings/yaml_reader.h"
 
+#include <fmt/format.h>
+
 #include <charconv>
 #include <cmath>
 #include <limits>
@@ -57,7 +59,7 @@
   for (const auto& field : node) {
     std::string name, value;
     ReadValue(field.first, place, &name, findings);
-    ReadValue(field.second, place + "." + name, &value, findings);
+    ReadValue(field.second, fmt::format("{}.{}", place, name), &value, findings);
     (*out)[name] = value;
   }
 }
