--- /dev/null
+++ b/src/durable/keeper_callbacks.cpp
@@ -0,0 +1,75 @@
+// Call-backs of ended jobs: those that are due, in memory as far as they are near.
+#include <algorithm>
+#include <utility>
+
+#include "durable/job_times.h"
+#include "durable/keeper.h"
+#include "node/job_view.h"
+
+namespace pearreach {
+namespace {
+
+constexpr std::size_t kMostCalls = 1024;  // planned call-backs in memory; the rest in the store
+
+}  // namespace
+
+void Keeper::PlanCall(const jobs::Job& job) {
+  if (job.callback_at == 0 || calling_.contains(job.seq)) return;
+  calls_due_.insert({Now() + std::max<Micros>(0, job.callback_at - UnixNow()), job.seq});
+  if (calls_due_.size() > kMostCalls) {  // the store knows the last one, too
+    calls_due_.erase(std::prev(calls_due_.end()));
+    more_calls_ = true;
+  }
+  call_alarm_.Set(calls_due_.begin()->first);
+}
+
+void Keeper::FillCallbacks() {
+  if (!more_calls_ || filling_calls_ || !calls_due_.empty()) return;
+  filling_calls_ = true;
+  store_->Ask({store::WantCallback{}, [this, alive = alive_](store::Found found) {
+                 if (!*alive) return;
+                 filling_calls_ = false;
+                 if (!found.error.empty()) return CountFault("store_failed", found.error);
+                 more_calls_ = false;
+                 for (const jobs::Job& job : found.jobs)
+                   if (!records_.contains(job.seq)) PlanCall(job);
+                 more_calls_ = more_calls_ || found.jobs.size() >= 256;
+               }});
+}
+
+void Keeper::CallBack() {
+  while (!calls_due_.empty() && calls_due_.begin()->first <= Now() && callbacks_.free() &&
+         calling_.size() < Callbacks::kAtOnce) {
+    const std::uint64_t seq = calls_due_.begin()->second;
+    calls_due_.erase(calls_due_.begin());
+    if (!calling_.insert(seq).second) continue;
+    Bring(store::BySeq{seq}, [this, seq](Record* r) {
+      const auto url = r == nullptr || r->job.callback_at == 0
+                           ? std::nullopt
+                           : ReadCallbackUrl(r->job.callback, prefixes_);
+      if (!url) {  // forgotten, or no longer allowed
+        calling_.erase(seq);
+        return;
+      }
+      callbacks_.Post(*url, WriteJobView(View(r->job)), [this, seq](bool good) {
+        Count(good ? "callbacks_told" : "callbacks_failed");
+        Bring(store::BySeq{seq}, [this, seq, good](Record* r) {
+          calling_.erase(seq);
+          if (r == nullptr) return;
+          ++r->job.callback_tries;
+          r->job.callback_done = good;
+          jobs::PlanAfterEnd(&r->job, policy_, UnixNow(), g_random_double());
+          const jobs::Job planned = r->job;
+          Write(*r, {store::PutJob{r->job}}, nullptr);
+          PlanCall(planned);
+        });
+      });
+    });
+  }
+  if (!calls_due_.empty())
+    call_alarm_.Set(callbacks_.free() && calling_.size() < Callbacks::kAtOnce
+                        ? calls_due_.begin()->first
+                        : Now() + 100 * kMs);
+}
+
+}  // namespace pearreach
