Split the node by concern: jobs, attempts, workers and the turn

node/node.cpp held all of it in 671 lines. Its methods are moved as they were: node_jobs.cpp (intake, answer, forgetting), node_attempts.cpp (sends, what workers say, ends), node_workers.cpp (the list, bans); node.cpp keeps the turn, the deadlines and the log.

node_stories_test passes (34 tests, unchanged).

--- /dev/null
+++ b/src/node/node_jobs.cpp
@@ -0,0 +1,112 @@
+// Jobs at the node: their intake, their answer, and when they are forgotten.
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "node/node.h"
+
+namespace pearreach {
+namespace {
+
+// The deadline runs from when the client sent; the way here is not told, so it is allowed for.
+constexpr Micros kWayHere = 5 * kMs;
+
+// The module answers by the deadline. What is still unanswered so long after it is failed here.
+constexpr Micros kAnswerGrace = 10 * kMs;
+
+}  // namespace
+
+std::optional<Ticket> Node::Submit(Job job, Client* client) {
+  return SubmitGuarded(std::move(job), client, nullptr, {});
+}
+
+std::optional<Ticket> Node::SubmitGuarded(Job job, Client* client, Guard* guard,
+                                          const std::vector<Adopted>& attempts) {
+  const auto [slot, fresh] = by_id_.try_emplace(job.id, last_ticket_ + 1);
+  if (!fresh) return std::nullopt;
+  const Ticket ticket = ++last_ticket_;
+  Count("jobs");
+  marlquay::RequestArrived e;
+  e.request = ticket;
+  e.cls = job.cls;
+  e.tenant = job.tenant;
+  e.slots = job.slots;
+  e.is_repeat = job.is_repeat;
+  e.key = job.key;
+  e.due = job.received + job.patience - std::min(kWayHere, job.patience / 2);
+  Admission admission;
+  if (admit_ && guard == nullptr) admission = admit_(job.tenant, job.is_repeat);
+  e.over_share = admission.over_share;
+  capture::Note note;
+  if (recorder_ != nullptr) note.id = job.id;
+  Record& r = records_[ticket];
+  r.job = std::move(job);
+  r.client = client;
+  r.guard = guard;
+  r.due = e.due;
+  ++open_;
+  deadlines_.insert({r.due, ticket});
+  if (admission.refused) {
+    denied_.push_back({ticket, admission.retry_after});
+    ArmTurn();
+    return ticket;
+  }
+  Post(e, std::move(note));
+  for (const Adopted& a : attempts) {
+    marlquay::AttemptAdopted adopted{ticket, IdOf(a.worker), a.sent, a.started, a.was};
+    const bool out = a.was == marlquay::AttemptAdopted::Was::kOut;
+    r.attempts.push_back({adopted.worker, a.sent, out, true});
+    if (out) {
+      ++r.out;
+      Attempt& mine = r.attempts.back();
+      mine.heard = Now();  // a whole lease from now on: the worker may have spoken to nobody
+      if (r.job.lease > 0)
+        leases_.insert(
+            {mine.heard + r.job.lease, {ticket, static_cast<int>(r.attempts.size()) - 1}});
+    }
+    Post(adopted);
+  }
+  if (!leases_.empty()) lease_alarm_.Set(leases_.begin()->first);
+  return ticket;
+}
+
+void Node::Abandon(Ticket ticket) {
+  const auto it = records_.find(ticket);
+  if (it == records_.end() || it->second.answered) return;
+  Count("abandoned");
+  it->second.answered = true;
+  it->second.client = nullptr;
+  --open_;
+  Post(marlquay::RequestLapsed{ticket});
+  Forget(ticket);
+}
+
+void Node::Reply(Ticket ticket, Record& r, const Answer& answer) {
+  if (!Must(!r.answered, "second_answer")) return;
+  r.answered = true;
+  --open_;
+  if (r.job.cls >= 0 && static_cast<std::size_t>(r.job.cls) < tally_.size()) {
+    Tally& t = tally_[static_cast<std::size_t>(r.job.cls)];
+    ++(answer.kind == Answer::Kind::kServed    ? t.success
+       : answer.kind == Answer::Kind::kRefused ? t.busy
+                                               : t.failure);
+  }
+  r.client->OnAnswer(ticket, answer);
+}
+
+// A record goes when it is answered and none of its attempts is out.
+void Node::Forget(Ticket ticket) {
+  const auto it = records_.find(ticket);
+  if (it == records_.end() || !it->second.answered) return;
+  Record& r = it->second;
+  if (r.out > 0) {
+    r.job.body = std::string();  // large, and of no more use
+    return;
+  }
+  deadlines_.erase({r.due, ticket});
+  deadlines_.erase({r.due + kAnswerGrace, ticket});
+  by_id_.erase(r.job.id);
+  records_.erase(it);
+}
+
+}  // namespace pearreach
