--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -124,6 +124,9 @@
   void ZonesTurn();
   void SendZones(std::vector<zones::Zones::Out>* out);
   void ApplyZones();
+  void ReportStanding(const zones::Standing& standing);
+  zones::Use UseOf(Micros now, zones::WorkerKey worker, int zone) const;
+  void ApplyUses(Micros now);
   std::string WhyOf(const zones::Standing& standing) const;
   void OpenRules();
   void ApplyRules();
