--- a/src/proxy/job_runner.cpp
+++ b/src/proxy/job_runner.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Micros kRefreshDelay = 5 * kMs;     // changes of the worker table within it go together
-constexpr Micros kShareEvery = 2 * kSecond;   // this node's share is looked at no more often
+constexpr Micros kShareEvery = 200 * kMs;     // this node's share is looked at no more often
 constexpr std::size_t kLeastConnections = 2;  // to each worker, however many nodes there are
 constexpr std::size_t kDefaultConnections = 16;  // of a service that names no limit
 constexpr double kBulkFill = 0.85;  // of this node's slots; what lies above is kept for live jobs
@@ -29,6 +29,7 @@
 
   std::uint64_t Submit(JobSpec spec, std::shared_ptr<JobSink> sink) override;
   void Cancel(std::uint64_t job) override;
+  void Resume(std::uint64_t job) override;
   int BulkRoom(const std::string& service) const override;  // of JobHost, too
 
  private:
@@ -52,6 +53,7 @@
   std::shared_ptr<const registry::WorkerTable> table_;
   NodeShare share_;
   Micros share_seen_ = 0;  // when it was looked at last; 0: never
+  const Micros started_ = Now();
   Timers::Id refresh_ = 0, warm_ = 0;
   std::unordered_map<std::string, std::unique_ptr<ServiceLine>> lines_;
   std::unordered_map<std::uint64_t, std::shared_ptr<RunningJob>> jobs_;
@@ -100,6 +102,11 @@
   running->Cancel();
 }
 
+void Runner::Resume(std::uint64_t job) {
+  const auto found = jobs_.find(job);
+  if (found != jobs_.end()) std::shared_ptr(found->second)->Resume();
+}
+
 // What this node's part of the slots leaves below the fill. Each node keeps to its own part, whose
 // use it knows at once: what workers tell of all nodes' jobs comes too late for a burst.
 int Runner::BulkRoom(const std::string& service) const {
@@ -121,8 +128,10 @@
       line.dispatcher.held_bulk() + line.bulk_waiting + static_cast<int>(line.bulk_gate.waiting());
   const int out = line.workers.InFlight();
   const int ahead = kBulkAhead * line.bulk_gate.allowance() - held;
-  const int room = std::min(static_cast<int>(std::floor(usable)) - out - held, ahead);
   const bool idle = out + held == 0;
+  // Guards a start: a node that does not know the others yet takes all slots for its own part.
+  if (Now() < started_ + options_.settle) return idle ? 1 : 0;
+  const int room = std::min(static_cast<int>(std::floor(usable)) - out - held, ahead);
   return std::max(room, idle ? 1 : 0);
 }
 
