--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -12,8 +12,6 @@
 
 constexpr Micros kOpenEvery = 100 * kMs;
 
-std::string Name(int node) { return std::to_string(node); }
-
 }  // namespace
 
 Fleet::Fleet(FleetSettings settings)
@@ -155,14 +153,14 @@
     if (!MayLog()) continue;
     const std::string before = c.before.process == 0 ? "unknown" : NameOf(c.before.status);
     Log("member",
-        {{"peer", Name(c.node)},
+        {{"peer", std::to_string(c.node)},
          {"status", NameOf(c.after.status)},
          {"before", before},
          {"process", std::to_string(c.after.process)},
          {"version", std::to_string(c.after.version)},
-         {"by", Name(c.by)}},
-        "node " + Name(c.node) + " is " + NameOf(c.after.status) + " (was " + before + "), by " +
-            (c.by == settings_.self ? "this node" : "node " + Name(c.by)));
+         {"by", std::to_string(c.by)}},
+        "node " + std::to_string(c.node) + " is " + NameOf(c.after.status) + " (was " + before +
+            "), by " + (c.by == settings_.self ? "this node" : "node " + std::to_string(c.by)));
   }
   const members::Counts& n = members_->counts();
   CountGrowth("member_probes", n.probes, &reported_.probes);
@@ -195,7 +193,7 @@
   for (int n = 0; n < static_cast<int>(settings_.nodes.size()); ++n) {
     const members::Entry& e = members_->entry(n);
     const auto [asked, heard] = members_->says(n);
-    entries += (n > 0 ? " " : "") + Name(n) + ":" +
+    entries += (n > 0 ? " " : "") + std::to_string(n) + ":" +
                (e.process == 0 ? "unknown" : NameOf(e.status)) + ":" + std::to_string(e.process) +
                ":" + std::to_string(e.version);
     if (asked > 0) entries += ":" + std::to_string(heard) + "/" + std::to_string(asked);
--- a/src/fleet/fleet_shared.cpp
+++ b/src/fleet/fleet_shared.cpp
@@ -13,8 +13,6 @@
 
 constexpr double kRunLearn = 0.05;  // weight of one job in what is usual of its class
 
-std::string Name(int node) { return std::to_string(node); }
-
 std::string Figure(double value) {
   char text[32];
   std::snprintf(text, sizeof text, "%.1f", value);
@@ -135,7 +133,7 @@
   if (judged_) judged_(it->second.name, told);
   if (!MayLog()) return;
   std::string witnesses;
-  for (const int n : s.witnesses) witnesses += (witnesses.empty() ? "" : " ") + Name(n);
+  for (const int n : s.witnesses) witnesses += (witnesses.empty() ? "" : " ") + std::to_string(n);
   Log("judgement",
       {{"worker", it->second.name},
        {"out", s.out ? "1" : "0"},
@@ -173,7 +171,7 @@
     const auto it = listed_.find(key);
     if (!s.out || it == listed_.end()) continue;
     out += (out.empty() ? "" : " ") + it->second.name + ":" + NameOf(s.verdict);
-    for (const int n : s.witnesses) out += ":" + Name(n);
+    for (const int n : s.witnesses) out += ":" + std::to_string(n);
   }
   Log("shared",
       {{"process", std::to_string(shared_->process())},
--- a/src/fleet/fleet_zones.cpp
+++ b/src/fleet/fleet_zones.cpp
@@ -10,8 +10,6 @@
 
 using peers::Topic;
 
-std::string Name(int node) { return std::to_string(node); }
-
 }  // namespace
 
 void Fleet::OpenZones() {
@@ -80,11 +78,11 @@
   if (s.by_hand) {
     std::string by;
     for (const zones::Order& o : zones_->orders())
-      if (o.number == s.number && o.what != zones::Order::What::kNone) by = Name(o.by);
+      if (o.number == s.number && o.what != zones::Order::What::kNone) by = std::to_string(o.by);
     return "by hand, said at node " + by + number;
   }
   std::string witnesses;
-  for (const int n : s.witnesses) witnesses += " " + Name(n);
+  for (const int n : s.witnesses) witnesses += " " + std::to_string(n);
   return std::string(NameOf(s.cause)) +
          (witnesses.empty() ? std::string() : " by nodes" + witnesses) +
          (s.whose >= 0
@@ -111,7 +109,7 @@
 void Fleet::ReportStanding(const zones::Standing& s) {
   const std::string& zone = settings_.zones->zones[static_cast<std::size_t>(s.zone)];
   std::string witnesses;
-  for (const int n : s.witnesses) witnesses += (witnesses.empty() ? "" : " ") + Name(n);
+  for (const int n : s.witnesses) witnesses += (witnesses.empty() ? "" : " ") + std::to_string(n);
   const std::string line =
       s.own ? zone + " is left by the others; this node is inside and serves it: " + WhyOf(s)
       : s.step == zones::kLeft  ? zone + " is left: " + WhyOf(s)
@@ -190,17 +188,17 @@
   }
   for (const zones::Verdict& v : zones_->verdicts())
     text += "\nverdict " + zones_->name(v.target) + " " + std::to_string(v.number) + ": step " +
-            std::to_string(v.step) + " since " + at(v.at) + " by node " + Name(v.by) +
+            std::to_string(v.step) + " since " + at(v.at) + " by node " + std::to_string(v.by) +
             (v.whose < 0 ? std::string()
                          : ", for nodes of zone " +
                                settings_.zones->zones[static_cast<std::size_t>(v.whose)]);
   for (const zones::Order& o : zones_->orders())
     text += "\norder " + zones_->name(o.target) + " " + std::to_string(o.number) + ": " +
             (o.what == zones::Order::What::kNone ? "taken back" : NameOf(o.what)) + " at " +
-            at(o.at) + ", said at node " + Name(o.by);
+            at(o.at) + ", said at node " + std::to_string(o.by);
   for (const zones::Order& o : zones_->overruled())
     text += "\noverruled " + zones_->name(o.target) + " " + std::to_string(o.number) + ": " +
-            NameOf(o.what) + " at " + at(o.at) + ", said at node " + Name(o.by);
+            NameOf(o.what) + " at " + at(o.at) + ", said at node " + std::to_string(o.by);
   return text;
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <variant>
 
+#include "node/answer_grace.h"
+
 namespace pearreach {
 namespace {
 
@@ -12,9 +14,6 @@
 constexpr Micros kRecallFor = 60 * kSecond;  // for a worker's first mention by the list
 constexpr int kWorkerShare = 8;  // a part of so many of the descriptors leads to workers
 
-// The module answers by the deadline. What is still unanswered so long after it is failed here.
-constexpr Micros kAnswerGrace = 10 * kMs;
-
 // The platform's workers answer 202 as soon as they have a job.
 marlquay::Settings WithTaken(marlquay::Settings settings) {
   settings.tells_taken = true;
--- a/src/node/node_jobs.cpp
+++ b/src/node/node_jobs.cpp
@@ -3,6 +3,7 @@
 #include <iterator>
 #include <utility>
 
+#include "node/answer_grace.h"
 #include "node/node.h"
 
 namespace pearreach {
@@ -11,9 +12,6 @@
 // The deadline runs from when the client sent; the way here is not told, so it is allowed for.
 constexpr Micros kWayHere = 5 * kMs;
 
-// The module answers by the deadline. What is still unanswered so long after it is failed here.
-constexpr Micros kAnswerGrace = 10 * kMs;
-
 }  // namespace
 
 std::optional<Ticket> Node::Submit(Job job, Client* client) {
--- a/src/rules/paxos.cpp
+++ b/src/rules/paxos.cpp
@@ -9,8 +9,6 @@
 
 constexpr int kBallotNode = 20;  // low bits of a ballot: the node
 
-std::string Name(std::uint64_t number) { return std::to_string(number); }
-
 }  // namespace
 
 std::uint64_t Agreement::NextBallot() {
@@ -155,11 +153,11 @@
     const bool mine = v != nullptr ? v->head.hash == proposal_->hash
                                    : head_.number == number && head_.hash == proposal_->hash;
     if (mine)
-      End(Outcome::What::kChosen, "version " + Name(number) + " is chosen");
+      End(Outcome::What::kChosen, "version " + std::to_string(number) + " is chosen");
     else
-      End(Outcome::What::kLost, v != nullptr
-                                    ? Words(v->document) + " stands in its way"
-                                    : "version " + Name(head_.number) + " stands in its way");
+      End(Outcome::What::kLost,
+          v != nullptr ? Words(v->document) + " stands in its way"
+                       : "version " + std::to_string(head_.number) + " stands in its way");
     return true;
   }
   if (now < proposal_->until) return false;
--- a/src/rules/proposals.cpp
+++ b/src/rules/proposals.cpp
@@ -5,12 +5,6 @@
 #include "rules/rules.h"
 
 namespace pearreach::rules {
-namespace {
-
-std::string Name(std::uint64_t number) { return std::to_string(number); }
-
-}  // namespace
-
 std::uint64_t Agreement::Propose(Micros now, Document document, std::optional<std::uint64_t> after,
                                  std::int64_t unix_ms, std::string* why) {
   const Version* v = current();
@@ -18,9 +12,10 @@
     *why = text;
     return std::uint64_t{0};
   };
-  if (v == nullptr) return refuse("this node has not read version " + Name(head_.number) + " yet");
+  if (v == nullptr)
+    return refuse("this node has not read version " + std::to_string(head_.number) + " yet");
   if (after && *after != head_.number)
-    return refuse("made after version " + Name(*after) + ", but " + Words(v->document) +
+    return refuse("made after version " + std::to_string(*after) + ", but " + Words(v->document) +
                   " is in force");
   if (proposal_ && proposal_->number != 0)
     return refuse("another proposal is on its way at this node");
@@ -29,7 +24,7 @@
     if (voter < 0 || voter >= options_.nodes)
       return refuse("there is no node " + std::to_string(voter));
   if (document.rules == v->document.rules && document.voters == v->document.voters)
-    return refuse("it is what version " + Name(head_.number) + " says already");
+    return refuse("it is what version " + std::to_string(head_.number) + " says already");
   int heard = 0;
   const Micros since = now - 8 * options_.every;
   for (const int voter : v->document.voters) {
