Let jobs wait for workers after a start of all nodes

Cause: after a power loss of all machines the nodes are back before the workers have called again: for about a second they knew 0 to 21 of 52 workers, held live requests for half their objective (100 ms) and refused them. Clients had used a retry on the outage, so most of these refusals were their last. Ruled out: a slot limit that grows too slowly (backlog raises it by 1.5 slots a worker a check), missing configuration (no refusal had that reason), start time alone.

Change: as long as no live edge node began earlier than this one by the learning time (1.5 beat_ms), a job may wait until that time is over; where an older node lives, refusals go out as before.

--- /dev/null
+++ b/src/proxy/fleet_start.cpp
@@ -0,0 +1,37 @@
+#include "proxy/fleet_start.h"
+
+namespace pearreach::proxy {
+namespace {
+
+using coordination::MemberInfo;
+using coordination::MemberStatus;
+
+}  // namespace
+
+FleetStart::FleetStart(const control::ControlClient* control, std::string node_name, Micros began,
+                       Micros learn_time)
+    : control_(control),
+      node_name_(std::move(node_name)),
+      until_(began + learn_time),
+      learn_time_(learn_time) {}
+
+Micros FleetStart::LearnsUntil(Micros now) const {
+  return now < until_ && !HasOlderNode() ? until_ : 0;
+}
+
+// Incarnations are the starts of processes, in milliseconds of the time of day.
+bool FleetStart::HasOlderNode() const {
+  const auto& members = control_->members();
+  const auto self = members.find(node_name_);
+  if (self == members.end()) return false;
+  const auto margin = static_cast<std::uint64_t>(learn_time_ / kMs);
+  for (const auto& [name, member] : members) {
+    const bool live =
+        member.status == MemberStatus::kAlive || member.status == MemberStatus::kSuspect;
+    if (!live || !member.info.Is(MemberInfo::kServesEdge)) continue;
+    if (member.info.incarnation + margin < self->second.info.incarnation) return true;
+  }
+  return false;
+}
+
+}  // namespace pearreach::proxy
--- a/src/proxy/job_runner.cpp
+++ b/src/proxy/job_runner.cpp
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "proxy/fleet_start.h"
 #include "proxy/running_job.h"
 #include "proxy/service_line.h"
 
@@ -36,6 +37,7 @@
   void RefreshWorkers() override { Refresh(); }
   std::size_t ConnectionLimit(const std::string& service) const override;
   double WorkerTokens(const std::string& service) const override;
+  Micros LearnsWorkersUntil(Micros now) const override { return fleet_start_.LearnsUntil(now); }
   void Forget(std::uint64_t job) override { jobs_.erase(job); }
 
   ServiceLine& Line(const std::string& service);
@@ -49,6 +51,7 @@
   registry::WorkerSource* source_;
   control::ControlClient* control_;
   RunnerOptions options_;
+  const FleetStart fleet_start_;
   std::shared_ptr<const registry::WorkerTable> table_;
   NodeShare share_;
   Micros share_seen_ = 0;  // when it was looked at last; 0: never
@@ -65,6 +68,7 @@
       source_(workers),
       control_(control),
       options_(std::move(options)),
+      fleet_start_(control, options_.node_name, Now(), options_.learn_time),
       table_(workers->Workers()) {
   const std::weak_ptr<bool> alive = alive_;
   source_->OnChange([this, alive] {
--- a/src/proxy/job_runner.h
+++ b/src/proxy/job_runner.h
@@ -17,6 +17,7 @@
   std::string node_name;   // as membership names this node
   std::string zone;        // its zone
   std::uint64_t seed = 1;  // of the decision module's choices
+  Micros learn_time = 0;   // in which all workers call after a start of all nodes (FleetStart)
 };
 
 // All must outlive the runner; listeners that it adds end with it.
--- a/src/proxy/running_job.cpp
+++ b/src/proxy/running_job.cpp
@@ -182,7 +182,10 @@
   if (runs_ > 0) return std::min(spec_.due, now + kHoldAgain);
   const double share = line_->dispatcher.limit_grows() ? kGrowingHoldShare : kHoldShare;
   const Micros hold = std::max(FromMs(share * spec_.target_ms) - kHoldMargin, kHoldLeast);
-  return std::min(spec_.due, std::max(started_ + hold, now + kHoldLeast));
+  // After a start of all nodes no other one knows more workers than this one: waiting serves the
+  // client better than a refusal, which would be its last.
+  const Micros learned = host_->LearnsWorkersUntil(now);
+  return std::min(spec_.due, std::max({started_ + hold, now + kHoldLeast, learned}));
 }
 
 // The job itself gives up: at the module only what has missed its objective makes slots dear.
--- a/src/tier/node.cpp
+++ b/src/tier/node.cpp
@@ -36,6 +36,7 @@
 constexpr Micros kPlatformNotices = 2500 * kMs;  // two missed readiness questions, one a second
 constexpr Micros kLeaveTime = 300 * kMs;         // for the word of the leaving to go out
 constexpr Micros kExitMargin = 700 * kMs;        // kept of `grace_s`
+constexpr double kLearnBeats = 1.5;              // of heartbeats, in which all workers call
 constexpr Micros kPoll = 50 * kMs;               // between looks at what is still under way
 
 std::uint64_t WallMilliseconds() {
@@ -160,6 +161,7 @@
   options.node_name = settings_.node_name;
   options.zone = settings_.zone;
   options.seed = WallMilliseconds() ^ std::hash<std::string>()(settings_.node_name);
+  options.learn_time = static_cast<Micros>(kLearnBeats * settings_.beat_ms * kMs);
   runner_ = proxy::MakeJobRunner(&timers_, registry_.get(), control_.get(), options);
   gateway_ = std::make_unique<gateway::Gateway>(control_.get(), runner_.get(), &timers_);
   store_client_ = std::make_unique<batch::StoreClient>(&timers_, mesh_.get(), control_.get());
--- a/tests/tier/proxy/proxy_rig.h
+++ b/tests/tier/proxy/proxy_rig.h
@@ -242,7 +242,7 @@
 };
 
 struct Rig {
-  Rig() { runner = MakeJobRunner(&timers, &workers, &control, {"me", "here", 7}); }
+  Rig() { runner = MakeJobRunner(&timers, &workers, &control, {"me", "here", 7, 0}); }
 
   // Workers answer by their scripts; the least numbered ones are not preferred.
   ScriptedWorker& Add(std::vector<ScriptedWorker::Step> steps) {
