--- a/tests/tier/proxy/proxy_rig.h
+++ b/tests/tier/proxy/proxy_rig.h
@@ -247,7 +247,7 @@
 struct Rig {
   // `settle`: see RunnerOptions.
   explicit Rig(Micros settle = 0) {
-    runner = MakeJobRunner(&timers, &workers, &control, {"me", "here", 7, settle});
+    runner = MakeJobRunner(&timers, &workers, &control, {"me", "here", 7, settle, 0});
   }
 
   // Workers answer by their scripts; the least numbered ones are not preferred.
