Bear a time of day that steps: lots age by the steady clock, nodes rejoin

A process that started under an earlier time of day than the one before it had a lower incarnation and stayed outside membership, and stores leased it no items.

Ruled out: a wrong retain_s, counted failures.

Change: lot_age.h counts from when the process first had the lot, by its steady clock; items may run until they are given up. A node tells a process of a lower incarnation what it knows of its name, and that process overtakes an earlier one at its own address; stores know edge nodes by that number.

--- a/src/batch/item_taker.cpp
+++ b/src/batch/item_taker.cpp
@@ -109,11 +109,16 @@
   if (!all_open) AskLater(next);
 }
 
+std::uint64_t ItemTaker::Process() const {
+  const auto self = control_->members().find(node_);
+  return self == control_->members().end() ? process_ : self->second.info.incarnation;
+}
+
 void ItemTaker::AskStore(const StoreId& store, std::map<std::string, int> room) {
   asked_[store].open = true;
   TakeItems take;
   take.node = node_;
-  take.process = process_;
+  take.process = Process();
   take.room = std::move(room);
   take.wait_ms = kTakeWaitMs;
   const Micros timeout = kTakeWaitMs * kMs + kAnswerTime;
--- a/src/batch/item_taker.h
+++ b/src/batch/item_taker.h
@@ -22,9 +22,11 @@
  public:
   using Taken = std::function<void(LeasedItem item)>;
 
-  // `process`: this process of the node, greater for a later one.
+  // `process`: this process of the node, greater for a later one, until membership says more.
   ItemTaker(Timers* timers, StoreClient* stores, control::ControlClient* control,
             proxy::JobRunner* runner, std::string node, std::uint64_t process, Taken taken);
+  // What stores know this process by: its incarnation in membership, which may have been raised.
+  std::uint64_t Process() const;
   ~ItemTaker();
   ItemTaker(const ItemTaker&) = delete;
   ItemTaker& operator=(const ItemTaker&) = delete;
--- a/src/batch/item_worker.cpp
+++ b/src/batch/item_worker.cpp
@@ -89,9 +89,8 @@
       control_(control),
       runner_(runner),
       node_(std::move(node)),
-      process_(process),
       random_(std::random_device()()),
-      taker_(timers, stores, control, runner, node_, process_,
+      taker_(timers, stores, control, runner, node_, process,
              [this](LeasedItem item) { OnTaken(std::move(item)); }) {
   control->OnChange([this, alive = alive_] {
     if (*alive) OnControlChange();
@@ -294,7 +293,7 @@
   for (auto& [store, keys] : by_store) {
     RenewLeases renew;
     renew.node = node_;
-    renew.process = process_;
+    renew.process = taker_.Process();
     renew.held = keys;
     stores_->Renew(store, std::move(renew), kRenewTimeout,
                    [this, alive = alive_, keys = std::move(keys),
--- a/src/batch/item_worker.h
+++ b/src/batch/item_worker.h
@@ -66,7 +66,6 @@
   control::ControlClient* control_;
   proxy::JobRunner* runner_;
   const std::string node_;
-  const std::uint64_t process_;
   std::minstd_rand random_;
   std::map<Key, std::unique_ptr<Held>> held_;
   std::uint64_t routes_revision_ = 0, stores_revision_ = 0;
--- a/src/batch/lot_state.cpp
+++ b/src/batch/lot_state.cpp
@@ -320,6 +320,12 @@
   }
 }
 
+void LotTable::StampNew(Micros now) {
+  for (auto& [id, lot] : lots_) {
+    if (!lot.known_since.has_value()) lot.known_since = now;
+  }
+}
+
 std::uint32_t LotTable::BucketOf(std::string_view lot_id) {
   return static_cast<std::uint32_t>(Mix(HashBytes(lot_id)) % kDigestBuckets);
 }
--- a/src/batch/lot_state.h
+++ b/src/batch/lot_state.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/io.h"
 #include "batch/messages.h"
 #include "disk/table_store.h"
 
@@ -84,8 +85,9 @@
   LotHeader header;
   std::vector<ItemState> items;
   bool ended = false;
-  std::uint32_t results = 0;  // positions taken
-  std::uint64_t digest = 0;   // over all records but the items'
+  std::uint32_t results = 0;          // positions taken
+  std::uint64_t digest = 0;           // over all records but the items'
+  std::optional<Micros> known_since;  // when this process first had it; see lot_age.h
   // Of the primary: what all replicas hold and may be seen.
   bool accepted = false;
   std::uint32_t visible_results = 0;
@@ -134,6 +136,8 @@
   Lot* Find(const std::string& lot_id);
   const std::map<std::string, Lot>& lots() const { return lots_; }
   void MakeAllVisible();
+  // Lots that were not stamped before are known since `now`, of the steady clock.
+  void StampNew(Micros now);
 
   static std::uint32_t BucketOf(std::string_view lot_id);
   std::vector<std::uint64_t> BucketDigests() const;
--- a/src/batch/lot_store_changes.cpp
+++ b/src/batch/lot_store_changes.cpp
@@ -1,30 +1,19 @@
 #include "batch/lot_store_changes.h"
 
-#include <algorithm>
 #include <utility>
 
+#include "batch/lot_age.h"
+
 namespace pearreach::batch {
 namespace {
 
 constexpr std::size_t kLongestLotId = 200;
-// Clocks of machines differ a little; later costs nothing.
-constexpr double kAbandonMarginMs = 5'000, kForgetMarginMs = 30'000;
 
 bool IsProperId(const std::string& lot_id) {
   return !lot_id.empty() && lot_id.size() <= kLongestLotId &&
          lot_id.find('\0') == std::string::npos;
 }
 
-bool MayAbandon(const Lot& lot, double age_ms) {
-  return lot.accepted && lot.Open() && lot.header.retain_s > 0 &&
-         age_ms > lot.header.retain_s * 1000 + kAbandonMarginMs;
-}
-
-bool MayForget(const Lot& lot, double age_ms) {
-  const double kept_ms = std::max(lot.header.retain_s, lot.header.status_s) * 1000;
-  return lot.accepted && !lot.Open() && age_ms > kept_ms + kForgetMarginMs;
-}
-
 }  // namespace
 
 void LotChanges::OnCreate(CreateLot create, mesh::Respond respond) {
@@ -138,17 +127,17 @@
 void LotChanges::Sweep() {
   for (std::uint32_t partition = 0; partition < kPartitions; ++partition) {
     PartitionReplica& replica = context_->Replica(partition);
+    replica.lots().StampNew(context_->Now());
     if (replica.is_active()) SweepPartition(&replica);
   }
 }
 
 void LotChanges::SweepPartition(PartitionReplica* replica) {
   std::vector<std::string> over, old;
-  const std::int64_t now = context_->WallMs();
+  const Micros now = context_->Now();
   for (const auto& [lot_id, lot] : replica->lots().lots()) {
-    const auto age_ms = static_cast<double>(now - lot.header.created_wall_ms);
-    if (MayAbandon(lot, age_ms)) over.push_back(lot_id);
-    if (MayForget(lot, age_ms)) old.push_back(lot_id);
+    if (MayAbandon(lot, now)) over.push_back(lot_id);
+    if (MayForget(lot, now)) old.push_back(lot_id);
   }
   for (const std::string& lot_id : over) items_->Abandon(replica, lot_id);
   for (const std::string& lot_id : old) {
--- a/src/batch/lot_store_items.cpp
+++ b/src/batch/lot_store_items.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "batch/lot_age.h"
 #include "logging/log.h"
 
 namespace pearreach::batch {
@@ -135,8 +136,7 @@
   item->expires_ms = kLeaseSpan / kMs;
   item->failures = static_cast<std::uint32_t>(lot->items[taken.item].failed_leases.size());
   item->tries = header.tries;
-  const auto age_ms = static_cast<double>(context_->WallMs() - header.created_wall_ms);
-  item->retain_left_ms = std::max(0.0, header.retain_s * 1000 - age_ms);
+  item->retain_left_ms = RunLeftMs(*lot, context_->Now());
   item->item = *std::move(spec);
   return true;
 }
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -1,6 +1,7 @@
 #include "coordination/membership.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 #include <utility>
 
@@ -129,7 +130,11 @@
 }
 
 void Membership::ApplyToSelf(const MemberRecord& news) {
-  if (news.info.incarnation > options_.self.incarnation) return;  // another process took the name
+  if (news.info.incarnation > options_.self.incarnation) {
+    // At another address, another process took the name. At this one it is an earlier process.
+    if (news.info.address == options_.self.address) Overtake(news.info.incarnation);
+    return;
+  }
   if (news.info.incarnation < options_.self.incarnation) {
     if (IsLive(news.status)) NoteChange(clock_, options_.self.name);
     return;
@@ -138,6 +143,17 @@
   if (doubted) Refute(news.refutations);
 }
 
+// The time of day was later when the process before this one started.
+void Membership::Overtake(std::uint64_t incarnation) {
+  if (left_ || incarnation == std::numeric_limits<std::uint64_t>::max()) return;
+  options_.self.incarnation = incarnation + 1;
+  Member& self = Self();
+  self.info.incarnation = options_.self.incarnation;
+  self.refutations = 0;
+  digest_known_ = false;
+  NoteChange(clock_, self.info.name);
+}
+
 void Membership::Refute(std::uint32_t refutations) {
   Member& self = Self();
   if (refutations < self.refutations || refutations >= kMaxRefutations) return;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -118,6 +118,7 @@
   const Member& Self() const { return members_.at(options_.self.name); }
   bool Apply(Micros now, const MemberRecord& news);
   void ApplyToSelf(const MemberRecord& news);
+  void Overtake(std::uint64_t incarnation);
   void Refute(std::uint32_t refutations);
   void SetLive(const std::string& name, bool live);
   void NoteChange(Micros now, const std::string& name);
@@ -138,6 +139,8 @@
 
   // membership_receive.cpp: packets in
   bool NoteSender(Micros now, const MemberPacket& packet);
+  void TellReplaced(Micros now, const std::string& from_ip, const MemberPacket& packet,
+                    std::vector<Datagram>* out);
   bool NoteView(const ReceiverView& view);
   void NoteAnswer(Micros now);
   bool TakeListAllowance(Micros now);
--- a/src/coordination/membership_receive.cpp
+++ b/src/coordination/membership_receive.cpp
@@ -57,10 +57,23 @@
       answer.records.push_back(MakeRecord(now, Self()));
       Send(now, from, std::move(answer), out);
     }
+  } else {
+    TellReplaced(now, from_ip, packet, out);
   }
   planned_ = NextTick();
 }
 
+// So that a process that started under an earlier time of day than the one before it goes on under
+// a greater number.
+void Membership::TellReplaced(Micros now, const std::string& from_ip, const MemberPacket& packet,
+                              std::vector<Datagram>* out) {
+  const Member& known = members_.at(packet.sender);
+  if (packet.incarnation >= known.info.incarnation) return;
+  MemberPacket answer = NewPacket(PacketKind::kUpdate, nullptr);
+  answer.records.push_back(MakeRecord(now, known));
+  Send(now, from_ip + ":" + std::to_string(packet.port), std::move(answer), out);
+}
+
 // False: the packet is of a process that has been replaced or has left.
 bool Membership::NoteSender(Micros now, const MemberPacket& packet) {
   auto found = members_.find(packet.sender);
--- a/tests/tier/coordination/membership_cluster.cpp
+++ b/tests/tier/coordination/membership_cluster.cpp
@@ -14,9 +14,15 @@
 
 Cluster::Cluster(std::uint64_t seed, Network net) : network(net), random_(seed) {}
 
-void Cluster::Start(int i, const std::string& address) {
+std::uint64_t Cluster::IncarnationOf(int i) const {
+  const Node& node = nodes_.at(i);
+  if (node.machine == nullptr) return node.incarnation;
+  return node.machine->members().at(NameOf(i)).info.incarnation;
+}
+
+void Cluster::Start(int i, const std::string& address, std::uint64_t incarnation) {
   Node& node = nodes_[i];
-  const std::uint64_t incarnation = std::max<std::uint64_t>(node.incarnation + 1, 1000);
+  if (incarnation == 0) incarnation = std::max<std::uint64_t>(IncarnationOf(i) + 1, 1000);
   node = Node{};
   node.incarnation = incarnation;
   node.address = address.empty() ? AddressOf(i) : address;
@@ -153,8 +159,7 @@
     if (member.info.incarnation < seen) violations.push_back("an incarnation goes back: " + name);
     seen = member.info.incarnation;
     const int target = IndexOf(name);
-    const bool wrong = Running(target) &&
-                       member.info.incarnation == nodes_.at(target).incarnation &&
+    const bool wrong = Running(target) && member.info.incarnation == IncarnationOf(target) &&
                        !IsLive(member.status);
     if (wrong && !wrong_since_.contains({i, target})) {
       ++wrong_deaths;
@@ -213,7 +218,7 @@
     for (const auto& [j, other] : nodes_) {
       const bool live = Knows(i, j) && IsLive(StatusAt(i, j));
       const bool current =
-          live && node.machine->members().at(NameOf(j)).info.incarnation == other.incarnation;
+          live && node.machine->members().at(NameOf(j)).info.incarnation == IncarnationOf(j);
       if (live == Running(j) && (!live || current)) continue;
       text +=
           std::to_string(i) + (live ? " holds live " : " holds gone ") + std::to_string(j) + "; ";
--- a/tests/tier/coordination/membership_cluster.h
+++ b/tests/tier/coordination/membership_cluster.h
@@ -27,8 +27,9 @@
  public:
   explicit Cluster(std::uint64_t seed, Network network = {});
 
-  // Starts node `i`, or starts it again: a later incarnation, at `address` where that is given.
-  void Start(int i, const std::string& address = "");
+  // Starts node `i`, or starts it again: a later incarnation, or the one that is given, at
+  // `address` where that is given.
+  void Start(int i, const std::string& address = "", std::uint64_t incarnation = 0);
   void StartAll(int count);
   void Kill(int i);
   void Leave(int i);
@@ -54,6 +55,8 @@
   int HeldLiveBy(int target) const;
   Micros now() const { return now_; }
 
+  // Of its running process, else of the last one.
+  std::uint64_t IncarnationOf(int i) const;
   static std::string NameOf(int i) { return "edge-zone-" + std::to_string(i); }
   static std::string AddressOf(int i) { return "10.0.0." + std::to_string(i) + ":7660"; }
 
--- a/tests/tier/coordination/membership_test.cpp
+++ b/tests/tier/coordination/membership_test.cpp
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(FrozenAndThawed);
   CPPUNIT_TEST(SuspicionWaitsForAFrozenNode);
   CPPUNIT_TEST(KilledAndRestarted);
+  CPPUNIT_TEST(RestartedUnderAnEarlierClock);
+  CPPUNIT_TEST(ANamesakeDoesNotOvertake);
   CPPUNIT_TEST(ReplacedAtAnotherAddress);
   CPPUNIT_TEST(OneWayCutBetweenTwo);
   CPPUNIT_TEST(OneWayCutFromAll);
@@ -210,6 +212,36 @@
     }
   }
 
+  // Its time of day has been set back meanwhile.
+  void RestartedUnderAnEarlierClock() {
+    for (const Micros span : {Micros{0}, 500 * kMilli, 10 * kSecond, 90 * kSecond}) {
+      for (const bool left : {false, true}) {
+        Cluster cluster(6);
+        cluster.StartAll(kNodes);
+        cluster.RunFor(5 * kSecond);
+        if (left) cluster.Leave(1);
+        cluster.Kill(1);
+        cluster.RunFor(span);
+        cluster.Start(1, "", 7);
+        AssertSettles(&cluster, 5 * kSecond, "set back after " + std::to_string(span));
+        cluster.RunFor(5 * kSecond);
+        CPPUNIT_ASSERT(cluster.Agreed());
+        AssertSound(cluster, "set back");
+      }
+    }
+  }
+
+  // At another address it is a namesake, and the earlier one stays.
+  void ANamesakeDoesNotOvertake() {
+    Cluster cluster(6);
+    cluster.StartAll(kNodes);
+    cluster.RunFor(5 * kSecond);
+    cluster.Kill(1);
+    cluster.Start(1, "10.0.7.7:7660", 7);
+    cluster.RunFor(5 * kSecond);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, cluster.IncarnationOf(1));
+  }
+
   void ReplacedAtAnotherAddress() {
     Cluster cluster(7);
     cluster.StartAll(kNodes);
