Keep one copy more than the machines, zones or regions that may be lost

Cause: copies of lots, and the disks that a new view may lack, were counted by tolerance.machines alone. Where a deployment names zones instead (machines 0), each lot had a single copy.

Ruled out: the choice of stores, which prefers a zone of its own for each copy already.

Change: LostCopies is the greatest of the three.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -7,6 +7,7 @@
 
 #include "control/founders.h"
 #include "logging/log.h"
+#include "settings/lost_copies.h"
 
 namespace pearreach::control {
 namespace {
@@ -86,7 +87,7 @@
   coordination::ChainOptions options;
   options.self = {self_.name, self_.disk_id};
   options.bootstrap = settings.bootstrap;
-  options.tolerance = settings.tolerance.machines;
+  options.tolerance = settings::LostCopies(settings.tolerance);
   return std::make_unique<ReplicaDriver>(time_.get(), mesh, store, &snapshots_, &directory_,
                                          &reach_, std::move(options), seed);
 }
--- a/src/tier/node.cpp
+++ b/src/tier/node.cpp
@@ -21,6 +21,7 @@
 #include "mesh/mesh.h"
 #include "proxy/job_runner.h"
 #include "registry/worker_registry.h"
+#include "settings/lost_copies.h"
 
 namespace pearreach::tier {
 namespace {
@@ -193,7 +194,7 @@
 }
 
 absl::Status Node::Impl::StartControl() {
-  const auto replicas = static_cast<std::size_t>(settings_.tolerance.machines + 1);
+  const auto replicas = static_cast<std::size_t>(settings::LostCopies(settings_.tolerance) + 1);
   config_api_ = std::make_unique<control::ConfigApi>(control_.get());
   config_api_->Register(&router_);
   if (registry_ != nullptr) registry_->RegisterCalls(&router_);
--- a/tests/tier/settings/node_settings_test.cpp
+++ b/tests/tier/settings/node_settings_test.cpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "settings/lost_copies.h"
+
 namespace pearreach::settings {
 namespace {
 
@@ -93,9 +95,18 @@
   CPPUNIT_TEST(ReportsWhatIsWrongWithItsLine);
   CPPUNIT_TEST(ReportsAllFindingsTogether);
   CPPUNIT_TEST(ReadsAFile);
+  CPPUNIT_TEST(TheGreatestToleranceCounts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void TheGreatestToleranceCounts() {
+    CPPUNIT_ASSERT_EQUAL(0, LostCopies({}));
+    CPPUNIT_ASSERT_EQUAL(2, LostCopies({.machines = 2, .zones = 1}));
+    CPPUNIT_ASSERT_EQUAL(1, LostCopies({.machines = 0, .zones = 1}));
+    CPPUNIT_ASSERT_EQUAL(3, LostCopies({.machines = 1, .zones = 2, .regions = 3}));
+    CPPUNIT_ASSERT_EQUAL(0, LostCopies({.machines = -1}));
+  }
+
   void ReadsTheExample() {
     const NodeSettings settings = Example();
     CPPUNIT_ASSERT_EQUAL(std::string("edge-ahm-sanand-1"), settings.node_name);
