--- a/src/batch/lot_store_changes.h
+++ b/src/batch/lot_store_changes.h
@@ -35,7 +35,7 @@
 
   void Stage(const std::shared_ptr<const LotSpec>& lot);
   void Finish(const std::string& lot_id, const absl::StatusOr<CreateStatus>& outcome);
-  void SweepPartition(PartitionReplica* replica, double margin_ms);
+  void SweepPartition(PartitionReplica* replica, bool is_short);
 
   StoreContext* const context_;
   LotItems* const items_;
