--- a/src/batch/placement.cpp
+++ b/src/batch/placement.cpp
@@ -9,6 +9,8 @@
 
 // Partitions that are moved for balance alone within one table.
 constexpr int kMovesAtOnce = 2;
+// Partitions whose replicas are spread over more zones within one table.
+constexpr int kSpreadAtOnce = 8;
 // Differences in the number of partitions (or of primaries) that are left as they are.
 constexpr int kToleratedSkew = 3;
 
@@ -48,6 +50,13 @@
   bool IsUsable(const StoreView& store) const;
   bool IsLeaving(const std::string& name) const;
   std::string ZoneOf(const StoreId& store) const;
+  std::string RegionOf(const std::string& zone) const;
+  std::set<std::string> ZonesOf(const Partition& partition) const;
+  std::set<std::string> RegionsOf(const std::set<std::string>& zones) const;
+  bool Narrows(const Partition& before, const Partition& after) const;
+  int NeedOf(const StoreId& store, const Partition& partition) const;
+  bool Widens(const StoreView& store, const Partition& partition) const;
+  void Widen();
   std::map<std::string, int> Shared(const Partition& partition) const;
   const StoreView* Choose(std::uint32_t index, const Partition& partition) const;
   bool DropLost(Partition* partition);
@@ -105,6 +114,51 @@
   return found == input_.stores.end() ? std::string() : found->second.zone;
 }
 
+std::string Planner::RegionOf(const std::string& zone) const {
+  const auto found = input_.spread.region_of.find(zone);
+  return found == input_.spread.region_of.end() ? std::string() : found->second;
+}
+
+// Those of the replicas that stay.
+std::set<std::string> Planner::ZonesOf(const Partition& partition) const {
+  std::set<std::string> zones;
+  for (const StoreId& store : partition.replicas) {
+    if (!IsLeaving(store.name)) zones.insert(ZoneOf(store));
+  }
+  return zones;
+}
+
+std::set<std::string> Planner::RegionsOf(const std::set<std::string>& zones) const {
+  std::set<std::string> regions;
+  for (const std::string& zone : zones) regions.insert(RegionOf(zone));
+  return regions;
+}
+
+// Its replicas stand in fewer zones or regions than before, of those that are wanted.
+bool Planner::Narrows(const Partition& before, const Partition& after) const {
+  const std::set<std::string> had = ZonesOf(before), has = ZonesOf(after);
+  return has.size() < std::min(had.size(), input_.spread.zones) ||
+         RegionsOf(has).size() < std::min(RegionsOf(had).size(), input_.spread.regions);
+}
+
+// How much a replica is needed where it stands: 2 for the zones and regions that are wanted, 1 as
+// the only one in its zone.
+int Planner::NeedOf(const StoreId& store, const Partition& partition) const {
+  Partition rest = partition;
+  std::erase(rest.replicas, store);
+  if (Narrows(partition, rest)) return 2;
+  return ZonesOf(rest).count(ZoneOf(store)) > 0 ? 0 : 1;
+}
+
+// The partition's replicas stand in too few zones or regions, and this store's is another one.
+bool Planner::Widens(const StoreView& store, const Partition& partition) const {
+  const std::set<std::string> zones = ZonesOf(partition), regions = RegionsOf(zones);
+  const bool new_zone = zones.count(store.zone) == 0;
+  const bool new_region = regions.count(RegionOf(store.zone)) == 0;
+  return (zones.size() < input_.spread.zones && new_zone) ||
+         (regions.size() < input_.spread.regions && new_region);
+}
+
 // In how many partitions each store stands beside a replica of this one: the loss of a store is
 // made good from many others where these are mixed.
 std::map<std::string, int> Planner::Shared(const Partition& partition) const {
@@ -123,20 +177,19 @@
 // The best store that the partition does not have yet: of a zone of its own, then the one with the
 // least load and the fewest partitions in common with those that it has.
 const StoreView* Planner::Choose(std::uint32_t index, const Partition& partition) const {
-  std::set<std::string> zones;
-  for (const StoreId& store : partition.replicas) {
-    if (!IsLeaving(store.name)) zones.insert(ZoneOf(store));
-  }
+  const std::set<std::string> zones = ZonesOf(partition), regions = RegionsOf(zones);
   std::map<std::string, int> shared = Shared(partition);
   const StoreView* best = nullptr;
-  std::tuple<bool, int, std::uint64_t> best_rank;
+  std::tuple<bool, bool, int, std::uint64_t> best_rank;
   for (const auto& [name, store] : input_.stores) {
     if (!IsUsable(store) || NamesIn(partition.replicas, name)) continue;
     if (NamesIn(partition.joining, name)) continue;
     const auto load = load_.find(name);
     const int cost = (load == load_.end() ? 0 : load->second) + shared[name];
-    const std::tuple<bool, int, std::uint64_t> rank = {zones.count(store.zone) > 0, cost,
-                                                       Preference(index, store.id)};
+    const bool same_region =
+        regions.size() < input_.spread.regions && regions.count(RegionOf(store.zone)) > 0;
+    const std::tuple<bool, bool, int, std::uint64_t> rank = {
+        same_region, zones.count(store.zone) > 0, cost, Preference(index, store.id)};
     if (best != nullptr && rank >= best_rank) continue;
     best = &store;
     best_rank = rank;
@@ -149,7 +202,7 @@
   for (std::uint32_t index = 0; index < kPartitions; ++index) {
     Partition& partition = table_.partitions[index];
     partition.epoch = 1;
-    while (partition.replicas.size() < input_.replicas) {
+    while (partition.replicas.size() < input_.spread.replicas) {
       const StoreView* store = Choose(index, partition);
       if (store == nullptr) break;
       partition.replicas.push_back(store->id);
@@ -211,17 +264,20 @@
                     [&](const StoreId& store) { return !IsLeaving(store.name); }));
 }
 
-// Removes retiring replicas once enough others are there, and one that is too many.
+// Removes retiring replicas once enough others are there, and one that is too many: of two in one
+// zone rather than the only one in its zone.
 bool Planner::DropSurplus(Partition* partition) {
   auto& replicas = partition->replicas;
   const std::size_t kept = KeptReplicas(*partition);
-  if (kept < input_.replicas) return false;
+  if (kept < input_.spread.replicas) return false;
   const std::size_t before = replicas.size();
   std::erase_if(replicas, [&](const StoreId& store) { return IsLeaving(store.name); });
-  if (replicas.size() > input_.replicas) {
-    const auto most = std::max_element(
-        replicas.begin(), replicas.end(),
-        [&](const StoreId& a, const StoreId& b) { return load_[a.name] < load_[b.name]; });
+  if (replicas.size() > input_.spread.replicas) {
+    const auto most =
+        std::max_element(replicas.begin(), replicas.end(), [&](const StoreId& a, const StoreId& b) {
+          const int need_of_a = NeedOf(a, *partition), need_of_b = NeedOf(b, *partition);
+          return need_of_a != need_of_b ? need_of_a > need_of_b : load_[a.name] < load_[b.name];
+        });
     --load_[most->name];
     replicas.erase(most);
   }
@@ -230,7 +286,7 @@
 
 bool Planner::AddJoining(std::uint32_t index, Partition* partition) {
   if (!input_.allow_joining || !partition->joining.empty()) return false;
-  if (KeptReplicas(*partition) >= input_.replicas) return false;
+  if (KeptReplicas(*partition) >= input_.spread.replicas) return false;
   const StoreView* store = Choose(index, *partition);
   if (store == nullptr) return false;
   partition->joining.push_back(store->id);
@@ -306,6 +362,9 @@
     for (const StoreId& store : partition.replicas) {
       if (&store != most && ZoneOf(store) == fewest->zone) keeps_zones = false;
     }
+    Partition moved = partition;
+    std::replace(moved.replicas.begin(), moved.replicas.end(), *most, fewest->id);
+    if (Narrows(partition, moved)) keeps_zones = false;
     const int gain = load_[most->name] - load_[fewest->id.name];
     if (!keeps_zones || gain <= best_gain) continue;
     best = &partition;
@@ -318,6 +377,21 @@
   return true;
 }
 
+// Lets stores of further zones join partitions whose replicas stand in too few.
+void Planner::Widen() {
+  int moves = 0;
+  for (std::uint32_t index = 0; index < table_.partitions.size(); ++index) {
+    Partition& partition = table_.partitions[index];
+    const StoreView* store = Choose(index, partition);
+    if (store == nullptr || !Widens(*store, partition)) continue;
+    partition.joining.push_back(store->id);
+    ++load_[store->id.name];
+    ++partition.epoch;
+    changed_ = true;
+    if (++moves == kSpreadAtOnce) break;
+  }
+}
+
 void Planner::Rebalance() {
   for (int moves = 0; moves < kMovesAtOnce; ++moves) {
     if (!RebalanceReplica()) break;
@@ -354,9 +428,10 @@
     changed_ = true;
   }
   FinishRetiring();
-  if (changed_ || !input_.allow_joining || !IsSettled(table_, input_.replicas)) return;
+  if (changed_ || !input_.allow_joining || !IsSettled(table_, input_.spread.replicas)) return;
   CountLoad();
-  Rebalance();
+  Widen();
+  if (!changed_) Rebalance();
 }
 
 }  // namespace
@@ -374,7 +449,8 @@
   const auto live = std::count_if(input.stores.begin(), input.stores.end(), [](const auto& entry) {
     return entry.second.condition == StoreCondition::kLive;
   });
-  if (!input.allow_first || static_cast<std::size_t>(live) < input.replicas) return std::nullopt;
+  if (!input.allow_first || static_cast<std::size_t>(live) < input.spread.replicas)
+    return std::nullopt;
   Planner planner({}, input);
   planner.MakeFirst();
   PlacementTable first = planner.Take();
--- a/src/batch/placement.h
+++ b/src/batch/placement.h
@@ -34,10 +34,17 @@
   auto operator<=>(const FilledReport&) const = default;
 };
 
+// How many replicas a partition wants, and in how many zones and regions they stand at least, as
+// far as there are live stores in so many.
+struct PlacementSpread {
+  std::size_t replicas = 2, zones = 1, regions = 1;
+  std::map<std::string, std::string> region_of = {};  // by zone
+};
+
 struct PlacementInput {
   std::map<std::string, StoreView> stores;  // by name; what is missing here counts as kUncertain
   std::set<FilledReport> filled;
-  std::size_t replicas = 2;   // wanted of each partition: machines that may be lost + 1
+  PlacementSpread spread;
   bool allow_first = true;    // the set of live stores has settled: a first table may be made
   bool allow_joining = true;  // false: a store that went away is given time to return
 };
--- a/src/batch/placement_duty.cpp
+++ b/src/batch/placement_duty.cpp
@@ -50,11 +50,11 @@
 }
 
 PlacementDuty::PlacementDuty(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control,
-                             std::string self, std::size_t replicas)
+                             std::string self, PlacementSpread spread)
     : timers_(timers),
       control_(control),
       duty_(control, kDutyName, std::move(self), [this] { LookLater(0); }),
-      replicas_(replicas) {
+      spread_(std::move(spread)) {
   mesh->Handle(mesh::MessageType::kStoreStatus,
                [this, alive = alive_](const std::string&, std::string_view body,
                                       const mesh::Respond& respond) {
@@ -149,7 +149,7 @@
 PlacementInput PlacementDuty::Gather(Micros now) {
   PlacementInput input;
   input.stores = StoresOf(control_->members());
-  input.replicas = replicas_;
+  input.spread = spread_;
   input.filled = filled_;
   if (table_ != nullptr && now - duty_since_ >= kUnknownTime) {
     for (const Partition& partition : table_->partitions) {
@@ -182,7 +182,7 @@
   const PlacementInput input = Gather(now);
   auto next = NextPlacement(table_.get(), input);
   if (next.has_value()) Propose(*std::move(next), revision_);
-  const bool calm = !proposing_ && table_ != nullptr && IsSettled(*table_, replicas_);
+  const bool calm = !proposing_ && table_ != nullptr && IsSettled(*table_, spread_.replicas);
   LookLater(calm ? kCalmPeriod : kBusyPeriod);
 }
 
--- a/src/batch/placement_duty.h
+++ b/src/batch/placement_duty.h
@@ -26,11 +26,10 @@
 
 class PlacementDuty {
  public:
-  // `self`: a name of this process that no other one has. `replicas`: machines that may be lost at
-  // once, plus 1. Handles kStoreStatus; a node that does not hold the duty answers it
-  // FAILED_PRECONDITION.
+  // `self`: a name of this process that no other one has. Handles kStoreStatus; a node that does
+  // not hold the duty answers it FAILED_PRECONDITION.
   PlacementDuty(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control, std::string self,
-                std::size_t replicas);
+                PlacementSpread spread);
   ~PlacementDuty();
   PlacementDuty(const PlacementDuty&) = delete;
   PlacementDuty& operator=(const PlacementDuty&) = delete;
@@ -58,7 +57,7 @@
   Timers* timers_;
   control::ControlClient* control_;
   control::DutyHolder duty_;
-  const std::size_t replicas_;
+  const PlacementSpread spread_;
   Timers::Id timer_ = 0;
   bool on_duty_ = false, proposing_ = false;
   Micros duty_since_ = 0, stores_changed_ = 0;
--- a/src/control/change_relay.cpp
+++ b/src/control/change_relay.cpp
@@ -10,7 +10,8 @@
 using coordination::ChangeStatus;
 
 constexpr std::uint32_t kMostHops = 3;
-constexpr Micros kPause = 50 * kMs;  // until views have settled
+constexpr Micros kPause = 50 * kMs;        // until views have settled
+constexpr Micros kWatchPeriod = 50 * kMs;  // of a node that a change was passed on to
 
 WriteAnswer AnswerOf(ChangeStatus status) {
   WriteAnswer answer;
@@ -55,7 +56,7 @@
 
 void ChangeRelay::Try(const AttemptPtr& attempt) {
   const Micros left = attempt->deadline - time_->Now();
-  if (left <= 0) return attempt->done(AnswerOf(ChangeStatus::kUnavailable));
+  if (left <= 0) return End(attempt, AnswerOf(ChangeStatus::kUnavailable));
   if (MayChangeHere()) return TryHere(attempt, left);
   if (attempt->request.hops >= kMostHops) return Settle(attempt, AnswerOf(ChangeStatus::kNotHead));
   const Contact to = Next(attempt);
@@ -76,8 +77,7 @@
     preferred = replica_->view().members.front().name;
   }
   ++attempt->tries;
-  const coordination::Member* member = directory_->FindLive(preferred);
-  if (member != nullptr) return {preferred, member->info.address};
+  if (SeemsThere(preferred)) return {preferred, directory_->FindLive(preferred)->info.address};
   // A node that passes on for another says who it is not rather than search.
   if (attempt->request.hops > 0) return {};
   const std::vector<Contact> contacts = directory_->QuorumContacts();
@@ -95,17 +95,41 @@
 
 void ChangeRelay::PassOn(const AttemptPtr& attempt, const Contact& to, Micros left) {
   attempt->request.timeout = left;
+  const std::size_t number = attempt->passed_on = attempt->tries;
   mesh_->Call(to.address, mesh::MessageType::kControlWrite, codec::Encode(attempt->request), left,
-              callbacks_.Bind([this, attempt](const absl::StatusOr<std::string>& answer) {
+              callbacks_.Bind([this, attempt, number](const absl::StatusOr<std::string>& answer) {
+                if (attempt->passed_on != number) return;
+                attempt->passed_on = 0;
                 auto decoded = answer.ok() ? codec::Decode<WriteAnswer>(*answer) : answer.status();
                 // It may have been carried out: it must not be sent again.
-                if (!decoded.ok()) return attempt->done(AnswerOf(ChangeStatus::kUnavailable));
+                if (!decoded.ok()) return End(attempt, AnswerOf(ChangeStatus::kUnavailable));
                 Settle(attempt, *decoded);
               }));
+  if (SeemsThere(to.name)) Watch(attempt, number, to.name);
+}
+
+// Ends the wait for the answer of a node that is found to be gone.
+void ChangeRelay::Watch(const AttemptPtr& attempt, std::size_t number, const std::string& to) {
+  time_->After(kWatchPeriod, callbacks_.Bind([this, attempt, number, to] {
+    if (attempt->passed_on != number) return;
+    if (SeemsThere(to)) return Watch(attempt, number, to);
+    attempt->passed_on = 0;
+    End(attempt, AnswerOf(ChangeStatus::kUnavailable));
+  }));
+}
+
+bool ChangeRelay::SeemsThere(const std::string& name) const {
+  const coordination::Member* member = directory_->FindLive(name);
+  return member != nullptr && member->status == coordination::MemberStatus::kAlive &&
+         !reach_->IsLost(name);
+}
+
+void ChangeRelay::End(const AttemptPtr& attempt, const WriteAnswer& answer) {
+  std::exchange(attempt->done, nullptr)(answer);
 }
 
 void ChangeRelay::Settle(const AttemptPtr& attempt, const WriteAnswer& answer) {
-  if (!IsNotHead(answer) || attempt->request.hops > 0) return attempt->done(answer);
+  if (!IsNotHead(answer) || attempt->request.hops > 0) return End(attempt, answer);
   attempt->hint = answer.hint == directory_->self() ? "" : answer.hint;
   TryLater(attempt);
 }
--- a/src/control/change_relay.h
+++ b/src/control/change_relay.h
@@ -32,11 +32,15 @@
     Done done;
     std::string hint;
     std::size_t tries = 0;
+    std::size_t passed_on = 0;  // the try that another node has now; 0: none
   };
   using AttemptPtr = std::shared_ptr<Attempt>;
   void Try(const AttemptPtr& attempt);
   void TryHere(const AttemptPtr& attempt, Micros left);
   void PassOn(const AttemptPtr& attempt, const Contact& to, Micros left);
+  void Watch(const AttemptPtr& attempt, std::size_t number, const std::string& to);
+  bool SeemsThere(const std::string& name) const;
+  void End(const AttemptPtr& attempt, const WriteAnswer& answer);
   bool MayChangeHere() const;
   Contact Next(const AttemptPtr& attempt) const;
   void Settle(const AttemptPtr& attempt, const WriteAnswer& answer);
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -18,9 +18,13 @@
 }
 
 coordination::MembershipOptions MembershipOptionsOf(const MemberInfo& self,
-                                                    const std::vector<std::string>& seeds) {
+                                                    const std::vector<std::string>& seeds,
+                                                    const ControlTiming& timing) {
   coordination::MembershipOptions options;
   options.self = self;
+  options.probe_period = timing.probe_period;
+  options.probe_timeout = timing.probe_timeout;
+  options.suspicion = timing.suspicion;
   for (const std::string& seed : seeds) {
     if (seed != self.address) options.seeds.push_back(seed);
   }
@@ -64,9 +68,11 @@
     : time_(std::move(time)),
       self_(DescribeSelf(settings, store, incarnation)),
       seeds_(MeshSeeds(settings)),
-      membership_(time_.get(), mesh, MembershipOptionsOf(self_, seeds_), SeedOf(self_)),
-      directory_(&membership_.members(), self_.name, MembershipOptionsOf(self_, seeds_).seeds),
-      reach_(time_.get(), mesh, &directory_),
+      timing_(TimingOf(settings.bounds)),
+      membership_(time_.get(), mesh, MembershipOptionsOf(self_, seeds_, timing_), SeedOf(self_)),
+      directory_(&membership_.members(), self_.name,
+                 MembershipOptionsOf(self_, seeds_, timing_).seeds, settings.zones),
+      reach_(time_.get(), mesh, &directory_, timing_),
       replica_(MakeReplica(mesh, store, settings, SeedOf(self_))),
       poll_server_(time_.get(), mesh, &snapshots_),
       poller_(time_.get(), mesh, &snapshots_, &directory_),
@@ -86,7 +92,10 @@
   coordination::ChainOptions options;
   options.self = {self_.name, self_.disk_id};
   options.bootstrap = settings.bootstrap;
-  options.tolerance = settings.tolerance.machines;
+  options.tolerance = {settings.tolerance.machines, settings.tolerance.zones,
+                       settings.tolerance.regions};
+  options.call_timeout = timing_.call_timeout;
+  options.retry = timing_.retry;
   return std::make_unique<ReplicaDriver>(time_.get(), mesh, store, &snapshots_, &directory_,
                                          &reach_, std::move(options), seed);
 }
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -11,6 +11,7 @@
 #include "control/announced_fetch.h"
 #include "control/change_relay.h"
 #include "control/control_client.h"
+#include "control/control_timing.h"
 #include "control/member_directory.h"
 #include "control/membership_driver.h"
 #include "control/poll_server.h"
@@ -79,6 +80,7 @@
   std::unique_ptr<TimeSource> time_;
   const coordination::MemberInfo self_;
   const std::vector<std::string> seeds_;
+  const ControlTiming timing_;
   SnapshotStore snapshots_;
   MembershipDriver membership_;
   MemberDirectory directory_;
--- a/src/control/member_directory.cpp
+++ b/src/control/member_directory.cpp
@@ -17,8 +17,12 @@
 std::string IpOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
 MemberDirectory::MemberDirectory(const MemberMap* members, std::string self,
-                                 std::vector<std::string> seeds)
-    : members_(members), self_(std::move(self)), seeds_(std::move(seeds)) {}
+                                 std::vector<std::string> seeds,
+                                 std::map<std::string, std::string> regions)
+    : members_(members),
+      self_(std::move(self)),
+      seeds_(std::move(seeds)),
+      regions_(std::move(regions)) {}
 
 const Member* MemberDirectory::Find(const std::string& name) const {
   const auto found = members_->find(name);
@@ -31,11 +35,13 @@
 }
 
 std::vector<Contact> MemberDirectory::Ranked(bool quorum) const {
-  std::vector<std::pair<std::size_t, Contact>> ranked;
+  using Rank = std::pair<bool, std::size_t>;  // suspects last
+  std::vector<std::pair<Rank, Contact>> ranked;
   for (const auto& [name, member] : *members_) {
     if (name == self_ || !IsLive(member)) continue;
     if (member.info.Is(MemberInfo::kQuorumMember) != quorum) continue;
-    const std::size_t rank = std::hash<std::string>()(self_ + "\n" + name);
+    const Rank rank = {member.status != MemberStatus::kAlive,
+                       std::hash<std::string>()(self_ + "\n" + name)};
     ranked.push_back({rank, {name, member.info.address}});
   }
   std::sort(ranked.begin(), ranked.end(),
@@ -62,7 +68,12 @@
   std::vector<coordination::Peer> peers;
   for (const auto& [name, member] : *members_) {
     if (!member.info.Is(MemberInfo::kQuorumMember)) continue;
-    peers.push_back({{name, member.info.disk_id}, name == self_ || IsLive(member)});
+    const std::string& zone = member.info.zone;
+    const auto region = regions_.find(zone);
+    peers.push_back({{name, member.info.disk_id},
+                     name == self_ || IsLive(member),
+                     zone,
+                     region == regions_.end() ? std::string() : region->second});
   }
   return peers;
 }
--- a/src/control/member_directory.h
+++ b/src/control/member_directory.h
@@ -26,8 +26,9 @@
 
 class MemberDirectory {
  public:
-  // `seeds`: mesh addresses to use as long as too few members are known.
-  MemberDirectory(const MemberMap* members, std::string self, std::vector<std::string> seeds);
+  // `seeds`: mesh addresses to use as long as too few members are known. `regions`: by zone.
+  MemberDirectory(const MemberMap* members, std::string self, std::vector<std::string> seeds,
+                  std::map<std::string, std::string> regions = {});
 
   const MemberMap& members() const { return *members_; }
   const std::string& self() const { return self_; }
@@ -36,7 +37,7 @@
   const coordination::Member* Find(const std::string& name) const;
   // A live other member of that name; null: none.
   const coordination::Member* FindLive(const std::string& name) const;
-  // Live other quorum members, most preferred first.
+  // Live other quorum members, most preferred first, suspects last.
   std::vector<Contact> QuorumContacts() const;
   // Those, then all other live members, then the seeds.
   std::vector<Contact> AllContacts() const;
@@ -49,6 +50,7 @@
   const MemberMap* members_;
   std::string self_;
   std::vector<std::string> seeds_;
+  std::map<std::string, std::string> regions_;
 };
 
 }  // namespace pearreach::control
--- a/src/control/membership_driver.h
+++ b/src/control/membership_driver.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "control/time_source.h"
+#include "control/wake_timer.h"
 #include "coordination/membership.h"
 #include "mesh/mesh.h"
 
@@ -19,7 +20,6 @@
 
   MembershipDriver(TimeSource* time, mesh::Mesh* mesh, coordination::MembershipOptions options,
                    std::uint64_t seed);
-  ~MembershipDriver();
 
   void OnChange(Listener listener) { listener_ = std::move(listener); }
   void Start();
@@ -33,15 +33,12 @@
   void Receive(const std::string& from_ip, std::string_view bytes);
   void Tick();
   void AfterStep(const std::vector<coordination::Datagram>& datagrams);
-  void Arm();
-
   TimeSource* time_;
   mesh::Mesh* mesh_;
   coordination::Membership membership_;
   Listener listener_;
-  Timers::Id timer_ = 0;
-  Micros armed_for_ = 0;
   bool running_ = false;
+  WakeTimer timer_;
   CallbackOwner callbacks_;
 };
 
--- a/src/control/quorum_reach.cpp
+++ b/src/control/quorum_reach.cpp
@@ -7,17 +7,9 @@
 #include "control/messages.h"
 
 namespace pearreach::control {
-namespace {
-
-constexpr Micros kSignPeriod = 400 * kMs;
-constexpr Micros kSignTimeout = 500 * kMs;
-constexpr Micros kDutySpan = kSecond;      // a sign asked for longer ago gives no duty
-constexpr Micros kLostSpan = 2 * kSecond;  // nor, longer ago than this, a place in the view
-
-}  // namespace
-
-QuorumReach::QuorumReach(TimeSource* time, mesh::Mesh* mesh, const MemberDirectory* directory)
-    : time_(time), mesh_(mesh), directory_(directory) {}
+QuorumReach::QuorumReach(TimeSource* time, mesh::Mesh* mesh, const MemberDirectory* directory,
+                         const ControlTiming& timing)
+    : time_(time), mesh_(mesh), directory_(directory), timing_(timing) {}
 
 QuorumReach::~QuorumReach() { time_->Cancel(&timer_); }
 
@@ -35,13 +27,13 @@
   const Micros asked = time_->Now();
   const std::string question = codec::Encode(ChainEnvelope{directory_->self(), "", true});
   for (const Contact& contact : directory_->QuorumContacts()) {
-    mesh_->Call(contact.address, mesh::MessageType::kChain, question, kSignTimeout,
+    mesh_->Call(contact.address, mesh::MessageType::kChain, question, timing_.sign_timeout,
                 callbacks_.Bind(
                     [this, name = contact.name, asked](const absl::StatusOr<std::string>& answer) {
                       Answered(name, asked, answer);
                     }));
   }
-  timer_ = time_->After(kSignPeriod, [this] {
+  timer_ = time_->After(timing_.sign_period, [this] {
     timer_ = 0;
     AskAll();
     checked_();
@@ -63,7 +55,7 @@
   SignAnswer sign;
   sign.name = directory_->self();
   for (const auto& [name, answer] : answers_) {
-    if (Fresh(name, kLostSpan) != nullptr) sign.hears.push_back(name);
+    if (Fresh(name, timing_.lost_span) != nullptr) sign.hears.push_back(name);
   }
   return codec::Encode(sign);
 }
@@ -85,8 +77,8 @@
   for (const coordination::ReplicaId& id : view_.members) {
     if (id.name == directory_->self()) {
       ++reports;
-      may_hear += Fresh(name, kLostSpan) != nullptr ? 1 : 0;
-    } else if (const Answer* answer = Fresh(id.name, kLostSpan)) {
+      may_hear += Fresh(name, timing_.lost_span) != nullptr ? 1 : 0;
+    } else if (const Answer* answer = Fresh(id.name, timing_.lost_span)) {
       ++reports;
       may_hear += id.name == name ? 1 : answer->hears.count(name);
     } else {
@@ -100,8 +92,8 @@
 bool QuorumReach::HoldsDuty() const {
   if (!is_head_) return false;
   const auto heard = std::count_if(view_.members.begin(), view_.members.end(), [&](const auto& id) {
-    return id.name == directory_->self() || Fresh(id.name, kDutySpan) != nullptr ||
-           HeardByMembership(id.name, kDutySpan);
+    return id.name == directory_->self() || Fresh(id.name, timing_.duty_span) != nullptr ||
+           HeardByMembership(id.name, timing_.duty_span);
   });
   return 2 * static_cast<std::size_t>(heard) > view_.members.size();
 }
--- a/src/control/quorum_reach.h
+++ b/src/control/quorum_reach.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "control/control_timing.h"
 #include "control/member_directory.h"
 #include "control/time_source.h"
 #include "coordination/chain.h"
@@ -18,7 +19,8 @@
 
 class QuorumReach {
  public:
-  QuorumReach(TimeSource* time, mesh::Mesh* mesh, const MemberDirectory* directory);
+  QuorumReach(TimeSource* time, mesh::Mesh* mesh, const MemberDirectory* directory,
+              const ControlTiming& timing);
   ~QuorumReach();
 
   // Begins to ask; `checked` is called after each round.
@@ -46,6 +48,7 @@
   TimeSource* time_;
   mesh::Mesh* mesh_;
   const MemberDirectory* directory_;
+  const ControlTiming timing_;
   std::function<void()> checked_;
   bool is_head_ = false;
   coordination::View view_;
--- a/src/control/replace_call.cpp
+++ b/src/control/replace_call.cpp
@@ -18,6 +18,7 @@
 using coordination::ChangeStatus;
 
 constexpr Micros kResolveTime = 300 * kMs;  // kept back to look into an unclear outcome
+constexpr Micros kLeastChangeTime = 100 * kMs;
 
 std::optional<std::int64_t> ParseVersion(const std::string* text) {
   if (text == nullptr || text->empty()) return std::nullopt;
@@ -124,6 +125,7 @@
 
 void ReplaceCall::Changed(const ChangeOutcome& outcome) {
   if (outcome.status == ChangeStatus::kCommitted) return AnswerTaken();
+  unclear_ = outcome.status == ChangeStatus::kUnavailable;
   Reread(Left(), &ReplaceCall::Resolve);
 }
 
@@ -131,6 +133,10 @@
   if (IsTaken(snapshot)) return AnswerTaken();
   // Another one is current for sure, so the change's expected revision can never match again.
   if (CurrentVersion(snapshot) != parent_) return AnswerOtherVersion(snapshot);
+  // The same change again: at most one of the two finds the revision that both expect.
+  if (unclear_ && !std::exchange(again_, true) && Left() > kResolveTime + kLeastChangeTime) {
+    return Change(snapshot);
+  }
   AnswerUnavailable(exchange_.get(), "the change may or may not come into force");
 }
 
--- a/src/control/replace_call.h
+++ b/src/control/replace_call.h
@@ -46,6 +46,8 @@
   Micros deadline_;
   std::string body_;
   std::int64_t parent_ = 0, version_ = 0;
+  bool unclear_ = false;  // nothing is known of the change that was sent last
+  bool again_ = false;    // the change has been sent a second time
 };
 
 }  // namespace pearreach::control
--- a/src/control/replica_driver.cpp
+++ b/src/control/replica_driver.cpp
@@ -24,7 +24,7 @@
 
 bool Same(const std::vector<coordination::Peer>& a, const std::vector<coordination::Peer>& b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](const auto& x, const auto& y) {
-    return x.id == y.id && x.alive == y.alive;
+    return x.id == y.id && x.alive == y.alive && x.zone == y.zone && x.region == y.region;
   });
 }
 
@@ -41,7 +41,8 @@
       directory_(directory),
       reach_(reach),
       self_(options.self),
-      replica_(std::move(options), RecordsOf(*store), seed, time->Now()) {
+      replica_(std::move(options), RecordsOf(*store), seed, time->Now()),
+      timer_(time, [this] { Tick(); }) {
   mesh_->Handle(mesh::MessageType::kChain,
                 callbacks_.Bind([this](const std::string&, std::string_view body,
                                        const mesh::Respond& respond) {
@@ -52,11 +53,10 @@
                   Receive(*envelope);
                 }));
   snapshots_->Apply(replica_.committed_version(), replica_.committed());
-  Arm();
+  timer_.Set(replica_.NextTick());
 }
 
 ReplicaDriver::~ReplicaDriver() {
-  time_->Cancel(&timer_);
   for (auto& [ticket, waiting] : changes_) time_->Cancel(&waiting.timer);
   for (auto& [ticket, waiting] : reads_) time_->Cancel(&waiting.timer);
 }
@@ -143,7 +143,7 @@
   for (auto& committed : effects.committed) {
     snapshots_->Apply(committed.version, std::move(committed.map));
   }
-  Arm();
+  timer_.Set(replica_.NextTick());
   for (const auto& result : effects.changes) Finish(result);
   for (const auto& result : effects.reads) Finish(result);
   if (listener_) listener_();
@@ -176,16 +176,4 @@
               [](const absl::StatusOr<std::string>&) {});
 }
 
-void ReplicaDriver::Arm() {
-  const Micros next = replica_.NextTick();
-  if (timer_ != 0 && armed_for_ <= next) return;
-  time_->Cancel(&timer_);
-  if (next >= kNoTick) return;
-  armed_for_ = next;
-  timer_ = time_->After(std::max<Micros>(next - time_->Now(), 0), [this] {
-    timer_ = 0;
-    Tick();
-  });
-}
-
 }  // namespace pearreach::control
--- a/src/control/replica_driver.h
+++ b/src/control/replica_driver.h
@@ -12,6 +12,7 @@
 #include "control/quorum_reach.h"
 #include "control/snapshot_store.h"
 #include "control/time_source.h"
+#include "control/wake_timer.h"
 #include "coordination/chain.h"
 #include "disk/table_store.h"
 #include "mesh/mesh.h"
@@ -60,7 +61,6 @@
   void Send(const coordination::SendMessage& message);
   void Finish(const coordination::ChangeResult& result);
   void Finish(const coordination::ReadResult& result);
-  void Arm();
 
   TimeSource* time_;
   mesh::Mesh* mesh_;
@@ -75,8 +75,7 @@
   std::map<std::uint64_t, WaitingChange> changes_;
   std::map<std::uint64_t, WaitingRead> reads_;
   std::uint64_t last_ticket_ = 0;
-  Timers::Id timer_ = 0;
-  Micros armed_for_ = 0;
+  WakeTimer timer_;
   CallbackOwner callbacks_;
 };
 
--- /dev/null
+++ b/src/control/wake_timer.h
@@ -0,0 +1,44 @@
+// The one timer of a machine that says when it wants to be called next: set again whenever that is
+// earlier than what it is set for.
+#ifndef PEARREACH_SRC_CONTROL_WAKE_TIMER_H_
+#define PEARREACH_SRC_CONTROL_WAKE_TIMER_H_
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "control/time_source.h"
+
+namespace pearreach::control {
+
+class WakeTimer {
+ public:
+  // `wake` is called once for each time that is reached; it sets the next one.
+  WakeTimer(TimeSource* time, std::function<void()> wake) : time_(time), wake_(std::move(wake)) {}
+  ~WakeTimer() { Stop(); }
+  WakeTimer(const WakeTimer&) = delete;
+  WakeTimer& operator=(const WakeTimer&) = delete;
+
+  // `next`: on the time source's clock; kNoTick and later: never.
+  void Set(Micros next) {
+    if (timer_ != 0 && set_for_ <= next) return;
+    time_->Cancel(&timer_);
+    if (next >= kNoTick) return;
+    set_for_ = next;
+    timer_ = time_->After(std::max<Micros>(next - time_->Now(), 0), [this] {
+      timer_ = 0;
+      wake_();
+    });
+  }
+  void Stop() { time_->Cancel(&timer_); }
+
+ private:
+  TimeSource* time_;
+  const std::function<void()> wake_;
+  Timers::Id timer_ = 0;
+  Micros set_for_ = 0;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_WAKE_TIMER_H_
--- a/src/coordination/chain.h
+++ b/src/coordination/chain.h
@@ -7,7 +7,7 @@
 //
 // A pure machine: no socket, no clock, no thread, no disk. The caller delivers messages, ticks and
 // the completion of disk writes, and carries out the effects in order. Guarantees, for as long as
-// no more than `tolerance` disks are lost at once:
+// no more than `tolerance` is lost at once:
 //   - a committed change is never lost, also when power fails everywhere right after;
 //   - of two changes with the same expected version at most one commits;
 //   - the committed version of a replica, and of a client that takes the greatest, never goes back;
@@ -111,10 +111,15 @@
   std::vector<Committed> committed;
 };
 
+// What may be lost at once: so many disks, or all disks of so many zones or regions.
+struct Tolerance {
+  int machines = 1, zones = 0, regions = 0;
+};
+
 struct ChainOptions {
   ReplicaId self;
   bool bootstrap = false;  // the whole system starts for the first time
-  int tolerance = 1;       // disks that may be lost at once
+  Tolerance tolerance;
   Micros call_timeout = 1'000'000;
   Micros retry = 100'000;
 };
@@ -124,6 +129,7 @@
 struct Peer {
   ReplicaId id;
   bool alive = false;
+  std::string zone, region;  // empty: not known
 };
 
 class ChainReplica {
--- a/src/coordination/chain_views.cpp
+++ b/src/coordination/chain_views.cpp
@@ -196,7 +196,7 @@
     if (target_.IsAlive(acceptor)) alive.insert(acceptor);
     if (target_.IsReplaced(acceptor)) gone.insert(acceptor);
   }
-  return chain::IsQuorum(Acceptors(), alive, gone, options_.tolerance);
+  return chain::IsQuorum(Acceptors(), alive, gone, target_.MostLost(Acceptors()));
 }
 
 bool ChainReplica::Impl::IsStuck(Micros now) {
@@ -253,8 +253,8 @@
   promised_since_.reset();
   greatest_round_ = std::max(greatest_round_, acceptor_.promised().round) + 1;
   const chain::State& latest = state_.latest();
-  proposer_.emplace(chain::Ballot{greatest_round_, options_.self}, Acceptors(), options_.tolerance,
-                    latest.version, state_.MapAt(latest.version));
+  proposer_.emplace(chain::Ballot{greatest_round_, options_.self}, Acceptors(),
+                    target_.MostLost(Acceptors()), latest.version, state_.MapAt(latest.version));
   proposer_resend_.Restart();
 }
 
--- a/src/coordination/view_target.cpp
+++ b/src/coordination/view_target.cpp
@@ -7,14 +7,68 @@
 
 namespace pearreach::coordination::chain {
 
-ViewTarget::ViewTarget(ReplicaId self, int tolerance, const Waits& waits)
+namespace {
+
+// Of the Z greatest counts.
+int Greatest(const std::map<std::string, int>& counts, int number) {
+  std::vector<int> sorted;
+  for (const auto& [name, count] : counts) sorted.push_back(count);
+  std::sort(sorted.rbegin(), sorted.rend());
+  int sum = 0;
+  for (int at = 0; at < number && at < static_cast<int>(sorted.size()); ++at) sum += sorted[at];
+  return sum;
+}
+
+// Copies in `have` places outlast the loss of `tolerance` of them, or are in all that there are.
+bool Outlast(std::size_t have, std::size_t possible, int tolerance) {
+  return have >= std::min(possible, static_cast<std::size_t>(std::max(tolerance, 0)) + 1);
+}
+
+}  // namespace
+
+ViewTarget::ViewTarget(ReplicaId self, const Tolerance& tolerance, const Waits& waits)
     : self_(std::move(self)), tolerance_(tolerance), waits_(waits) {}
 
+// Members whose place is not known are in none.
+std::map<std::string, int> ViewTarget::CountBy(const std::vector<ReplicaId>& members,
+                                               std::string Place::*part) const {
+  std::map<std::string, int> counts;
+  for (const ReplicaId& member : members) {
+    const auto place = places_.find(member.name);
+    if (place == places_.end() || (place->second.*part).empty()) continue;
+    ++counts[place->second.*part];
+  }
+  return counts;
+}
+
+bool ViewTarget::IsSpread(const std::vector<ReplicaId>& copies,
+                          const std::vector<ReplicaId>& all) const {
+  return Outlast(copies.size(), all.size(), tolerance_.machines) &&
+         Outlast(CountBy(copies, &Place::zone).size(), CountBy(all, &Place::zone).size(),
+                 tolerance_.zones) &&
+         Outlast(CountBy(copies, &Place::region).size(), CountBy(all, &Place::region).size(),
+                 tolerance_.regions);
+}
+
+bool ViewTarget::IsWide(const std::vector<ReplicaId>& members) const {
+  if (!known_) return true;
+  std::vector<ReplicaId> all = members;
+  const std::vector<ReplicaId> added = Added(members);
+  all.insert(all.end(), added.begin(), added.end());
+  return IsSpread(members, all);
+}
+
+int ViewTarget::MostLost(const std::vector<ReplicaId>& members) const {
+  return std::max({tolerance_.machines, Greatest(CountBy(members, &Place::zone), tolerance_.zones),
+                   Greatest(CountBy(members, &Place::region), tolerance_.regions)});
+}
+
 void ViewTarget::SetPeers(Micros now, const std::vector<Peer>& peers) {
   known_ = true;
   alive_.clear();
   alive_.push_back(self_);
   for (const Peer& peer : peers) {
+    places_[peer.id.name] = {peer.zone, peer.region};
     if (peer.id.name == self_.name) continue;
     if (!peer.alive) {
       down_since_.try_emplace(peer.id, now);
@@ -71,9 +125,8 @@
     target.next_change = std::min(target.next_change, drop);
     staying.push_back(member);
   }
-  const std::size_t least =
-      std::min(members.size(), static_cast<std::size_t>(std::max(tolerance_, 0)) + 1);
-  if (live.size() + added.size() < least) {  // too few live ones: nobody is dropped for being down
+  live.insert(live.end(), added.begin(), added.end());
+  if (!IsSpread(live, members)) {  // too few live ones: nobody is dropped for being down
     staying.clear();
     for (const ReplicaId& member : members) {
       if (!IsReplaced(member)) staying.push_back(member);
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -5,6 +5,8 @@
 
 #include <absl/status/statusor.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <map>
 #include <string>
 #include <vector>
@@ -23,6 +25,10 @@
 
 struct Tolerance {
   int machines = 0, zones = 0, regions = 0;
+  // Copies of which one outlasts whatever may be lost at once, where they stand apart.
+  std::size_t copies() const {
+    return static_cast<std::size_t>(std::max({machines, zones, regions, 0})) + 1;
+  }
 };
 
 // All times in milliseconds or seconds as their names say; docs: RULES of the operators.
--- a/src/tier/node.cpp
+++ b/src/tier/node.cpp
@@ -195,13 +195,17 @@
 }
 
 absl::Status Node::Impl::StartControl() {
-  const auto replicas = static_cast<std::size_t>(settings_.tolerance.machines + 1);
+  const settings::Tolerance& tolerance = settings_.tolerance;
+  const std::size_t replicas = tolerance.copies();
   config_api_ = std::make_unique<control::ConfigApi>(control_.get());
   config_api_->Register(&router_);
   if (registry_ != nullptr) registry_->RegisterCalls(&router_);
   placement_duty_ = std::make_unique<batch::PlacementDuty>(
       &timers_, mesh_.get(), control_.get(),
-      fmt::format("{}#{}", settings_.node_name, incarnation_), replicas);
+      fmt::format("{}#{}", settings_.node_name, incarnation_),
+      batch::PlacementSpread{replicas, static_cast<std::size_t>(std::max(tolerance.zones, 0)) + 1,
+                             static_cast<std::size_t>(std::max(tolerance.regions, 0)) + 1,
+                             settings_.zones});
   control_->OnMembersChanged([this](const std::vector<std::string>&) { placement_duty_->Look(); });
   retire_api_ = std::make_unique<batch::RetireApi>(&timers_, control_.get(), replicas);
   retire_api_->AddTo(&router_);
--- a/tests/tier/batch/placement_rules_test.cpp
+++ b/tests/tier/batch/placement_rules_test.cpp
@@ -13,6 +13,8 @@
   CPPUNIT_TEST_SUITE(PlacementRulesTest);
   CPPUNIT_TEST(WaitsForEnoughStores);
   CPPUNIT_TEST(SpreadsEvenlyOverZones);
+  CPPUNIT_TEST(SpreadsAgainAfterAZoneIsBack);
+  CPPUNIT_TEST(SpreadsOverRegions);
   CPPUNIT_TEST(KeepsACalmTable);
   CPPUNIT_TEST(ReplacesAGoneStore);
   CPPUNIT_TEST(KeepsAnUncertainStore);
@@ -98,6 +100,50 @@
     }
   }
 
+  // Two zones are lost one after the other and come back: replicas stand in two zones again.
+  void SpreadsAgainAfterAZoneIsBack() {
+    PlacementInput input = Stores(6, 3);
+    input.spread.zones = 2;
+    const PlacementTable first = *NextPlacement(nullptr, input);
+    for (const char* name : {"s1", "s4"}) input.stores[name].condition = StoreCondition::kGone;
+    const PlacementTable between = Settle(first, &input);
+    for (const char* name : {"s2", "s5"}) input.stores[name].condition = StoreCondition::kGone;
+    const PlacementTable narrow = Settle(between, &input);
+    for (const Partition& partition : narrow.partitions) {
+      CPPUNIT_ASSERT(ZonesOf(partition, input) == std::set<std::string>({"z0"}));
+    }
+    for (auto& [name, store] : input.stores) store.condition = StoreCondition::kLive;
+    const PlacementTable wide = Settle(narrow, &input);
+    CPPUNIT_ASSERT(IsSettled(wide, 2));
+    for (const Partition& partition : wide.partitions) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, ZonesOf(partition, input).size());
+    }
+  }
+
+  void SpreadsOverRegions() {
+    PlacementInput input = Stores(6, 6);
+    input.spread.regions = 2;
+    input.spread.zones = 2;
+    for (const char* zone : {"z0", "z1", "z2", "z3"}) input.spread.region_of[zone] = "near";
+    for (const char* zone : {"z4", "z5"}) input.spread.region_of[zone] = "far";
+    const PlacementTable table = Settle(*NextPlacement(nullptr, input), &input);
+    for (const Partition& partition : table.partitions) {
+      std::set<std::string> regions;
+      for (const std::string& zone : ZonesOf(partition, input)) {
+        regions.insert(input.spread.region_of.at(zone));
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, regions.size());
+    }
+  }
+
+  static std::set<std::string> ZonesOf(const Partition& partition, const PlacementInput& input) {
+    std::set<std::string> zones;
+    for (const StoreId& store : partition.replicas) {
+      zones.insert(input.stores.at(store.name).zone);
+    }
+    return zones;
+  }
+
   void KeepsACalmTable() {
     const PlacementInput input = Stores(5);
     const auto table = NextPlacement(nullptr, input);
--- a/tests/tier/control/config_api_test.cpp
+++ b/tests/tier/control/config_api_test.cpp
@@ -137,7 +137,7 @@
         {"same number on the old parent", 5, "3", false, true, ordinary, 412, false, 0},
         {"unclear but committed", 7, "5", false, true, ChangeFate::kLostButCommits, 200, true, 1},
         {"unclear, no reads", 7, "5", false, false, ChangeFate::kLostButCommits, 503, true, 1},
-        {"unclear, not there", 7, "5", false, true, ChangeFate::kLostAndForgotten, 503, false, 1},
+        {"unclear, not there", 7, "5", false, true, ChangeFate::kLostAndForgotten, 503, false, 2},
         {"unclear, another there", 7, "5", false, true, ChangeFate::kLostThenRaced, 412, false, 1},
         {"raced by another", 7, "5", false, true, ChangeFate::kRacedByOther, 412, false, 1},
         {"raced by itself", 7, "5", false, true, ChangeFate::kRacedBySame, 200, true, 1},
--- a/tests/tier/control/control_node_test.cpp
+++ b/tests/tier/control/control_node_test.cpp
@@ -4,6 +4,8 @@
 
 #include <optional>
 
+#include "control/config_api.h"
+#include "control/fake_exchange.h"
 #include "control/sample_config.h"
 #include "control/virtual_world.h"
 
@@ -40,6 +42,7 @@
   CPPUNIT_TEST(TestCutOffHead);
   CPPUNIT_TEST(TestLostHead);
   CPPUNIT_TEST(TestUnavailableIsBounded);
+  CPPUNIT_TEST(TestTakesSoonAfterALostHead);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -177,7 +180,48 @@
     }
   }
 
+  // The operator sends on to the next node after a second of silence or an error, with a pause.
+  void TestTakesSoonAfterALostHead() {
+    for (const bool silent : {false, true}) {
+      for (int phase = 0; phase < 10; ++phase) {
+        tearDown();
+        setUp();
+        StartAll(true);
+        Change(4, 0, SampleConfig(1));
+        time_->RunFor(phase * 50 * kMs);
+        const int head = Head();
+        if (silent) {
+          network_->Isolate(AddressOf(head));
+        } else {
+          Stop(head);
+        }
+        const Micros took = TimeToReplace(head, 1, SampleConfig(2));
+        // Of this, a second passes until the head counts as lost.
+        CPPUNIT_ASSERT(took < (silent ? 2200 : 1800) * kMs);
+      }
+    }
+  }
+
  private:
+  Micros TimeToReplace(int lost, int parent, const std::string& json) {
+    const Micros begin = time_->now();
+    for (int tries = 0, to = 0; tries < 20; ++to) {
+      if (to % kNodes == lost) continue;
+      ++tries;
+      ConfigApi api(&Node(to % kNodes), [this] { return time_->now(); });
+      ApiRouter router;
+      api.Register(&router);
+      auto exchange = std::make_shared<FakeExchange>("POST", "/Config.Replace", time_->now());
+      exchange->mutable_request().body = json;
+      exchange->mutable_request().headers.push_back({"x-parent-version", std::to_string(parent)});
+      router.Dispatch(exchange);
+      const Micros sent = time_->now();
+      while (exchange->answers == 0 && time_->now() < sent + kSecond) time_->RunFor(5 * kMs);
+      if (exchange->status == 200) return time_->now() - begin;
+      time_->RunFor(kSecond / 10);
+    }
+    return 60 * kSecond;
+  }
   ControlNode& Node(int index) { return *nodes_[index]; }
 
   void Start(int index, bool bootstrap) {
--- a/tests/tier/control/virtual_world.cpp
+++ b/tests/tier/control/virtual_world.cpp
@@ -38,14 +38,14 @@
   open->time = time;
   open->timer =
       time->After(timeout, [open] { open->End(absl::DeadlineExceededError("no answer in time")); });
-  time->After(VirtualNetwork::kDelay, [=, from = address_, body = std::move(body)] {
+  time->After(network->DelayOf(address_, address), [=, from = address_, body = std::move(body)] {
     if (!network->Passes(from, address)) return;
     VirtualMesh* to = network->Find(address);
     if (to == nullptr) return open->End(absl::UnavailableError("refused"));
     const auto handler = to->handlers.find(type);
     if (handler == to->handlers.end()) return open->End(absl::UnimplementedError("no such call"));
     handler->second(IpPart(from), body, [=](absl::StatusOr<std::string> answer) {
-      time->After(VirtualNetwork::kDelay, [=, answer = std::move(answer)] {
+      time->After(network->DelayOf(from, address), [=, answer = std::move(answer)] {
         if (network->Passes(from, address)) open->End(answer);
       });
     });
@@ -54,11 +54,12 @@
 
 void VirtualMesh::SendDatagram(const std::string& address, std::string_view body) {
   VirtualNetwork* network = network_;
-  network->time()->After(VirtualNetwork::kDelay, [=, from = address_, bytes = std::string(body)] {
-    VirtualMesh* to = network->Find(address);
-    if (to == nullptr || !network->Passes(from, address)) return;
-    if (to->datagrams) to->datagrams(IpPart(from), bytes);
-  });
+  network->time()->After(network->DelayOf(address_, address),
+                         [=, from = address_, bytes = std::string(body)] {
+                           VirtualMesh* to = network->Find(address);
+                           if (to == nullptr || !network->Passes(from, address)) return;
+                           if (to->datagrams) to->datagrams(IpPart(from), bytes);
+                         });
 }
 
 std::size_t VirtualMesh::CallsTo(const std::string& address, mesh::MessageType type) const {
--- a/tests/tier/control/virtual_world.h
+++ b/tests/tier/control/virtual_world.h
@@ -114,6 +114,13 @@
     const auto found = nodes_.find(address);
     return found == nodes_.end() ? nullptr : found->second;
   }
+  // One way between two nodes; every one from or to `far` nodes and the others takes `far_delay`.
+  Micros DelayOf(const std::string& a, const std::string& b) const {
+    return far.count(a) == far.count(b) ? kDelay : far_delay;
+  }
+  std::set<std::string> far;  // by address
+  Micros far_delay = kDelay;
+
   // Between these two nothing comes through, and nobody is told.
   void Cut(const std::string& a, const std::string& b) { cuts_.insert(std::minmax(a, b)); }
   void Isolate(const std::string& address) { isolated_.insert(address); }
@@ -137,9 +144,10 @@
 // What is on it outlives the process that uses it.
 class VirtualDisk : public disk::TableStore {
  public:
-  VirtualDisk(VirtualTime* time, std::string id) : time_(time), id_(std::move(id)) {}
+  VirtualDisk(VirtualTime* time, std::string id, Micros sync_time = 2000)
+      : time_(time), id_(std::move(id)), sync_time_(sync_time) {}
   void Commit(std::vector<disk::Write> batch, std::function<void(absl::Status)> done) override {
-    time_->After(kSyncTime, [this, batch = std::move(batch), done = std::move(done)] {
+    time_->After(sync_time_, [this, batch = std::move(batch), done = std::move(done)] {
       for (const disk::Write& write : batch) {
         if (write.erase) {
           records_.erase(write.key);
@@ -166,9 +174,9 @@
   bool was_empty() const override { return records_.empty(); }
 
  private:
-  static constexpr Micros kSyncTime = 2000;
   VirtualTime* time_;
   std::string id_;
+  const Micros sync_time_;
   std::map<std::string, std::string> records_;
 };
 
--- a/tests/tier/coordination/chain_cluster.cpp
+++ b/tests/tier/coordination/chain_cluster.cpp
@@ -94,7 +94,7 @@
   ChainOptions options;
   options.self = {name, machine.disk_id};
   options.bootstrap = machine.bootstrap;
-  options.tolerance = options_.tolerance;
+  options.tolerance.machines = options_.tolerance;
   machine.life = ++lives_;
   machine.frozen = false;
   machine.changed = now_;
@@ -184,7 +184,7 @@
     const bool down = !other.up() || other.frozen;
     auto known = machine.peers.find(name);
     if (!down && Reaches(name, observer) && Reaches(observer, name)) {
-      machine.peers[name] = {{name, other.disk_id}, true};
+      machine.peers[name] = {{name, other.disk_id}, true, {}, {}};
     } else if (known != machine.peers.end() && now_ - other.changed >= kDetectDown) {
       known->second.alive = false;
     }
--- a/tests/tier/coordination/chain_views_test.cpp
+++ b/tests/tier/coordination/chain_views_test.cpp
@@ -121,6 +121,9 @@
   CPPUNIT_TEST_SUITE(ViewTargetTest);
   CPPUNIT_TEST(FollowsTheLiveOnes);
   CPPUNIT_TEST(DropsNobodyTooSoon);
+  CPPUNIT_TEST(KeepsEnoughZonesAndRegions);
+  CPPUNIT_TEST(CountsWhatAZoneTakesWithIt);
+  CPPUNIT_TEST(KnowsWhatIsWideEnough);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -143,7 +146,7 @@
         {"a1", "a2", "", 1, "a1"},
     };
     for (const auto& test : cases) {
-      ViewTarget target({"a", "1"}, test.tolerance, {2 * kRetry, kTimeout, kStart});
+      ViewTarget target({"a", "1"}, {test.tolerance}, {2 * kRetry, kTimeout, kStart});
       target.SetPeers(kStart, Peers(test.alive, test.dead));
       target.Compute(kStart, Ids(test.view));
       const auto later = target.Compute(kStart + 3 * kRetry, Ids(test.view));
@@ -153,7 +156,7 @@
   }
 
   void DropsNobodyTooSoon() {
-    ViewTarget target({"a", "1"}, 1, {2 * kRetry, kTimeout, kStart});
+    ViewTarget target({"a", "1"}, {1}, {2 * kRetry, kTimeout, kStart});
     const auto view = Ids("a1 b1 c1");
     CPPUNIT_ASSERT(target.Compute(kStart, view).members == view);
     target.SetPeers(kStart, Peers("b1", "c1"));
@@ -167,11 +170,84 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a1 b1"), Text(dropped.members));
   }
 
+  // The places are given as "a=z1/r1"; the target is that of a with everybody else as told.
+  void KeepsEnoughZonesAndRegions() {
+    const struct {
+      std::string view, alive, dead, places;
+      Tolerance tolerance;
+      std::string target;
+    } cases[] = {
+        // Three zones, one is lost with its machines: two are enough.
+        {"a1 b1 c1", "b1", "c1", "a=x/r b=y/r c=z/r", {0, 1, 0}, "a1 b1"},
+        {"a1 b1 c1 d1 e1 f1",
+         "b1 c1 d1",
+         "e1 f1",
+         "a=x/r b=x/r c=y/r d=y/r e=z/r f=z/r",
+         {0, 1, 0},
+         "a1 b1 c1 d1"},
+        // What is left stands in one zone: nobody is dropped.
+        {"a1 b1 c1", "b1", "c1", "a=x/r b=x/r c=z/r", {0, 1, 0}, "a1 b1 c1"},
+        {"a1 b1 c1", "b1", "c1", "a=x/r b=x/r c=z/r", {1, 0, 0}, "a1 b1"},
+        // All are in one zone anyway.
+        {"a1 b1 c1", "b1", "c1", "a=x/r b=x/r c=x/r", {1, 1, 0}, "a1 b1"},
+        // Regions: the second one is lost but for a machine, then whole.
+        {"a1 b1 c1 d1", "b1 c1", "d1", "a=x/r b=y/r c=z/s d=w/s", {1, 0, 1}, "a1 b1 c1"},
+        {"a1 b1 c1 d1", "b1", "c1 d1", "a=x/r b=y/r c=z/s d=w/s", {1, 0, 1}, "a1 b1 c1 d1"},
+        // A machine in the lost zone's place counts.
+        {"a1 b1 c1", "b1 d1", "c1", "a=x/r b=x/r c=z/r d=z/r", {0, 1, 0}, "a1 b1 d1"},
+    };
+    for (const auto& test : cases) {
+      ViewTarget target({"a", "1"}, test.tolerance, {2 * kRetry, kTimeout, kStart});
+      target.SetPeers(kStart, Peers("a1 " + test.alive, test.dead, test.places));
+      target.Compute(kStart, Ids(test.view));
+      const auto later = target.Compute(kStart + 3 * kRetry, Ids(test.view));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(test.view + " with " + test.alive + " at " + test.places,
+                                   test.target, Text(later.members));
+    }
+  }
+
+  void CountsWhatAZoneTakesWithIt() {
+    const std::string places = "a=x/r b=x/r c=y/r d=z/s";
+    const struct {
+      Tolerance tolerance;
+      int lost;
+    } cases[] = {{{1, 0, 0}, 1}, {{0, 1, 0}, 2}, {{0, 2, 0}, 3}, {{0, 0, 1}, 3}, {{4, 1, 0}, 4}};
+    for (const auto& test : cases) {
+      ViewTarget target({"a", "1"}, test.tolerance, {2 * kRetry, kTimeout, kStart});
+      target.SetPeers(kStart, Peers("a1 b1 c1 d1", "", places));
+      CPPUNIT_ASSERT_EQUAL(test.lost, target.MostLost(Ids("a1 b1 c1 d1")));
+    }
+  }
+
+  void KnowsWhatIsWideEnough() {
+    ViewTarget target({"a", "1"}, {1, 1, 0}, {2 * kRetry, kTimeout, kStart});
+    CPPUNIT_ASSERT(target.IsWide(Ids("a1")));  // nothing is known yet
+    target.SetPeers(kStart, Peers("a1", "", "a=x/r"));
+    CPPUNIT_ASSERT(target.IsWide(Ids("a1")));  // there is no other machine
+    target.SetPeers(kStart, Peers("a1 b1", "c1", "a=x/r b=x/r c=y/r"));
+    CPPUNIT_ASSERT(!target.IsWide(Ids("a1")));
+    CPPUNIT_ASSERT(target.IsWide(Ids("a1 b1")));
+    target.SetPeers(kStart, Peers("a1 b1 c1", "", "a=x/r b=x/r c=y/r"));
+    CPPUNIT_ASSERT(!target.IsWide(Ids("a1 b1")));
+    CPPUNIT_ASSERT(target.IsWide(Ids("a1 c1")));
+  }
+
  private:
+  static std::vector<Peer> Peers(const std::string& alive, const std::string& dead,
+                                 const std::string& places) {
+    std::vector<Peer> peers = Peers(alive, dead);
+    for (Peer& peer : peers) {
+      const std::size_t at = (" " + places).find(" " + peer.id.name + "=");
+      CPPUNIT_ASSERT(at != std::string::npos);
+      peer.zone = places.substr(at + 2, 1);
+      peer.region = places.substr(at + 4, 1);
+    }
+    return peers;
+  }
   static std::vector<Peer> Peers(const std::string& alive, const std::string& dead) {
     std::vector<Peer> peers;
-    for (const ReplicaId& id : Ids(alive)) peers.push_back({id, true});
-    for (const ReplicaId& id : Ids(dead)) peers.push_back({id, false});
+    for (const ReplicaId& id : Ids(alive)) peers.push_back({id, true, {}, {}});
+    for (const ReplicaId& id : Ids(dead)) peers.push_back({id, false, {}, {}});
     return peers;
   }
 };
