--- a/src/batch/placement.cpp
+++ b/src/batch/placement.cpp
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "batch/replica_places.h"
+
 namespace pearreach::batch {
 namespace {
 
@@ -49,13 +51,7 @@
   bool DiskIsLost(const StoreId& store) const;
   bool IsUsable(const StoreView& store) const;
   bool IsLeaving(const std::string& name) const;
-  std::string ZoneOf(const StoreId& store) const;
-  std::string RegionOf(const std::string& zone) const;
-  std::set<std::string> ZonesOf(const Partition& partition) const;
-  std::set<std::string> RegionsOf(const std::set<std::string>& zones) const;
-  bool Narrows(const Partition& before, const Partition& after) const;
-  int NeedOf(const StoreId& store, const Partition& partition) const;
-  bool Widens(const StoreView& store, const Partition& partition) const;
+  ReplicaPlaces Places() const { return ReplicaPlaces(input_, table_); }
   void Widen();
   std::map<std::string, int> Shared(const Partition& partition) const;
   const StoreView* Choose(std::uint32_t index, const Partition& partition) const;
@@ -109,56 +105,6 @@
   return store.condition == StoreCondition::kLive && !IsLeaving(store.id.name);
 }
 
-std::string Planner::ZoneOf(const StoreId& store) const {
-  const auto found = input_.stores.find(store.name);
-  return found == input_.stores.end() ? std::string() : found->second.zone;
-}
-
-std::string Planner::RegionOf(const std::string& zone) const {
-  const auto found = input_.spread.region_of.find(zone);
-  return found == input_.spread.region_of.end() ? std::string() : found->second;
-}
-
-// Those of the replicas that stay.
-std::set<std::string> Planner::ZonesOf(const Partition& partition) const {
-  std::set<std::string> zones;
-  for (const StoreId& store : partition.replicas) {
-    if (!IsLeaving(store.name)) zones.insert(ZoneOf(store));
-  }
-  return zones;
-}
-
-std::set<std::string> Planner::RegionsOf(const std::set<std::string>& zones) const {
-  std::set<std::string> regions;
-  for (const std::string& zone : zones) regions.insert(RegionOf(zone));
-  return regions;
-}
-
-// Its replicas stand in fewer zones or regions than before, of those that are wanted.
-bool Planner::Narrows(const Partition& before, const Partition& after) const {
-  const std::set<std::string> had = ZonesOf(before), has = ZonesOf(after);
-  return has.size() < std::min(had.size(), input_.spread.zones) ||
-         RegionsOf(has).size() < std::min(RegionsOf(had).size(), input_.spread.regions);
-}
-
-// How much a replica is needed where it stands: 2 for the zones and regions that are wanted, 1 as
-// the only one in its zone.
-int Planner::NeedOf(const StoreId& store, const Partition& partition) const {
-  Partition rest = partition;
-  std::erase(rest.replicas, store);
-  if (Narrows(partition, rest)) return 2;
-  return ZonesOf(rest).count(ZoneOf(store)) > 0 ? 0 : 1;
-}
-
-// The partition's replicas stand in too few zones or regions, and this store's is another one.
-bool Planner::Widens(const StoreView& store, const Partition& partition) const {
-  const std::set<std::string> zones = ZonesOf(partition), regions = RegionsOf(zones);
-  const bool new_zone = zones.count(store.zone) == 0;
-  const bool new_region = regions.count(RegionOf(store.zone)) == 0;
-  return (zones.size() < input_.spread.zones && new_zone) ||
-         (regions.size() < input_.spread.regions && new_region);
-}
-
 // In how many partitions each store stands beside a replica of this one: the loss of a store is
 // made good from many others where these are mixed.
 std::map<std::string, int> Planner::Shared(const Partition& partition) const {
@@ -177,7 +123,8 @@
 // The best store that the partition does not have yet: of a zone of its own, then the one with the
 // least load and the fewest partitions in common with those that it has.
 const StoreView* Planner::Choose(std::uint32_t index, const Partition& partition) const {
-  const std::set<std::string> zones = ZonesOf(partition), regions = RegionsOf(zones);
+  const std::set<std::string> zones = Places().ZonesOf(partition),
+                              regions = Places().RegionsOf(zones);
   std::map<std::string, int> shared = Shared(partition);
   const StoreView* best = nullptr;
   std::tuple<bool, bool, int, std::uint64_t> best_rank;
@@ -187,7 +134,7 @@
     const auto load = load_.find(name);
     const int cost = (load == load_.end() ? 0 : load->second) + shared[name];
     const bool same_region =
-        regions.size() < input_.spread.regions && regions.count(RegionOf(store.zone)) > 0;
+        regions.size() < input_.spread.regions && regions.count(Places().RegionOf(store.zone)) > 0;
     const std::tuple<bool, bool, int, std::uint64_t> rank = {
         same_region, zones.count(store.zone) > 0, cost, Preference(index, store.id)};
     if (best != nullptr && rank >= best_rank) continue;
@@ -275,7 +222,8 @@
   if (replicas.size() > input_.spread.replicas) {
     const auto most =
         std::max_element(replicas.begin(), replicas.end(), [&](const StoreId& a, const StoreId& b) {
-          const int need_of_a = NeedOf(a, *partition), need_of_b = NeedOf(b, *partition);
+          const int need_of_a = Places().NeedOf(a, *partition),
+                    need_of_b = Places().NeedOf(b, *partition);
           return need_of_a != need_of_b ? need_of_a > need_of_b : load_[a.name] < load_[b.name];
         });
     --load_[most->name];
@@ -360,11 +308,11 @@
       if (most == nullptr || load_[store.name] > load_[most->name]) most = &store;
     }
     for (const StoreId& store : partition.replicas) {
-      if (&store != most && ZoneOf(store) == fewest->zone) keeps_zones = false;
+      if (&store != most && Places().ZoneOf(store) == fewest->zone) keeps_zones = false;
     }
     Partition moved = partition;
     std::replace(moved.replicas.begin(), moved.replicas.end(), *most, fewest->id);
-    if (Narrows(partition, moved)) keeps_zones = false;
+    if (Places().Narrows(partition, moved)) keeps_zones = false;
     const int gain = load_[most->name] - load_[fewest->id.name];
     if (!keeps_zones || gain <= best_gain) continue;
     best = &partition;
@@ -383,7 +331,7 @@
   for (std::uint32_t index = 0; index < table_.partitions.size(); ++index) {
     Partition& partition = table_.partitions[index];
     const StoreView* store = Choose(index, partition);
-    if (store == nullptr || !Widens(*store, partition)) continue;
+    if (store == nullptr || !Places().Widens(*store, partition)) continue;
     partition.joining.push_back(store->id);
     ++load_[store->id.name];
     ++partition.epoch;
