--- a/src/disk/environment.cpp
+++ b/src/disk/environment.cpp
@@ -94,13 +94,17 @@
 }
 
 absl::Status Environment::OpenSnapshot() {
-  return LmdbStatus(mdb_txn_begin(env_, nullptr, MDB_RDONLY, &snapshot_), "begin to read");
+  absl::Status status =
+      LmdbStatus(mdb_txn_begin(env_, nullptr, MDB_RDONLY, &snapshot_), "begin to read");
+  if (status.ok()) CountPages();
+  return status;
 }
 
 // ---------------------------------------------------------------- writing
 
 std::vector<absl::Status> Environment::Commit(const std::vector<std::vector<Write>>& batches) {
   std::vector<const std::vector<Write>*> together;
+  together.reserve(batches.size());
   for (const std::vector<Write>& batch : batches) together.push_back(&batch);
   const absl::Status status = CommitTogether(together);
   std::vector<absl::Status> results(batches.size(), status);
@@ -130,7 +134,7 @@
   const int begun = mdb_txn_begin(env_, nullptr, 0, &transaction);
   if (begun != MDB_SUCCESS) return LmdbStatus(begun, "begin");
   for (const std::vector<Write>* batch : batches) {
-    const absl::Status status = Apply(transaction, table, *batch);
+    absl::Status status = Apply(transaction, table, *batch);
     if (status.ok()) continue;
     mdb_txn_abort(transaction);
     return status;
@@ -150,7 +154,21 @@
   if (snapshot_ == nullptr) return absl::OkStatus();
   const std::lock_guard<std::recursive_mutex> lock(snapshot_mutex_);
   mdb_txn_reset(snapshot_);
-  return LmdbStatus(mdb_txn_renew(snapshot_), "renew the snapshot");
+  absl::Status status = LmdbStatus(mdb_txn_renew(snapshot_), "renew the snapshot");
+  if (status.ok()) CountPages();
+  return status;
+}
+
+// Of the trees themselves: what is free within the file does not count.
+void Environment::CountPages() {
+  constexpr MDB_dbi kFreePages = 0, kTablesByName = 1;
+  std::size_t bytes = 0;
+  for (const MDB_dbi table : {kFreePages, kTablesByName, tables_.about, tables_.data}) {
+    MDB_stat stat;
+    if (mdb_stat(snapshot_, table, &stat) != MDB_SUCCESS) return;
+    bytes += stat.ms_psize * (stat.ms_branch_pages + stat.ms_leaf_pages + stat.ms_overflow_pages);
+  }
+  used_bytes_ = bytes;
 }
 
 absl::Status Environment::SetLimit(Limit limit) {
--- a/src/disk/table_store.cpp
+++ b/src/disk/table_store.cpp
@@ -54,6 +54,7 @@
     logging::Error("disk", "tables not read to the end", {logging::F("error", status.ToString())});
   }
 
+  Space space() const override { return environment_->space(); }
   const std::string& disk_id() const override { return disk_id_; }
   bool was_empty() const override { return was_empty_; }
 
@@ -112,7 +113,7 @@
   if (!disk_id.ok()) return disk_id.status();
   auto environment = Environment::Open(OptionsFor(new_file, capacity_bytes));
   if (!environment.ok()) return environment.status();
-  const absl::Status named = (*environment)->SetDiskId(*disk_id);
+  absl::Status named = (*environment)->SetDiskId(*disk_id);
   environment->reset();  // closes it
   if (!named.ok()) return named;
   const std::string file = data_path + "/" + kFileName;
--- a/src/proxy/running_job.cpp
+++ b/src/proxy/running_job.cpp
@@ -184,7 +184,10 @@
   if (runs_ > 0) return std::min(spec_.due, now + kHoldAgain);
   const double share = line_->dispatcher.limit_grows() ? kGrowingHoldShare : kHoldShare;
   const Micros hold = std::max(FromMs(share * spec_.target_ms) - kHoldMargin, kHoldLeast);
-  return std::min(spec_.due, std::max(started_ + hold, now + kHoldLeast));
+  // After a start of all nodes no other one knows more workers than this one: waiting serves the
+  // client better than a refusal, which would be its last.
+  const Micros learned = host_->LearnsWorkersUntil(now);
+  return std::min(spec_.due, std::max({started_ + hold, now + kHoldLeast, learned}));
 }
 
 // The job itself gives up: at the module only what has missed its objective makes slots dear.
@@ -320,7 +323,10 @@
     const bool other_version =
         std::any_of(spec_.headers.begin(), spec_.headers.end(),
                     [](const http::Header& h) { return http::SameName(h.name, "Expect-Version"); });
-    if (!other_version) line_->dispatcher.OnWorkers(line_->workers.DropWorker(worker_));
+    if (!other_version) {
+      line_->dispatcher.OnWorkers(line_->workers.DropWorker(worker_));
+      host_->RefreshWorkers();  // which sees to it that the worker is tried again in time
+    }
     return Outcome::kMoot;
   }
   if (head.status == 400) return Outcome::kMoot;
--- a/tests/tier/control/virtual_world.cpp
+++ b/tests/tier/control/virtual_world.cpp
@@ -39,14 +39,14 @@
   open->timer =
       time->After(timeout, [open] { open->End(absl::DeadlineExceededError("no answer in time")); });
   time->After(network->DelayOf(address_, address), [=, from = address_, body = std::move(body)] {
-    if (!network->Passes(from, address)) return;
+    if (!network->Passes(from, address) || network->Loses()) return;
     VirtualMesh* to = network->Find(address);
     if (to == nullptr) return open->End(absl::UnavailableError("refused"));
     const auto handler = to->handlers.find(type);
     if (handler == to->handlers.end()) return open->End(absl::UnimplementedError("no such call"));
     handler->second(IpPart(from), body, [=](absl::StatusOr<std::string> answer) {
       time->After(network->DelayOf(from, address), [=, answer = std::move(answer)] {
-        if (network->Passes(from, address)) open->End(answer);
+        if (network->Passes(from, address) && !network->Loses()) open->End(answer);
       });
     });
   });
@@ -57,7 +57,8 @@
   network->time()->After(network->DelayOf(address_, address),
                          [=, from = address_, bytes = std::string(body)] {
                            VirtualMesh* to = network->Find(address);
-                           if (to == nullptr || !network->Passes(from, address)) return;
+                           if (to == nullptr || !network->Passes(from, address) || network->Loses())
+                             return;
                            if (to->datagrams) to->datagrams(IpPart(from), bytes);
                          });
 }
