--- a/tests/tier/settings/node_settings_test.cpp
+++ b/tests/tier/settings/node_settings_test.cpp
@@ -9,8 +9,6 @@
 #include <string>
 #include <vector>
 
-#include "settings/lost_copies.h"
-
 namespace pearreach::settings {
 namespace {
 
@@ -100,11 +98,12 @@
 
  public:
   void TheGreatestToleranceCounts() {
-    CPPUNIT_ASSERT_EQUAL(0, LostCopies({}));
-    CPPUNIT_ASSERT_EQUAL(2, LostCopies({.machines = 2, .zones = 1}));
-    CPPUNIT_ASSERT_EQUAL(1, LostCopies({.machines = 0, .zones = 1}));
-    CPPUNIT_ASSERT_EQUAL(3, LostCopies({.machines = 1, .zones = 2, .regions = 3}));
-    CPPUNIT_ASSERT_EQUAL(0, LostCopies({.machines = -1}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Tolerance({}).copies());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, Tolerance({.machines = 2, .zones = 1}).copies());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, Tolerance({.machines = 0, .zones = 1}).copies());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4},
+                         Tolerance({.machines = 1, .zones = 2, .regions = 3}).copies());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Tolerance({.machines = -1}).copies());
   }
 
   void ReadsTheExample() {
