--- a/tests/tier/proxy/proxy_rig.h
+++ b/tests/tier/proxy/proxy_rig.h
@@ -234,7 +234,10 @@
     this->result = result;
   }
 
+  std::size_t backlog() const override { return untaken; }
+
   int heads = 0, ends = 0, status = 0;
+  std::size_t untaken = 0;
   std::vector<http::Header> headers;
   std::string body;
   JobResult result;
@@ -242,7 +245,10 @@
 };
 
 struct Rig {
-  Rig() { runner = MakeJobRunner(&timers, &workers, &control, {"me", "here", 7}); }
+  // `settle`: see RunnerOptions.
+  explicit Rig(Micros settle = 0) {
+    runner = MakeJobRunner(&timers, &workers, &control, {"me", "here", 7, settle});
+  }
 
   // Workers answer by their scripts; the least numbered ones are not preferred.
   ScriptedWorker& Add(std::vector<ScriptedWorker::Step> steps) {
