--- a/src/batch/lot_store.cpp
+++ b/src/batch/lot_store.cpp
@@ -38,7 +38,7 @@
       random_((static_cast<std::uint64_t>(std::random_device()()) << 32) ^ std::random_device()()),
       wall_at_start_ms_(g_get_real_time() / kMs),
       start_(pearreach::Now()),
-      replicas_wanted_(static_cast<std::size_t>(tolerance.machines) + 1),
+      replicas_wanted_(tolerance.copies()),
       sync_s_(bounds.sync_s),
       link_mbps_(link_mbps),
       repair_pacer_({[] { return pearreach::Now(); },
