Try a write of the control state again that failed on a full disk

Cause: the replica's driver gave each record to the disk once. After a write that failed the replica waited for it for good: the head took no change and confirmed no read, and it was alive, so that no view left it out. Ruled out: views by zones, the duty's epoch.

TestFullDisk is red without.

--- /dev/null
+++ b/src/control/record_writer.h
@@ -0,0 +1,54 @@
+// Writes the records of this node's chain replica to disk in the order in which the replica gave
+// them. A write that fails (a full disk) is tried again until it is on disk: the replica goes no
+// further without it, and nothing later may be on disk before it. What is given meanwhile goes
+// along with the next try.
+#ifndef PEARREACH_SRC_CONTROL_RECORD_WRITER_H_
+#define PEARREACH_SRC_CONTROL_RECORD_WRITER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "control/time_source.h"
+#include "coordination/chain.h"
+#include "disk/table_store.h"
+
+namespace pearreach::control {
+
+class RecordWriter {
+ public:
+  // The replica's tokens of what is on disk now, in order.
+  using Written = std::function<void(const std::vector<std::uint64_t>& tokens)>;
+
+  RecordWriter(TimeSource* time, disk::TableStore* store, Written written);
+  ~RecordWriter();
+  RecordWriter(const RecordWriter&) = delete;
+  RecordWriter& operator=(const RecordWriter&) = delete;
+
+  void Write(coordination::Persist persist);
+
+ private:
+  // Records that go to disk as a whole; a later value of a key takes an earlier one's place.
+  struct Batch {
+    std::map<std::string, std::string> records;
+    std::vector<std::uint64_t> tokens;
+  };
+
+  void CommitNext();
+  void Committed(const absl::Status& status);
+
+  TimeSource* time_;
+  disk::TableStore* store_;
+  const Written written_;
+  Batch waiting_;
+  Batch committing_;  // without tokens: nothing is under way
+  Timers::Id retry_timer_ = 0;
+  bool failing_ = false;
+  CallbackOwner callbacks_;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_RECORD_WRITER_H_
--- a/src/control/replica_driver.cpp
+++ b/src/control/replica_driver.cpp
@@ -36,7 +36,7 @@
                              std::uint64_t seed)
     : time_(time),
       mesh_(mesh),
-      store_(store),
+      writer_(time, store, [this](const auto& tokens) { Written(tokens); }),
       snapshots_(snapshots),
       directory_(directory),
       reach_(reach),
@@ -138,7 +138,7 @@
 }
 
 void ReplicaDriver::CarryOut(coordination::Effects effects) {
-  for (auto& persist : effects.persists) Write(std::move(persist));
+  for (auto& persist : effects.persists) writer_.Write(std::move(persist));
   for (const auto& message : effects.messages) Send(message);
   for (auto& committed : effects.committed) {
     snapshots_->Apply(committed.version, std::move(committed.map));
@@ -149,23 +149,10 @@
   if (listener_) listener_();
 }
 
-void ReplicaDriver::Write(coordination::Persist persist) {
-  std::vector<disk::Write> batch;
-  for (auto& [key, value] : persist.records) {
-    batch.push_back({key, std::move(value), false});
-  }
-  store_->Commit(std::move(batch),
-                 callbacks_.Bind([this, token = persist.token](const absl::Status& status) {
-                   if (!status.ok()) {
-                     // Without the record the replica takes no further step on it.
-                     logging::Error("control", "a record could not be written",
-                                    {logging::F("error", status.ToString())});
-                     return;
-                   }
-                   coordination::Effects effects;
-                   replica_.Persisted(time_->Now(), token, &effects);
-                   CarryOut(std::move(effects));
-                 }));
+void ReplicaDriver::Written(const std::vector<std::uint64_t>& tokens) {
+  coordination::Effects effects;
+  for (const std::uint64_t token : tokens) replica_.Persisted(time_->Now(), token, &effects);
+  CarryOut(std::move(effects));
 }
 
 void ReplicaDriver::Send(const coordination::SendMessage& message) {
--- a/src/control/replica_driver.h
+++ b/src/control/replica_driver.h
@@ -10,6 +10,7 @@
 
 #include "control/member_directory.h"
 #include "control/quorum_reach.h"
+#include "control/record_writer.h"
 #include "control/snapshot_store.h"
 #include "control/time_source.h"
 #include "control/wake_timer.h"
@@ -57,14 +58,14 @@
   void Receive(const ChainEnvelope& envelope);
   void Tick();
   void CarryOut(coordination::Effects effects);
-  void Write(coordination::Persist persist);
+  void Written(const std::vector<std::uint64_t>& tokens);
   void Send(const coordination::SendMessage& message);
   void Finish(const coordination::ChangeResult& result);
   void Finish(const coordination::ReadResult& result);
 
   TimeSource* time_;
   mesh::Mesh* mesh_;
-  disk::TableStore* store_;
+  RecordWriter writer_;
   SnapshotStore* snapshots_;
   const MemberDirectory* directory_;
   const QuorumReach* reach_;
--- a/tests/tier/control/control_node_test.cpp
+++ b/tests/tier/control/control_node_test.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(TestLostHead);
   CPPUNIT_TEST(TestUnavailableIsBounded);
   CPPUNIT_TEST(TestTakesSoonAfterALostHead);
+  CPPUNIT_TEST(TestFullDisk);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -180,6 +181,32 @@
     }
   }
 
+  // A replica whose disk is full for a while takes part again once it has room: nothing is lost.
+  void TestFullDisk() {
+    for (int full = 0; full < kQuorum; ++full) {
+      tearDown();
+      setUp();
+      StartAll(true);
+      Change(4, 0, SampleConfig(1));
+      disks_[full]->SetFull(true);
+      const auto during = Change(4, 1, SampleConfig(2));
+      CPPUNIT_ASSERT(during->status != ChangeStatus::kConflict);
+      time_->RunFor(5 * kSecond);
+      disks_[full]->SetFull(false);
+      time_->RunFor(kSecond);
+      const std::int64_t version = StrictVersion(3);
+      CPPUNIT_ASSERT(version == 1 || version == 2);
+      const int next = static_cast<int>(version) + 1;
+      CPPUNIT_ASSERT_EQUAL(int(ChangeStatus::kCommitted),
+                           int(ChangeUntil(3, version, SampleConfig(next))));
+      for (int i = 0; i < kQuorum; ++i) Stop(i);
+      time_->RunFor(kSecond);
+      for (int i = 0; i < kQuorum; ++i) Start(i, false);
+      time_->RunFor(5 * kSecond);
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(next), StrictVersion(full));
+    }
+  }
+
   // The operator sends on to the next node after a second of silence or an error, with a pause.
   void TestTakesSoonAfterALostHead() {
     for (const bool silent : {false, true}) {
--- a/tests/tier/control/virtual_world.h
+++ b/tests/tier/control/virtual_world.h
@@ -157,6 +157,7 @@
       : time_(time), id_(std::move(id)), sync_time_(sync_time) {}
   void Commit(std::vector<disk::Write> batch, std::function<void(absl::Status)> done) override {
     time_->After(sync_time_, [this, batch = std::move(batch), done = std::move(done)] {
+      if (full_) return done(absl::ResourceExhaustedError("no space left"));
       for (const disk::Write& write : batch) {
         if (write.erase) {
           records_.erase(write.key);
@@ -181,10 +182,13 @@
   }
   const std::string& disk_id() const override { return id_; }
   bool was_empty() const override { return records_.empty(); }
+  // While full, each write fails and leaves nothing.
+  void SetFull(bool full) { full_ = full; }
 
  private:
   VirtualTime* time_;
   std::string id_;
+  bool full_ = false;
   const Micros sync_time_;
   std::map<std::string, std::string> records_;
 };
