--- a/tests/fuzz/tier_state_fuzz.cpp
+++ b/tests/fuzz/tier_state_fuzz.cpp
@@ -116,7 +116,8 @@
 void Placement(FuzzedDataProvider* input) {
   batch::PlacementTable table = AnyTable(input);
   batch::PlacementInput surroundings;
-  surroundings.replicas = input->ConsumeIntegralInRange<std::size_t>(1, 4);
+  surroundings.spread.replicas = input->ConsumeIntegralInRange<std::size_t>(1, 4);
+  surroundings.spread.zones = input->ConsumeIntegralInRange<std::size_t>(1, 3);
   surroundings.allow_joining = input->ConsumeBool();
   for (int i = input->ConsumeIntegralInRange<int>(0, 4); i > 0; --i) {
     const std::string name = Name(input);
@@ -134,7 +135,19 @@
     }
     table = *std::move(next);
   }
-  (void)batch::IsSettled(table, surroundings.replicas);
+  (void)batch::IsSettled(table, surroundings.spread.replicas);
+}
+
+// Another node's entries of a shard, known here or not, whether there is such a shard or not.
+void Compare(Micros now, const registry::WorkerState& state, FuzzedDataProvider* input) {
+  registry::RepairRequest::Shard shard;
+  shard.index = input->ConsumeIntegralInRange<std::uint32_t>(0, 70);
+  for (int i = input->ConsumeIntegralInRange<int>(0, 3); i > 0; --i)
+    shard.entries.push_back(
+        {input->ConsumeIntegral<std::uint64_t>(), input->ConsumeIntegral<std::uint64_t>()});
+  registry::RepairAnswer answer;
+  state.Compare(now, shard, 2, &answer);
+  if (answer.update.items.size() > 2) std::abort();
 }
 
 void Workers(FuzzedDataProvider* input) {
@@ -156,11 +169,16 @@
       case 1:
         state.Depart(now, record.worker_id);
         break;
-      case 2:
-        state.Touch(now, record.worker_id, record.call_seq);
+      case 2: {
+        registry::WorkerUpdate::Item item;
+        item.record = record;
+        item.unheard_ms = input->ConsumeIntegral<std::int64_t>();
+        item.orphaned = input->ConsumeBool();
+        state.Adopt(now, item);
         break;
+      }
       default:
-        (void)state.Covers({record.worker_id, record.call_seq, record.phase});
+        Compare(now, state, input);
         state.Expire(now);
     }
     (void)state.Export(now);
