--- a/lab/hollow/registry.cpp
+++ b/lab/hollow/registry.cpp
@@ -25,11 +25,8 @@
  public:
   std::shared_ptr<const control::ControlSnapshot> Current() const override { return nullptr; }
   void OnChange(std::function<void()>) override {}
-  void Change(const std::string&, std::uint64_t, std::string, Micros,
-              std::function<void(control::ChangeOutcome)>) override {}
-  void StrictRead(
-      Micros, std::function<void(absl::StatusOr<std::shared_ptr<const control::ControlSnapshot>>)>)
-      override {}
+  void Change(control::ControlChange, Micros, ChangeDone) override {}
+  void StrictRead(Micros, ReadDone) override {}
   bool IsDutyHolder() const override { return false; }
   const std::map<std::string, coordination::Member>& members() const override { return known; }
   std::map<std::string, coordination::Member> known;
--- a/src/batch/placement_duty.cpp
+++ b/src/batch/placement_duty.cpp
@@ -190,12 +190,12 @@
   proposing_ = true;
   logging::Info("batch", "placement proposed",
                 {logging::F("epoch", table.epoch), logging::F("revision", revision)});
-  control_->ChangeFenced(duty_.fence(), control::kStoresKey, revision, codec::Encode(table),
-                         kChangeTimeout, [this, alive = alive_](const control::ChangeOutcome&) {
-                           if (!*alive) return;
-                           proposing_ = false;
-                           LookLater(0);
-                         });
+  control_->Change({control::kStoresKey, revision, codec::Encode(table), duty_.fence()},
+                   kChangeTimeout, [this, alive = alive_](const control::ChangeOutcome&) {
+                     if (!*alive) return;
+                     proposing_ = false;
+                     LookLater(0);
+                   });
 }
 
 }  // namespace pearreach::batch
--- a/src/batch/retire_api.cpp
+++ b/src/batch/retire_api.cpp
@@ -124,7 +124,7 @@
   table->retiring.push_back(order->node);
   ++table->epoch;
   const Micros left = std::max<Micros>(order->deadline - Now(), kMs);
-  control_->Change(control::kStoresKey, snapshot.stores_revision, codec::Encode(*table),
+  control_->Change({control::kStoresKey, snapshot.stores_revision, codec::Encode(*table)},
                    std::min(left, kStepTime),
                    [this, alive = alive_, order](const control::ChangeOutcome& outcome) {
                      if (*alive) OnChanged(order, outcome);
--- a/src/control/announced_fetch.cpp
+++ b/src/control/announced_fetch.cpp
@@ -30,7 +30,7 @@
 }
 
 void AnnouncedFetch::MembersChanged(const std::vector<std::string>& names) {
-  if (timer_ != 0 || fetching_) return;
+  if (timer_ != 0 || fetching_ || !snapshots_->known()) return;
   const bool behind = std::any_of(names.begin(), names.end(), [&](const std::string& name) {
     const coordination::Member* member = directory_->FindLive(name);
     return member != nullptr && IsAhead(*member);
--- a/src/control/announced_fetch.h
+++ b/src/control/announced_fetch.h
@@ -1,5 +1,6 @@
 // Fetches from a member that has announced a newer version than this node has for a while: the way
-// to the newest state where both polls stand at members that are cut off.
+// to the newest state where both polls stand at members that are cut off. Not before the first
+// state is known.
 #ifndef PEARREACH_SRC_CONTROL_ANNOUNCED_FETCH_H_
 #define PEARREACH_SRC_CONTROL_ANNOUNCED_FETCH_H_
 
--- a/src/control/change_relay.cpp
+++ b/src/control/change_relay.cpp
@@ -86,11 +86,12 @@
 }
 
 void ChangeRelay::TryHere(const AttemptPtr& attempt, Micros left) {
-  const WriteRequest& request = attempt->request;
-  replica_->Change({0, request.key, request.expected, request.value, request.fence}, left,
-                   callbacks_.Bind([this, attempt](const coordination::ChangeResult& result) {
-                     Settle(attempt, AnswerOf(result));
-                   }));
+  const ControlChange& change = attempt->request.change;
+  replica_->Change(
+      {0, change.key, change.expected_revision, change.value, change.fence, change.mark}, left,
+      callbacks_.Bind([this, attempt](const coordination::ChangeResult& result) {
+        Settle(attempt, AnswerOf(result));
+      }));
 }
 
 void ChangeRelay::PassOn(const AttemptPtr& attempt, const Contact& to, Micros left) {
--- a/src/control/config_api.cpp
+++ b/src/control/config_api.cpp
@@ -8,18 +8,15 @@
 namespace pearreach::control {
 
 ConfigApi::ConfigApi(ControlClient* client, std::function<Micros()> now)
-    : client_(client), now_(std::move(now)), taken_(std::make_shared<TakenConfigs>()) {
-  taken_->Remember(*client_->Current());
-  client_->OnChange([client = client_, taken = taken_] { taken->Remember(*client->Current()); });
-}
+    : client_(client), now_(std::move(now)) {}
 
 void ConfigApi::Register(ApiRouter* router) {
-  router->Add("POST", "/Config.Replace",
-              [this](std::shared_ptr<front::Exchange> exchange, const std::string&) {
-                const Micros deadline = exchange->arrived() + kConfigAnswerWithin;
-                std::make_shared<ReplaceCall>(client_, now_, taken_, std::move(exchange), deadline)
-                    ->Start();
-              });
+  router->Add(
+      "POST", "/Config.Replace",
+      [this](std::shared_ptr<front::Exchange> exchange, const std::string&) {
+        const Micros deadline = exchange->arrived() + kConfigAnswerWithin;
+        std::make_shared<ReplaceCall>(client_, now_, std::move(exchange), deadline)->Start();
+      });
   router->Add("GET", "/Config.Read",
               [this](const std::shared_ptr<front::Exchange>& exchange, const std::string&) {
                 Read(exchange);
--- a/src/control/config_api.h
+++ b/src/control/config_api.h
@@ -8,7 +8,6 @@
 
 #include "control/api_router.h"
 #include "control/control_client.h"
-#include "control/taken_configs.h"
 
 namespace pearreach::control {
 
@@ -28,7 +27,6 @@
 
   ControlClient* client_;
   std::function<Micros()> now_;
-  std::shared_ptr<TakenConfigs> taken_;
 };
 
 }  // namespace pearreach::control
--- a/src/control/control_client.h
+++ b/src/control/control_client.h
@@ -8,10 +8,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/io.h"
 #include "coordination/chain.h"
+#include "coordination/change_marks.h"
 #include "coordination/membership.h"
 #include "routing/route_table.h"
 
@@ -31,28 +33,41 @@
   std::uint64_t stores_revision = 0;
 };
 
+struct ControlChange {
+  std::string key;
+  std::uint64_t expected_revision = 0;
+  std::string value;
+  coordination::Fence fence{};  // refused with kFenced once the fence's key has a later revision
+  std::optional<coordination::ChangeMark> mark{};  // recorded in the same commit
+};
+
 struct ChangeOutcome {
   coordination::ChangeStatus status = coordination::ChangeStatus::kUnavailable;
   std::uint64_t revision = 0;
 };
 
+// A strict read together with what the record of the configurations' marks says of one.
+struct MarkReading {
+  std::shared_ptr<const ControlSnapshot> snapshot;
+  coordination::MarkStanding standing = coordination::MarkStanding::kForgotten;
+};
+
 class ControlClient {
  public:
+  using ChangeDone = std::function<void(ChangeOutcome)>;
+  using ReadDone = std::function<void(absl::StatusOr<std::shared_ptr<const ControlSnapshot>>)>;
+  using MarkDone = std::function<void(absl::StatusOr<MarkReading>)>;
+
   virtual ~ControlClient() = default;
   virtual std::shared_ptr<const ControlSnapshot> Current() const = 0;  // never null
   virtual void OnChange(std::function<void()> listener) = 0;
   // Passed on to the head, wherever it is. kUnavailable: it may come into force or not.
-  virtual void Change(const std::string& key, std::uint64_t expected_revision, std::string value,
-                      Micros timeout, std::function<void(ChangeOutcome)> done) = 0;
-  // As Change, and refused with kFenced once the fence's key has a later revision. A client without
-  // fences changes nothing.
-  virtual void ChangeFenced(const coordination::Fence& fence, const std::string& key,
-                            std::uint64_t expected_revision, std::string value, Micros timeout,
-                            std::function<void(ChangeOutcome)> done);
+  virtual void Change(ControlChange change, Micros timeout, ChangeDone done) = 0;
   // A read that no older state can answer.
-  virtual void StrictRead(
-      Micros timeout,
-      std::function<void(absl::StatusOr<std::shared_ptr<const ControlSnapshot>>)> done) = 0;
+  virtual void StrictRead(Micros timeout, ReadDone done) = 0;
+  // The same, and whether the configuration of that mark has been taken. A client that keeps no
+  // record is sure of nothing.
+  virtual void ReadMark(const coordination::ChangeMark& mark, Micros timeout, MarkDone done);
   // This node is the first live one in the order of the current view, so that duties of the whole
   // system are its to take (see DutyHolder).
   virtual bool IsDutyHolder() const = 0;
@@ -60,10 +75,8 @@
   virtual const std::map<std::string, coordination::Member>& members() const = 0;
 };
 
-inline void ControlClient::ChangeFenced(const coordination::Fence&, const std::string&,
-                                        std::uint64_t, std::string, Micros,
-                                        std::function<void(ChangeOutcome)> done) {
-  done({});
+inline void ControlClient::ReadMark(const coordination::ChangeMark&, Micros, MarkDone done) {
+  done(absl::UnimplementedError("no record of changes is kept here"));
 }
 
 }  // namespace pearreach::control
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -79,6 +79,7 @@
       fetch_(time_.get(), mesh, &snapshots_, &directory_),
       relay_(time_.get(), mesh, &directory_, replica_.get(), &reach_),
       reader_(time_.get(), mesh, &snapshots_, &directory_, replica_.get()),
+      first_state_(time_.get(), &snapshots_, &reader_, timing_),
       founding_(settings.bootstrap && replica_ != nullptr) {
   Start();
 }
@@ -111,8 +112,8 @@
       if (founding_) Found(true);
     });
   }
-  SnapshotChanged();
   membership_.Start();
+  first_state_.Start();
   if (replica_ == nullptr) return;
   replica_->MembersChanged();
   reach_.Start([this] { replica_->MembersChanged(); });
@@ -130,27 +131,25 @@
   membership_.Announce(name, version);
 }
 
-void ControlNode::Change(const std::string& key, std::uint64_t expected_revision, std::string value,
-                         Micros timeout, std::function<void(ChangeOutcome)> done) {
-  ChangeFenced({}, key, expected_revision, std::move(value), timeout, std::move(done));
-}
-
-void ControlNode::ChangeFenced(const coordination::Fence& fence, const std::string& key,
-                               std::uint64_t expected_revision, std::string value, Micros timeout,
-                               std::function<void(ChangeOutcome)> done) {
+void ControlNode::Change(ControlChange change, Micros timeout, ChangeDone done) {
   WriteRequest request;
-  request.fence = fence;
-  request.key = key;
-  request.expected = expected_revision;
-  request.value = std::move(value);
+  request.change = std::move(change);
   request.timeout = timeout;
   relay_.Change(std::move(request), [done = std::move(done)](const WriteAnswer& answer) {
     done({static_cast<coordination::ChangeStatus>(answer.status), answer.revision});
   });
 }
 
-void ControlNode::StrictRead(Micros timeout, StrictReader::Done done) {
-  reader_.Read(timeout, std::move(done));
+void ControlNode::StrictRead(Micros timeout, ReadDone done) {
+  reader_.Read(std::nullopt, timeout,
+               [done = std::move(done)](absl::StatusOr<MarkReading> reading) {
+                 if (!reading.ok()) return done(reading.status());
+                 done(std::move(reading->snapshot));
+               });
+}
+
+void ControlNode::ReadMark(const coordination::ChangeMark& mark, Micros timeout, MarkDone done) {
+  reader_.Read(mark, timeout, std::move(done));
 }
 
 bool ControlNode::RosterChanged(const std::vector<std::string>& names) {
@@ -192,18 +191,18 @@
 
 void ControlNode::ReplicaStepped() {
   reach_.Update(replica_->is_head(), replica_->view());
-  const bool informed = replica_->InView() && Current()->version != coordination::Version();
-  poller_.SetActive(!informed);
+  UpdatePolls();
+}
+
+// A member of the view learns of commits by itself; a node that knows nothing asks strictly.
+void ControlNode::UpdatePolls() {
+  const bool informed = replica_ != nullptr && replica_->InView();
+  poller_.SetActive(snapshots_.known() && !informed);
 }
 
 void ControlNode::SnapshotChanged() {
-  const coordination::Version version = Current()->version;
-  if (version != coordination::Version()) membership_.Announce(kAnnouncedName, Packed(version));
-  if (replica_ == nullptr) {
-    poller_.SetActive(true);
-  } else {
-    ReplicaStepped();
-  }
+  membership_.Announce(kAnnouncedName, Packed(Current()->version));
+  UpdatePolls();
 }
 
 }  // namespace pearreach::control
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -12,6 +12,7 @@
 #include "control/change_relay.h"
 #include "control/control_client.h"
 #include "control/control_timing.h"
+#include "control/first_state.h"
 #include "control/member_directory.h"
 #include "control/membership_driver.h"
 #include "control/poll_server.h"
@@ -46,12 +47,9 @@
 
   std::shared_ptr<const ControlSnapshot> Current() const override { return snapshots_.current(); }
   void OnChange(std::function<void()> listener) override;
-  void Change(const std::string& key, std::uint64_t expected_revision, std::string value,
-              Micros timeout, std::function<void(ChangeOutcome)> done) override;
-  void ChangeFenced(const coordination::Fence& fence, const std::string& key,
-                    std::uint64_t expected_revision, std::string value, Micros timeout,
-                    std::function<void(ChangeOutcome)> done) override;
-  void StrictRead(Micros timeout, StrictReader::Done done) override;
+  void Change(ControlChange change, Micros timeout, ChangeDone done) override;
+  void StrictRead(Micros timeout, ReadDone done) override;
+  void ReadMark(const coordination::ChangeMark& mark, Micros timeout, MarkDone done) override;
   bool IsDutyHolder() const override { return reach_.HoldsDuty(); }
   const MemberMap& members() const override { return membership_.members(); }
   // Further listeners for changes of members: status, info or announced versions.
@@ -74,6 +72,7 @@
   void MembersChanged(const std::vector<std::string>& names);
   bool RosterChanged(const std::vector<std::string>& names);
   void ReplicaStepped();
+  void UpdatePolls();
   void SnapshotChanged();
   void Found(bool waited);
 
@@ -91,6 +90,7 @@
   AnnouncedFetch fetch_;
   ChangeRelay relay_;
   StrictReader reader_;
+  FirstState first_state_;
   std::map<std::string, Presence> roster_;
   std::vector<MembershipDriver::Listener> member_listeners_;
   bool founding_ = false;  // the first view's members are not chosen yet
--- a/src/control/duty_holder.cpp
+++ b/src/control/duty_holder.cpp
@@ -37,7 +37,7 @@
 
 void DutyHolder::Claim(std::uint64_t epoch) {
   control_->Change(
-      key_, epoch, self_, kClaimTimeout, [this, alive = alive_](const ChangeOutcome& outcome) {
+      {key_, epoch, self_}, kClaimTimeout, [this, alive = alive_](const ChangeOutcome& outcome) {
         if (!*alive) return;
         duty_.ClaimEnded(outcome.status, outcome.revision);
         if (holds()) {
--- /dev/null
+++ b/src/control/first_state.h
@@ -0,0 +1,33 @@
+// Gets the first state of this process's life: by strict reads, one after another until one is
+// answered, so that nothing older than what was in force before comes into force here.
+#ifndef PEARREACH_SRC_CONTROL_FIRST_STATE_H_
+#define PEARREACH_SRC_CONTROL_FIRST_STATE_H_
+
+#include "control/control_timing.h"
+#include "control/snapshot_store.h"
+#include "control/strict_reader.h"
+#include "control/time_source.h"
+
+namespace pearreach::control {
+
+class FirstState {
+ public:
+  FirstState(TimeSource* time, SnapshotStore* snapshots, StrictReader* reader,
+             const ControlTiming& timing);
+  // Begins to ask; does nothing where a state is known.
+  void Start();
+
+ private:
+  void Ask();
+
+  TimeSource* time_;
+  SnapshotStore* snapshots_;
+  StrictReader* reader_;
+  const Micros read_timeout_;
+  const Micros pause_;  // after a read that was not answered
+  CallbackOwner callbacks_;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_FIRST_STATE_H_
--- a/src/control/messages.h
+++ b/src/control/messages.h
@@ -4,10 +4,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
-#include "coordination/chain.h"
+#include "codec/optional.h"
+#include "control/control_client.h"
+#include "coordination/chain_messages.h"
+#include "coordination/change_marks.h"
 
 namespace pearreach::control {
 
@@ -29,9 +33,10 @@
 struct ReadRequest {
   Revisions revisions;
   std::int64_t timeout = 0;
+  std::optional<coordination::ChangeMark> mark;  // whether that configuration has been taken
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& revisions& timeout;
+    archive& revisions& timeout& mark;
   }
 };
 
@@ -49,22 +54,23 @@
   bool present = false;
   coordination::Version version;
   std::vector<StateEntry> entries;  // those whose revision differs from the asker's
+  // Of the mark that was asked about.
+  coordination::MarkStanding standing = coordination::MarkStanding::kForgotten;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& present& version.epoch& version.sequence& entries;
+    archive& present& version.epoch& version.sequence& entries& standing;
   }
 };
 
 // kControlWrite: a change on its way to the head.
 struct WriteRequest {
-  std::string key, value;
-  std::uint64_t expected = 0;
+  ControlChange change;
   std::int64_t timeout = 0;
-  std::uint32_t hops = 0;       // nodes that have passed it on
-  coordination::Fence fence{};  // of the duty under which it is made
+  std::uint32_t hops = 0;  // nodes that have passed it on
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& key& value& expected& timeout& hops& fence.key& fence.revision;
+    archive& change.key& change.value& change.expected_revision& timeout& hops;
+    archive& change.fence.key& change.fence.revision& change.mark;
   }
 };
 
--- a/src/control/poll_server.cpp
+++ b/src/control/poll_server.cpp
@@ -19,6 +19,8 @@
 void PollServer::Take(std::string_view body, mesh::Respond respond) {
   auto request = codec::Decode<PollRequest>(body);
   if (!request.ok()) return respond(request.status());
+  // Nobody gets a first state from here: this node may be cut off and not know it yet.
+  if (request->version == coordination::Version()) return respond(codec::Encode(StateUpdate()));
   if (snapshots_->current()->version > request->version) return respond(Encoded(*request));
   if (!request->hold) return respond(codec::Encode(StateUpdate()));
   held_.push_back({*std::move(request), std::move(respond), time_->Now() + kPollHold});
--- a/src/control/replace_call.cpp
+++ b/src/control/replace_call.cpp
@@ -1,7 +1,6 @@
 #include "control/replace_call.h"
 
 #include <fmt/format.h>
-#include <rapidjson/document.h>
 
 #include <algorithm>
 #include <charconv>
@@ -10,6 +9,7 @@
 
 #include "control/api_answers.h"
 #include "control/config_api.h"
+#include "control/config_mark.h"
 #include "logging/log.h"
 
 namespace pearreach::control {
@@ -33,32 +33,22 @@
   return snapshot.routes == nullptr ? 0 : snapshot.routes->version();
 }
 
-bool SameContent(const std::string& a, const std::string& b) {
-  if (a == b) return true;
-  rapidjson::Document first, second;
-  first.Parse(a.data(), a.size());
-  second.Parse(b.data(), b.size());
-  return !first.HasParseError() && !second.HasParseError() && first == second;
-}
-
 }  // namespace
 
 ReplaceCall::ReplaceCall(ControlClient* client, std::function<Micros()> now,
-                         std::shared_ptr<const TakenConfigs> taken,
                          std::shared_ptr<front::Exchange> exchange, Micros deadline)
-    : client_(client),
-      now_(std::move(now)),
-      taken_(std::move(taken)),
-      exchange_(std::move(exchange)),
-      deadline_(deadline) {}
+    : client_(client), now_(std::move(now)), exchange_(std::move(exchange)), deadline_(deadline) {}
 
+// A state that is out of date does no harm where the call fits it: the change then finds another
+// revision than it expects.
 void ReplaceCall::Start() {
   if (!ReadRequest()) return;
-  const SnapshotPtr snapshot = client_->Current();
-  if (snapshot->version == coordination::Version()) {
-    return Reread(Left() - kResolveTime, &ReplaceCall::DecideSurely);
-  }
-  Decide(*snapshot, false);
+  const std::shared_ptr<const ControlSnapshot> known = client_->Current();
+  if (IsCurrent(*known)) return AnswerTaken();
+  const bool fits = known->version != coordination::Version() &&
+                    parent_ == CurrentVersion(*known) && version_ > parent_;
+  if (fits) return Change(*known);
+  Read(Left() - kResolveTime, &ReplaceCall::Decide);
 }
 
 bool ReplaceCall::ReadRequest() {
@@ -79,63 +69,73 @@
   }
   parent_ = *parent;
   version_ = (*parsed)->version();
+  mark_ = ConfigMark(version_, body_);
   return true;
 }
 
-void ReplaceCall::Reread(Micros timeout, Next next) {
-  client_->StrictRead(std::max<Micros>(timeout, 0), [self = shared_from_this(),
-                                                     next](absl::StatusOr<SnapshotPtr> snapshot) {
-    if (!snapshot.ok()) {
-      return AnswerUnavailable(self->exchange_.get(), "the newest state is not known for sure");
-    }
-    ((*self).*next)(**snapshot);
-  });
+void ReplaceCall::Read(Micros timeout, Next next) {
+  client_->ReadMark(mark_, std::max<Micros>(timeout, 0),
+                    [self = shared_from_this(), next](const absl::StatusOr<MarkReading>& reading) {
+                      if (!reading.ok()) {
+                        return AnswerUnavailable(self->exchange_.get(),
+                                                 "the newest state is not known for sure");
+                      }
+                      ((*self).*next)(*reading);
+                    });
 }
 
-bool ReplaceCall::IsTaken(const ControlSnapshot& snapshot) const {
-  if (snapshot.config_revision != 0 && CurrentVersion(snapshot) == version_ &&
-      SameContent(snapshot.config_json, body_)) {
-    return true;
-  }
-  return taken_->Has(version_, body_);
+bool ReplaceCall::IsCurrent(const ControlSnapshot& snapshot) const {
+  return snapshot.config_revision != 0 && CurrentVersion(snapshot) == version_ &&
+         ConfigMark(version_, snapshot.config_json) == mark_;
 }
 
-void ReplaceCall::Decide(const ControlSnapshot& snapshot, bool sure) {
-  if (IsTaken(snapshot)) return AnswerTaken();
+bool ReplaceCall::IsSettled(const MarkReading& reading) {
+  const ControlSnapshot& snapshot = *reading.snapshot;
   const std::int64_t current = CurrentVersion(snapshot);
-  if (parent_ != current) {
-    if (sure) return AnswerOtherVersion(snapshot);
-    return Reread(Left() - kResolveTime, &ReplaceCall::DecideSurely);
+  if (reading.standing == coordination::MarkStanding::kRecorded || IsCurrent(snapshot)) {
+    AnswerTaken();
+    return true;
+  }
+  if (parent_ == current) return false;
+  const bool forgotten = reading.standing == coordination::MarkStanding::kForgotten;
+  if (forgotten && version_ <= current) {
+    AnswerUnavailable(exchange_.get(), "the version is older than the record of taken ones");
+  } else {
+    // Another one is current for sure, so a change that builds on the parent never commits.
+    AnswerOtherVersion(snapshot);
   }
+  return true;
+}
+
+void ReplaceCall::Decide(const MarkReading& reading) {
+  if (IsSettled(reading)) return;
   // Versions only rise: what is not above its parent is never valid, whatever is current by now.
-  if (version_ <= current) {
+  if (version_ <= parent_) {
     return AnswerFindings(exchange_.get(),
-                          fmt::format("version_no: {} is not above {}", version_, current));
+                          fmt::format("version_no: {} is not above {}", version_, parent_));
   }
-  Change(snapshot);
+  Change(*reading.snapshot);
 }
 
 void ReplaceCall::Change(const ControlSnapshot& snapshot) {
   const Micros timeout = Left() - kResolveTime;
   if (timeout <= 0) return AnswerUnavailable(exchange_.get(), "no time is left for the change");
   client_->Change(
-      kConfigKey, snapshot.config_revision, body_, timeout,
+      {kConfigKey, snapshot.config_revision, body_, {}, mark_}, timeout,
       [self = shared_from_this()](const ChangeOutcome& outcome) { self->Changed(outcome); });
 }
 
 void ReplaceCall::Changed(const ChangeOutcome& outcome) {
   if (outcome.status == ChangeStatus::kCommitted) return AnswerTaken();
   unclear_ = outcome.status == ChangeStatus::kUnavailable;
-  Reread(Left(), &ReplaceCall::Resolve);
+  Read(Left(), &ReplaceCall::Resolve);
 }
 
-void ReplaceCall::Resolve(const ControlSnapshot& snapshot) {
-  if (IsTaken(snapshot)) return AnswerTaken();
-  // Another one is current for sure, so the change's expected revision can never match again.
-  if (CurrentVersion(snapshot) != parent_) return AnswerOtherVersion(snapshot);
+void ReplaceCall::Resolve(const MarkReading& reading) {
+  if (IsSettled(reading)) return;
   // The same change again: at most one of the two finds the revision that both expect.
   if (unclear_ && !std::exchange(again_, true) && Left() > kResolveTime + kLeastChangeTime) {
-    return Change(snapshot);
+    return Change(*reading.snapshot);
   }
   AnswerUnavailable(exchange_.get(), "the change may or may not come into force");
 }
--- a/src/control/replace_call.h
+++ b/src/control/replace_call.h
@@ -1,5 +1,7 @@
 // One call of Config.Replace, from its checks over the change to an answer that holds: 200 only for
-// what is in force, 400 and 412 only for what never will be, 503 for all that is not sure in time.
+// what is or was in force, 400 and 412 only for what never will be, 503 for all that is not sure in
+// time. Whether a configuration has been taken before stands in the record of marks that the
+// control state keeps (coordination/change_marks.h), which is the same at every node.
 #ifndef PEARREACH_SRC_CONTROL_REPLACE_CALL_H_
 #define PEARREACH_SRC_CONTROL_REPLACE_CALL_H_
 
@@ -9,7 +11,6 @@
 #include <string>
 
 #include "control/control_client.h"
-#include "control/taken_configs.h"
 #include "front/exchange.h"
 
 namespace pearreach::control {
@@ -17,35 +18,35 @@
 class ReplaceCall : public std::enable_shared_from_this<ReplaceCall> {
  public:
   ReplaceCall(ControlClient* client, std::function<Micros()> now,
-              std::shared_ptr<const TakenConfigs> taken, std::shared_ptr<front::Exchange> exchange,
-              Micros deadline);
+              std::shared_ptr<front::Exchange> exchange, Micros deadline);
   void Start();
 
  private:
-  using SnapshotPtr = std::shared_ptr<const ControlSnapshot>;
-  using Next = void (ReplaceCall::*)(const ControlSnapshot&);
+  using Next = void (ReplaceCall::*)(const MarkReading&);
 
   // False: answered already.
   bool ReadRequest();
-  void Reread(Micros timeout, Next next);
-  void Decide(const ControlSnapshot& snapshot, bool sure);
-  void DecideSurely(const ControlSnapshot& snapshot) { Decide(snapshot, true); }
+  void Read(Micros timeout, Next next);
+  // By a strict reading.
+  void Decide(const MarkReading& reading);
+  // The same after a conflict or an unclear outcome.
+  void Resolve(const MarkReading& reading);
+  // True: the reading alone gives the answer, which has been sent.
+  bool IsSettled(const MarkReading& reading);
   void Change(const ControlSnapshot& snapshot);
   void Changed(const ChangeOutcome& outcome);
-  // After a conflict or an unclear outcome.
-  void Resolve(const ControlSnapshot& snapshot);
-  bool IsTaken(const ControlSnapshot& snapshot) const;
+  bool IsCurrent(const ControlSnapshot& snapshot) const;
   Micros Left() const { return deadline_ - now_(); }
   void AnswerTaken();
   void AnswerOtherVersion(const ControlSnapshot& snapshot);
 
   ControlClient* client_;
   std::function<Micros()> now_;
-  std::shared_ptr<const TakenConfigs> taken_;
   std::shared_ptr<front::Exchange> exchange_;
   Micros deadline_;
   std::string body_;
   std::int64_t parent_ = 0, version_ = 0;
+  coordination::ChangeMark mark_;
   bool unclear_ = false;  // nothing is known of the change that was sent last
   bool again_ = false;    // the change has been sent a second time
 };
--- a/src/control/snapshot_store.cpp
+++ b/src/control/snapshot_store.cpp
@@ -38,8 +38,8 @@
 
 SnapshotStore::SnapshotStore() : current_(std::make_shared<ControlSnapshot>()) {}
 
-bool SnapshotStore::Apply(coordination::Version version,
-                          std::shared_ptr<const coordination::Map> map) {
+bool SnapshotStore::Swap(coordination::Version version,
+                         std::shared_ptr<const coordination::Map> map) {
   if (map == nullptr || version <= current_->version) return false;
   auto next = std::make_shared<ControlSnapshot>();
   next->version = version;
@@ -51,21 +51,52 @@
   return true;
 }
 
+bool SnapshotStore::Apply(coordination::Version version,
+                          std::shared_ptr<const coordination::Map> map) {
+  if (known()) return Swap(version, std::move(map));
+  if (version > early_version_) {
+    early_version_ = version;
+    early_map_ = std::move(map);
+  }
+  return false;
+}
+
 bool SnapshotStore::Apply(StateUpdate update) {
+  if (!known() || !update.present || update.version <= current_->version) return false;
+  return Swap(update.version, Merged(std::move(update.entries)));
+}
+
+bool SnapshotStore::ApplyConfirmed(coordination::Version version,
+                                   std::shared_ptr<const coordination::Map> map) {
+  const bool swapped = Swap(version, std::move(map));
+  if (early_map_ != nullptr && known()) {
+    Swap(early_version_, std::exchange(early_map_, nullptr));
+  }
+  return swapped;
+}
+
+bool SnapshotStore::ApplyConfirmed(StateUpdate update) {
   if (!update.present || update.version <= current_->version) return false;
-  // Revisions only rise, so what the answer left out is still the same in the current map.
+  return ApplyConfirmed(update.version, Merged(std::move(update.entries)));
+}
+
+// Revisions only rise, so what an answer left out is still the same in the current map.
+std::shared_ptr<const coordination::Map> SnapshotStore::Merged(
+    std::vector<StateEntry> entries) const {
   auto map = current_->map == nullptr ? std::make_shared<coordination::Map>()
                                       : std::make_shared<coordination::Map>(*current_->map);
-  for (StateEntry& entry : update.entries) {
+  for (StateEntry& entry : entries) {
     (*map)[entry.key] = coordination::Entry{std::move(entry.value), entry.revision};
   }
-  return Apply(update.version, std::move(map));
+  return map;
 }
 
 Revisions RevisionsOf(const ControlSnapshot& snapshot) {
   Revisions revisions;
   if (snapshot.map == nullptr) return revisions;
-  for (const auto& [key, entry] : *snapshot.map) revisions[key] = entry.revision;
+  for (const auto& [key, entry] : *snapshot.map) {
+    if (!coordination::IsMarkKey(key)) revisions[key] = entry.revision;
+  }
   return revisions;
 }
 
@@ -75,6 +106,7 @@
   update.present = true;
   update.version = version;
   for (const auto& [key, entry] : map) {
+    if (coordination::IsMarkKey(key)) continue;
     const auto found = known.find(key);
     if (found != known.end() && found->second == entry.revision) continue;
     update.entries.push_back({key, entry.value, entry.revision});
--- a/src/control/strict_reader.cpp
+++ b/src/control/strict_reader.cpp
@@ -16,6 +16,12 @@
   return result.map != nullptr ? result.map : std::make_shared<const coordination::Map>();
 }
 
+coordination::MarkStanding StandingOf(const StrictReader::Mark& mark,
+                                      const coordination::Map& map) {
+  if (!mark) return coordination::MarkStanding::kForgotten;
+  return coordination::FindMark(map, kConfigKey, *mark);
+}
+
 }  // namespace
 
 StrictReader::StrictReader(TimeSource* time, mesh::Mesh* mesh, SnapshotStore* snapshots,
@@ -32,15 +38,19 @@
   const auto request = codec::Decode<ReadRequest>(body);
   if (!request.ok()) return respond(request.status());
   if (replica_ == nullptr) return respond(absl::FailedPreconditionError("not a quorum member"));
-  replica_->Read(request->timeout, [respond, known = request->revisions](
-                                       const coordination::ReadResult& result) {
-    respond(codec::Encode(result.ok ? UpdateFor(known, result.version, *MapOf(result))
-                                    : StateUpdate()));
-  });
+  replica_->Read(request->timeout,
+                 [respond, request = *request](const coordination::ReadResult& result) {
+                   if (!result.ok) return respond(codec::Encode(StateUpdate()));
+                   const auto map = MapOf(result);
+                   StateUpdate update = UpdateFor(request.revisions, result.version, *map);
+                   update.standing = StandingOf(request.mark, *map);
+                   respond(codec::Encode(update));
+                 });
 }
 
-void StrictReader::Read(Micros timeout, Done done) {
+void StrictReader::Read(const Mark& mark, Micros timeout, Done done) {
   auto attempt = std::make_shared<Attempt>();
+  attempt->mark = mark;
   attempt->deadline = time_->Now() + timeout;
   attempt->done = std::move(done);
   Try(attempt);
@@ -51,29 +61,31 @@
   if (left <= 0) return attempt->done(absl::UnavailableError("no sure answer in time"));
   const Micros timeout = std::min(left, std::max(left / 2, kLeastTry));
   const std::size_t number = attempt->tries++;
-  if (number == 0 && replica_ != nullptr && replica_->InView()) return TryHere(attempt, timeout);
   const std::vector<Contact> contacts = directory_->QuorumContacts();
+  const bool is_member = replica_ != nullptr && replica_->InView();
+  if (is_member && (number == 0 || contacts.empty())) return TryHere(attempt, timeout);
   if (!contacts.empty()) return Ask(attempt, contacts[number % contacts.size()], timeout);
-  if (replica_ != nullptr) return TryHere(attempt, timeout);
   Failed(attempt);
 }
 
 void StrictReader::TryHere(const AttemptPtr& attempt, Micros timeout) {
   replica_->Read(timeout, callbacks_.Bind([this, attempt](const coordination::ReadResult& result) {
     if (!result.ok) return Failed(attempt);
-    snapshots_->Apply(result.version, MapOf(result));
-    attempt->done(snapshots_->current());
+    const auto map = MapOf(result);
+    snapshots_->ApplyConfirmed(result.version, map);
+    attempt->done(MarkReading{snapshots_->current(), StandingOf(attempt->mark, *map)});
   }));
 }
 
 void StrictReader::Ask(const AttemptPtr& attempt, const Contact& contact, Micros timeout) {
-  const ReadRequest request{RevisionsOf(*snapshots_->current()), timeout};
+  const ReadRequest request{RevisionsOf(*snapshots_->current()), timeout, attempt->mark};
   mesh_->Call(contact.address, mesh::MessageType::kControlRead, codec::Encode(request), timeout,
               callbacks_.Bind([this, attempt](const absl::StatusOr<std::string>& answer) {
                 auto update = answer.ok() ? codec::Decode<StateUpdate>(*answer) : answer.status();
                 if (!update.ok() || !update->present) return Failed(attempt);
-                snapshots_->Apply(*std::move(update));
-                attempt->done(snapshots_->current());
+                const coordination::MarkStanding standing = update->standing;
+                snapshots_->ApplyConfirmed(*std::move(update));
+                attempt->done(MarkReading{snapshots_->current(), standing});
               }));
 }
 
--- a/src/control/strict_reader.h
+++ b/src/control/strict_reader.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "control/member_directory.h"
 #include "control/replica_driver.h"
@@ -18,16 +19,19 @@
 
 class StrictReader {
  public:
-  using Done = std::function<void(absl::StatusOr<std::shared_ptr<const ControlSnapshot>>)>;
+  using Done = std::function<void(absl::StatusOr<MarkReading>)>;
+  using Mark = std::optional<coordination::ChangeMark>;
 
   // `replica`: null on nodes outside the quorum.
   StrictReader(TimeSource* time, mesh::Mesh* mesh, SnapshotStore* snapshots,
                const MemberDirectory* directory, ReplicaDriver* replica);
-  // `done` is called exactly once, within `timeout`.
-  void Read(Micros timeout, Done done);
+  // `done` is called exactly once, within `timeout`. `mark`: of a configuration, whose standing the
+  // reading tells.
+  void Read(const Mark& mark, Micros timeout, Done done);
 
  private:
   struct Attempt {
+    Mark mark;
     Micros deadline = 0;
     Done done;
     std::size_t tries = 0;
--- a/src/coordination/chain.h
+++ b/src/coordination/chain.h
@@ -67,6 +67,14 @@
   std::uint64_t revision = 0;
 };
 
+// What stands for a change in the record of its key's changes (change_marks.h): the number that its
+// author gave it, which rises from change to change, and a digest of its content.
+struct ChangeMark {
+  std::uint64_t number = 0;
+  std::uint64_t digest_high = 0, digest_low = 0;
+  auto operator<=>(const ChangeMark&) const = default;
+};
+
 // Sets `key` to `value` where its revision is `expected` and the fence stands.
 struct ChangeRequest {
   std::uint64_t ticket = 0;
@@ -74,6 +82,7 @@
   std::uint64_t expected = 0;
   std::string value;
   Fence fence;
+  std::optional<ChangeMark> mark{};  // recorded in the same commit
 };
 
 struct ChangeResult {
--- a/src/coordination/chain_messages.h
+++ b/src/coordination/chain_messages.h
@@ -30,6 +30,10 @@
   archive& entry.value& entry.revision;
 }
 template <class Archive>
+void serialize(Archive& archive, ChangeMark& mark, unsigned) {
+  archive& mark.number& mark.digest_high& mark.digest_low;
+}
+template <class Archive>
 void serialize(Archive& archive, View& view, unsigned) {
   archive& view.epoch& view.members;
 }
--- a/src/coordination/chain_replica.h
+++ b/src/coordination/chain_replica.h
@@ -120,6 +120,8 @@
   // chain_replication.cpp
   void AdvanceReplication(Micros now);
   void AppendQueued(Micros now);
+  void AddChange(const QueuedChange& change, std::uint64_t revision,
+                 std::vector<chain::KeyChange>* changes) const;
   void ExpireChanges(Micros now);
   void MakeSureOfNewest(Micros now);
   void OnMadeSure(const Version& newest);
--- a/src/coordination/chain_replication.cpp
+++ b/src/coordination/chain_replication.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "coordination/chain_replica.h"
+#include "coordination/change_marks.h"
 
 namespace pearreach::coordination {
 
@@ -89,7 +90,7 @@
     } else {
       keys.insert(change.key);
       if (!change.fence.key.empty()) fences.insert(change.fence.key);
-      changes.push_back({change.key, {change.value, revision + 1}});
+      AddChange(change, revision + 1, &changes);
       in_flight_.push_back(std::move(change));
     }
   }
@@ -102,6 +103,16 @@
   push_.Restart();
 }
 
+// Of a marked change, with the page that records its mark: they are committed together or not at
+// all.
+void ChainReplica::Impl::AddChange(const QueuedChange& change, std::uint64_t revision,
+                                   std::vector<chain::KeyChange>* changes) const {
+  changes->push_back({change.key, {change.value, revision}});
+  if (!change.mark) return;
+  auto [key, page] = PageWithMark(*state_.committed().map, change.key, revision, *change.mark);
+  changes->push_back({std::move(key), std::move(page)});
+}
+
 // A change that expects a later revision than this head knows: either this head is out of date, and
 // then it must not say that there is a conflict, or the change is wrong.
 void ChainReplica::Impl::MakeSureOfNewest(Micros now) {
--- a/src/registry/worker_registry.cpp
+++ b/src/registry/worker_registry.cpp
@@ -12,7 +12,9 @@
 constexpr char kModule[] = "registry";
 constexpr int kMissedBeats = 3;  // heartbeats that may be missed before a worker leaves the table
 constexpr Micros kPassTimeout = 250 * kMs;
-constexpr Micros kAnswerBound = 700 * kMs;  // callers move on after a second of silence
+// Callers move on after a second of silence: so long for the others, and for the control state.
+constexpr Micros kAnswerBound = 700 * kMs;
+constexpr Micros kContactBound = 200 * kMs;
 // Changes within these spans go together: the spans grow with what one message or one swap costs.
 constexpr Micros kTellPauseEach = 500;  // an edge node
 constexpr Micros kMostTellPause = 100 * kMs;
@@ -34,16 +36,16 @@
 
 }  // namespace
 
-WorkerRegistry::WorkerRegistry(Timers* timers, mesh::Mesh* mesh,
-                               const control::ControlClient* control,
+WorkerRegistry::WorkerRegistry(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control,
                                const settings::NodeSettings& settings)
     : WorkerRegistry(control::TimeSourceOf(timers), mesh, control, settings) {}
 
 WorkerRegistry::WorkerRegistry(std::unique_ptr<control::TimeSource> time, mesh::Mesh* mesh,
-                               const control::ControlClient* control,
+                               control::ControlClient* control,
                                const settings::NodeSettings& settings)
     : time_(std::move(time)),
       mesh_(mesh),
+      control_(control),
       nodes_(control, settings.node_name),
       control_port_(settings.bind.control.empty() ? "" : PortOf(settings.bind.control)),
       period_(static_cast<Micros>(settings.beat_ms * 1000 / 2)),
@@ -122,7 +124,7 @@
 void WorkerRegistry::AnswerLeaving(front::Exchange* exchange, const std::string& worker_id,
                                    bool reached) {
   if (reached) return Acknowledge(exchange, worker_id);
-  exchange->Respond(503, {}, "no other node can be reached");
+  exchange->Respond(503, {}, "not enough other nodes can be reached");
 }
 
 void WorkerRegistry::Acknowledge(front::Exchange* exchange, const std::string& worker_id) {
@@ -188,12 +190,21 @@
   update.items.push_back(state_.ExportOne(time_->Now(), worker_id));
   const bool alone = nodes_.Current(time_->Now()).size() < 2;
   spreader_.Spread(update, spread_bound_, ack_bound_,
-                   [alone, done = std::move(done)](const Spreader::Reached& reached) {
+                   [this, alone, done = std::move(done)](const Spreader::Reached& reached) {
                      // Where others are alive and not one has it, this node is the one cut off.
-                     done(alone || reached.all || !reached.nodes.empty());
+                     const bool told = alone || reached.all || !reached.nodes.empty();
+                     if (!told) return done(false);
+                     ConfirmContact(done);
                    });
 }
 
+// Nodes that are cut off together take all others for dead, and would be sure that all have it.
+void WorkerRegistry::ConfirmContact(LeavingTold done) {
+  control_->StrictRead(kContactBound, callbacks_.Bind([done = std::move(done)](const auto& newest) {
+    done(newest.ok());
+  }));
+}
+
 void WorkerRegistry::QueueTelling(const std::string& worker_id) {
   queued_.insert(worker_id);
   if (telling_ != 0) return;
--- a/src/registry/worker_registry.h
+++ b/src/registry/worker_registry.h
@@ -32,10 +32,10 @@
 class WorkerRegistry : public WorkerSource {
  public:
   // All pointers outlive this.
-  WorkerRegistry(Timers* timers, mesh::Mesh* mesh, const control::ControlClient* control,
+  WorkerRegistry(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control,
                  const settings::NodeSettings& settings);
   WorkerRegistry(std::unique_ptr<control::TimeSource> time, mesh::Mesh* mesh,
-                 const control::ControlClient* control, const settings::NodeSettings& settings);
+                 control::ControlClient* control, const settings::NodeSettings& settings);
 
   void RegisterCalls(control::ApiRouter* router);
   void OnHeartbeat(std::shared_ptr<front::Exchange> exchange, const std::string& worker_id);
@@ -47,7 +47,8 @@
   }
 
  private:
-  // Whether any other node has it, where there are others.
+  // Whether any other node has it, where there are others, and this one is no part of the system
+  // that is cut off from the rest.
   using LeavingTold = std::function<void(bool reached)>;
 
   void OnReady(const WorkerRecord& record, bool changed);
@@ -60,6 +61,8 @@
   void Swap();
   // Tells all live edge nodes of a worker that leaves.
   void TellLeaving(const std::string& worker_id, LeavingTold done);
+  // Whether this node reaches a majority of the control state's members right now.
+  void ConfirmContact(LeavingTold done);
   // Tells them of others, together with what comes soon after.
   void QueueTelling(const std::string& worker_id);
   void TellQueued();
@@ -69,6 +72,7 @@
 
   const std::unique_ptr<control::TimeSource> time_;
   mesh::Mesh* const mesh_;
+  control::ControlClient* const control_;
   EdgeNodes nodes_;
   const std::string control_port_;  // the same on all machines
   const Micros period_;             // between looks at what has expired
--- a/tests/fuzz/tier_state_fuzz.cpp
+++ b/tests/fuzz/tier_state_fuzz.cpp
@@ -288,7 +288,13 @@
       update.entries.push_back({key, input->ConsumeRandomLengthString(60),
                                 input->ConsumeIntegralInRange<std::uint64_t>(0, 4)});
     }
-    store.Apply(std::move(update));
+    if (input->ConsumeBool()) {
+      store.ApplyConfirmed(std::move(update));
+    } else {
+      const bool known = store.known();
+      store.Apply(std::move(update));
+      if (store.known() != known) std::abort();  // a first state must be a confirmed one
+    }
     if (store.current()->version < last) std::abort();
     last = store.current()->version;
   }
--- a/tests/tier/batch/edge_fakes.h
+++ b/tests/tier/batch/edge_fakes.h
@@ -88,34 +88,28 @@
   void OnChange(std::function<void()> listener) override {
     listeners.push_back(std::move(listener));
   }
-  void Change(const std::string& key, std::uint64_t expected, std::string value, Micros,
-              std::function<void(control::ChangeOutcome)> done) override {
-    changed_keys.push_back(key);
-    if (key != control::kStoresKey) {
-      done(ChangeOther(key, expected, std::move(value)));
+  void Change(control::ControlChange change, Micros, ChangeDone done) override {
+    changed_keys.push_back(change.key);
+    if (change.key != control::kStoresKey) {
+      done(ChangeOther(change.key, change.expected_revision, std::move(change.value)));
       return;
     }
-    if (conflicts > 0 || expected != snapshot->stores_revision) {
+    fences.push_back(change.fence);
+    if (RevisionOf(change.fence.key) > change.fence.revision) {
+      done({coordination::ChangeStatus::kFenced, snapshot->stores_revision});
+      return;
+    }
+    if (conflicts > 0 || change.expected_revision != snapshot->stores_revision) {
       conflicts = conflicts > 0 ? conflicts - 1 : 0;
       done({coordination::ChangeStatus::kConflict, snapshot->stores_revision});
       return;
     }
     auto next = std::make_shared<control::ControlSnapshot>(*snapshot);
-    next->stores = std::move(value);
+    next->stores = std::move(change.value);
     ++next->stores_revision;
     Set(std::move(next));
     done({coordination::ChangeStatus::kCommitted, snapshot->stores_revision});
   }
-  void ChangeFenced(const coordination::Fence& fence, const std::string& key,
-                    std::uint64_t expected, std::string value, Micros timeout,
-                    std::function<void(control::ChangeOutcome)> done) override {
-    fences.push_back(fence);
-    if (RevisionOf(fence.key) > fence.revision) {
-      done({coordination::ChangeStatus::kFenced, snapshot->stores_revision});
-      return;
-    }
-    Change(key, expected, std::move(value), timeout, std::move(done));
-  }
   // Of a key other than that of the stores.
   std::uint64_t RevisionOf(const std::string& key) const {
     if (snapshot->map == nullptr) return 0;
@@ -134,12 +128,7 @@
     Set(std::move(next));
     return {coordination::ChangeStatus::kCommitted, revision + 1};
   }
-  void StrictRead(
-      Micros,
-      std::function<void(absl::StatusOr<std::shared_ptr<const control::ControlSnapshot>>)> done)
-      override {
-    done(snapshot);
-  }
+  void StrictRead(Micros, ReadDone done) override { done(snapshot); }
   bool IsDutyHolder() const override { return is_duty_holder; }
   const std::map<std::string, coordination::Member>& members() const override { return member_map; }
 
--- a/tests/tier/control/config_api_test.cpp
+++ b/tests/tier/control/config_api_test.cpp
@@ -4,6 +4,7 @@
 
 #include <optional>
 
+#include "control/config_mark.h"
 #include "control/fake_exchange.h"
 #include "control/sample_config.h"
 #include "control/snapshot_store.h"
@@ -27,23 +28,30 @@
 class FakeClient : public ControlClient {
  public:
   void Commit(const std::string& json) {
-    map_[kConfigKey] = {json, map_[kConfigKey].revision + 1};
+    const std::uint64_t revision = map_[kConfigKey].revision + 1;
+    const auto version = (*routing::RouteTable::Parse(json))->version();
+    auto [key, page] =
+        coordination::PageWithMark(map_, kConfigKey, revision, ConfigMark(version, json));
+    map_[key] = page;
+    map_[kConfigKey] = {json, revision};
     ++version_.sequence;
     version_.epoch = 1;
   }
-  void See() { seen_.Apply(version_, std::make_shared<const coordination::Map>(map_)); }
+  void See() { seen_.ApplyConfirmed(version_, std::make_shared<const coordination::Map>(map_)); }
   std::uint64_t revision() { return map_[kConfigKey].revision; }
   std::string json() { return map_[kConfigKey].value; }
 
   std::shared_ptr<const ControlSnapshot> Current() const override { return seen_.current(); }
   void OnChange(std::function<void()> listener) override { seen_.OnChange(std::move(listener)); }
-  void Change(const std::string& key, std::uint64_t expected, std::string value, Micros,
-              std::function<void(ChangeOutcome)> done) override {
-    CPPUNIT_ASSERT_EQUAL(std::string(kConfigKey), key);
+  void Change(ControlChange change, Micros, ChangeDone done) override {
+    CPPUNIT_ASSERT_EQUAL(std::string(kConfigKey), change.key);
+    CPPUNIT_ASSERT(change.mark.has_value());
+    const std::string& value = change.value;
     ++changes;
     if (fate == ChangeFate::kRacedByOther) Commit(SampleConfig(8, "b"));
     if (fate == ChangeFate::kRacedBySame) Commit(value);
-    const bool matches = expected == revision() && fate != ChangeFate::kConflictInPending;
+    const bool matches =
+        change.expected_revision == revision() && fate != ChangeFate::kConflictInPending;
     const bool commits =
         matches && fate != ChangeFate::kLostAndForgotten && fate != ChangeFate::kLostThenRaced;
     if (commits) Commit(value);
@@ -53,15 +61,23 @@
     }
     done({matches ? ChangeStatus::kCommitted : ChangeStatus::kConflict, revision()});
   }
-  void StrictRead(
-      Micros timeout,
-      std::function<void(absl::StatusOr<std::shared_ptr<const ControlSnapshot>>)> done) override {
+  void StrictRead(Micros timeout, ReadDone done) override {
     ++reads;
     if (!readable || timeout <= 0) return done(absl::UnavailableError("not sure"));
     if (version_.epoch == 0) version_.epoch = 1;
     See();
     done(seen_.current());
   }
+  void ReadMark(const coordination::ChangeMark& mark, Micros timeout, MarkDone done) override {
+    StrictRead(timeout, [&](const auto& snapshot) {
+      if (!snapshot.ok()) return done(snapshot.status());
+      done(MarkReading{*snapshot, coordination::FindMark(map_, kConfigKey, mark)});
+    });
+  }
+  // Of an earlier build, which kept no record, and of a record that has gone on without these.
+  void ForgetMarks() {
+    std::erase_if(map_, [](const auto& entry) { return coordination::IsMarkKey(entry.first); });
+  }
   bool IsDutyHolder() const override { return false; }
   const std::map<std::string, coordination::Member>& members() const override { return members_; }
 
@@ -105,6 +121,8 @@
   CPPUNIT_TEST(TestBadCalls);
   CPPUNIT_TEST(TestRepeatAfterUnclear);
   CPPUNIT_TEST(TestRepeatOfOneReplacedSince);
+  CPPUNIT_TEST(TestOutcomesOfRepeats);
+  CPPUNIT_TEST(TestSixtyConfigurations);
   CPPUNIT_TEST(TestRead);
   CPPUNIT_TEST_SUITE_END();
 
@@ -223,6 +241,77 @@
     CPPUNIT_ASSERT_EQUAL(SampleConfig(7), world.client.json());
   }
 
+  // Versions 3, 5 and 7 were taken one after another, 9 lost against 7. One row of the table in
+  // docs/control-under-faults.md each.
+  void TestOutcomesOfRepeats() {
+    struct Case {
+      std::string what, body, parent;
+      bool readable, forgets;
+      int status;
+    };
+    const std::string changed = SampleConfig(5, "b");
+    const std::string spaced = SampleConfig(5) + " \n";
+    const Case cases[] = {
+        {"the current one", SampleConfig(7), "5", true, false, 200},
+        {"the current one, nothing sure", SampleConfig(7), "5", false, false, 200},
+        {"an earlier one", SampleConfig(5), "3", true, false, 200},
+        {"an earlier one, nothing sure", SampleConfig(5), "3", false, false, 503},
+        {"the first one", SampleConfig(3), "0", true, false, 200},
+        {"an earlier one in other words", spaced, "3", true, false, 200},
+        {"an earlier number, other content", changed, "3", true, false, 412},
+        {"an earlier number, other content, nothing sure", changed, "3", false, false, 503},
+        {"the current number, other content", SampleConfig(7, "b"), "5", true, false, 412},
+        {"the loser", SampleConfig(9, "b"), "5", true, false, 412},
+        {"the loser, nothing sure", SampleConfig(9, "b"), "5", false, false, 503},
+        {"the loser on the new one", SampleConfig(9, "b"), "7", true, false, 200},
+        {"a number that was passed over", SampleConfig(4), "3", true, false, 412},
+        {"one that is not recorded any more", SampleConfig(5), "3", true, true, 503},
+        {"another of a number not recorded any more", changed, "3", true, true, 503},
+        {"a new number on an old parent, no record", SampleConfig(9), "5", true, true, 412},
+        {"a new number on the newest, no record", SampleConfig(9), "7", true, true, 200},
+        {"not above the newest, no record", SampleConfig(5), "7", true, true, 400},
+    };
+    for (const Case& c : cases) {
+      World world;
+      CPPUNIT_ASSERT_EQUAL(200, world.Replace(SampleConfig(3), "0")->status);
+      world.client.See();
+      CPPUNIT_ASSERT_EQUAL(200, world.Replace(SampleConfig(5), "3")->status);
+      world.client.See();
+      CPPUNIT_ASSERT_EQUAL(200, world.Replace(SampleConfig(7), "5")->status);
+      world.client.See();
+      CPPUNIT_ASSERT_EQUAL(412, world.Replace(SampleConfig(9, "b"), "5")->status);
+      world.client.readable = c.readable;
+      if (c.forgets) world.client.ForgetMarks();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.what, c.status, world.Replace(c.body, c.parent)->status);
+      const bool taken = c.status == 200 && c.parent == "7";
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.what, std::uint64_t(taken ? 4 : 3), world.client.revision());
+    }
+  }
+
+  // Sixty one after another; then each again, at a node that has seen the last state only.
+  void TestSixtyConfigurations() {
+    constexpr int kConfigurations = 60;
+    World world;
+    for (int version = 1; version <= kConfigurations; ++version) {
+      const auto taken = world.Replace(SampleConfig(version), std::to_string(version - 1));
+      CPPUNIT_ASSERT_EQUAL(200, taken->status);
+      world.client.See();
+    }
+    ConfigApi other(&world.client, [&] { return world.now; });
+    ApiRouter router;
+    other.Register(&router);
+    for (int version = 1; version <= kConfigurations; ++version) {
+      for (const std::string target : {"a", "b"}) {
+        auto exchange = std::make_shared<FakeExchange>("POST", "/Config.Replace", world.now);
+        exchange->mutable_request().body = SampleConfig(version, target);
+        exchange->mutable_request().headers.push_back(
+            {"x-parent-version", std::to_string(version - 1)});
+        router.Dispatch(exchange);
+        CPPUNIT_ASSERT_EQUAL(target == "a" ? 200 : 412, exchange->status);
+      }
+    }
+  }
+
   void TestRead() {
     World world;
     CPPUNIT_ASSERT_EQUAL(404, world.Send("GET", "/Config.Read")->status);
--- a/tests/tier/control/control_node_test.cpp
+++ b/tests/tier/control/control_node_test.cpp
@@ -167,10 +167,11 @@
     for (int i = 0; i < kNodes; ++i) {
       const Micros begin = time_->now();
       std::optional<Micros> changed, read;
-      Node(i).Change(kConfigKey, 0, SampleConfig(1), 600 * kMs, [&](const ChangeOutcome& outcome) {
-        CPPUNIT_ASSERT_EQUAL(int(ChangeStatus::kUnavailable), int(outcome.status));
-        changed = time_->now() - begin;
-      });
+      Node(i).Change({kConfigKey, 0, SampleConfig(1)}, 600 * kMs,
+                     [&](const ChangeOutcome& outcome) {
+                       CPPUNIT_ASSERT_EQUAL(int(ChangeStatus::kUnavailable), int(outcome.status));
+                       changed = time_->now() - begin;
+                     });
       Node(i).StrictRead(600 * kMs, [&](const auto& snapshot) {
         CPPUNIT_ASSERT(!snapshot.ok());
         read = time_->now() - begin;
@@ -280,7 +281,7 @@
   }
   std::optional<ChangeOutcome> Change(int index, std::uint64_t expected, const std::string& json) {
     auto outcome = std::make_shared<std::optional<ChangeOutcome>>();
-    Node(index).Change(kConfigKey, expected, json, kSecond,
+    Node(index).Change({kConfigKey, expected, json}, kSecond,
                        [outcome](const ChangeOutcome& given) { *outcome = given; });
     time_->RunFor(1100 * kMs);
     return *outcome;
--- a/tests/tier/control/control_shapes_test.cpp
+++ b/tests/tier/control/control_shapes_test.cpp
@@ -62,7 +62,7 @@
       ControlNode* node = nodes_[turn % shape_.machines].get();
       if (node == nullptr) continue;
       auto outcome = std::make_shared<std::optional<ChangeOutcome>>();
-      node->Change(kConfigKey, expected, SampleConfig(version), 900 * kMs,
+      node->Change({kConfigKey, expected, SampleConfig(version)}, 900 * kMs,
                    [outcome](const ChangeOutcome& given) { *outcome = given; });
       while (!outcome->has_value()) time_.RunFor(5 * kMs);
       if ((*outcome)->status == ChangeStatus::kCommitted) return time_.now() - begin;
--- a/tests/tier/control/state_poller_test.cpp
+++ b/tests/tier/control/state_poller_test.cpp
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
+
+#include "codec/archive.h"
 #include "control/announced_fetch.h"
 #include "control/poll_server.h"
 #include "control/sample_config.h"
@@ -39,6 +42,8 @@
   CPPUNIT_TEST(TestCutOffMemberKeepsNobodyBack);
   CPPUNIT_TEST(TestChoosesAnewAfterDeathAndErrors);
   CPPUNIT_TEST(TestNeverGoesBack);
+  CPPUNIT_TEST(TestNobodyGetsAFirstStateFromAPoll);
+  CPPUNIT_TEST(TestFirstStateIsAConfirmedOne);
   CPPUNIT_TEST(TestAnswersLeaveOutWhatIsKnown);
   CPPUNIT_TEST(TestFetchesWhatIsAnnounced);
   CPPUNIT_TEST(TestFetchesNothingThatCameInTime);
@@ -52,6 +57,10 @@
       servers_.push_back(std::make_unique<Server>(&time_, &network_, name));
     }
     Know("n9", MemberInfo::kServesEdge);
+    // All know a first state, without a configuration.
+    const auto empty = std::make_shared<const coordination::Map>();
+    snapshots_.ApplyConfirmed({1, 0}, empty);
+    for (auto& server : servers_) server->snapshots.ApplyConfirmed({1, 0}, empty);
     poller_ = std::make_unique<StatePoller>(&source_, &mesh_, &snapshots_, &directory_);
     fetch_ = std::make_unique<AnnouncedFetch>(&source_, &mesh_, &snapshots_, &directory_);
   }
@@ -150,6 +159,50 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(9), snapshots_.current()->routes->version());
   }
 
+  // Also not when something newer comes while the call is held.
+  void TestNobodyGetsAFirstStateFromAPoll() {
+    servers_[0]->snapshots.Apply({1, 1}, MapWith(4));
+    for (const bool hold : {false, true}) {
+      const PollRequest request{{}, {}, hold};
+      std::optional<StateUpdate> answer;
+      mesh_.Call(AddressOf("n1"), mesh::MessageType::kControlPoll, codec::Encode(request), kSecond,
+                 [&](const auto& bytes) { answer = *codec::Decode<StateUpdate>(*bytes); });
+      time_.RunFor(10 * kMs);
+      CPPUNIT_ASSERT(answer.has_value());
+      CPPUNIT_ASSERT(!answer->present);
+    }
+    // A node that knows nothing has no poll open either, and takes nothing that was announced.
+    SnapshotStore ignorant;
+    AnnouncedFetch fetch(&source_, &mesh_, &ignorant, &directory_);
+    KnowAll();
+    members_["n1"].versions[kAnnouncedName] = Packed({1, 1});
+    mesh_.calls.clear();
+    fetch.MembersChanged({"n1"});
+    time_.RunFor(5 * kSecond);
+    CPPUNIT_ASSERT(mesh_.calls.empty());
+    CPPUNIT_ASSERT(!ignorant.known());
+  }
+
+  // What came before is kept aside, and is in force afterwards if it is newer.
+  void TestFirstStateIsAConfirmedOne() {
+    for (const int early : {3, 7}) {
+      SnapshotStore store;
+      int changes = 0;
+      store.OnChange([&] { ++changes; });
+      CPPUNIT_ASSERT(!store.Apply({1, 1}, MapWith(1)));
+      CPPUNIT_ASSERT(!store.Apply({1, static_cast<std::uint64_t>(early)}, MapWith(early)));
+      CPPUNIT_ASSERT(!store.Apply(UpdateFor({}, {1, 9}, *MapWith(9))));
+      CPPUNIT_ASSERT(!store.known());
+      CPPUNIT_ASSERT(store.current()->routes == nullptr);
+      CPPUNIT_ASSERT_EQUAL(0, changes);
+      CPPUNIT_ASSERT(store.ApplyConfirmed({1, 5}, MapWith(5)));
+      CPPUNIT_ASSERT_EQUAL(std::int64_t(std::max(early, 5)), store.current()->routes->version());
+      CPPUNIT_ASSERT_EQUAL(early > 5 ? 2 : 1, changes);
+      CPPUNIT_ASSERT(!store.ApplyConfirmed({1, 4}, MapWith(4)));
+      CPPUNIT_ASSERT(store.Apply({1, 8}, MapWith(8)));
+    }
+  }
+
   void TestAnswersLeaveOutWhatIsKnown() {
     auto map = std::make_shared<coordination::Map>(*MapWith(4));
     (*map)[kStoresKey] = {"placement", 1};
--- /dev/null
+++ b/tests/tier/coordination/change_marks_test.cpp
@@ -0,0 +1,187 @@
+// The record of a key's changes: what it says of a mark, how much it keeps, and what it costs.
+#include "coordination/change_marks.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <numeric>
+
+#include "chain_cluster.h"
+
+namespace pearreach::coordination {
+namespace {
+
+constexpr char kKey[] = "config";
+
+ChangeMark Mark(std::uint64_t number, std::uint64_t digest = 7) { return {number, digest, digest}; }
+
+// Sets the key with a mark, as a head does.
+void Commit(Map* map, const ChangeMark& mark) {
+  const std::uint64_t revision = (*map)[kKey].revision + 1;
+  auto [page_key, page] = PageWithMark(*map, kKey, revision, mark);
+  (*map)[page_key] = page;
+  (*map)[kKey].revision = revision;
+}
+
+std::string Text(MarkStanding standing) {
+  switch (standing) {
+    case MarkStanding::kNew:
+      return "new";
+    case MarkStanding::kRecorded:
+      return "recorded";
+    case MarkStanding::kOther:
+      return "other";
+    case MarkStanding::kForgotten:
+      return "forgotten";
+  }
+  return "";
+}
+
+std::size_t BytesOf(const Map& map) {
+  return std::accumulate(
+      map.begin(), map.end(), std::size_t{0}, [](std::size_t sum, const auto& e) {
+        return IsMarkKey(e.first) ? sum + e.first.size() + e.second.value.size() : sum;
+      });
+}
+
+class ChangeMarksTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ChangeMarksTest);
+  CPPUNIT_TEST(SaysWhatHasBeenRecorded);
+  CPPUNIT_TEST(KeepsTheNewestOnly);
+  CPPUNIT_TEST(GoesOnAfterAnUnmarkedChange);
+  CPPUNIT_TEST(IsCommittedWithTheChange);
+  CPPUNIT_TEST(OutlastsRestartsAndLostDisks);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void SaysWhatHasBeenRecorded() {
+    Map map;
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), Text(FindMark(map, kKey, Mark(5))));
+    for (const std::uint64_t number : {5, 7, 20}) Commit(&map, Mark(number));
+    const struct {
+      ChangeMark mark;
+      std::string standing;
+    } cases[] = {
+        {Mark(5), "recorded"}, {Mark(7), "recorded"},  {Mark(20), "recorded"},
+        {Mark(7, 8), "other"}, {Mark(20, 8), "other"}, {Mark(6), "other"},
+        {Mark(2), "other"},    {Mark(21), "new"},      {{7, 7, 8}, "other"},
+        {{7, 8, 7}, "other"},
+    };
+    for (const auto& test : cases) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(test.mark.number), test.standing,
+                                   Text(FindMark(map, kKey, test.mark)));
+    }
+    CPPUNIT_ASSERT(IsMarkKey(map.rbegin()->first));
+    CPPUNIT_ASSERT(!IsMarkKey(kKey));
+  }
+
+  // Uneven numbers, three times around: of each state all that must be kept is, and no more.
+  void KeepsTheNewestOnly() {
+    Map map;
+    std::vector<std::uint64_t> numbers;
+    std::size_t most = 0;
+    for (std::size_t i = 1; i <= 3 * kMostMarks; ++i) {
+      numbers.push_back(3 * i + i % 2);
+      Commit(&map, Mark(numbers.back()));
+      if (i % 1009 != 0) continue;
+      most = std::max(most, BytesOf(map));
+      const std::size_t sure = std::min(i, kMostMarks - kMarksPerPage + 1);
+      for (const std::size_t back : {std::size_t{1}, sure / 2 + 1, sure}) {
+        const std::uint64_t number = numbers[i - back];
+        CPPUNIT_ASSERT_EQUAL(std::string("recorded"), Text(FindMark(map, kKey, Mark(number))));
+        CPPUNIT_ASSERT_EQUAL(std::string("other"), Text(FindMark(map, kKey, Mark(number, 1))));
+        const std::string between = Text(FindMark(map, kKey, Mark(number - 1)));
+        CPPUNIT_ASSERT(between == "other" || (back == sure && between == "forgotten"));
+      }
+      if (i <= kMostMarks) continue;
+      CPPUNIT_ASSERT_EQUAL(std::string("forgotten"),
+                           Text(FindMark(map, kKey, Mark(numbers[i - kMostMarks - 1]))));
+      CPPUNIT_ASSERT_EQUAL(std::string("new"), Text(FindMark(map, kKey, Mark(numbers[i - 1] + 1))));
+    }
+    CPPUNIT_ASSERT_EQUAL(kMarkPages + 1, map.size());
+    CPPUNIT_ASSERT(most < kMostMarks * 25);
+  }
+
+  void GoesOnAfterAnUnmarkedChange() {
+    Map map;
+    for (const std::uint64_t number : {1, 2, 3}) Commit(&map, Mark(number));
+    ++map[kKey].revision;
+    CPPUNIT_ASSERT_EQUAL(std::string("forgotten"), Text(FindMark(map, kKey, Mark(2))));
+    Commit(&map, Mark(9));
+    CPPUNIT_ASSERT_EQUAL(std::string("recorded"), Text(FindMark(map, kKey, Mark(9))));
+    CPPUNIT_ASSERT_EQUAL(std::string("forgotten"), Text(FindMark(map, kKey, Mark(2))));
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), Text(FindMark(map, kKey, Mark(10))));
+  }
+
+  // Whoever has the change has its mark, whatever is lost in between.
+  void IsCommittedWithTheChange() {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      ChainCluster cluster({3, 1, seed, 0.05, 0.02, 0.05, true});
+      CPPUNIT_ASSERT(cluster.CommitsWithin(20 * kSecond));
+      std::uint64_t number = 0;
+      for (int turn = 0; turn < 120; ++turn) {
+        if (turn % 30 == 10) {
+          const std::string name = cluster.Names()[turn % 3];
+          cluster.Crash(name);
+          cluster.At(cluster.now() + kSecond, [&, name] { cluster.Start(name); });
+        }
+        const std::string head = cluster.HeadName();
+        const auto map =
+            cluster.machine(head).up() ? cluster.machine(head).replica->committed() : nullptr;
+        if (map) {
+          const auto entry = map->find(kKey);
+          const std::uint64_t revision = entry == map->end() ? 0 : entry->second.revision;
+          number = std::max(number, revision) + 1;
+          cluster.TryRequest(head, {0,
+                                    kKey,
+                                    revision,
+                                    "v" + std::to_string(number) + "." + std::to_string(turn),
+                                    {},
+                                    Mark(revision + 1, turn)});
+        }
+        cluster.RunFor(300 * kMillisecond);
+      }
+      int checked = 0;
+      for (const auto& [version, map] : cluster.maps()) {
+        const auto entry = map->find(kKey);
+        if (entry == map->end()) continue;
+        const std::string& value = entry->second.value;
+        const std::uint64_t turn = std::stoull(value.substr(value.find('.') + 1));
+        CPPUNIT_ASSERT_EQUAL(std::string("recorded"),
+                             Text(FindMark(*map, kKey, Mark(entry->second.revision, turn))));
+        ++checked;
+      }
+      CPPUNIT_ASSERT(checked > 5);
+      CPPUNIT_ASSERT(cluster.history().findings().empty());
+    }
+  }
+
+  // Every machine loses its disk in its turn; what was recorded first is known after the last.
+  void OutlastsRestartsAndLostDisks() {
+    ChainCluster cluster({3, 1, 4, 0, 0, 0, false});
+    CPPUNIT_ASSERT(cluster.CommitsWithin(20 * kSecond));
+    for (std::uint64_t revision = 0; revision < 200; ++revision) {
+      cluster.TryRequest(
+          cluster.HeadName(),
+          {0, kKey, revision, "v" + std::to_string(revision), {}, Mark(revision + 1, revision)});
+      cluster.RunFor(100 * kMillisecond);
+    }
+    for (const std::string& name : cluster.Names()) {
+      cluster.Crash(name);
+      cluster.Wipe(name);
+      cluster.Start(name);
+      CPPUNIT_ASSERT(cluster.RunUntil(10 * kSecond, [&] { return cluster.IsRepaired(); }));
+      cluster.RunFor(kSecond);
+    }
+    for (const std::string& name : cluster.Names()) {
+      const auto map = cluster.machine(name).replica->committed();
+      for (std::uint64_t revision = 0; revision < 200; ++revision) {
+        CPPUNIT_ASSERT_EQUAL(std::string("recorded"),
+                             Text(FindMark(*map, kKey, Mark(revision + 1, revision))));
+      }
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ChangeMarksTest);
+
+}  // namespace
+}  // namespace pearreach::coordination
--- a/tests/tier/proxy/proxy_rig.h
+++ b/tests/tier/proxy/proxy_rig.h
@@ -203,11 +203,8 @@
  public:
   std::shared_ptr<const control::ControlSnapshot> Current() const override { return snapshot_; }
   void OnChange(std::function<void()>) override {}
-  void Change(const std::string&, std::uint64_t, std::string, Micros,
-              std::function<void(control::ChangeOutcome)>) override {}
-  void StrictRead(
-      Micros, std::function<void(absl::StatusOr<std::shared_ptr<const control::ControlSnapshot>>)>)
-      override {}
+  void Change(control::ControlChange, Micros, ChangeDone) override {}
+  void StrictRead(Micros, ReadDone) override {}
   bool IsDutyHolder() const override { return false; }
   const std::map<std::string, coordination::Member>& members() const override { return members_; }
 
--- a/tests/tier/registry/registry_cluster.cpp
+++ b/tests/tier/registry/registry_cluster.cpp
@@ -71,6 +71,7 @@
     if (i < static_cast<std::size_t>(options_.quorum))
       member.info.roles |= MemberInfo::kQuorumMember;
   }
+  node.members.in_touch = [this, &node] { return ReachesMajority(node); };
   node.mesh = std::make_unique<control::VirtualMesh>(&network, node.address);
   settings::NodeSettings settings;
   settings.node_name = node.name;
@@ -87,6 +88,33 @@
   for (const auto& node : nodes) node->members.known[nodes[of]->name].status = status;
 }
 
+bool RegistryCluster::ReachesMajority(const Node& node) const {
+  int reached = 0;
+  for (int i = 0; i < options_.quorum && i < options_.nodes; ++i) {
+    reached += network.Passes(node.address, nodes[i]->address) ? 1 : 0;
+  }
+  return 2 * reached > std::min(options_.quorum, options_.nodes);
+}
+
+void RegistryCluster::CutOff(const std::set<std::size_t>& island) {
+  for (std::size_t a = 0; a < nodes.size(); ++a) {
+    for (std::size_t b = 0; b < nodes.size(); ++b) {
+      if (island.count(a) == island.count(b)) continue;
+      network.Cut(nodes[a]->address, nodes[b]->address);
+      nodes[a]->members.known[nodes[b]->name].status = MemberStatus::kDead;
+    }
+  }
+}
+
+std::size_t RegistryCluster::NodeAt(const std::string& target) const {
+  const std::string ip = target.substr(0, target.find(':'));
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    const std::string& address = nodes[i]->address;
+    if (address.substr(0, address.find(':')) == ip) return i;
+  }
+  return nodes.size();
+}
+
 void RegistryCluster::Kill(std::size_t index) {
   Node& node = *nodes[index];
   node.registry.reset();
--- a/tests/tier/registry/registry_cluster.h
+++ b/tests/tier/registry/registry_cluster.h
@@ -15,20 +15,21 @@
 
 namespace pearreach::registry {
 
-// Membership as the test sets it; nothing else of the control state is asked for.
+// Membership as the test sets it, and whether a majority of the control state is in reach.
 class FakeMembers : public control::ControlClient {
  public:
   std::shared_ptr<const control::ControlSnapshot> Current() const override { return snapshot_; }
   void OnChange(std::function<void()>) override {}
-  void Change(const std::string&, std::uint64_t, std::string, Micros,
-              std::function<void(control::ChangeOutcome)>) override {}
-  void StrictRead(
-      Micros, std::function<void(absl::StatusOr<std::shared_ptr<const control::ControlSnapshot>>)>)
-      override {}
+  void Change(control::ControlChange, Micros, ChangeDone) override {}
+  void StrictRead(Micros, ReadDone done) override {
+    if (!in_touch()) return done(absl::UnavailableError("no majority in reach"));
+    done(snapshot_);
+  }
   bool IsDutyHolder() const override { return false; }
   const std::map<std::string, coordination::Member>& members() const override { return known; }
 
   std::map<std::string, coordination::Member> known;
+  std::function<bool()> in_touch = [] { return true; };
 
  private:
   std::shared_ptr<const control::ControlSnapshot> snapshot_ =
@@ -72,6 +73,10 @@
   void Kill(std::size_t node);     // the others see it after kDetect
   void Restart(std::size_t node);  // an empty process of the same name
   void Isolate(std::size_t node) { network.Isolate(nodes[node]->address); }
+  // Cuts these off from all others, and lets each side take the other for dead.
+  void CutOff(const std::set<std::size_t>& island);
+  // The node whose control address that is.
+  std::size_t NodeAt(const std::string& target) const;
 
   bool Lists(const Node& node, const std::string& worker, WorkerPhase phase) const;
   // Nodes that are up and hold that worker as ready.
@@ -90,6 +95,7 @@
   void Beat(Worker* worker);
   void Call(Worker* worker, std::size_t node);
   std::size_t Choose(const Worker& worker);
+  bool ReachesMajority(const Node& node) const;
 
   const ClusterOptions options_;
   std::mt19937_64 random_;
--- a/tests/tier/registry/registry_cluster_test.cpp
+++ b/tests/tier/registry/registry_cluster_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(TestADrainIsKnownInTimeUnderLoss);
   CPPUNIT_TEST(TestADrainIsKnownInTimeWhileNodesEnd);
   CPPUNIT_TEST(TestADrainAtANodeThatIsCutOffIsRefused);
+  CPPUNIT_TEST(TestADrainAtNodesThatAreCutOffTogetherIsRefused);
   CPPUNIT_TEST(TestACutOffNodeCatchesUp);
   CPPUNIT_TEST(TestANewNodeLearnsAll);
   CPPUNIT_TEST(TestAWorkerThatEndsLeavesAllTables);
@@ -121,7 +122,7 @@
 
   // Nobody else knows of it: the worker is to try another node.
   void TestADrainAtANodeThatIsCutOffIsRefused() {
-    RegistryCluster cluster({.nodes = 20, .quorum = 1, .workers = 1});
+    RegistryCluster cluster({.nodes = 20, .quorum = 3, .workers = 1});
     cluster.StartWorkers();
     cluster.Run(3 * kSecond);
     const std::string target = cluster.workers[0]->target;
@@ -138,6 +139,28 @@
     CPPUNIT_ASSERT(cluster.HoldAsReady(cluster.workers[0]->id) == 0);
   }
 
+  // They tell one another and take all others for dead, but nobody else knows of the drain. Islands
+  // of any size without a majority, the worker's taker among them.
+  void TestADrainAtNodesThatAreCutOffTogetherIsRefused() {
+    int occurred = 0;
+    for (const std::size_t size : {2u, 5u, 12u}) {
+      RegistryCluster cluster({.nodes = 20, .quorum = 5, .workers = 1});
+      cluster.StartWorkers();
+      cluster.Run(3 * kSecond);
+      std::set<std::size_t> island{cluster.NodeAt(cluster.workers[0]->target)};
+      for (std::size_t i = 19; island.size() < size; --i) island.insert(i);
+      cluster.CutOff(island);
+      cluster.Drain(0);
+      const std::size_t asked = cluster.NodeAt(cluster.workers[0]->target);
+      CPPUNIT_ASSERT(island.count(asked) > 0);
+      cluster.Run(990 * kMs);
+      CPPUNIT_ASSERT_EQUAL(Micros{0}, cluster.workers[0]->drain_acknowledged);
+      const std::string& worker = cluster.workers[0]->id;
+      occurred += cluster.HoldAsReady(worker) == 20 - static_cast<int>(size) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(3, occurred);  // the island knew, the others did not
+  }
+
   void TestACutOffNodeCatchesUp() {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
       RegistryCluster cluster({.nodes = 40, .workers = 60, .seed = seed});
