Detect a disk that was put back in time; a member may not take part with it

A quorum member writes with each change of its records how often processes have started on its disk and how much has been written, and tells it with its signs. The others remember it and tell it back. A process that starts says nothing as a replica until a majority of its view has heard nothing that is not on the disk; else the tables are removed and it comes back as an empty machine (src/control/disk_use.h).

A member that misses 500 of 1,000 changes and a data node that was cut off for them are in a run as well.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -113,11 +113,15 @@
       if (founding_) Found(true);
     });
   }
+  if (replica_ != nullptr) ReplicaStepped();
   membership_.Start();
   first_state_.Start();
   if (replica_ == nullptr) return;
   replica_->MembersChanged();
-  reach_.Start([this] { replica_->MembersChanged(); });
+  reach_.Start([this] {
+    replica_->MembersChanged();
+    if (reach_.IsDiskOld() && disk_is_old_) std::exchange(disk_is_old_, nullptr)();
+  });
 }
 
 void ControlNode::OnChange(std::function<void()> listener) {
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -60,6 +60,9 @@
   const MemberMap& members() const override { return membership_.members(); }
   // Further listeners for changes of members: status, info or announced versions.
   void OnMembersChanged(MembershipDriver::Listener listener);
+  // Called once if this node's disk turns out to have been put back in time: its contents must go,
+  // and the process must start anew as on an empty disk.
+  void OnDiskIsOld(std::function<void()> listener) { disk_is_old_ = std::move(listener); }
   // What rides on this node's membership messages under that name.
   void Announce(const std::string& name, std::uint64_t version);
 
@@ -101,6 +104,7 @@
   FirstState first_state_;
   std::map<std::string, Presence> roster_;
   std::vector<MembershipDriver::Listener> member_listeners_;
+  std::function<void()> disk_is_old_;
   bool founding_ = false;  // the first view's members are not chosen yet
   bool founder_wait_over_ = false;
   Timers::Id founder_timer_ = 0;
--- a/src/control/messages.h
+++ b/src/control/messages.h
@@ -10,6 +10,7 @@
 
 #include "codec/optional.h"
 #include "control/control_client.h"
+#include "control/disk_use.h"
 #include "coordination/chain_messages.h"
 #include "coordination/change_marks.h"
 
@@ -87,11 +88,14 @@
 // kChain: a message between chain replicas, or a question for a sign; `from` is the sender's name.
 struct ChainEnvelope {
   std::string from, bytes{};
-  bool sign = false;     // answered with SignAnswer
-  bool leaving = false;  // of a question: the sender's process ends on purpose
+  bool sign = false;  // answered with SignAnswer
+  // Of a question:
+  bool leaving = false;  // the sender's process ends on purpose
+  std::string disk_id;   // the sender's disk
+  DiskUse use;           // as far as that is synced
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& from& bytes& sign& leaving;
+    archive& from& bytes& sign& leaving& disk_id& use;
   }
 };
 
@@ -101,9 +105,12 @@
   bool leaving = false;            // its process ends on purpose
   std::uint64_t epoch = 0;         // of the view that it is in
   bool agreeing = false;           // it takes part in an agreement on the next one
+  std::string disk_id;             // its disk
+  DiskUse use;                     // as far as that is synced
+  DiskUse heard;                   // of the asker's disk, before this question
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& name& hears& leaving& epoch& agreeing;
+    archive& name& hears& leaving& epoch& agreeing& disk_id& use& heard;
   }
 };
 
--- a/src/control/record_writer.cpp
+++ b/src/control/record_writer.cpp
@@ -2,29 +2,47 @@
 
 #include <utility>
 
+#include "codec/archive.h"
 #include "logging/log.h"
 
 namespace pearreach::control {
 namespace {
 
 constexpr char kModule[] = "control";
+constexpr char kUseKey[] = "chain/use";     // of the DiskUse among the records
 constexpr Micros kRetryPeriod = 100 * kMs;  // between two tries of a write that fails
 
+DiskUse UseOn(const disk::TableStore& store) {
+  const auto record = store.Get(kUseKey);
+  const auto use = record.ok() ? codec::Decode<DiskUse>(*record) : record.status();
+  return use.ok() ? *use : DiskUse();
+}
+
 }  // namespace
 
-RecordWriter::RecordWriter(TimeSource* time, disk::TableStore* store, Written written)
-    : time_(time), store_(store), written_(std::move(written)) {}
+RecordWriter::RecordWriter(TimeSource* time, disk::TableStore* store, std::uint64_t instance,
+                           Written written)
+    : time_(time),
+      store_(store),
+      written_(std::move(written)),
+      found_(UseOn(*store)),
+      use_{found_.starts + 1, instance, found_.writes} {
+  CommitNext();
+}
 
 RecordWriter::~RecordWriter() { time_->Cancel(&retry_timer_); }
 
 void RecordWriter::Write(coordination::Persist persist) {
   for (auto& [key, value] : persist.records) waiting_.records[key] = std::move(value);
   waiting_.tokens.push_back(persist.token);
-  if (committing_.tokens.empty() && retry_timer_ == 0) CommitNext();
+  if (!is_committing_ && retry_timer_ == 0) CommitNext();
 }
 
 void RecordWriter::CommitNext() {
+  is_committing_ = true;
   committing_ = std::exchange(waiting_, {});
+  ++use_.writes;
+  committing_.records[kUseKey] = codec::Encode(use_);
   std::vector<disk::Write> writes;
   for (const auto& [key, value] : committing_.records) writes.push_back({key, value, false});
   store_->Commit(std::move(writes),
@@ -32,11 +50,13 @@
 }
 
 void RecordWriter::Committed(const absl::Status& status) {
+  is_committing_ = false;
   Batch batch = std::exchange(committing_, {});
   if (status.ok()) {
     if (std::exchange(failing_, false)) logging::Info(kModule, "records can be written again", {});
+    synced_ = use_;
     written_(batch.tokens);
-    if (!waiting_.tokens.empty() && committing_.tokens.empty()) CommitNext();
+    if (!waiting_.tokens.empty() && !is_committing_) CommitNext();
     return;
   }
   if (!std::exchange(failing_, true)) {
--- a/src/control/record_writer.h
+++ b/src/control/record_writer.h
@@ -1,7 +1,7 @@
 // Writes the records of this node's chain replica to disk in the order in which the replica gave
 // them. A write that fails (a full disk) is tried again until it is on disk: the replica goes no
 // further without it, and nothing later may be on disk before it. What is given meanwhile goes
-// along with the next try.
+// along with the next try. Each write also records how far the disk has been used (disk_use.h).
 #ifndef PEARREACH_SRC_CONTROL_RECORD_WRITER_H_
 #define PEARREACH_SRC_CONTROL_RECORD_WRITER_H_
 
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "control/disk_use.h"
 #include "control/time_source.h"
 #include "coordination/chain.h"
 #include "disk/table_store.h"
@@ -22,13 +23,19 @@
   // The replica's tokens of what is on disk now, in order.
   using Written = std::function<void(const std::vector<std::uint64_t>& tokens)>;
 
-  RecordWriter(TimeSource* time, disk::TableStore* store, Written written);
+  // `instance`: a random name of this process. Writes at once that it has started.
+  RecordWriter(TimeSource* time, disk::TableStore* store, std::uint64_t instance, Written written);
   ~RecordWriter();
   RecordWriter(const RecordWriter&) = delete;
   RecordWriter& operator=(const RecordWriter&) = delete;
 
   void Write(coordination::Persist persist);
 
+  const DiskUse& found() const { return found_; }  // when this process started
+  const DiskUse& synced() const {
+    return synced_;
+  }  // by this process; nothing before its first write
+
  private:
   // Records that go to disk as a whole; a later value of a key takes an earlier one's place.
   struct Batch {
@@ -43,7 +50,10 @@
   disk::TableStore* store_;
   const Written written_;
   Batch waiting_;
-  Batch committing_;  // without tokens: nothing is under way
+  Batch committing_;
+  bool is_committing_ = false;
+  const DiskUse found_;
+  DiskUse use_, synced_;
   Timers::Id retry_timer_ = 0;
   bool failing_ = false;
   CallbackOwner callbacks_;
--- a/src/control/replica_driver.cpp
+++ b/src/control/replica_driver.cpp
@@ -1,6 +1,7 @@
 #include "control/replica_driver.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "codec/archive.h"
@@ -37,7 +38,8 @@
                              std::uint64_t seed)
     : time_(time),
       mesh_(mesh),
-      writer_(time, store, [this](const auto& tokens) { Written(tokens); }),
+      writer_(time, store, std::mt19937_64(seed)(),
+              [this](const auto& tokens) { Written(tokens); }),
       snapshots_(snapshots),
       directory_(directory),
       reach_(reach),
@@ -53,6 +55,7 @@
                   respond(std::string());
                   Receive(*envelope);
                 }));
+  reach_->SetDisk(self_.disk_id, &writer_);
   snapshots_->Apply(replica_.committed_version(), replica_.committed());
   timer_.Set(replica_.NextTick());
 }
@@ -127,7 +130,9 @@
   waiting.mapped().done(result);
 }
 
+// What is lost here is sent again, as on the network.
 void ReplicaDriver::Receive(const ChainEnvelope& envelope) {
+  if (!reach_->IsDiskChecked()) return;
   coordination::Effects effects;
   replica_.Receive(time_->Now(), envelope.from, envelope.bytes, &effects);
   CarryOut(std::move(effects));
@@ -141,7 +146,9 @@
 
 void ReplicaDriver::CarryOut(coordination::Effects effects) {
   for (auto& persist : effects.persists) writer_.Write(std::move(persist));
-  for (const auto& message : effects.messages) Send(message);
+  if (reach_->IsDiskChecked()) {
+    for (const auto& message : effects.messages) Send(message);
+  }
   for (auto& committed : effects.committed) {
     snapshots_->Apply(committed.version, std::move(committed.map));
   }
@@ -161,8 +168,8 @@
   const coordination::Member* member = directory_->Find(message.to);
   if (member == nullptr) return;
   mesh_->Call(member->info.address, mesh::MessageType::kChain,
-              codec::Encode(ChainEnvelope{self_.name, message.bytes}), kMessageTimeout,
-              [](const absl::StatusOr<std::string>&) {});
+              codec::Encode(ChainEnvelope{self_.name, message.bytes, false, false, {}, {}}),
+              kMessageTimeout, [](const absl::StatusOr<std::string>&) {});
 }
 
 }  // namespace pearreach::control
--- a/src/disk/table_store.cpp
+++ b/src/disk/table_store.cpp
@@ -123,6 +123,14 @@
 
 }  // namespace
 
+absl::Status RemoveTableStore(const std::string& data_path) {
+  const std::string file = data_path + "/" + kFileName;
+  if (unlink(file.c_str()) != 0 && errno != ENOENT) {
+    return absl::ErrnoToStatus(errno, "remove " + file);
+  }
+  return SyncFolder(data_path);
+}
+
 absl::StatusOr<std::unique_ptr<TableStore>> OpenTableStore(const std::string& data_path,
                                                            std::size_t capacity_bytes) {
   if (capacity_bytes < kLeastCapacityBytes) {
--- a/src/disk/table_store.h
+++ b/src/disk/table_store.h
@@ -49,6 +49,10 @@
 absl::StatusOr<std::unique_ptr<TableStore>> OpenTableStore(const std::string& data_path,
                                                            std::size_t capacity_bytes);
 
+// Removes the files for good; the next store that is opened there is a new one. A store that is
+// open there goes on without leaving anything.
+absl::Status RemoveTableStore(const std::string& data_path);
+
 }  // namespace pearreach::disk
 
 #endif  // PEARREACH_SRC_DISK_TABLE_STORE_H_
--- a/src/tier/node.cpp
+++ b/src/tier/node.cpp
@@ -85,6 +85,7 @@
   absl::Status StartControl();
   void StartStore();
   void OnControlChange();
+  void EndOnOldDisk();
   bool Ready() const;
   void Route(std::shared_ptr<front::Exchange> exchange);
   // Until nothing is under way here and nobody needs what this process holds, or time is over.
@@ -141,6 +142,7 @@
   if (settings_.Serves("control"))
     if (const absl::Status status = StartControl(); !status.ok()) return status;
   control_->OnChange([this] { OnControlChange(); });
+  control_->OnDiskIsOld([this] { EndOnOldDisk(); });
   logging::Info(kModule, "started",
                 {logging::F("class", settings_.machine_class), logging::F("zone", settings_.zone),
                  logging::F("disk", disk_ == nullptr ? std::string("none") : disk_->disk_id()),
@@ -220,6 +222,16 @@
                        : absl::UnavailableError(settings_.bind.control + ": " + wrong);
 }
 
+// The disk has forgotten what this machine has promised and taken since: it is as good as lost.
+void Node::Impl::EndOnOldDisk() {
+  const absl::Status removed = disk::RemoveTableStore(settings_.data_path);
+  if (!removed.ok()) {
+    logging::Error(kModule, "old tables cannot be removed",
+                   {logging::F("why", removed.ToString())});
+  }
+  finished_();
+}
+
 void Node::Impl::OnControlChange() {
   const auto snapshot = control_->Current();
   if (edge_server_ != nullptr && snapshot->routes != nullptr)
--- a/tests/tier/control/control_faults_test.cpp
+++ b/tests/tier/control/control_faults_test.cpp
@@ -38,6 +38,8 @@
   CPPUNIT_TEST(TestReplacements);
   CPPUNIT_TEST(TestPlannedReplacements);
   CPPUNIT_TEST(TestLeavingOfAll);
+  CPPUNIT_TEST(TestADiskGoesBackInTime);
+  CPPUNIT_TEST(TestAMemberMissesHundredsOfChanges);
   CPPUNIT_TEST(TestPowerAndDisksAreLostTogether);
   CPPUNIT_TEST_SUITE_END();
 
@@ -180,7 +182,7 @@
                           .plain = 2,
                           .tolerance = count == 1 ? 0 : count / 2,
                           .sync_time = seed % 3 == 0 ? 20 * kMs : 2 * kMs,
-                          .loss = 0.05 * static_cast<double>(seed % 2),
+                          .loss = 0.1 * static_cast<double>(seed % 3),
                           .seed = seed});
       fleet.RunFor(5 * kSecond);
       Operators operators(&fleet, 4, 0.2);
@@ -225,6 +227,93 @@
     CPPUNIT_ASSERT(fleet.TakesAnother(kSecond));
   }
 
+  // An older copy of a member's disk is put back under it, from the same view or an earlier one.
+  // The member must not take part with it; it comes back as an empty one.
+  void TestADiskGoesBackInTime() {
+    int put_back = 0, other_view = 0;
+    for (std::uint64_t seed = FirstSeed(); seed < FirstSeed() + Seeds(16); ++seed) {
+      ControlFleet fleet({.members = 3 + static_cast<int>(seed % 2), .plain = 2, .seed = seed});
+      fleet.RunFor(5 * kSecond);
+      Operators operators(&fleet, 4, 0.2);
+      fleet.RunFor(3 * kSecond);
+      const std::vector<std::size_t> members = fleet.Members();
+      const std::size_t victim = members[fleet.random()() % members.size()];
+      fleet.CopyDisk(victim);
+      const std::uint64_t epoch = fleet.node(victim).view()->epoch;
+      if (seed % 3 == 0) {
+        const std::size_t other = members[victim == members[0] ? 1 : 0];
+        fleet.LosePower(other);
+        fleet.Wipe(other);
+        fleet.Start(other);
+      }
+      fleet.RunFor(6 * kSecond);
+      other_view += fleet.node(victim).view()->epoch > epoch ? 1 : 0;
+      fleet.Stop(victim);
+      fleet.RunFor(fleet.random()() % (2 * kSecond));
+      fleet.PutBackDisk(victim);
+      fleet.Start(victim);
+      ++put_back;
+      Finish(&fleet, &operators, seed, kRecover);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(fmt::format("seed {}", seed), 1, fleet.old_disks_found());
+    }
+    CPPUNIT_ASSERT(put_back > 0);
+    CPPUNIT_ASSERT(other_view > 0);
+    // No restart, loss of power or lost disk is taken for it.
+    for (std::uint64_t seed = FirstSeed(); seed < FirstSeed() + Seeds(8); ++seed) {
+      ControlFleet fleet({.members = 3, .plain = 1, .seed = seed});
+      fleet.RunFor(5 * kSecond);
+      Operators operators(&fleet, 4, 0.2);
+      for (int turn = 0; turn < 6; ++turn) {
+        fleet.RunFor(kSecond + fleet.random()() % (2 * kSecond));
+        for (const std::size_t member : fleet.Members()) {
+          if (fleet.random()() % 2 == 0) fleet.LosePower(member);
+        }
+        fleet.RunFor(fleet.random()() % kSecond);
+        for (const std::size_t member : fleet.Members()) fleet.Start(member);
+      }
+      Finish(&fleet, &operators, seed, kRecover);
+      CPPUNIT_ASSERT_EQUAL(0, fleet.old_disks_found());
+    }
+  }
+
+  // A member is away for some 500 of 1,000 changes (cut off, or its process ended): it catches up
+  // at once, and nobody waits for it. A data node that was cut off goes to the newest in one step.
+  void TestAMemberMissesHundredsOfChanges() {
+    for (const bool cut : {false, true}) {
+      ControlFleet fleet({.members = 3, .plain = 2});
+      fleet.RunFor(5 * kSecond);
+      const std::size_t away = fleet.Members()[1], data = fleet.Plain()[0];
+      int changes = 0, missed = 0, steps = 0;
+      for (; changes < 1000; ++changes) {
+        if (changes == 250) {
+          std::set<std::size_t> all;
+          for (std::size_t i = 0; i < fleet.size(); ++i) all.insert(i);
+          fleet.CutOff(cut ? std::set<std::size_t>{away, data} : std::set<std::size_t>{data}, all);
+          if (!cut) fleet.Stop(away);
+          fleet.node(data).OnChange([&] { ++steps; });
+        }
+        missed += changes >= 250 && changes < 750 ? 1 : 0;
+        if (changes == 750) {
+          fleet.network().Heal();
+          if (!cut) fleet.Start(away);
+          const bool whole = fleet.RunUntil(3 * kSecond, [&] { return fleet.IsAtFullStrength(); });
+          CPPUNIT_ASSERT_MESSAGE(fleet.Describe(), whole);
+          CPPUNIT_ASSERT_EQUAL(fleet.book().newest(),
+                               fleet.node(data).Current()->routes->version());
+          CPPUNIT_ASSERT(steps <= 3);  // its view may change once more
+        }
+        CPPUNIT_ASSERT_MESSAGE(fmt::format("change {}", changes), fleet.TakesAnother(8 * kSecond));
+      }
+      CPPUNIT_ASSERT_EQUAL(500, missed);
+      fleet.RunFor(kSecond);
+      for (const auto& order : fleet.book().orders()) {
+        CPPUNIT_ASSERT_EQUAL(200, fleet.SendUntilClear(order.get(), kSecond));
+      }
+      CPPUNIT_ASSERT(fleet.book().findings().empty());
+      CPPUNIT_ASSERT_EQUAL(1000, fleet.book().acknowledged());
+    }
+  }
+
   // Right after an acknowledgement all machines lose power, those that do not count as well, and as
   // many as may be lost lose their disks.
   void TestPowerAndDisksAreLostTogether() {
--- a/tests/tier/control/control_fleet.cpp
+++ b/tests/tier/control/control_fleet.cpp
@@ -134,6 +134,15 @@
   machine.router = std::make_unique<ApiRouter>();
   machine.api->Register(machine.router.get());
   Watch(&machine);
+  // As the program does: the contents go, and the platform starts the next process.
+  machine.node->OnDiskIsOld([this, number] {
+    ++old_disks_found_;
+    time_.After(0, [this, number] {
+      Stop(number);
+      Wipe(number);
+      time_.After(500 * kMs, [this, number] { Start(number); });
+    });
+  });
 }
 
 // Nothing older comes into force than was in force here before, in an earlier process too, nor than
@@ -176,6 +185,14 @@
       std::make_unique<VirtualDisk>(&time_, "d" + std::to_string(++disks_), options_.sync_time);
 }
 
+void ControlFleet::CopyDisk(std::size_t number) {
+  machines_[number]->copy = machines_[number]->disk->Copy();
+}
+
+void ControlFleet::PutBackDisk(std::size_t number) {
+  if (!IsUp(number)) machines_[number]->disk->PutBack(machines_[number]->copy);
+}
+
 std::size_t ControlFleet::Replace(std::size_t number) {
   Stop(number);
   machines_[number]->gone = true;
--- a/tests/tier/control/control_fleet.h
+++ b/tests/tier/control/control_fleet.h
@@ -85,6 +85,10 @@
   void Stop(std::size_t machine);       // the process ends; what was written stays
   void LosePower(std::size_t machine);  // what was not synced is lost
   void Wipe(std::size_t machine);       // of one that is down
+  // Keeps a copy of the disk; puts it back under a machine that is down.
+  void CopyDisk(std::size_t machine);
+  void PutBackDisk(std::size_t machine);
+  int old_disks_found() const { return old_disks_found_; }
   std::size_t Replace(std::size_t machine);
   // SIGTERM: the process ends when it may, or `grace` is over. The machine never comes back.
   // Returns how long that took.
@@ -117,6 +121,7 @@
     std::string name, ip;
     bool is_member = false, bootstrap = true, gone = false;
     std::unique_ptr<VirtualDisk> disk;
+    std::map<std::string, std::string> copy;
     std::vector<std::unique_ptr<VirtualDisk>> lost_disks;  // writes under way still end on them
     std::unique_ptr<VirtualMesh> mesh;
     std::unique_ptr<ControlNode> node;
@@ -140,6 +145,7 @@
   std::vector<std::unique_ptr<Machine>> machines_;
   std::vector<std::size_t> seeds_{0, 1, 2};
   std::uint64_t incarnation_ = 0, disks_ = 0, bodies_ = 0;
+  int old_disks_found_ = 0;
 };
 
 }  // namespace pearreach::control
--- a/tests/tier/control/virtual_world.h
+++ b/tests/tier/control/virtual_world.h
@@ -188,6 +188,12 @@
   }
   const std::string& disk_id() const override { return id_; }
   bool was_empty() const override { return records_.empty(); }
+  // All that is on it, and an earlier copy of that put back in its place.
+  std::map<std::string, std::string> Copy() const { return records_; }
+  void PutBack(std::map<std::string, std::string> records) {
+    ++life_;
+    records_ = std::move(records);
+  }
   // What is not synced yet is lost, and nobody is told.
   void LosePower() { ++life_; }
   // While full, each write fails and leaves nothing.
