Never send a request twice over one connection: a late copy of an answer has the same id

Cause, found by seeded runs of the forwarding path (forwarding_faults_test, seed 16): a worker refuses a request (503, X-Not-Run), the request goes to it again over the kept connection, and a late copy of the refusal, which bears the same X-Attempt-Id, is taken for the answer to the second send. The client was told that nothing ran while the request ran twice (REFUSED, TWICE).

A connection now remembers the last 32 ids that were written to it, and a request takes none that has carried its id; where all of a worker's connections are in use or have, one is closed for a new one. A test of its own brings the one case about; in the seeded runs it must not occur. Four older tests sent all their jobs under one id, which no client does; they have ids of their own now.

--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -56,7 +56,8 @@
 }
 
 void Attempt::Connect(Freshness freshness) {
-  connection_ = connections_->Take(this, freshness, request_.connection_limit);
+  connection_ =
+      connections_->Take(this, {request_.attempt_id, freshness, request_.connection_limit});
   if (connection_ == nullptr) {
     result_.connections_used_up = true;
     return Fail();
@@ -80,6 +81,7 @@
   body_sent_ = 0;
   std::string first = request_.head;
   first.append(NextPiece());
+  connection_->NoteRequest(request_.attempt_id);
   if (connection_->stream().Write(first)) {
     written_ = true;
     if (!SendBody()) Fail();
--- a/src/proxy/worker_connections.cpp
+++ b/src/proxy/worker_connections.cpp
@@ -8,6 +8,8 @@
 
 // A connection that was idle for longer may be closed by the worker just as a request goes out.
 constexpr Micros kStaleAfter = kSecond;
+// Ids that a connection remembers; a copy of an earlier answer has long come by then.
+constexpr std::size_t kMostCarried = 32;
 
 }  // namespace
 
@@ -35,6 +37,16 @@
   if (stream_ != nullptr) stream_->Close();
 }
 
+void WorkerConnection::NoteRequest(const std::string& attempt_id) {
+  carried_.push_back(std::hash<std::string>()(attempt_id));
+  if (carried_.size() > kMostCarried) carried_.pop_front();
+}
+
+bool WorkerConnection::Carried(const std::string& attempt_id) const {
+  const std::size_t wanted = std::hash<std::string>()(attempt_id);
+  return std::find(carried_.begin(), carried_.end(), wanted) != carried_.end();
+}
+
 void WorkerConnection::OnConnected() {
   connected_ = true;
   if (user_ != nullptr) user_->OnConnected();
@@ -63,12 +75,11 @@
   timers_->Cancel(&sweep_);
 }
 
-std::shared_ptr<WorkerConnection> WorkerConnections::Take(ConnectionUser* user, Freshness freshness,
-                                                          std::size_t limit) {
-  const bool room = in_use_ + idle_.size() < limit;
-  std::shared_ptr<WorkerConnection> connection = TakeIdle(freshness, room);
+std::shared_ptr<WorkerConnection> WorkerConnections::Take(ConnectionUser* user,
+                                                          const ConnectionWish& wish) {
+  std::shared_ptr<WorkerConnection> connection = TakeIdle(wish);
   if (connection == nullptr) {
-    if (in_use_ + idle_.size() >= limit) return nullptr;
+    if (!HasRoom(wish)) return nullptr;
     connection = std::make_shared<WorkerConnection>();
     if (!connection->Open(address_)) return nullptr;
     ++opened_;
@@ -78,17 +89,20 @@
   return connection;
 }
 
-// The latest idle one that the worker has left alone; others are closed on the way.
-std::shared_ptr<WorkerConnection> WorkerConnections::TakeIdle(Freshness freshness, bool room) {
+// The latest idle one that the worker has left alone and that suits the wish. Those that the worker
+// has not left alone are closed on the way; the others where there is no room without them.
+std::shared_ptr<WorkerConnection> WorkerConnections::TakeIdle(const ConnectionWish& wish) {
   const Micros now = Now();
-  while (!idle_.empty()) {
-    const bool stale = now - idle_.back()->idle_since_ > kStaleAfter;
-    if (stale && freshness == Freshness::kPreferNew && room) return nullptr;
-    const std::shared_ptr<WorkerConnection> connection = std::move(idle_.back());
-    idle_.pop_back();
-    if (now < connection->expires_ && connection->stream_->Quiet()) return connection;
+  for (std::size_t i = idle_.size(); i-- > 0;) {
+    const std::shared_ptr<WorkerConnection> connection = idle_[i];
+    const bool carried = connection->Carried(wish.attempt_id);
+    if (carried && HasRoom(wish)) continue;
+    const bool stale = now - connection->idle_since_ > kStaleAfter;
+    if (stale && wish.freshness == Freshness::kPreferNew && HasRoom(wish)) return nullptr;
+    idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(i));
+    const bool good = now < connection->expires_ && connection->stream_->Quiet();
+    if (good && !carried) return connection;
     connection->Close();
-    room = true;
   }
   return nullptr;
 }
--- a/src/proxy/worker_connections.h
+++ b/src/proxy/worker_connections.h
@@ -4,6 +4,7 @@
 #define PEARREACH_SRC_PROXY_WORKER_CONNECTIONS_H_
 
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -39,6 +40,10 @@
   bool used_before() const { return used_before_; }
   Stream& stream() { return *stream_; }
 
+  // A request of that id is being written. Of the latest ones is remembered that they were.
+  void NoteRequest(const std::string& attempt_id);
+  bool Carried(const std::string& attempt_id) const;
+
  private:
   friend class WorkerConnections;
   void OnConnected();
@@ -51,10 +56,20 @@
   std::function<void(WorkerConnection*)> ended_while_idle_;
   bool connected_ = false, used_before_ = false;
   Micros idle_since_ = 0, expires_ = 0;
+  std::deque<std::size_t> carried_;  // hashes of ids, the latest last
 };
 
 enum class Freshness { kAny, kPreferNew };  // kPreferNew: not one that was idle for long
 
+// What a request wants of its connection.
+struct ConnectionWish {
+  // None that has carried a request of that id: a worker may send a surplus copy of an answer late,
+  // and the id alone tells whose answer it is.
+  std::string attempt_id;
+  Freshness freshness = Freshness::kAny;
+  std::size_t limit = 1;  // connections to this worker, in use and idle
+};
+
 class WorkerConnections {
  public:
   WorkerConnections(Timers* timers, std::string address);
@@ -62,9 +77,8 @@
   WorkerConnections(const WorkerConnections&) = delete;
   WorkerConnections& operator=(const WorkerConnections&) = delete;
 
-  // A connection, open or coming up, for this user. Null: `limit` are in use, or no socket.
-  std::shared_ptr<WorkerConnection> Take(ConnectionUser* user, Freshness freshness,
-                                         std::size_t limit);
+  // A connection, open or coming up, for this user. Null: the limit is in use, or no socket.
+  std::shared_ptr<WorkerConnection> Take(ConnectionUser* user, const ConnectionWish& wish);
   // Its answer was whole: it may serve again for `keep_for`.
   void GiveBack(const std::shared_ptr<WorkerConnection>& connection, Micros keep_for);
   // It must not serve again.
@@ -76,7 +90,8 @@
   std::uint64_t opened() const { return opened_; }
 
  private:
-  std::shared_ptr<WorkerConnection> TakeIdle(Freshness freshness, bool room);
+  std::shared_ptr<WorkerConnection> TakeIdle(const ConnectionWish& wish);
+  bool HasRoom(const ConnectionWish& wish) const { return in_use_ + idle_.size() < wish.limit; }
   void Forget(WorkerConnection* idle);
   void Sweep();
   void ArmSweep();
--- /dev/null
+++ b/tests/tier/proxy/forwarding_faults_test.cpp
@@ -0,0 +1,236 @@
+// Seeded runs of the forwarding path, byte by byte, against workers that double their answers, keep
+// the copy back until the next request stands on the connection, answer early, without a length or
+// not at all, break off at any byte, or write when nobody asked. Checked is what clients may never
+// see: an answer of another request (MIXED), a call that runs twice (TWICE), a promise that is not
+// true (REFUSED), a request that nobody sent (UNASKED). Each run counts what came about.
+// PEARREACH_SEEDS sets how many seeds are played.
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <random>
+
+#include "proxy/proxy_rig.h"
+
+namespace pearreach::proxy {
+namespace {
+
+constexpr int kJobs = 12;
+
+std::uint64_t Seeds(std::uint64_t usual) {
+  const char* const wanted = std::getenv("PEARREACH_SEEDS");
+  return wanted == nullptr ? usual : std::strtoull(wanted, nullptr, 10);
+}
+
+// What came about over all seeds.
+struct Tally {
+  int surplus_before_answer = 0, surplus_while_idle = 0, same_id_again = 0, cut = 0, early = 0,
+      unframed = 0, not_run = 0, reset = 0, complete = 0, refused = 0;
+};
+
+// Draws each answer; notes which calls ran.
+class FaultyWorkers {
+ public:
+  FaultyWorkers(std::uint64_t seed, Tally* tally) : random_(seed), tally_(tally) {}
+
+  ScriptedWorker::Step Step() {
+    return [this](ScriptedWorker::Call& call) { Answer(call); };
+  }
+  int RunsOf(const std::string& id) const {
+    const auto found = runs_.find(id);
+    return found == runs_.end() ? 0 : found->second;
+  }
+  static std::string BodyOf(const std::string& id) { return "body of " + id; }
+  const std::vector<std::string>& wrong() const { return wrong_; }
+
+ private:
+  struct Connection {
+    std::string kept_back, kept_id;
+  };
+
+  bool Chance(int percent) { return static_cast<int>(random_() % 100) < percent; }
+
+  void Answer(ScriptedWorker::Call& call) {
+    const std::string id = IdOf(call);
+    CheckRequest(call, id);
+    Connection& connection = connections_[call.stream.get()];
+    // What was kept back stands where the answer to this request is due.
+    if (!connection.kept_back.empty()) {
+      ++tally_->surplus_before_answer;
+      tally_->same_id_again += connection.kept_id == id ? 1 : 0;
+      call.stream->Write(std::exchange(connection.kept_back, ""));
+    }
+    const int choice = static_cast<int>(random_() % 100);
+    if (choice < 30) return Refuse(call, id, &connection);
+    ++runs_[id];
+    if (choice < 45) return BreakOff(call, id);
+    if (choice < 55) return WithoutLength(call, id);
+    const std::string answer = AnswerText(id, 200, "X-Seal: s\r\n", BodyOf(id));
+    call.stream->Write(answer);
+    Double(call, answer, id, &connection);
+  }
+  void Refuse(ScriptedWorker::Call& call, const std::string& id, Connection* connection);
+  void BreakOff(ScriptedWorker::Call& call, const std::string& id);
+  void WithoutLength(ScriptedWorker::Call& call, const std::string& id);
+  void Double(ScriptedWorker::Call& call, const std::string& answer, const std::string& id,
+              Connection* connection);
+  void CheckRequest(const ScriptedWorker::Call& call, const std::string& id);
+
+  std::mt19937_64 random_;
+  Tally* tally_;
+  std::map<std::string, int> runs_;
+  std::map<Stream*, Connection> connections_;
+  std::vector<std::string> wrong_;
+};
+
+// A 503 that promises; a copy of it may be kept back.
+void FaultyWorkers::Refuse(ScriptedWorker::Call& call, const std::string& id,
+                           Connection* connection) {
+  ++tally_->not_run;
+  const std::string answer = AnswerText(id, 503, "X-Not-Run: full\r\n", "");
+  call.stream->Write(answer);
+  Double(call, answer, id, connection);
+}
+
+void FaultyWorkers::Double(ScriptedWorker::Call& call, const std::string& answer,
+                           const std::string& id, Connection* connection) {
+  if (Chance(40)) {
+    connection->kept_back = answer;
+    connection->kept_id = id;
+  } else if (Chance(20)) {
+    ++tally_->surplus_while_idle;
+    call.stream->Write(answer);
+  }
+}
+
+// At any byte of the answer, in order or by a reset.
+void FaultyWorkers::BreakOff(ScriptedWorker::Call& call, const std::string& id) {
+  const std::string answer = AnswerText(id, 200, "X-Seal: s\r\n", BodyOf(id));
+  call.stream->Write(answer.substr(0, random_() % answer.size()));
+  ++tally_->cut;
+  if (Chance(50)) return call.stream->CloseAfterWrite();
+  ++tally_->reset;
+  call.stream->ResetOnClose();
+  call.stream->Close();
+}
+
+// It ends with its connection; a reset on the way leaves it incomplete.
+void FaultyWorkers::WithoutLength(ScriptedWorker::Call& call, const std::string& id) {
+  ++tally_->unframed;
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Seal: s\r\n\r\n";
+  const std::string body = BodyOf(id);
+  if (Chance(50)) {
+    call.stream->Write(head + body);
+    return call.stream->CloseAfterWrite();
+  }
+  call.stream->Write(head + body.substr(0, random_() % body.size()));
+  call.stream->ResetOnClose();
+  call.stream->Close();
+}
+
+void FaultyWorkers::CheckRequest(const ScriptedWorker::Call& call, const std::string& id) {
+  const http::Message& request = call.request;
+  const bool good =
+      request.method == "POST" && request.target == "/p/" + id && request.body == "request " + id;
+  if (!good) wrong_.push_back("UNASKED: " + request.method + " " + request.target);
+}
+
+JobSpec JobOf(const std::string& id, bool repeatable) {
+  JobSpec spec = repeatable ? RepeatableJob(3) : PlainJob();
+  spec.headers = {{"Host", "h.example"}, {"X-Attempt-Id", id}};
+  spec.target = "/p/" + id;
+  spec.body = "request " + id;
+  spec.attempt_id = id;
+  spec.due = Now() + kSecond;
+  return spec;
+}
+
+class ForwardingFaultsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ForwardingFaultsTest);
+  CPPUNIT_TEST(TestSeededRuns);
+  CPPUNIT_TEST(TestALateCopyOfAPromiseIsNoPromise);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void TestSeededRuns() {
+    Tally tally;
+    for (std::uint64_t seed = 1; seed <= Seeds(60); ++seed) Play(seed, &tally);
+    CPPUNIT_ASSERT(tally.surplus_before_answer > 0);
+    CPPUNIT_ASSERT(tally.surplus_while_idle > 0);
+    CPPUNIT_ASSERT(tally.cut > 0 && tally.reset > 0);
+    CPPUNIT_ASSERT(tally.unframed > 0);
+    CPPUNIT_ASSERT(tally.complete > 0);
+    CPPUNIT_ASSERT(tally.refused > 0);
+    fmt::print(
+        stderr,
+        "forwarding faults: {} answers after a copy of an earlier one, {} copies at once, {} "
+        "refusals, {} cut, {} of them by a reset, {} without a length; {} jobs complete, {} "
+        "refused\n",
+        tally.surplus_before_answer, tally.surplus_while_idle, tally.not_run, tally.cut,
+        tally.reset, tally.unframed, tally.complete, tally.refused);
+    // A request never stands behind a copy of an answer to an earlier send of itself.
+    CPPUNIT_ASSERT_EQUAL(0, tally.same_id_again);
+  }
+
+  // The worker refuses, and doubles that answer once the same request stands on the connection
+  // again: taken for the answer to the second send, the copy would let it be sent a third time.
+  void TestALateCopyOfAPromiseIsNoPromise() {
+    for (const bool repeatable : {false, true}) {
+      Rig rig;
+      int runs = 0;
+      const auto refuse = NotRun(503);
+      const auto late_copy = [&](ScriptedWorker::Call& call) {
+        if (call.connection == 0) {  // the kept connection
+          call.stream->Write(AnswerText(IdOf(call), 503, "X-Not-Run: full\r\n", ""));
+        }
+        ++runs;
+        call.stream->Write(AnswerText(IdOf(call), 200, "X-Seal: s\r\n", "ran"));
+      };
+      ScriptedWorker& worker = rig.Add({refuse, late_copy});
+      const auto sink = rig.Run(JobOf("a1", repeatable));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, worker.calls().size());
+      CPPUNIT_ASSERT_EQUAL(1, runs);
+      CPPUNIT_ASSERT(sink->result.end == JobEnd::kComplete);
+      CPPUNIT_ASSERT_EQUAL(std::string("ran"), sink->body);
+      CPPUNIT_ASSERT_EQUAL(1, worker.calls()[1].connection);
+    }
+  }
+
+ private:
+  static void Play(std::uint64_t seed, Tally* tally) {
+    Rig rig;
+    FaultyWorkers workers(seed, tally);
+    for (int i = 0; i < 2; ++i) rig.Add({workers.Step()});
+    std::map<std::string, std::shared_ptr<NotingSink>> sinks;
+    for (int i = 0; i < kJobs; ++i) {
+      const std::string id = fmt::format("j{}-{}", seed, i);
+      sinks[id] = rig.Submit(JobOf(id, i % 2 == 0));
+    }
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return std::all_of(sinks.begin(), sinks.end(),
+                         [](const auto& entry) { return entry.second->ends > 0; });
+    }));
+    CPPUNIT_ASSERT_MESSAGE(workers.wrong().empty() ? "" : workers.wrong().front(),
+                           workers.wrong().empty());
+    for (const auto& [id, sink] : sinks) Check(id, *sink, workers, tally);
+  }
+  static void Check(const std::string& id, const NotingSink& sink, const FaultyWorkers& workers,
+                    Tally* tally) {
+    const int runs = workers.RunsOf(id);
+    const bool repeatable = (id.back() - '0') % 2 == 0;
+    if (!repeatable) CPPUNIT_ASSERT_MESSAGE("TWICE: " + id, runs <= 1);
+    if (sink.result.end == JobEnd::kNotRun) {
+      ++tally->refused;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("REFUSED: " + id, 0, runs);
+    }
+    if (sink.result.end != JobEnd::kComplete) return;
+    ++tally->complete;
+    CPPUNIT_ASSERT_EQUAL_MESSAGE("MIXED: " + id, FaultyWorkers::BodyOf(id), sink.body);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForwardingFaultsTest);
+
+}  // namespace
+}  // namespace pearreach::proxy
--- a/tests/tier/proxy/job_runner_test.cpp
+++ b/tests/tier/proxy/job_runner_test.cpp
@@ -218,10 +218,12 @@
   void ReusesConnections() {
     Rig rig;
     ScriptedWorker& worker = rig.Add({Good("ok")});
-    for (int i = 0; i < 5; ++i) CPPUNIT_ASSERT_EQUAL(200, rig.Run(PlainJob())->status);
+    for (int i = 0; i < 5; ++i) {
+      CPPUNIT_ASSERT_EQUAL(200, rig.Run(PlainJob("a" + std::to_string(i)))->status);
+    }
     CPPUNIT_ASSERT_EQUAL(1, worker.connections());
     worker.CloseAll();  // while idle
-    CPPUNIT_ASSERT_EQUAL(200, rig.Run(PlainJob())->status);
+    CPPUNIT_ASSERT_EQUAL(200, rig.Run(PlainJob("a5"))->status);
     CPPUNIT_ASSERT_EQUAL(2, worker.connections());
   }
 
@@ -229,8 +231,8 @@
     for (const char* header : {"Connection: close\r\n", "Keep-Alive: timeout=0\r\n"}) {
       Rig rig;
       ScriptedWorker& worker = rig.Add({Answer(200, std::string("X-Seal: s\r\n") + header, "ok")});
-      rig.Run(PlainJob());
-      rig.Run(PlainJob());
+      rig.Run(PlainJob("a1"));
+      rig.Run(PlainJob("a2"));
       CPPUNIT_ASSERT_EQUAL(2, worker.connections());
     }
   }
@@ -242,9 +244,9 @@
       call.stream->Write(AnswerText(IdOf(call), 200, "X-Seal: s\r\n", "yours"));
     };
     ScriptedWorker& worker = rig.Add({Good("first"), late, Good("third")});
-    CPPUNIT_ASSERT_EQUAL(std::string("first"), rig.Run(PlainJob())->body);
-    CPPUNIT_ASSERT_EQUAL(std::string("yours"), rig.Run(PlainJob())->body);
-    CPPUNIT_ASSERT_EQUAL(std::string("third"), rig.Run(PlainJob())->body);
+    CPPUNIT_ASSERT_EQUAL(std::string("first"), rig.Run(PlainJob("a1"))->body);
+    CPPUNIT_ASSERT_EQUAL(std::string("yours"), rig.Run(PlainJob("a2"))->body);
+    CPPUNIT_ASSERT_EQUAL(std::string("third"), rig.Run(PlainJob("a3"))->body);
     CPPUNIT_ASSERT_EQUAL(2, worker.connections());  // not trusted after that
   }
 
@@ -254,8 +256,8 @@
       call.stream->Write(AnswerText(IdOf(call), 200, "X-Seal: s\r\n", "ok") + "and more");
     };
     ScriptedWorker& worker = rig.Add({more});
-    CPPUNIT_ASSERT_EQUAL(std::string("ok"), rig.Run(PlainJob())->body);
-    CPPUNIT_ASSERT_EQUAL(std::string("ok"), rig.Run(PlainJob())->body);
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), rig.Run(PlainJob("a1"))->body);
+    CPPUNIT_ASSERT_EQUAL(std::string("ok"), rig.Run(PlainJob("a2"))->body);
     CPPUNIT_ASSERT_EQUAL(2, worker.connections());
   }
 
