--- /dev/null
+++ b/models/views.pml
@@ -0,0 +1,125 @@
+/* Views in a row: a member is added while another one leaves for good with its disk. At first the view
+   is member 0, which leaves, alone (or with member 1: TWO); member 2 is new. A view is agreed in one
+   step here (models/chain.pml has the agreement, and lost disks), by a majority of the view before;
+   it begins once all its members hold the state. A change is committed when all members of the view
+   have it. Checked: whatever comes,
+     - a committed change is held by a member of the view that has not left;
+     - a majority of the view has not left.
+   Each guard can be left out with a macro, which must give a counterexample:
+     NO_WAIT     a member that leaves ends at once
+     NO_BEGIN    it ends once a view without it is agreed, not begun
+     NO_RELEASE  it ends though another member does not know yet that it leaves
+   tools/model runs all of them. */
+
+#define MEMBERS 3
+#define LEAVING 0
+#define NEW 2
+
+bool in_view[MEMBERS];      /* of the newest view */
+bool holds_view[MEMBERS];   /* the member has that view and its starting state on its disk */
+bool holds_change[MEMBERS];
+bool gone[MEMBERS];
+bool knows[MEMBERS];        /* that member 0 leaves */
+bool leaves = false, may_end = false, begun = true, committed = false;
+byte views = 0;
+
+#define ALIVE(m) (!gone[m])
+#define STAYS(m) (in_view[m] && ALIVE(m))
+#define HAS_MAJORITY ((STAYS(0) + STAYS(1) + STAYS(2)) * 2 > in_view[0] + in_view[1] + in_view[2])
+#define IN_OR_HOLDS(m) (!in_view[m] || holds_view[m])
+
+inline check() {
+  assert(!committed || (in_view[0] && ALIVE(0) && holds_change[0]) ||
+         (in_view[1] && ALIVE(1) && holds_change[1]) ||
+         (in_view[2] && ALIVE(2) && holds_change[2]));
+  /* A majority of the view: of two all, of three two, of one itself. */
+  assert(HAS_MAJORITY)
+}
+
+/* The view's members as that member would have them: all that it believes to stay. */
+inline agree(by) {
+  begun = false;
+  in_view[0] = ALIVE(0) && !(leaves && knows[by]);
+  in_view[1] = ALIVE(1);
+  in_view[2] = ALIVE(2);
+  holds_view[0] = false; holds_view[1] = false; holds_view[2] = false;
+  holds_view[by] = true;   /* also where it is no member any more */
+  views++
+}
+
+/* What a new view starts from is that of the furthest of the majority, which all committed changes
+   are in: a member takes it over from any other that holds the view. */
+proctype Views() {
+  byte m, from;
+end:
+  do
+  :: atomic {   /* the next view */
+       begun && views < 4 -> select(m : 0 .. 2);
+       if
+       :: in_view[m] && ALIVE(m) && holds_view[m] &&
+          HAS_MAJORITY && (in_view[0] != (ALIVE(0) && !(leaves && knows[m])) || in_view[2] != ALIVE(2)) ->
+            agree(m)
+       :: else -> skip
+       fi;
+       m = 0
+     }
+  :: atomic {   /* a member takes the view and its state over */
+       select(m : 0 .. 2); select(from : 0 .. 2);
+       if
+       :: in_view[m] && ALIVE(m) && !holds_view[m] && holds_view[from] && ALIVE(from) ->
+            holds_view[m] = true; holds_change[m] = holds_change[from]
+       :: else -> skip
+       fi;
+       m = 0; from = 0
+     }
+  :: atomic {
+       !begun && IN_OR_HOLDS(0) && IN_OR_HOLDS(1) && IN_OR_HOLDS(2) -> begun = true
+     }
+  :: atomic {   /* a change, on the disks of all members */
+       begun && !committed && (!in_view[0] || ALIVE(0)) && (!in_view[1] || ALIVE(1)) &&
+       (!in_view[2] || ALIVE(2)) ->
+       holds_change[0] = in_view[0]; holds_change[1] = in_view[1]; holds_change[2] = in_view[2];
+       committed = true; check()
+     }
+  od
+}
+
+proctype Leaving() {
+  byte m;
+end:
+  do
+  :: atomic { !leaves -> leaves = true; knows[LEAVING] = true }
+  :: atomic {   /* a sign of it arrives */
+       leaves -> select(m : 1 .. 2); knows[m] = true; m = 0
+     }
+  :: atomic {   /* it has seen that it may end; what comes after, it does not see */
+#ifdef NO_WAIT
+       leaves ->
+#else
+#ifdef NO_BEGIN
+       leaves && !in_view[LEAVING] && (gone[1] || knows[1]) && knows[2] ->
+#else
+#ifdef NO_RELEASE
+       leaves && !in_view[LEAVING] && begun ->
+#else
+       leaves && !in_view[LEAVING] && begun && (gone[1] || knows[1]) && knows[2] ->
+#endif
+#endif
+#endif
+       may_end = true
+     }
+  :: atomic { may_end && ALIVE(LEAVING) -> gone[LEAVING] = true; check() }
+  od
+}
+
+init {
+  atomic {
+    in_view[0] = true; holds_view[0] = true;
+#ifdef TWO
+    in_view[1] = true; holds_view[1] = true;
+#else
+    gone[1] = true;
+#endif
+    run Views(); run Leaving()
+  }
+}
