A member that is cut off from the others has orders taken through nodes outside the quorum

Cause: a quorum member that lost the others alone tried them one by one and answered 503, although machines outside the quorum reached both sides. Once it has heard a majority and does not any longer, it asks such a machine first, for changes and for strict reads; that one passes on or reads with its own contacts.

--- a/src/control/change_relay.cpp
+++ b/src/control/change_relay.cpp
@@ -69,7 +69,17 @@
   return replica_ != nullptr && replica_->is_head() && reach_->HoldsDuty();
 }
 
+// A quorum member that does not hear the others reaches the head through nodes outside the quorum.
+bool ChangeRelay::IsCutOff() const {
+  return replica_ != nullptr && replica_->InView() && reach_->LostMajority();
+}
+
 Contact ChangeRelay::Next(const AttemptPtr& attempt) const {
+  if (IsCutOff()) {
+    const std::vector<Contact> others = directory_->PlainContacts();
+    const bool may_search = attempt->request.hops == 0 && !others.empty();
+    return may_search ? others[attempt->tries++ % others.size()] : Contact();
+  }
   const std::string hint = std::exchange(attempt->hint, "");
   std::string preferred = hint;
   if (preferred.empty() && replica_ != nullptr && !replica_->view().members.empty() &&
@@ -78,8 +88,8 @@
   }
   ++attempt->tries;
   if (SeemsThere(preferred)) return {preferred, directory_->FindLive(preferred)->info.address};
-  // A node that passes on for another says who it is not rather than search.
-  if (attempt->request.hops > 0) return {};
+  // A quorum member that passes on for another says that it is not the head rather than search.
+  if (attempt->request.hops > 0 && replica_ != nullptr) return {};
   const std::vector<Contact> contacts = directory_->QuorumContacts();
   if (contacts.empty()) return {};
   return contacts[(attempt->tries - 1) % contacts.size()];
--- a/src/control/change_relay.h
+++ b/src/control/change_relay.h
@@ -42,6 +42,7 @@
   bool SeemsThere(const std::string& name) const;
   void End(const AttemptPtr& attempt, const WriteAnswer& answer);
   bool MayChangeHere() const;
+  bool IsCutOff() const;
   Contact Next(const AttemptPtr& attempt) const;
   void Settle(const AttemptPtr& attempt, const WriteAnswer& answer);
   void TryLater(const AttemptPtr& attempt);
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -79,7 +79,7 @@
       poller_(time_.get(), mesh, &snapshots_, &directory_),
       fetch_(time_.get(), mesh, &snapshots_, &directory_),
       relay_(time_.get(), mesh, &directory_, replica_.get(), &reach_),
-      reader_(time_.get(), mesh, &snapshots_, &directory_, replica_.get()),
+      reader_(time_.get(), mesh, &snapshots_, &directory_, replica_.get(), &reach_),
       first_state_(time_.get(), &snapshots_, &reader_, timing_),
       founding_(settings.bootstrap && replica_ != nullptr) {
   Start();
--- a/src/control/member_directory.h
+++ b/src/control/member_directory.h
@@ -39,7 +39,9 @@
   const coordination::Member* FindLive(const std::string& name) const;
   // Live other quorum members, most preferred first, suspects last.
   std::vector<Contact> QuorumContacts() const;
-  // Those, then all other live members, then the seeds.
+  // Live other members outside the quorum, in the same way.
+  std::vector<Contact> PlainContacts() const { return Ranked(false); }
+  // Quorum members, then all other live members, then the seeds.
   std::vector<Contact> AllContacts() const;
   // All quorum members as the chain wants to know them, this node among them.
   std::vector<coordination::Peer> Peers() const;
--- a/src/control/messages.h
+++ b/src/control/messages.h
@@ -35,9 +35,10 @@
   Revisions revisions;
   std::int64_t timeout = 0;
   std::optional<coordination::ChangeMark> mark;  // whether that configuration has been taken
+  bool passed_on = false;  // by a quorum member that is cut off from the others
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& revisions& timeout& mark;
+    archive& revisions& timeout& mark& passed_on;
   }
 };
 
--- a/src/control/quorum_reach.cpp
+++ b/src/control/quorum_reach.cpp
@@ -47,6 +47,7 @@
   }
   timer_ = time_->After(timing_.sign_period, [this] {
     timer_ = 0;
+    has_heard_majority_ = has_heard_majority_ || (!view_.members.empty() && HearsMajority());
     AskAll();
     checked_();
   });
@@ -176,8 +177,7 @@
   return 2 * reports > members && 2 * may_hear <= members;
 }
 
-bool QuorumReach::HoldsDuty() const {
-  if (!is_head_) return false;
+bool QuorumReach::HearsMajority() const {
   const auto heard = std::count_if(view_.members.begin(), view_.members.end(), [&](const auto& id) {
     return id.name == directory_->self() || Fresh(id.name, timing_.duty_span) != nullptr ||
            HeardByMembership(id.name, timing_.duty_span);
--- a/src/control/quorum_reach.h
+++ b/src/control/quorum_reach.h
@@ -49,8 +49,12 @@
   std::string Sign(const ChainEnvelope& question);
   // A majority of the view is known to hear less than a majority in common with that member.
   bool IsLost(const std::string& name) const;
-  // This node is the head and has just heard a majority of the view.
-  bool HoldsDuty() const;
+  // This node has just heard a majority of the view, itself among it where it is a member.
+  bool HearsMajority() const;
+  // It did once in this process's life, and does no longer: it is cut off from the others.
+  bool LostMajority() const { return has_heard_majority_ && !HearsMajority(); }
+  // The same, and it is the head.
+  bool HoldsDuty() const { return is_head_ && HearsMajority(); }
 
  private:
   struct Answer {
@@ -73,7 +77,7 @@
   const MemberDirectory* directory_;
   const ControlTiming timing_;
   std::function<void()> checked_;
-  bool is_head_ = false, is_agreeing_ = false;
+  bool is_head_ = false, is_agreeing_ = false, has_heard_majority_ = false;
   std::optional<Micros> leaving_since_;
   std::set<std::string> leaving_;  // other members
   coordination::View view_;
--- a/src/control/strict_reader.cpp
+++ b/src/control/strict_reader.cpp
@@ -25,8 +25,14 @@
 }  // namespace
 
 StrictReader::StrictReader(TimeSource* time, mesh::Mesh* mesh, SnapshotStore* snapshots,
-                           const MemberDirectory* directory, ReplicaDriver* replica)
-    : time_(time), mesh_(mesh), snapshots_(snapshots), directory_(directory), replica_(replica) {
+                           const MemberDirectory* directory, ReplicaDriver* replica,
+                           const QuorumReach* reach)
+    : time_(time),
+      mesh_(mesh),
+      snapshots_(snapshots),
+      directory_(directory),
+      replica_(replica),
+      reach_(reach) {
   mesh_->Handle(
       mesh::MessageType::kControlRead,
       callbacks_.Bind([this](const std::string&, std::string_view body, mesh::Respond respond) {
@@ -37,7 +43,7 @@
 void StrictReader::Serve(std::string_view body, mesh::Respond respond) {
   const auto request = codec::Decode<ReadRequest>(body);
   if (!request.ok()) return respond(request.status());
-  if (replica_ == nullptr) return respond(absl::FailedPreconditionError("not a quorum member"));
+  if (replica_ == nullptr) return ServeForCutOff(*request, respond);
   replica_->Read(request->timeout,
                  [respond, request = *request](const coordination::ReadResult& result) {
                    if (!result.ok) return respond(codec::Encode(StateUpdate()));
@@ -48,6 +54,23 @@
                  });
 }
 
+// A node outside the quorum reads for a member that does not reach the others.
+void StrictReader::ServeForCutOff(const ReadRequest& request, const mesh::Respond& respond) {
+  if (!request.passed_on) return respond(absl::FailedPreconditionError("not a quorum member"));
+  Read(request.mark, request.timeout,
+       [this, respond, known = request.revisions](const absl::StatusOr<MarkReading>& reading) {
+         if (!reading.ok()) return respond(codec::Encode(StateUpdate()));
+         const ControlSnapshot& snapshot = *reading->snapshot;
+         StateUpdate update = UpdateFor(known, snapshot.version, *snapshot.map);
+         update.standing = reading->standing;
+         respond(codec::Encode(update));
+       });
+}
+
+bool StrictReader::IsCutOff() const {
+  return replica_ != nullptr && replica_->InView() && reach_->LostMajority();
+}
+
 void StrictReader::Read(const Mark& mark, Micros timeout, Done done) {
   auto attempt = std::make_shared<Attempt>();
   attempt->mark = mark;
@@ -61,10 +84,14 @@
   if (left <= 0) return attempt->done(absl::UnavailableError("no sure answer in time"));
   const Micros timeout = std::min(left, std::max(left / 2, kLeastTry));
   const std::size_t number = attempt->tries++;
-  const std::vector<Contact> contacts = directory_->QuorumContacts();
+  const std::vector<Contact> members = directory_->QuorumContacts();
+  const std::vector<Contact> others = directory_->PlainContacts();
+  if (IsCutOff() && !others.empty() && number % 2 == 0) {
+    return Ask(attempt, others[number / 2 % others.size()], timeout);
+  }
   const bool is_member = replica_ != nullptr && replica_->InView();
-  if (is_member && (number == 0 || contacts.empty())) return TryHere(attempt, timeout);
-  if (!contacts.empty()) return Ask(attempt, contacts[number % contacts.size()], timeout);
+  if (is_member && (number == 0 || members.empty())) return TryHere(attempt, timeout);
+  if (!members.empty()) return Ask(attempt, members[number % members.size()], timeout);
   Failed(attempt);
 }
 
@@ -78,7 +105,8 @@
 }
 
 void StrictReader::Ask(const AttemptPtr& attempt, const Contact& contact, Micros timeout) {
-  const ReadRequest request{RevisionsOf(*snapshots_->current()), timeout, attempt->mark};
+  const ReadRequest request{RevisionsOf(*snapshots_->current()), timeout, attempt->mark,
+                            IsCutOff()};
   mesh_->Call(contact.address, mesh::MessageType::kControlRead, codec::Encode(request), timeout,
               callbacks_.Bind([this, attempt](const absl::StatusOr<std::string>& answer) {
                 auto update = answer.ok() ? codec::Decode<StateUpdate>(*answer) : answer.status();
--- a/src/control/strict_reader.h
+++ b/src/control/strict_reader.h
@@ -1,5 +1,6 @@
 // Reads of the control state that no older state can answer: by this node's replica or, where it
-// has none or cannot be sure, by another quorum member's.
+// has none or cannot be sure, by another quorum member's. A quorum member that is cut off from the
+// others asks through a node outside the quorum.
 #ifndef PEARREACH_SRC_CONTROL_STRICT_READER_H_
 #define PEARREACH_SRC_CONTROL_STRICT_READER_H_
 
@@ -24,7 +25,7 @@
 
   // `replica`: null on nodes outside the quorum.
   StrictReader(TimeSource* time, mesh::Mesh* mesh, SnapshotStore* snapshots,
-               const MemberDirectory* directory, ReplicaDriver* replica);
+               const MemberDirectory* directory, ReplicaDriver* replica, const QuorumReach* reach);
   // `done` is called exactly once, within `timeout`. `mark`: of a configuration, whose standing the
   // reading tells.
   void Read(const Mark& mark, Micros timeout, Done done);
@@ -38,6 +39,8 @@
   };
   using AttemptPtr = std::shared_ptr<Attempt>;
   void Serve(std::string_view body, mesh::Respond respond);
+  void ServeForCutOff(const ReadRequest& request, const mesh::Respond& respond);
+  bool IsCutOff() const;
   void Try(const AttemptPtr& attempt);
   void TryHere(const AttemptPtr& attempt, Micros timeout);
   void Ask(const AttemptPtr& attempt, const Contact& contact, Micros timeout);
@@ -48,6 +51,7 @@
   SnapshotStore* snapshots_;
   const MemberDirectory* directory_;
   ReplicaDriver* replica_;
+  const QuorumReach* reach_;
   CallbackOwner callbacks_;
 };
 
--- a/tests/tier/control/control_faults_test.cpp
+++ b/tests/tier/control/control_faults_test.cpp
@@ -33,6 +33,7 @@
 class ControlFaultsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ControlFaultsTest);
   CPPUNIT_TEST(TestAMemberIsCutOff);
+  CPPUNIT_TEST(TestACutOffMemberPassesOrdersOn);
   CPPUNIT_TEST(TestMembersAreSplitInHalves);
   CPPUNIT_TEST(TestLossesInARow);
   CPPUNIT_TEST(TestFullStrengthInTime);
@@ -88,6 +89,40 @@
     CPPUNIT_ASSERT(relieved > 0);
   }
 
+  // A member that reaches no other one, but machines outside the quorum, has orders taken and reads
+  // the newest; one that reaches nobody says 503 within its bound.
+  void TestACutOffMemberPassesOrdersOn() {
+    for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+      const bool alone = seed % 3 == 0;
+      ControlFleet fleet({.members = 3, .plain = 3, .seed = seed});
+      fleet.RunFor(5 * kSecond);
+      CPPUNIT_ASSERT(fleet.TakesAnother(kSecond));
+      const std::vector<std::size_t> members = fleet.Members();
+      const std::size_t victim = seed % 2 == 0 ? *fleet.Head() : members[seed % members.size()];
+      Cut(&fleet, victim, alone ? 1 : 0);
+      fleet.RunFor(4 * kSecond);
+      int taken = 0, newest = 0, unavailable = 0;
+      for (int turn = 0; turn < 6; ++turn) {
+        const std::int64_t parent = fleet.book().newest();
+        Order* order = fleet.book().Add(parent + 1, parent, fleet.NewBody(parent + 1));
+        const auto count = [&](int status) {
+          unavailable += status == 503 ? 1 : 0;
+          return status == 200 ? 1 : 0;
+        };
+        fleet.SendOrder(victim, order,
+                        [&](int status, const std::string&) { taken += count(status); });
+        fleet.RunFor(kSecond);
+        fleet.ReadConfig(victim, [&](int status, const std::string&) { newest += count(status); });
+        fleet.RunFor(kSecond);
+      }
+      CheckFindings(fleet, seed);
+      const std::string what = fmt::format("seed {}: {} taken, {} reads, {} times 503", seed, taken,
+                                           newest, unavailable);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(what, 12, taken + newest + unavailable);
+      CPPUNIT_ASSERT_MESSAGE(what, alone ? unavailable == 12 : taken >= 4 && newest >= 4);
+    }
+  }
+
   void TestMembersAreSplitInHalves() {
     int split = 0;
     for (std::uint64_t seed = FirstSeed(); seed < FirstSeed() + Seeds(16); ++seed) {
