--- a/src/control/control_client.h
+++ b/src/control/control_client.h
@@ -76,7 +76,7 @@
 };
 
 inline void ControlClient::ReadMark(const coordination::ChangeMark&, Micros, MarkDone done) {
-  done(absl::UnimplementedError("no record of changes is kept here"));
+  std::move(done)(absl::UnimplementedError("no record of changes is kept here"));
 }
 
 }  // namespace pearreach::control
--- a/tests/fuzz/tier_messages_fuzz.cpp
+++ b/tests/fuzz/tier_messages_fuzz.cpp
@@ -50,7 +50,7 @@
     Read<batch::RepairDigest>,      Read<batch::RepairDigestAnswer>,
     Read<batch::QuotaReserve>,      Read<batch::QuotaReserveAnswer>,
     Read<batch::QuotaReport>,       Read<batch::LotHeader>,
-    Read<batch::ItemSpec>,
+    Read<batch::ItemSpec>,          Read<control::DiskUse>,
 };
 
 }  // namespace
--- a/tests/fuzz/tier_state_fuzz.cpp
+++ b/tests/fuzz/tier_state_fuzz.cpp
@@ -14,9 +14,11 @@
 #include "batch/lot_state.h"
 #include "batch/placement.h"
 #include "codec/archive.h"
+#include "control/config_mark.h"
 #include "control/snapshot_store.h"
 #include "coordination/chain.h"
 #include "coordination/chain_messages.h"
+#include "coordination/change_marks.h"
 #include "registry/worker_state.h"
 #include "tier/batch/store_simulation.h"
 
@@ -300,8 +302,42 @@
   }
 }
 
+// The record of changes over pages of any bytes, and over its own.
+void Marks(FuzzedDataProvider* input) {
+  constexpr char kKey[] = "config";
+  const auto mark = [&](std::uint64_t number) {
+    return coordination::ChangeMark{number, input->ConsumeIntegral<std::uint64_t>(), 0};
+  };
+  coordination::Map spoiled;
+  spoiled[kKey].revision = input->ConsumeIntegral<std::uint16_t>();
+  while (input->remaining_bytes() > 0 && input->ConsumeBool()) {
+    const std::uint64_t revision = input->ConsumeIntegralInRange<std::uint64_t>(1, 1 << 16);
+    auto [key, page] = coordination::PageWithMark(spoiled, kKey, revision, mark(revision));
+    if (input->ConsumeBool()) page.value = input->ConsumeRandomLengthString(80);
+    spoiled[key] = page;
+    coordination::FindMark(spoiled, kKey, mark(input->ConsumeIntegral<std::uint16_t>()));
+  }
+  coordination::Map map;
+  std::uint64_t number = 0;
+  while (input->remaining_bytes() > 0) {
+    number += 1 + input->ConsumeIntegral<std::uint8_t>();
+    const coordination::ChangeMark next = mark(number);
+    const std::uint64_t revision = ++map[kKey].revision;
+    auto [key, page] = coordination::PageWithMark(map, kKey, revision, next);
+    map[key] = page;
+    const auto standing = coordination::FindMark(map, kKey, next);
+    if (standing != coordination::MarkStanding::kRecorded) std::abort();
+  }
+}
+
+// Two digests of one text are the same, whatever it is.
+void Digests(FuzzedDataProvider* input) {
+  const std::string text = input->ConsumeRemainingBytesAsString();
+  if (control::ConfigMark(1, text) != control::ConfigMark(1, text)) std::abort();
+}
+
 using Machine = void (*)(FuzzedDataProvider*);
-constexpr Machine kMachines[] = {Lots, Placement, Workers, Chain, Snapshots};
+constexpr Machine kMachines[] = {Lots, Placement, Workers, Chain, Snapshots, Marks, Digests};
 
 }  // namespace
 
