--- a/src/control/change_relay.cpp
+++ b/src/control/change_relay.cpp
@@ -35,15 +35,15 @@
 ChangeRelay::ChangeRelay(TimeSource* time, mesh::Mesh* mesh, const MemberDirectory* directory,
                          ReplicaDriver* replica, const QuorumReach* reach)
     : time_(time), mesh_(mesh), directory_(directory), replica_(replica), reach_(reach) {
-  mesh_->Handle(
-      mesh::MessageType::kControlWrite,
-      callbacks_.Bind([this](const std::string&, std::string_view body, mesh::Respond respond) {
-        auto request = codec::Decode<WriteRequest>(body);
-        if (!request.ok()) return respond(request.status());
-        ++request->hops;
-        Change(*std::move(request),
-               [respond](const WriteAnswer& answer) { respond(codec::Encode(answer)); });
-      }));
+  mesh_->Handle(mesh::MessageType::kControlWrite,
+                callbacks_.Bind([this](const std::string&, std::string_view body,
+                                       const mesh::Respond& respond) {
+                  auto request = codec::Decode<WriteRequest>(body);
+                  if (!request.ok()) return respond(request.status());
+                  ++request->hops;
+                  Change(*std::move(request),
+                         [respond](const WriteAnswer& answer) { respond(codec::Encode(answer)); });
+                }));
 }
 
 void ChangeRelay::Change(WriteRequest request, Done done) {
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -120,7 +120,7 @@
   replica_->MembersChanged();
   reach_.Start([this] {
     replica_->MembersChanged();
-    if (reach_.IsDiskOld() && disk_is_old_) std::exchange(disk_is_old_, nullptr)();
+    if (reach_.disk().is_old() && disk_is_old_) std::exchange(disk_is_old_, nullptr)();
   });
 }
 
--- /dev/null
+++ b/src/control/disk_check.h
@@ -0,0 +1,53 @@
+// Whether this node's disk may take part in the control state: it must not have been put back in
+// time (disk_use.h). What is known of the disks rides on the signs that quorum members ask one
+// another for.
+#ifndef PEARREACH_SRC_CONTROL_DISK_CHECK_H_
+#define PEARREACH_SRC_CONTROL_DISK_CHECK_H_
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "control/disk_use.h"
+#include "control/record_writer.h"
+#include "coordination/chain.h"
+
+namespace pearreach::control {
+
+class DiskCheck {
+ public:
+  explicit DiskCheck(std::string self) : self_(std::move(self)) {}
+  // This node's disk, how far its use is synced, and what was found on it at the start.
+  void SetDisk(std::string disk_id, const RecordWriter* writer);
+
+  const std::string& disk_id() const { return disk_id_; }
+  // As far as it is synced; nothing before the first write of this process.
+  DiskUse OwnUse() const { return writer_ == nullptr ? DiskUse() : writer_->synced(); }
+
+  // A member tells of its own disk. Returns what was known of that before.
+  DiskUse Note(const std::string& member, const std::string& disk_id, const DiskUse& use);
+  // A member that has been told of this process's start had heard that much of this node's disk.
+  void Told(const std::string& member, const DiskUse& heard);
+
+  // Members that make a majority of the view with this node have heard nothing of its disk that is
+  // not on it. Once true, it stays so until the disk turns out to be old.
+  bool IsChecked(const coordination::View& view);
+  // A member has heard of later use of this node's disk.
+  bool is_old() const { return is_old_; }
+
+ private:
+  struct HeardOf {
+    std::string disk_id;
+    DiskUse use;
+  };
+  const std::string self_;
+  std::string disk_id_;
+  const RecordWriter* writer_ = nullptr;
+  std::map<std::string, HeardOf> heard_of_;  // by member
+  std::set<std::string> asked_;              // members that have answered about this node's disk
+  bool is_checked_ = false, is_old_ = false;
+};
+
+}  // namespace pearreach::control
+
+#endif  // PEARREACH_SRC_CONTROL_DISK_CHECK_H_
--- a/src/control/member_directory.cpp
+++ b/src/control/member_directory.cpp
@@ -47,6 +47,7 @@
   std::sort(ranked.begin(), ranked.end(),
             [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<Contact> contacts;
+  contacts.reserve(ranked.size());
   for (auto& [rank, contact] : ranked) contacts.push_back(std::move(contact));
   return contacts;
 }
--- a/src/control/quorum_reach.cpp
+++ b/src/control/quorum_reach.cpp
@@ -5,18 +5,11 @@
 
 #include "codec/archive.h"
 #include "control/messages.h"
-#include "logging/log.h"
 
 namespace pearreach::control {
-namespace {
-
-constexpr char kModule[] = "control";
-
-}  // namespace
-
 QuorumReach::QuorumReach(TimeSource* time, mesh::Mesh* mesh, const MemberDirectory* directory,
                          const ControlTiming& timing)
-    : time_(time), mesh_(mesh), directory_(directory), timing_(timing) {}
+    : time_(time), mesh_(mesh), directory_(directory), timing_(timing), disk_(directory->self()) {}
 
 QuorumReach::~QuorumReach() { time_->Cancel(&timer_); }
 
@@ -33,16 +26,15 @@
 
 void QuorumReach::AskAll() {
   const Micros asked = time_->Now();
-  const DiskUse use = OwnUse();
-  const std::string question = codec::Encode(
-      ChainEnvelope{directory_->self(), "", true, leaving_since_.has_value(), disk_id_, use});
+  const DiskUse use = disk_.OwnUse();
+  const std::string question = codec::Encode(ChainEnvelope{
+      directory_->self(), "", true, leaving_since_.has_value(), disk_.disk_id(), use});
   const bool tells_use = use.starts > 0;
   for (const Contact& contact : directory_->QuorumContacts()) {
     mesh_->Call(contact.address, mesh::MessageType::kChain, question, timing_.sign_timeout,
                 callbacks_.Bind([this, name = contact.name, asked,
                                  tells_use](const absl::StatusOr<std::string>& answer) {
-                  Answered(name, asked, answer);
-                  if (answer.ok() && tells_use) CheckDisk(name, *answer);
+                  Answered(name, asked, tells_use, answer);
                 }));
   }
   timer_ = time_->After(timing_.sign_period, [this] {
@@ -53,11 +45,13 @@
   });
 }
 
-void QuorumReach::Answered(const std::string& name, Micros asked,
+void QuorumReach::Answered(const std::string& name, Micros asked, bool told_use,
                            const absl::StatusOr<std::string>& answer) {
   if (!answer.ok()) return;
   const auto sign = codec::Decode<SignAnswer>(*answer);
   if (!sign.ok() || sign->name != name) return;  // another node has that address now
+  if (told_use) disk_.Told(name, sign->heard);
+  disk_.Note(name, sign->disk_id, sign->use);
   Answer& known = answers_[name];
   if (asked < known.asked) return;
   known.asked = asked;
@@ -65,42 +59,6 @@
   known.epoch = sign->epoch;
   known.agreeing = sign->agreeing;
   NoteLeaving(name, sign->leaving);
-  NoteUse(name, sign->disk_id, sign->use);
-}
-
-// `answer` was given by a member that has heard of this process's start.
-void QuorumReach::CheckDisk(const std::string& name, const std::string& answer) {
-  const auto sign = codec::Decode<SignAnswer>(answer);
-  if (!sign.ok() || sign->name != name) return;
-  checked_by_.insert(name);
-  if (is_disk_old_ || !IsBehind(writer_->found(), OwnUse(), sign->heard)) return;
-  is_disk_old_ = true;
-  logging::Error(kModule, "the disk was put back in time",
-                 {logging::F("heard_by", name), logging::F("heard_writes", sign->heard.writes),
-                  logging::F("found_writes", writer_->found().writes)});
-}
-
-void QuorumReach::SetDisk(std::string disk_id, const RecordWriter* writer) {
-  disk_id_ = std::move(disk_id);
-  writer_ = writer;
-}
-
-DiskUse QuorumReach::NoteUse(const std::string& name, const std::string& disk_id,
-                             const DiskUse& use) {
-  if (use.starts == 0) return {};
-  HeardOf& heard = heard_of_[name];
-  if (heard.disk_id != disk_id) heard = {disk_id, {}};
-  return std::exchange(heard.use, Later(heard.use, use));
-}
-
-bool QuorumReach::IsDiskChecked() {
-  if (is_disk_old_ || is_disk_checked_) return is_disk_checked_ && !is_disk_old_;
-  const auto& members = view_.members;
-  const auto checked = std::count_if(members.begin(), members.end(), [this](const auto& id) {
-    return id.name == directory_->self() || checked_by_.count(id.name) > 0;
-  });
-  is_disk_checked_ = members.empty() || 2 * static_cast<std::size_t>(checked) > members.size();
-  return is_disk_checked_;
 }
 
 // A process that starts under the name of one that left says so with its first words.
@@ -139,9 +97,9 @@
   sign.leaving = leaving_since_.has_value();
   sign.epoch = view_.epoch;
   sign.agreeing = is_agreeing_;
-  sign.disk_id = disk_id_;
-  sign.use = OwnUse();
-  sign.heard = NoteUse(question.from, question.disk_id, question.use);
+  sign.disk_id = disk_.disk_id();
+  sign.use = disk_.OwnUse();
+  sign.heard = disk_.Note(question.from, question.disk_id, question.use);
   for (const auto& [name, answer] : answers_) {
     if (Fresh(name, timing_.lost_span) != nullptr) sign.hears.push_back(name);
   }
--- a/src/control/quorum_reach.h
+++ b/src/control/quorum_reach.h
@@ -11,9 +11,9 @@
 #include <string>
 
 #include "control/control_timing.h"
+#include "control/disk_check.h"
 #include "control/member_directory.h"
 #include "control/messages.h"
-#include "control/record_writer.h"
 #include "control/time_source.h"
 #include "coordination/chain.h"
 #include "mesh/mesh.h"
@@ -26,8 +26,6 @@
               const ControlTiming& timing);
   ~QuorumReach();
 
-  // This node's disk, how far its use is synced, and what was found on it at the start.
-  void SetDisk(std::string disk_id, const RecordWriter* writer);
   // Begins to ask; `checked` is called after each round.
   void Start(std::function<void()> checked);
   // After each step of the replica.
@@ -40,11 +38,10 @@
   // All members of the present view know that this node leaves, and none is about to agree on
   // another view, into which it might have been taken before they knew.
   bool IsReleased() const;
-  // A majority of the view has heard nothing of this node's disk that is not on it. Until then this
-  // node's replica says nothing.
-  bool IsDiskChecked();
-  // Another member has heard of later use of this node's disk: it was put back in time.
-  bool IsDiskOld() const { return is_disk_old_; }
+  // What is known of disks rides on the signs.
+  DiskCheck& disk() { return disk_; }
+  // Until then this node's replica says nothing.
+  bool IsDiskChecked() { return disk_.IsChecked(view_); }
   // The answer to another member's question for a sign.
   std::string Sign(const ChainEnvelope& question);
   // A majority of the view is known to hear less than a majority in common with that member.
@@ -65,11 +62,10 @@
   };
   void AskAll();
   void NoteLeaving(const std::string& name, bool leaving);
-  DiskUse NoteUse(const std::string& name, const std::string& disk_id, const DiskUse& use);
-  DiskUse OwnUse() const { return writer_ == nullptr ? DiskUse() : writer_->synced(); }
-  void Answered(const std::string& name, Micros asked, const absl::StatusOr<std::string>& answer);
+  // `told_use`: the question told of this process's start.
+  void Answered(const std::string& name, Micros asked, bool told_use,
+                const absl::StatusOr<std::string>& answer);
   const Answer* Fresh(const std::string& name, Micros span) const;
-  void CheckDisk(const std::string& name, const std::string& answer);
   bool HeardByMembership(const std::string& name, Micros span) const;
 
   TimeSource* time_;
@@ -82,16 +78,7 @@
   std::set<std::string> leaving_;  // other members
   coordination::View view_;
   std::map<std::string, Answer> answers_;
-  // Disks.
-  struct HeardOf {
-    std::string disk_id;
-    DiskUse use;
-  };
-  std::string disk_id_;
-  const RecordWriter* writer_ = nullptr;
-  std::map<std::string, HeardOf> heard_of_;  // by member
-  std::set<std::string> checked_by_;         // members that were asked about this node's disk
-  bool is_disk_checked_ = false, is_disk_old_ = false;
+  DiskCheck disk_;
   Timers::Id timer_ = 0;
   CallbackOwner callbacks_;
 };
--- a/src/control/record_writer.cpp
+++ b/src/control/record_writer.cpp
@@ -32,7 +32,7 @@
 
 RecordWriter::~RecordWriter() { time_->Cancel(&retry_timer_); }
 
-void RecordWriter::Write(coordination::Persist persist) {
+void RecordWriter::Write(coordination::Persist&& persist) {
   for (auto& [key, value] : persist.records) waiting_.records[key] = std::move(value);
   waiting_.tokens.push_back(persist.token);
   if (!is_committing_ && retry_timer_ == 0) CommitNext();
--- a/src/control/record_writer.h
+++ b/src/control/record_writer.h
@@ -29,7 +29,7 @@
   RecordWriter(const RecordWriter&) = delete;
   RecordWriter& operator=(const RecordWriter&) = delete;
 
-  void Write(coordination::Persist persist);
+  void Write(coordination::Persist&& persist);
 
   const DiskUse& found() const { return found_; }  // when this process started
   const DiskUse& synced() const {
--- a/src/control/replica_driver.cpp
+++ b/src/control/replica_driver.cpp
@@ -63,7 +63,7 @@
                   respond(std::string());
                   Receive(*envelope);
                 }));
-  reach_->SetDisk(self_.disk_id, &writer_);
+  reach_->disk().SetDisk(self_.disk_id, &writer_);
   snapshots_->Apply(replica_.committed_version(), replica_.committed());
   timer_.Set(replica_.NextTick());
 }
--- a/src/front/exchange.h
+++ b/src/front/exchange.h
@@ -34,7 +34,7 @@
   // Bytes accepted by Write that the client's connection has not taken yet.
   virtual std::size_t unsent() const = 0;
   // Called each time the client's connection has taken all that it had left of `unsent`.
-  virtual void OnDrained(std::function<void()>) {}
+  virtual void OnDrained(std::function<void()> drained) { drained = nullptr; }
   // Called once when the client's connection ends before the answer is whole.
   virtual void OnClosed(std::function<void()> closed) = 0;
 };
