--- a/src/control/control_client.h
+++ b/src/control/control_client.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "base/io.h"
 #include "coordination/chain.h"
@@ -76,7 +77,8 @@
 };
 
 inline void ControlClient::ReadMark(const coordination::ChangeMark&, Micros, MarkDone done) {
-  std::move(done)(absl::UnimplementedError("no record of changes is kept here"));
+  const MarkDone tell = std::move(done);
+  tell(absl::UnimplementedError("no record of changes is kept here"));
 }
 
 }  // namespace pearreach::control
--- a/src/control/replica_driver.cpp
+++ b/src/control/replica_driver.cpp
@@ -87,7 +87,7 @@
   if (Same(peers, peers_)) return;
   peers_ = peers;
   coordination::Effects effects;
-  replica_.SetPeers(time_->Now(), std::move(peers), &effects);
+  replica_.SetPeers(time_->Now(), peers, &effects);
   CarryOut(std::move(effects));
 }
 
--- a/src/control/state_poller.cpp
+++ b/src/control/state_poller.cpp
@@ -81,11 +81,12 @@
   absl::StatusOr<StateUpdate> update =
       answer.ok() ? codec::Decode<StateUpdate>(*answer) : answer.status();
   const bool present = update.ok() && update->present;
+  const bool failed_call = !update.ok();
   if (present) snapshots_->Apply(*std::move(update));
   const auto slot =
       std::find_if(slots_.begin(), slots_.end(), [&](const Slot& s) { return s.call == call; });
   if (slot == slots_.end()) return;
-  const bool failed = !update.ok() || (!present && time_->Now() - slot->asked < kLeastHold);
+  const bool failed = failed_call || (!present && time_->Now() - slot->asked < kLeastHold);
   slot->call = 0;
   if (failed) Fail(address);
   Refresh();
--- a/src/control/strict_reader.cpp
+++ b/src/control/strict_reader.cpp
@@ -33,14 +33,12 @@
       directory_(directory),
       replica_(replica),
       reach_(reach) {
-  mesh_->Handle(
-      mesh::MessageType::kControlRead,
-      callbacks_.Bind([this](const std::string&, std::string_view body, mesh::Respond respond) {
-        Serve(body, std::move(respond));
-      }));
+  mesh_->Handle(mesh::MessageType::kControlRead,
+                callbacks_.Bind([this](const std::string&, std::string_view body,
+                                       const mesh::Respond& respond) { Serve(body, respond); }));
 }
 
-void StrictReader::Serve(std::string_view body, mesh::Respond respond) {
+void StrictReader::Serve(std::string_view body, const mesh::Respond& respond) {
   const auto request = codec::Decode<ReadRequest>(body);
   if (!request.ok()) return respond(request.status());
   if (replica_ == nullptr) return ServeForCutOff(*request, respond);
@@ -58,7 +56,7 @@
 void StrictReader::ServeForCutOff(const ReadRequest& request, const mesh::Respond& respond) {
   if (!request.passed_on) return respond(absl::FailedPreconditionError("not a quorum member"));
   Read(request.mark, request.timeout,
-       [this, respond, known = request.revisions](const absl::StatusOr<MarkReading>& reading) {
+       [respond, known = request.revisions](const absl::StatusOr<MarkReading>& reading) {
          if (!reading.ok()) return respond(codec::Encode(StateUpdate()));
          const ControlSnapshot& snapshot = *reading->snapshot;
          StateUpdate update = UpdateFor(known, snapshot.version, *snapshot.map);
--- a/src/control/strict_reader.h
+++ b/src/control/strict_reader.h
@@ -38,7 +38,7 @@
     std::size_t tries = 0;
   };
   using AttemptPtr = std::shared_ptr<Attempt>;
-  void Serve(std::string_view body, mesh::Respond respond);
+  void Serve(std::string_view body, const mesh::Respond& respond);
   void ServeForCutOff(const ReadRequest& request, const mesh::Respond& respond);
   bool IsCutOff() const;
   void Try(const AttemptPtr& attempt);
--- a/src/coordination/chain.h
+++ b/src/coordination/chain.h
@@ -145,13 +145,13 @@
 class ChainReplica {
  public:
   // `records`: what Persist effects left on disk (all keys of this machine), empty on a new disk.
-  ChainReplica(ChainOptions options, std::map<std::string, std::string> records, std::uint64_t seed,
-               Micros now);
+  ChainReplica(ChainOptions options, const std::map<std::string, std::string>& records,
+               std::uint64_t seed, Micros now);
   ~ChainReplica();
 
   // What membership says. The duty to repair the view falls to the first live member of the view in
   // its order (at bootstrap: the first by name), never to one that is not sure of a majority.
-  void SetPeers(Micros now, std::vector<Peer> peers, Effects* out);
+  void SetPeers(Micros now, const std::vector<Peer>& peers, Effects* out);
   // At bootstrap: those whose majority forms the first view, the same set at all founders. Another
   // set may be given until this node has taken part in an agreement; then the first one holds. Of
   // no effect once there is a view.
--- a/src/coordination/chain_replica.cpp
+++ b/src/coordination/chain_replica.cpp
@@ -158,13 +158,13 @@
   std::visit([&](const auto& message) { On(now, header, message); }, body);
 }
 
-ChainReplica::ChainReplica(ChainOptions options, std::map<std::string, std::string> records,
+ChainReplica::ChainReplica(ChainOptions options, const std::map<std::string, std::string>& records,
                            std::uint64_t seed, Micros now)
     : impl_(std::make_unique<Impl>(std::move(options), records, seed, now)) {}
 
 ChainReplica::~ChainReplica() = default;
 
-void ChainReplica::SetPeers(Micros now, std::vector<Peer> peers, Effects* out) {
+void ChainReplica::SetPeers(Micros now, const std::vector<Peer>& peers, Effects* out) {
   impl_->SetPeers(now, peers, out);
 }
 
--- a/src/coordination/view_target.cpp
+++ b/src/coordination/view_target.cpp
@@ -12,6 +12,7 @@
 // Of the Z greatest counts.
 int Greatest(const std::map<std::string, int>& counts, int number) {
   std::vector<int> sorted;
+  sorted.reserve(counts.size());
   for (const auto& [name, count] : counts) sorted.push_back(count);
   std::sort(sorted.rbegin(), sorted.rend());
   int sum = 0;
