--- a/tests/tier/control/control_faults_test.cpp
+++ b/tests/tier/control/control_faults_test.cpp
@@ -251,10 +251,11 @@
   }
 
   // The new one first, then SIGTERM of the old one, until none of the first is left. A member that
-  // leaves before the new one is in the view must wait for it: it may hold the only copy.
+  // leaves before the new one is in the view must wait for it: it may hold the only copy. Seed 68
+  // has a new member that does not know yet that the old one leaves.
   void TestPlannedReplacements() {
     int early = 0;
-    for (std::uint64_t seed = FirstSeed(); seed < FirstSeed() + Seeds(16); ++seed) {
+    for (std::uint64_t seed = FirstSeed(); seed < FirstSeed() + Seeds(70); ++seed) {
       const int members[] = {1, 2, 3, 5};
       const int count = members[seed % 4];
       ControlFleet fleet({.members = count,
