Check a member's disk at once after its start instead of at the next sign

Signs are asked for as soon as the start is on disk and when a member appears, and what the replica says until then is held and sent. Ruled out: the rule for connections and the waits of stopping members, which have no part in a restart after lost power.

--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -190,7 +190,10 @@
 
 void ControlNode::MembersChanged(const std::vector<std::string>& names) {
   if (RosterChanged(names)) {
-    if (replica_ != nullptr) replica_->MembersChanged();
+    if (replica_ != nullptr) {
+      if (!reach_.IsDiskChecked()) reach_.AskAgain();
+      replica_->MembersChanged();
+    }
     if (founding_) Found(founder_wait_over_);
     poller_.Refresh();
   }
--- a/src/control/quorum_reach.cpp
+++ b/src/control/quorum_reach.cpp
@@ -50,7 +50,9 @@
   if (!answer.ok()) return;
   const auto sign = codec::Decode<SignAnswer>(*answer);
   if (!sign.ok() || sign->name != name) return;  // another node has that address now
+  const bool was_checked = IsDiskChecked();
   if (told_use) disk_.Told(name, sign->heard);
+  if (IsDiskChecked() != was_checked) checked_();
   disk_.Note(name, sign->disk_id, sign->use);
   Answer& known = answers_[name];
   if (asked < known.asked) return;
@@ -70,6 +72,10 @@
 void QuorumReach::SetLeaving() {
   if (leaving_since_.has_value()) return;
   leaving_since_ = time_->Now();
+  AskAgain();
+}
+
+void QuorumReach::AskAgain() {
   if (timer_ == 0) return;
   time_->Cancel(&timer_);
   AskAll();
--- a/src/control/quorum_reach.h
+++ b/src/control/quorum_reach.h
@@ -28,6 +28,9 @@
 
   // Begins to ask; `checked` is called after each round.
   void Start(std::function<void()> checked);
+  // Asks now instead of at the next time: something has changed that the others should know, or of
+  // whom to ask.
+  void AskAgain();
   // After each step of the replica.
   void Update(bool is_head, bool is_agreeing, const coordination::View& view);
 
--- a/src/control/replica_driver.cpp
+++ b/src/control/replica_driver.cpp
@@ -16,6 +16,7 @@
 // A message of a whole configuration may take longer than the replica waits: it is not sent again
 // while it is on its way.
 constexpr std::size_t kLargeMessage = 64 << 10;
+constexpr std::size_t kMostHeld = 64;
 constexpr std::size_t kLeastBytesPerSecond = 1 << 20;
 
 std::map<std::string, std::string> RecordsOf(const disk::TableStore& store) {
@@ -79,6 +80,7 @@
 }
 
 void ReplicaDriver::MembersChanged() {
+  if (!held_.empty() && reach_->IsDiskChecked()) SendHeld();
   std::vector<coordination::Peer> peers = directory_->Peers();
   for (coordination::Peer& peer : peers) {
     peer.alive = peer.alive && !reach_->IsLost(peer.id.name);
@@ -154,9 +156,9 @@
 
 void ReplicaDriver::CarryOut(coordination::Effects effects) {
   for (auto& persist : effects.persists) writer_.Write(std::move(persist));
-  if (reach_->IsDiskChecked()) {
-    for (const auto& message : effects.messages) Send(message);
-  }
+  for (auto& message : effects.messages) held_.push_back(std::move(message));
+  if (reach_->IsDiskChecked()) SendHeld();
+  while (held_.size() > kMostHeld) held_.pop_front();
   for (auto& committed : effects.committed) {
     snapshots_->Apply(committed.version, std::move(committed.map));
   }
@@ -166,7 +168,12 @@
   if (listener_) listener_();
 }
 
+void ReplicaDriver::SendHeld() {
+  for (const auto& message : std::exchange(held_, {})) Send(message);
+}
+
 void ReplicaDriver::Written(const std::vector<std::uint64_t>& tokens) {
+  if (!reach_->IsDiskChecked()) reach_->AskAgain();  // the others can be told of this process now
   coordination::Effects effects;
   for (const std::uint64_t token : tokens) replica_.Persisted(time_->Now(), token, &effects);
   CarryOut(std::move(effects));
--- a/src/control/replica_driver.h
+++ b/src/control/replica_driver.h
@@ -3,6 +3,7 @@
 #ifndef PEARREACH_SRC_CONTROL_REPLICA_DRIVER_H_
 #define PEARREACH_SRC_CONTROL_REPLICA_DRIVER_H_
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -64,6 +65,8 @@
   void Written(const std::vector<std::uint64_t>& tokens);
   void Send(const coordination::SendMessage& message);
   void SendTo(const std::string& address, const coordination::SendMessage& message);
+  // What waited until the disk was checked.
+  void SendHeld();
   void Finish(const coordination::ChangeResult& result);
   void Finish(const coordination::ReadResult& result);
 
@@ -76,7 +79,8 @@
   const coordination::ReplicaId self_;
   coordination::ChainReplica replica_;
   std::function<void()> listener_;
-  std::vector<coordination::Peer> peers_;  // as last told
+  std::vector<coordination::Peer> peers_;       // as last told
+  std::deque<coordination::SendMessage> held_;  // until the disk is checked; the latest
   // Large messages that their receivers have not taken yet: by receiver and hash of the bytes.
   std::set<std::pair<std::string, std::size_t>> large_under_way_;
   std::map<std::uint64_t, WaitingChange> changes_;
