--- a/tests/tier/control/control_faults_test.cpp
+++ b/tests/tier/control/control_faults_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(TestReplacements);
   CPPUNIT_TEST(TestPlannedReplacements);
   CPPUNIT_TEST(TestLeavingOfAll);
+  CPPUNIT_TEST(TestSixtyConfigurationsAreNeverRefused);
   CPPUNIT_TEST(TestADiskGoesBackInTime);
   CPPUNIT_TEST(TestAMemberMissesHundredsOfChanges);
   CPPUNIT_TEST(TestPowerAndDisksAreLostTogether);
@@ -309,6 +310,48 @@
     CPPUNIT_ASSERT(fleet.TakesAnother(kSecond));
   }
 
+  // Sixty, one after another; each again, and other content under its number, at drawn nodes: after
+  // a restart of all, after all members were replaced, and after a lost disk.
+  void TestSixtyConfigurationsAreNeverRefused() {
+    constexpr int kConfigurations = 60;
+    ControlFleet fleet({.members = 3, .plain = 2});
+    fleet.RunFor(5 * kSecond);
+    for (int i = 0; i < kConfigurations; ++i) CPPUNIT_ASSERT(fleet.TakesAnother(2 * kSecond));
+    const auto again = [&](const std::string& when) {
+      std::vector<Order*> taken;
+      for (const auto& order : fleet.book().orders()) {
+        if (order->acknowledged) taken.push_back(order.get());
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{kConfigurations}, taken.size());
+      for (Order* order : taken) {
+        Order* other =
+            fleet.book().Add(order->version, order->parent, fleet.NewBody(order->version));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(when, 200, fleet.SendUntilClear(order, 5 * kSecond));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(when, 412, fleet.SendUntilClear(other, 5 * kSecond));
+      }
+    };
+    again("at once");
+    for (std::size_t i = 0; i < fleet.size(); ++i) fleet.LosePower(i);
+    for (std::size_t i = 0; i < fleet.size(); ++i) fleet.Start(i);
+    CPPUNIT_ASSERT(fleet.RunUntil(kRecover, [&] { return fleet.IsAtFullStrength(); }));
+    again("after a loss of power");
+    for (const std::size_t old : fleet.Members()) {
+      fleet.Start(fleet.AddMember());
+      fleet.RunFor(kSecond);
+      fleet.LeaveForGood(old, kGrace);
+      fleet.SetSeeds(fleet.Members());
+      CPPUNIT_ASSERT(fleet.RunUntil(kRecover, [&] { return fleet.IsAtFullStrength(); }));
+    }
+    again("after all members were replaced");
+    const std::size_t head = *fleet.Head();
+    fleet.LosePower(head);
+    fleet.Wipe(head);
+    fleet.Start(head);
+    CPPUNIT_ASSERT(fleet.RunUntil(kRecover, [&] { return fleet.IsAtFullStrength(); }));
+    again("after the head lost its disk");
+    CPPUNIT_ASSERT(fleet.book().findings().empty());
+  }
+
   // An older copy of a member's disk is put back under it, from the same view or an earlier one.
   // The member must not take part with it; it comes back as an empty one.
   void TestADiskGoesBackInTime() {
