Offer a lot to its stores before its items are sent; a store that stays silent leaves the table

Cause of lots without an answer: a lot waits for a store that was lost (no answer for 1.6 s and more) until its client leaves after 1.2 s; 13 sends of a lot at 0.3 s each meet 429 first, the last one silence. Ruled out: grants of tokens, repair's share of the link.

--- a/src/batch/lot_api.cpp
+++ b/src/batch/lot_api.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "batch/lot_hand_in.h"
 #include "batch/lot_json.h"
 #include "logging/log.h"
 
@@ -29,7 +30,7 @@
 // A hand-in: the longest wait where the client names none; the least before it is refused; what is
 // kept for the way back of the answer.
 constexpr Micros kSubmitTime = 5 * kSecond;
-constexpr Micros kLeastUnsentTime = 2 * kSecond;
+constexpr Micros kLeastUnsentTime = 1 * kSecond;  // clients take a longer silence for a loss
 constexpr Micros kLongestMargin = 200 * kMs;
 
 struct Target {
@@ -153,8 +154,9 @@
 
 }  // namespace
 
-LotApi::LotApi(Timers*, StoreClient* stores, control::ControlClient* control, LotBounds bounds)
-    : stores_(stores), control_(control), bounds_(bounds) {}
+LotApi::LotApi(Timers* timers, StoreClient* stores, control::ControlClient* control,
+               LotBounds bounds)
+    : timers_(timers), stores_(stores), control_(control), bounds_(bounds) {}
 
 bool LotApi::IsLotCall(const http::Message& request) {
   const std::string_view path = SplitTarget(request.target).path;
@@ -210,10 +212,14 @@
   time.overall = std::max<Micros>(SubmitTime(request, route) - spent, 0);
   const Micros aim = static_cast<Micros>(route.target_ms * kMs);
   time.unsent = std::min(time.overall, std::max(aim, kLeastUnsentTime));
-  CancelWith(exchange, stores_->Create(std::move(lot), time,
-                                       [exchange](const absl::StatusOr<CreateLotAnswer>& answer) {
-                                         AnswerSubmit(exchange, answer);
-                                       }));
+  const auto hand_in =
+      std::make_shared<LotHandIn>(timers_, stores_, std::move(lot), time,
+                                  [exchange](const absl::StatusOr<CreateLotAnswer>& answer) {
+                                    AnswerSubmit(exchange, answer);
+                                  });
+  // The client's connection keeps the hand-in.
+  exchange->OnClosed([hand_in] { hand_in->Cancel(); });
+  hand_in->Start();
 }
 
 void LotApi::Read(const std::shared_ptr<front::Exchange>& exchange, std::string lot_id,
--- a/src/batch/lot_api.h
+++ b/src/batch/lot_api.h
@@ -42,6 +42,7 @@
   // The call is dropped when the client leaves.
   void CancelWith(const std::shared_ptr<front::Exchange>& exchange, StoreClient::CallId call);
 
+  Timers* timers_;
   StoreClient* stores_;
   control::ControlClient* control_;
   LotBounds bounds_;
--- /dev/null
+++ b/src/batch/lot_hand_in.h
@@ -0,0 +1,63 @@
+// One hand-in of a lot at an edge node: asks first whether the lot fits its route's quota and
+// whether the stores that would keep it answer, and sends its items only then. A hand-in that
+// cannot go on is therefore refused for sure, in time for its client to come again, except where a
+// store is lost in the few milliseconds between the offer and the answer.
+#ifndef PEARREACH_SRC_BATCH_LOT_HAND_IN_H_
+#define PEARREACH_SRC_BATCH_LOT_HAND_IN_H_
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "base/timers.h"
+#include "batch/messages.h"
+#include "batch/quota.h"
+#include "batch/store_client.h"
+
+namespace pearreach::batch {
+
+class LotHandIn : public std::enable_shared_from_this<LotHandIn> {
+ public:
+  using Done = StoreClient::Done<CreateLotAnswer>;
+
+  // `time`: see StoreClient::Create. `done` is called exactly once, never from inside Start, unless
+  // Cancel comes first. UNAVAILABLE: surely not taken.
+  LotHandIn(Timers* timers, StoreClient* stores, LotSpec lot, CallTime time, Done done);
+  ~LotHandIn();
+  LotHandIn(const LotHandIn&) = delete;
+  LotHandIn& operator=(const LotHandIn&) = delete;
+
+  void Start();
+  // The client has left.
+  void Cancel();
+
+ private:
+  void Offer();
+  void AskQuota();
+  void OnOffer(const absl::StatusOr<OfferLotAnswer>& answer);
+  void OnQuota(const absl::StatusOr<QuotaReserveAnswer>& answer);
+  void Decide();
+  void AwaitOffer();
+  void Create();
+  void GiveUp();
+  void Finish(const absl::StatusOr<CreateLotAnswer>& answer);
+  bool IsOver() const { return fits_.has_value() && *fits_ == QuotaVerdict::kOver; }
+  CallTime QuestionTime() const;
+
+  Timers* const timers_;
+  StoreClient* const stores_;
+  LotSpec lot_;
+  const Micros began_;
+  const CallTime time_;
+  Done done_;  // null: it has ended
+  StoreClient::CallId offer_call_ = 0, quota_call_ = 0, create_call_ = 0;
+  std::optional<OfferVerdict> offer_;
+  std::optional<QuotaVerdict> fits_;
+  Timers::Id give_up_timer_ = 0, offer_timer_ = 0;
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_LOT_HAND_IN_H_
--- a/src/batch/lot_store.cpp
+++ b/src/batch/lot_store.cpp
@@ -102,6 +102,9 @@
   Register<CreateLot>(MessageType::kLotCreate, [this](CreateLot message, Respond respond) {
     changes_.OnCreate(std::move(message), std::move(respond));
   });
+  Register<OfferLot>(MessageType::kLotOffer, [this](const OfferLot& message, Respond respond) {
+    changes_.OnOffer(message, std::move(respond));
+  });
   Register<CancelLot>(MessageType::kLotCancel, [this](const CancelLot& message, Respond respond) {
     changes_.OnCancel(message, std::move(respond));
   });
@@ -139,6 +142,10 @@
   Register<QuotaReserve>(MessageType::kQuotaReserve, [this](QuotaReserve message, Respond respond) {
     quota_.OnReserve(std::move(message), std::move(respond));
   });
+  Register<QuotaQuestion>(MessageType::kQuotaQuestion,
+                          [this](const QuotaQuestion& message, const Respond& respond) {
+                            quota_.OnQuestion(message, respond);
+                          });
   Register<QuotaReport>(MessageType::kQuotaReport,
                         [this](const QuotaReport& message, const Respond& respond) {
                           quota_.OnReport(message, respond);
--- a/src/batch/lot_store_changes.cpp
+++ b/src/batch/lot_store_changes.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr std::size_t kLongestLotId = 200;
+// A replica that was heard of so lately is there; others are asked, and have so long to answer: a
+// small part of the second after which clients take silence for a loss.
+constexpr Micros kOfferSpan = 50 * kMs;
+constexpr Micros kOfferTimeout = 250 * kMs;
 
 bool IsProperId(const std::string& lot_id) {
   return !lot_id.empty() && lot_id.size() <= kLongestLotId &&
@@ -17,10 +21,36 @@
 
 }  // namespace
 
+void LotChanges::OnOffer(const OfferLot& offer, mesh::Respond respond) {
+  PartitionReplica* replica = context_->ActiveReplica(offer.lot_id);
+  if (replica == nullptr) {
+    respond(NotPrimary());
+    return;
+  }
+  const bool known =
+      replica->lots().Find(offer.lot_id) != nullptr || creating_.contains(offer.lot_id);
+  if (known) {
+    respond(codec::Encode(OfferLotAnswer{OfferVerdict::kKnown}));
+    return;
+  }
+  if (!context_->HasRoom(replica->table(), offer.disk_bytes)) {
+    respond(codec::Encode(OfferLotAnswer{OfferVerdict::kNoRoom}));
+    return;
+  }
+  replica->AwaitAll(kOfferSpan, kOfferTimeout, [respond](bool answered) {
+    if (answered) {
+      respond(codec::Encode(OfferLotAnswer{OfferVerdict::kWelcome}));
+    } else {
+      respond(absl::FailedPreconditionError("a replica does not answer"));
+    }
+  });
+}
+
 void LotChanges::OnCreate(CreateLot create, mesh::Respond respond) {
   const auto lot = std::make_shared<const LotSpec>(std::move(create.lot));
   PartitionReplica* replica = context_->ActiveReplica(lot->lot_id);
-  if (replica == nullptr) {
+  if (replica == nullptr || replica->epoch() != create.partition_epoch) {
+    if (replica != nullptr && replica->epoch() < create.partition_epoch) context_->RefreshTable();
     respond(NotPrimary());
     return;
   }
--- a/src/batch/lot_store_changes.h
+++ b/src/batch/lot_store_changes.h
@@ -21,6 +21,7 @@
   LotChanges(StoreContext* context, LotItems* items, LotReads* reads, QuotaService* quota)
       : context_(context), items_(items), reads_(reads), quota_(quota) {}
 
+  void OnOffer(const OfferLot& offer, mesh::Respond respond);
   void OnCreate(CreateLot create, mesh::Respond respond);
   void OnCancel(const CancelLot& cancel, mesh::Respond respond);
   // Gives up items and forgets lots whose time is over, in the partitions that are active here.
--- a/src/batch/lot_store_quota.cpp
+++ b/src/batch/lot_store_quota.cpp
@@ -171,6 +171,14 @@
   });
 }
 
+void QuotaService::OnQuestion(const QuotaQuestion& question, const mesh::Respond& respond) {
+  if (!IsOwner(question.route)) {
+    respond(NotPrimary());
+    return;
+  }
+  respond(Verdict(OwnedOf(question.route).ledger.Fits(question)));
+}
+
 QuotaService::Owned& QuotaService::OwnedOf(const std::string& route) {
   const auto [at, fresh] = owned_.try_emplace(route);
   if (!fresh) return at->second;
--- a/src/batch/lot_store_quota.h
+++ b/src/batch/lot_store_quota.h
@@ -30,6 +30,7 @@
   void Update(const std::string& lot_id);
 
   void OnReserve(QuotaReserve reserve, mesh::Respond respond);
+  void OnQuestion(const QuotaQuestion& question, const mesh::Respond& respond);
   void OnReport(const QuotaReport& report, const mesh::Respond& respond);
   void OnActive(std::uint32_t partition);
   void OnInactive(std::uint32_t partition);
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -79,12 +79,38 @@
 
 // Every call to a store carries the placement epoch that the caller knows. A store that is not the
 // active primary of the lot's partition answers FAILED_PRECONDITION or UNAVAILABLE: ask again.
+// A store whose epoch of the partition is another one refuses a CreateLot: one that is late cannot
+// come into force once the partition has changed.
 struct CreateLot {
-  std::uint64_t placement_epoch = 0;
+  std::uint64_t placement_epoch = 0, partition_epoch = 0;
   LotSpec lot;
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& placement_epoch& lot;
+    archive& placement_epoch& partition_epoch& lot;
+  }
+};
+
+// Asked before a lot's items are sent: whether they could be kept now. It changes nothing, so an
+// answer that does not come leaves nothing in doubt.
+struct OfferLot {
+  std::uint64_t placement_epoch = 0;
+  std::string lot_id;
+  std::uint64_t disk_bytes = 0;  // that the lot takes at most (LotBytes)
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& placement_epoch& lot_id& disk_bytes;
+  }
+};
+enum class OfferVerdict : std::uint8_t {
+  kWelcome,  // not known here; all stores that would have to keep it have just answered
+  kKnown,    // handed in before, or being handed in
+  kNoRoom,   // on the disk of a replica
+};
+struct OfferLotAnswer {
+  OfferVerdict verdict = OfferVerdict::kWelcome;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& verdict;
   }
 };
 enum class CreateStatus : std::uint8_t {
--- a/src/batch/placement_duty.cpp
+++ b/src/batch/placement_duty.cpp
@@ -21,40 +21,15 @@
 constexpr Micros kChangeTimeout = 2 * kSecond;
 constexpr char kDutyName[] = "placement";
 
-StoreCondition ConditionOf(coordination::MemberStatus status) {
-  switch (status) {
-    case coordination::MemberStatus::kAlive:
-      return StoreCondition::kLive;
-    case coordination::MemberStatus::kSuspect:
-      return StoreCondition::kUncertain;
-    case coordination::MemberStatus::kDead:
-    case coordination::MemberStatus::kLeft:
-      break;
-  }
-  return StoreCondition::kGone;
-}
-
 }  // namespace
 
-std::map<std::string, StoreView> StoresOf(
-    const std::map<std::string, coordination::Member>& members) {
-  std::map<std::string, StoreView> stores;
-  for (const auto& [name, member] : members) {
-    if (!member.info.Is(coordination::MemberInfo::kServesStorage)) continue;
-    StoreView& store = stores[name];
-    store.id = {name, member.info.disk_id};
-    store.zone = member.info.zone;
-    store.condition = ConditionOf(member.status);
-  }
-  return stores;
-}
-
 PlacementDuty::PlacementDuty(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control,
-                             std::string self, PlacementSpread spread)
+                             std::string self, PlacementSpread spread, Micros silent_after)
     : timers_(timers),
       control_(control),
       duty_(control, kDutyName, std::move(self), [this] { LookLater(0); }),
-      spread_(std::move(spread)) {
+      spread_(std::move(spread)),
+      presence_(silent_after) {
   mesh->Handle(mesh::MessageType::kStoreStatus,
                [this, alive = alive_](const std::string&, std::string_view body,
                                       const mesh::Respond& respond) {
@@ -99,13 +74,11 @@
 void PlacementDuty::BeginDuty(Micros now) {
   on_duty_ = true;
   duty_since_ = now;
-  stores_changed_ = now;
-  seen_.clear();
+  presence_.Reset(now);
 }
 
 void PlacementDuty::EndDuty() {
   on_duty_ = false;
-  seen_.clear();
   filled_.clear();
   table_.reset();
   revision_ = 0;
@@ -139,31 +112,19 @@
   });
 }
 
-void PlacementDuty::Observe(Micros now, const StoreView& store) {
-  Seen& seen = seen_[store.id.name];
-  if (seen.since != 0 && seen.id == store.id && seen.condition == store.condition) return;
-  seen = {store.id, store.condition, now};
-  stores_changed_ = now;
-}
-
 PlacementInput PlacementDuty::Gather(Micros now) {
   PlacementInput input;
-  input.stores = StoresOf(control_->members());
+  input.stores = presence_.Look(now, control_->members());
   input.spread = spread_;
   input.filled = filled_;
   if (table_ != nullptr && now - duty_since_ >= kUnknownTime) {
     for (const Partition& partition : table_->partitions) {
-      for (const StoreId& store : partition.replicas) {
-        input.stores.try_emplace(store.name, StoreView{store, "", StoreCondition::kGone});
-      }
+      for (const StoreId& store : partition.replicas)
+        presence_.AddUnheard(now, store, &input.stores);
     }
   }
-  for (const auto& [name, store] : input.stores) Observe(now, store);
-  input.allow_first = now - stores_changed_ >= kSettleTime;
-  for (const auto& [name, seen] : seen_) {
-    const bool is_gone = seen.condition == StoreCondition::kGone;
-    if (is_gone && now - seen.since < kReturnTime) input.allow_joining = false;
-  }
+  input.allow_first = now - presence_.changed() >= kSettleTime;
+  input.allow_joining = !presence_.AwaitsReturn(now, kReturnTime);
   return input;
 }
 
@@ -183,7 +144,10 @@
   auto next = NextPlacement(table_.get(), input);
   if (next.has_value()) Propose(*std::move(next), revision_);
   const bool calm = !proposing_ && table_ != nullptr && IsSettled(*table_, spread_.replicas);
-  LookLater(calm ? kCalmPeriod : kBusyPeriod);
+  Micros next_look = calm ? kCalmPeriod : kBusyPeriod;
+  if (const Micros silence = presence_.NextSilence(); silence > now)
+    next_look = std::min(next_look, silence - now);
+  LookLater(next_look);
 }
 
 void PlacementDuty::Propose(PlacementTable table, std::uint64_t revision) {
--- a/src/batch/placement_duty.h
+++ b/src/batch/placement_duty.h
@@ -14,22 +14,19 @@
 #include "base/timers.h"
 #include "batch/messages.h"
 #include "batch/placement.h"
+#include "batch/store_presence.h"
 #include "control/control_client.h"
 #include "control/duty_holder.h"
 #include "mesh/mesh.h"
 
 namespace pearreach::batch {
 
-// The stores of a placement decision as membership shows them, without the times of PlacementDuty.
-std::map<std::string, StoreView> StoresOf(
-    const std::map<std::string, coordination::Member>& members);
-
 class PlacementDuty {
  public:
   // `self`: a name of this process that no other one has. Handles kStoreStatus; a node that does
-  // not hold the duty answers it FAILED_PRECONDITION.
+  // not hold the duty answers it FAILED_PRECONDITION. `silent_after`: see StorePresence.
   PlacementDuty(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control, std::string self,
-                PlacementSpread spread);
+                PlacementSpread spread, Micros silent_after);
   ~PlacementDuty();
   PlacementDuty(const PlacementDuty&) = delete;
   PlacementDuty& operator=(const PlacementDuty&) = delete;
@@ -38,19 +35,12 @@
   void Look();
 
  private:
-  struct Seen {
-    StoreId id;
-    StoreCondition condition = StoreCondition::kUncertain;
-    Micros since = 0;
-  };
-
   void OnStatus(std::string_view body, const mesh::Respond& respond);
   void LookLater(Micros delay);
   void BeginDuty(Micros now);
   void EndDuty();
   bool LoadTable();
   PlacementInput Gather(Micros now);
-  void Observe(Micros now, const StoreView& store);
   void ForgetOldReports();
   void Propose(PlacementTable table, std::uint64_t revision);
 
@@ -60,8 +50,8 @@
   const PlacementSpread spread_;
   Timers::Id timer_ = 0;
   bool on_duty_ = false, proposing_ = false;
-  Micros duty_since_ = 0, stores_changed_ = 0;
-  std::map<std::string, Seen> seen_;
+  Micros duty_since_ = 0;
+  StorePresence presence_;
   std::set<FilledReport> filled_;
   std::unique_ptr<PlacementTable> table_;  // of `revision_`
   std::uint64_t revision_ = 0;
--- a/src/batch/quota.cpp
+++ b/src/batch/quota.cpp
@@ -72,6 +72,15 @@
   });
 }
 
+QuotaVerdict QuotaLedger::Fits(const QuotaQuestion& question) const {
+  const auto entry = entries_.find(question.lot_id);
+  const bool known = entry != entries_.end();
+  if (known && entry->second.reserved) return QuotaVerdict::kGranted;
+  const double others = Sum() - (known ? entry->second.tokens : 0);
+  if (others + question.tokens <= question.cap) return QuotaVerdict::kGranted;
+  return IsFresh() ? QuotaVerdict::kOver : QuotaVerdict::kUnknown;
+}
+
 QuotaVerdict QuotaLedger::Reserve(const QuotaReserve& reserve, Micros now) {
   Entry& entry = entries_[reserve.lot_id];
   const double tokens = reserve.reservation.tokens;
--- a/src/batch/quota.h
+++ b/src/batch/quota.h
@@ -36,6 +36,16 @@
     archive& lot_id& reservation& cap;
   }
 };
+// Whether a lot would fit now; nothing is set aside for it.
+struct QuotaQuestion {
+  std::string route, lot_id;
+  double tokens = 0, cap = 0;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& route& lot_id& tokens& cap;
+  }
+};
+// The answer to both.
 struct QuotaReserveAnswer {
   QuotaVerdict verdict = QuotaVerdict::kUnknown;
   template <class Archive>
@@ -81,6 +91,9 @@
   // Counts the lot from now on where all that waits with its tokens stays within the cap: it may be
   // taken once the reservation is on disk. A lot with a reservation is granted again.
   QuotaVerdict Reserve(const QuotaReserve& reserve, Micros now);
+  // Whether Reserve would grant it. A ledger that is not fresh says no more than kUnknown for one
+  // that does not fit.
+  QuotaVerdict Fits(const QuotaQuestion& question) const;
   double Sum() const;
   // All partitions that tokens were granted to have reported to this ledger.
   bool IsFresh() const;
--- a/src/batch/replication.cpp
+++ b/src/batch/replication.cpp
@@ -262,59 +262,67 @@
 
 // ---------------------------------------------------------------- confirmation
 
-bool PartitionReplica::ConfirmedSince(Micros since) const {
+bool PartitionReplica::ConfirmedSince(Micros since, bool all_required) const {
   if (!active_) return false;
-  if (IsSole()) return sole_confirmed_at_ >= since && sole_confirmed_;
-  for (const auto& [peer, link] : links_) {
-    if (link->counts && link->confirmed_at() < since) return false;
-  }
-  return true;
+  if (IsSole() && !all_required) return sole_confirmed_at_ >= since && sole_confirmed_;
+  return std::all_of(links_.begin(), links_.end(), [&](const auto& entry) {
+    return !IsAsked(*entry.second, all_required) || entry.second->confirmed_at() >= since;
+  });
 }
 
 void PartitionReplica::Confirm(std::function<void(bool)> done) {
   const Micros now = environment_->Now();
-  const Micros since = now - kConfirmSpan;
-  if (ConfirmedSince(since)) {
-    done(true);
-    return;
-  }
-  if (!active_) {
-    done(false);
+  AwaitConfirmation({now - kConfirmSpan, now + kConfirmTimeout, false, std::move(done)});
+}
+
+void PartitionReplica::AwaitAll(Micros span, Micros timeout, std::function<void(bool)> done) {
+  const Micros now = environment_->Now();
+  AwaitConfirmation({now - span, now + timeout, true, std::move(done)});
+}
+
+void PartitionReplica::AwaitConfirmation(Confirmation confirmation) {
+  const Micros since = confirmation.since;
+  const bool all_required = confirmation.all_required;
+  const bool confirmed = ConfirmedSince(since, all_required);
+  if (confirmed || !active_) {
+    confirmation.done(confirmed);
     return;
   }
-  confirmations_.push_back({since, now + kConfirmTimeout, std::move(done)});
-  if (confirm_timer_ == 0) {
-    confirm_timer_ = environment_->After(kConfirmTimeout, [this] {
-      confirm_timer_ = 0;
-      CheckConfirmations();
-    });
-  }
-  if (IsSole()) {
+  confirmations_.push_back(std::move(confirmation));
+  ArmConfirmTimer();
+  if (IsSole() && !all_required) {
     ConfirmSole();
     return;
   }
   for (const auto& [peer, link] : links_) {
-    if (link->counts && link->confirmed_at() < since) link->Probe();
+    if (IsAsked(*link, all_required) && link->confirmed_at() < since) link->Probe();
   }
 }
 
+void PartitionReplica::ArmConfirmTimer() {
+  if (confirmations_.empty()) return;
+  const auto first = std::min_element(
+      confirmations_.begin(), confirmations_.end(),
+      [](const Confirmation& a, const Confirmation& b) { return a.give_up < b.give_up; });
+  const Micros delay = std::max<Micros>(1, first->give_up - environment_->Now());
+  environment_->Cancel(&confirm_timer_);
+  confirm_timer_ = environment_->After(delay, [this] {
+    confirm_timer_ = 0;
+    CheckConfirmations();
+  });
+}
+
 void PartitionReplica::CheckConfirmations() {
   if (confirmations_.empty()) return;
   const Micros now = environment_->Now();
   std::vector<Confirmation> finished, waiting;
   for (Confirmation& one : confirmations_) {
-    const bool over = now >= one.give_up || ConfirmedSince(one.since);
+    const bool over = now >= one.give_up || ConfirmedSince(one.since, one.all_required);
     (over ? finished : waiting).push_back(std::move(one));
   }
   confirmations_ = std::move(waiting);
-  if (!confirmations_.empty() && confirm_timer_ == 0) {
-    Micros give_up = confirmations_.front().give_up;
-    confirm_timer_ = environment_->After(std::max<Micros>(1, give_up - now), [this] {
-      confirm_timer_ = 0;
-      CheckConfirmations();
-    });
-  }
-  for (const Confirmation& one : finished) one.done(ConfirmedSince(one.since));
+  ArmConfirmTimer();
+  for (const Confirmation& one : finished) one.done(ConfirmedSince(one.since, one.all_required));
 }
 
 // ---------------------------------------------------------------- as a backup
--- a/src/batch/replication.h
+++ b/src/batch/replication.h
@@ -85,6 +85,9 @@
   void Submit(Operation operation, ChangeDone done);
   // Calls back whether no other store can have taken over by now, to within kConfirmSpan.
   void Confirm(std::function<void(bool)> done);
+  // Calls back whether all replicas that a change would wait for have answered within `span`
+  // before now or do so within `timeout`. Active primary only.
+  void AwaitAll(Micros span, Micros timeout, std::function<void(bool)> done);
   // Joiners that hold all of the partition; they stay required until the epoch changes.
   std::vector<StoreId> FilledJoiners() const;
 
@@ -101,6 +104,7 @@
   };
   struct Confirmation {
     Micros since = 0, give_up = 0;
+    bool all_required = false;  // also by joiners that changes wait for
     std::function<void(bool)> done;
   };
 
@@ -123,8 +127,13 @@
   void OnCommitted(std::uint64_t term, std::uint64_t sequence, const absl::Status& status);
   void FailPending();
   void OnDiskFailure(const absl::Status& status);
+  void AwaitConfirmation(Confirmation confirmation);
+  void ArmConfirmTimer();
   void CheckConfirmations();
-  bool ConfirmedSince(Micros since) const;
+  bool IsAsked(const ReplicaLink& link, bool all_required) const {
+    return all_required ? link.required : link.counts;
+  }
+  bool ConfirmedSince(Micros since, bool all_required) const;
   bool IsSole() const { return table_.replicas.size() == 1; }
   ReplicaVerdict Judge(const ReplicaScope& scope, bool starts_attempt);
   ReplicaVerdict JudgeAttempt(const ReplicaScope& scope, bool starts_attempt);
--- a/src/batch/store_client.cpp
+++ b/src/batch/store_client.cpp
@@ -9,6 +9,8 @@
 namespace pearreach::batch {
 namespace {
 
+constexpr char kModule[] = "batch";
+
 // Between two tries of a call: time for a new placement to come.
 constexpr Micros kRetryPause = 100 * kMs;
 // Of a read's time, kept for the way back of the answer.
@@ -36,9 +38,13 @@
   Micros deadline = 0, unsent_deadline = 0, attempt = 0;
   Encoder encode;
   Finished finished;
-  bool unclear = false;     // a store may have carried it out without saying so
+  bool unclear = false;  // a store may have carried it out without saying so
+  // Epochs of the partition under which it was asked last, and last without an answer.
+  std::uint64_t asked_epoch = 0, unclear_epoch = 0;
   std::uint64_t tries = 0;  // numbers the attempt whose answer counts
   std::string last_error;   // of a store, for the log
+  std::string last_store;   // that was asked, for the log
+  Micros began = 0;
   Timers::Id timer = 0;
 };
 
@@ -56,7 +62,7 @@
   if (table_ != nullptr && snapshot->stores_revision == table_revision_) return table_;
   auto table = codec::Decode<PlacementTable>(snapshot->stores);
   if (!table.ok() || table->partitions.size() != kPartitions) {
-    logging::Error("batch", "placement table does not read",
+    logging::Error(kModule, "placement table does not read",
                    {logging::F("revision", snapshot->stores_revision)});
     return table_;
   }
@@ -106,6 +112,7 @@
   const Micros now = Now();
   call->type = type;
   call->lot_id = std::move(lot_id);
+  call->began = now;
   call->deadline = now + time.overall;
   call->unsent_deadline = now + (time.unsent > 0 ? time.unsent : time.overall);
   call->attempt = time.attempt > 0 ? time.attempt : kAttemptTime;
@@ -129,7 +136,10 @@
     return;
   }
   const std::uint64_t number = ++call->tries;
-  mesh_->Call(address, call->type, call->encode(table_->epoch, left), std::min(left, call->attempt),
+  call->last_store = primary->name;
+  const Asking asking{table_->epoch, table_->partitions[PartitionOf(call->lot_id)].epoch, left};
+  call->asked_epoch = asking.partition_epoch;
+  mesh_->Call(address, call->type, call->encode(asking), std::min(left, call->attempt),
               [this, alive = alive_, id, number](absl::StatusOr<std::string> answer) {
                 if (!*alive) return;
                 const auto at = calls_.find(id);
@@ -141,10 +151,16 @@
 void StoreClient::OnAnswer(CallId id, absl::StatusOr<std::string> answer) {
   Call* call = calls_.at(id).get();
   if (answer.ok() || !IsWorthRetry(answer.status())) {
+    // An active primary of a later epoch has spoken: what was asked under an earlier one has been
+    // carried out and shows in its answer, or it never will be.
+    if (call->unclear && call->asked_epoch > call->unclear_epoch) call->unclear = false;
     Finish(id, std::move(answer));
     return;
   }
-  if (!IsRefusal(answer.status())) call->unclear = true;
+  if (!IsRefusal(answer.status())) {
+    call->unclear = true;
+    call->unclear_epoch = call->asked_epoch;
+  }
   call->last_error = std::string(answer.status().message());
   RetryLater(id, call);
 }
@@ -161,8 +177,26 @@
   call->timer = timers_->After(kRetryPause, [this, id] { Attempt(id); });
 }
 
+// A lot that is neither taken nor refused costs its client all of it: what it waited for must show.
+void StoreClient::LogLotGivenUp(const Call& call, std::string_view why) const {
+  if (call.type != mesh::MessageType::kLotCreate) return;
+  const StoreId* primary =
+      table_ == nullptr || table_->partitions[PartitionOf(call.lot_id)].replicas.empty()
+          ? nullptr
+          : &table_->partitions[PartitionOf(call.lot_id)].replicas.front();
+  logging::Warning(
+      kModule, "lot without an answer",
+      {logging::F("lot", call.lot_id), logging::F("why", why),
+       logging::F("partition", PartitionOf(call.lot_id)),
+       logging::F("primary", primary == nullptr ? std::string("none") : primary->name),
+       logging::F("asked_last", call.last_store), logging::F("tries", call.tries),
+       logging::F("unclear", call.unclear), logging::F("waited_ms", (Now() - call.began) / kMs),
+       logging::F("last_error", call.last_error)});
+}
+
 void StoreClient::GiveUp(CallId id, const Call& call) {
   if (call.unclear) {
+    LogLotGivenUp(call, "its time is over");
     Finish(id, absl::DeadlineExceededError("no store has answered; it may have been carried out: " +
                                            call.last_error));
     return;
@@ -181,6 +215,7 @@
 void StoreClient::Cancel(CallId id) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
+  LogLotGivenUp(*found->second, "its client has left");
   timers_->Cancel(&found->second->timer);
   calls_.erase(found);
 }
@@ -191,8 +226,9 @@
   auto message = std::make_shared<CreateLot>();
   message->lot = std::move(lot);
   const std::string lot_id = message->lot.lot_id;
-  Encoder encode = [message](std::uint64_t epoch, Micros) {
-    message->placement_epoch = epoch;
+  Encoder encode = [message](const Asking& asking) {
+    message->placement_epoch = asking.placement_epoch;
+    message->partition_epoch = asking.partition_epoch;
     return codec::Encode(*message);
   };
   return Start(mesh::MessageType::kLotCreate, lot_id, time, std::move(encode),
@@ -207,12 +243,38 @@
                });
 }
 
+StoreClient::CallId StoreClient::Offer(OfferLot offer, CallTime time, Done<OfferLotAnswer> done) {
+  const std::string lot_id = offer.lot_id;
+  Encoder encode = [offer = std::move(offer)](const Asking& asking) {
+    OfferLot message = offer;
+    message.placement_epoch = asking.placement_epoch;
+    return codec::Encode(message);
+  };
+  return Start(mesh::MessageType::kLotOffer, lot_id, time, std::move(encode),
+               [done = std::move(done)](absl::StatusOr<std::string> bytes, bool) {
+                 done(Decoded<OfferLotAnswer>(std::move(bytes)));
+               });
+}
+
+// The owner of a route is the primary of the partition that its name falls into.
+StoreClient::CallId StoreClient::AskQuota(QuotaQuestion question, CallTime time,
+                                          Done<QuotaReserveAnswer> done) {
+  const std::string route = question.route;
+  Encoder encode = [question = std::move(question)](const Asking&) {
+    return codec::Encode(question);
+  };
+  return Start(mesh::MessageType::kQuotaQuestion, route, time, std::move(encode),
+               [done = std::move(done)](absl::StatusOr<std::string> bytes, bool) {
+                 done(Decoded<QuotaReserveAnswer>(std::move(bytes)));
+               });
+}
+
 StoreClient::CallId StoreClient::Read(ReadLot read, CallTime time, Done<ReadLotAnswer> done) {
   const std::string lot_id = read.lot_id;
-  Encoder encode = [read = std::move(read)](std::uint64_t epoch, Micros left) {
+  Encoder encode = [read = std::move(read)](const Asking& asking) {
     ReadLot message = read;
-    message.placement_epoch = epoch;
-    const Micros longest = std::max<Micros>(left - kReadMargin, 0);
+    message.placement_epoch = asking.placement_epoch;
+    const Micros longest = std::max<Micros>(asking.left - kReadMargin, 0);
     message.wait_ms = std::min<std::int64_t>(message.wait_ms, longest / kMs);
     return codec::Encode(message);
   };
@@ -225,9 +287,9 @@
 StoreClient::CallId StoreClient::ReadBody(ReadItemBody read, CallTime time,
                                           Done<ReadItemBodyAnswer> done) {
   const std::string lot_id = read.lot_id;
-  Encoder encode = [read = std::move(read)](std::uint64_t epoch, Micros) {
+  Encoder encode = [read = std::move(read)](const Asking& asking) {
     ReadItemBody message = read;
-    message.placement_epoch = epoch;
+    message.placement_epoch = asking.placement_epoch;
     return codec::Encode(message);
   };
   return Start(mesh::MessageType::kLotItemBody, lot_id, time, std::move(encode),
@@ -238,9 +300,9 @@
 
 StoreClient::CallId StoreClient::End(CancelLot cancel, CallTime time, Done<CancelLotAnswer> done) {
   const std::string lot_id = cancel.lot_id;
-  Encoder encode = [cancel = std::move(cancel)](std::uint64_t epoch, Micros) {
+  Encoder encode = [cancel = std::move(cancel)](const Asking& asking) {
     CancelLot message = cancel;
-    message.placement_epoch = epoch;
+    message.placement_epoch = asking.placement_epoch;
     return codec::Encode(message);
   };
   return Start(mesh::MessageType::kLotCancel, lot_id, time, std::move(encode),
@@ -252,9 +314,7 @@
 StoreClient::CallId StoreClient::Report(ItemResult result, CallTime time,
                                         std::function<void(absl::Status)> done) {
   const std::string lot_id = result.lot_id;
-  Encoder encode = [result = std::move(result)](std::uint64_t, Micros) {
-    return codec::Encode(result);
-  };
+  Encoder encode = [result = std::move(result)](const Asking&) { return codec::Encode(result); };
   return Start(
       mesh::MessageType::kItemResult, lot_id, time, std::move(encode),
       [done = std::move(done)](absl::StatusOr<std::string> bytes, bool) { done(bytes.status()); });
--- a/src/batch/store_client.h
+++ b/src/batch/store_client.h
@@ -9,11 +9,13 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "base/timers.h"
 #include "batch/messages.h"
+#include "batch/quota.h"
 #include "control/control_client.h"
 #include "mesh/mesh.h"
 
@@ -46,6 +48,9 @@
   // or may yet be carried out; others as the store gave them. The messages' `placement_epoch` is
   // filled in here; the `wait_ms` of a read is shortened by what was waited before.
   CallId Create(LotSpec lot, CallTime time, Done<CreateLotAnswer> done);
+  // These change nothing at the stores.
+  CallId Offer(OfferLot offer, CallTime time, Done<OfferLotAnswer> done);
+  CallId AskQuota(QuotaQuestion question, CallTime time, Done<QuotaReserveAnswer> done);
   CallId Read(ReadLot read, CallTime time, Done<ReadLotAnswer> done);
   CallId ReadBody(ReadItemBody read, CallTime time, Done<ReadItemBodyAnswer> done);
   CallId End(CancelLot cancel, CallTime time, Done<CancelLotAnswer> done);
@@ -67,7 +72,12 @@
 
  private:
   struct Call;
-  using Encoder = std::function<std::string(std::uint64_t epoch, Micros left)>;
+  // The placement as the caller knows it, and what is left of the call's time.
+  struct Asking {
+    std::uint64_t placement_epoch = 0, partition_epoch = 0;
+    Micros left = 0;
+  };
+  using Encoder = std::function<std::string(const Asking& asking)>;
   using Finished = std::function<void(absl::StatusOr<std::string>, bool unclear)>;
 
   CallId Start(mesh::MessageType type, std::string lot_id, CallTime time, Encoder encode,
@@ -76,6 +86,7 @@
   void OnAnswer(CallId id, absl::StatusOr<std::string> answer);
   void RetryLater(CallId id, Call* call);
   void GiveUp(CallId id, const Call& call);
+  void LogLotGivenUp(const Call& call, std::string_view why) const;
   void Finish(CallId id, absl::StatusOr<std::string> answer);
   // The mesh address of the store; empty: not known, dead, or its disk is another one.
   std::string AddressOf(const StoreId& store) const;
--- /dev/null
+++ b/src/batch/store_presence.h
@@ -0,0 +1,55 @@
+// What the placement duty makes of the stores' membership over time: which of them are there, which
+// are silent and which have gone. Pure: no clock, no transport.
+#ifndef PEARREACH_SRC_BATCH_STORE_PRESENCE_H_
+#define PEARREACH_SRC_BATCH_STORE_PRESENCE_H_
+
+#include <map>
+#include <string>
+
+#include "base/timers.h"
+#include "batch/placement.h"
+#include "coordination/membership.h"
+
+namespace pearreach::batch {
+
+// The stores as membership shows them at this moment.
+std::map<std::string, StoreView> StoresOf(
+    const std::map<std::string, coordination::Member>& members);
+
+class StorePresence {
+ public:
+  // `silent_after`: a store that has been suspect for so long without refuting it counts as gone.
+  // Every node asks its suspects again within a probe period, so a live one has been heard by then.
+  // A store that is taken for gone by mistake joins again with what is on its disk.
+  explicit StorePresence(Micros silent_after) : silent_after_(silent_after) {}
+
+  void Reset(Micros now);
+  // Takes over what membership says. Returns the stores with a suspect that stays silent as gone.
+  std::map<std::string, StoreView> Look(Micros now,
+                                        const std::map<std::string, coordination::Member>& members);
+  // Adds a store that only the placement table names: it was never heard of and is gone.
+  void AddUnheard(Micros now, const StoreId& store, std::map<std::string, StoreView>* stores);
+
+  // Since when no store has appeared, gone or changed.
+  Micros changed() const { return changed_; }
+  // Some store has been gone for less than `span`: it may come back.
+  bool AwaitsReturn(Micros now, Micros span) const;
+  // When a suspect's time is over; 0: there is none.
+  Micros NextSilence() const;
+
+ private:
+  struct Seen {
+    StoreId id;
+    StoreCondition condition = StoreCondition::kUncertain;
+    Micros since = 0;
+  };
+  void Observe(Micros now, const StoreView& store);
+
+  const Micros silent_after_;
+  std::map<std::string, Seen> seen_;
+  Micros changed_ = 0;
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_STORE_PRESENCE_H_
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -23,22 +23,24 @@
   kControlWrite = 3,  // a node passes an operator's or a duty's change on to the head
   kControlRead = 4,   // a strict read of the control state
   // 5 and 6 were a worker's record and a summary of workers.
-  kWorkerSpread = 7,   // worker records on their way to all edge nodes
-  kWorkerPass = 8,     // heartbeats, to the node that should take them
-  kWorkerDigest = 9,   // are the workers the same at both?
-  kWorkerRepair = 10,  // what of them differs
-  kLotCreate = 20,     // edge -> primary store
-  kLotRead = 21,       // edge -> primary store
-  kLotItemBody = 22,   // edge -> primary store
-  kLotCancel = 23,     // edge -> primary store
-  kItemTake = 24,      // edge -> primary store: lease items to run (held until there are some)
-  kItemResult = 25,    // edge -> primary store: result of a leased item
-  kItemRenew = 26,     // edge -> primary store: leases still held
-  kReplicate = 30,     // primary store -> backup store
-  kRepairDigest = 31,  // primary store -> backup store: digests over ranges of lots
-  kQuotaReserve = 32,  // primary store -> quota owner
-  kQuotaReport = 33,   // primary store -> quota owner
-  kStoreStatus = 34,   // store -> placement duty
+  kWorkerSpread = 7,    // worker records on their way to all edge nodes
+  kWorkerPass = 8,      // heartbeats, to the node that should take them
+  kWorkerDigest = 9,    // are the workers the same at both?
+  kWorkerRepair = 10,   // what of them differs
+  kLotCreate = 20,      // edge -> primary store
+  kLotRead = 21,        // edge -> primary store
+  kLotItemBody = 22,    // edge -> primary store
+  kLotCancel = 23,      // edge -> primary store
+  kItemTake = 24,       // edge -> primary store: lease items to run (held until there are some)
+  kItemResult = 25,     // edge -> primary store: result of a leased item
+  kItemRenew = 26,      // edge -> primary store: leases still held
+  kLotOffer = 27,       // edge -> primary store: may this lot be handed in?
+  kReplicate = 30,      // primary store -> backup store
+  kRepairDigest = 31,   // primary store -> backup store: digests over ranges of lots
+  kQuotaReserve = 32,   // primary store -> quota owner
+  kQuotaReport = 33,    // primary store -> quota owner
+  kStoreStatus = 34,    // store -> placement duty
+  kQuotaQuestion = 35,  // edge -> quota owner: would a lot fit?
 };
 
 using Respond = std::function<void(absl::StatusOr<std::string> answer)>;
--- a/src/tier/node.cpp
+++ b/src/tier/node.cpp
@@ -210,7 +210,8 @@
       fmt::format("{}#{}", settings_.node_name, incarnation_),
       batch::PlacementSpread{replicas, static_cast<std::size_t>(std::max(tolerance.zones, 0)) + 1,
                              static_cast<std::size_t>(std::max(tolerance.regions, 0)) + 1,
-                             settings_.zones});
+                             settings_.zones},
+      control::TimingOf(settings_.bounds).probe_period);
   control_->OnMembersChanged([this](const std::vector<std::string>&) { placement_duty_->Look(); });
   retire_api_ = std::make_unique<batch::RetireApi>(&timers_, control_.get(), replicas);
   retire_api_->AddTo(&router_);
--- a/tests/tier/batch/edge_lot_api_test.cpp
+++ b/tests/tier/batch/edge_lot_api_test.cpp
@@ -52,6 +52,12 @@
     return exchange;
   }
 
+  // The stores answer that the lot may come.
+  void Admit() {
+    mesh_.Next(MessageType::kQuotaQuestion).Reply(QuotaReserveAnswer{QuotaVerdict::kGranted});
+    mesh_.Next(MessageType::kLotOffer).Reply(OfferLotAnswer{OfferVerdict::kWelcome});
+  }
+
   std::shared_ptr<FakeExchange> Handle(const std::string& method, const std::string& target,
                                        std::vector<http::Header> headers = {}) {
     auto exchange = Request(method, target, std::move(headers));
@@ -75,10 +81,12 @@
 
   void HandsALotIn() {
     const auto exchange = Submit(kLot);
+    Admit();
     const FakeCall call = mesh_.Next(MessageType::kLotCreate);
     CPPUNIT_ASSERT_EQUAL(std::string("s0:1"), call.address);
     const auto create = call.As<CreateLot>();
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, create.placement_epoch);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, create.partition_epoch);
     CPPUNIT_ASSERT_EQUAL(std::string("lot"), create.lot.lot_id);
     CPPUNIT_ASSERT_EQUAL(std::string("bulk"), create.lot.route);
     CPPUNIT_ASSERT_EQUAL(std::string("h.example"), create.lot.host);
@@ -105,6 +113,7 @@
     };
     for (const Case& c : cases) {
       const auto exchange = Submit(kLot);
+      Admit();
       mesh_.Next(MessageType::kLotCreate).done(c.answer);
       CPPUNIT_ASSERT_EQUAL(c.status, exchange->status);
     }
@@ -141,6 +150,7 @@
 
   void PromisesNothingAfterAnUnclearCreate() {
     const auto exchange = Submit(kLot, "300");
+    Admit();
     mesh_.Next(MessageType::kLotCreate).done(absl::UnavailableError("connection"));
     mesh_.Next(MessageType::kLotCreate).Reply(CreateLotAnswer{CreateStatus::kOverQuota});
     CPPUNIT_ASSERT_EQUAL(504, exchange->status);
@@ -148,7 +158,8 @@
 
   void RefusesWhatWasNeverSent() {
     const auto exchange = Submit(kLot, "250");
-    mesh_.Next(MessageType::kLotCreate).done(absl::FailedPreconditionError("not primary"));
+    mesh_.Next(MessageType::kQuotaQuestion).Reply(QuotaReserveAnswer{QuotaVerdict::kGranted});
+    mesh_.Next(MessageType::kLotOffer).done(absl::FailedPreconditionError("not primary"));
     control_.member_map["s0"].status = coordination::MemberStatus::kDead;
     CPPUNIT_ASSERT(TurnUntil([&] { return exchange->status != 0; }));
     CPPUNIT_ASSERT_EQUAL(503, exchange->status);
@@ -157,6 +168,7 @@
 
   void FollowsANewPrimary() {
     const auto exchange = Submit(kLot);
+    Admit();
     mesh_.Next(MessageType::kLotCreate).done(absl::FailedPreconditionError("not primary"));
     PlacementTable table = TableOf({"s1", "d"}, {"s0", "d"});
     table.epoch = 2;
--- a/tests/tier/batch/placement_duty_test.cpp
+++ b/tests/tier/batch/placement_duty_test.cpp
@@ -14,6 +14,7 @@
 using namespace edge_test;
 
 constexpr char kDutyKey[] = "duty/placement";
+constexpr Micros kSilentAfter = 60 * kMs;
 
 class PlacementDutyTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlacementDutyTest);
@@ -57,7 +58,7 @@
   void ProposesTheFirstTable() {
     control_.is_duty_holder = true;
     AddStores(3);
-    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2});
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2}, kSilentAfter);
     CPPUNIT_ASSERT(TurnUntil([&] { return !control_.snapshot->stores.empty(); }));
     CPPUNIT_ASSERT(IsSettled(control_.Table(), 2));
     CPPUNIT_ASSERT(control_.changed_keys ==
@@ -69,7 +70,7 @@
 
   void ProposesNothingOffDuty() {
     AddStores(3);
-    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2});
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2}, kSilentAfter);
     duty.Look();
     CPPUNIT_ASSERT(control_.changed_keys.empty());
   }
@@ -78,7 +79,7 @@
   void ProposesNothingAfterAnotherTookTheDuty() {
     control_.is_duty_holder = true;
     AddStores(2);
-    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2});
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2}, kSilentAfter);
     CPPUNIT_ASSERT(TurnUntil([&] { return !control_.snapshot->stores.empty(); }));
     control_.is_duty_holder = false;
     control_.ChangeOther(kDutyKey, 1, "n2#1");
@@ -101,7 +102,7 @@
     control_.is_duty_holder = true;
     AddStores(2);
     control_.ChangeOther(kDutyKey, 0, "n1#0");
-    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2});
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2}, kSilentAfter);
     CPPUNIT_ASSERT(TurnUntil([&] { return !control_.snapshot->stores.empty(); }));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, control_.RevisionOf(kDutyKey));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, control_.fences.back().revision);
@@ -113,14 +114,14 @@
     PlacementTable table = TableOf({"s0", "d"}, {"s1", "d"});
     table.partitions[5] = {7, {{"s0", "d"}}, {{"s1", "d"}}};
     control_.SetTable(table);
-    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2});
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2}, kSilentAfter);
     CPPUNIT_ASSERT(Send({{"s1", "d"}, {{5, 7}}}).ok());
     CPPUNIT_ASSERT(IsSettled(control_.Table(), 2));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, control_.Table().partitions[5].epoch);
   }
 
   void RefusesReportsOffDuty() {
-    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2});
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2}, kSilentAfter);
     CPPUNIT_ASSERT(absl::IsFailedPrecondition(Send({{"s1", "d"}, {{5, 7}}}).status()));
   }
 
--- a/tests/tier/batch/store_quota_test.cpp
+++ b/tests/tier/batch/store_quota_test.cpp
@@ -83,7 +83,8 @@
     });
     VirtualStore* primary = fleet_->PrimaryOf(lot.lot_id);
     if (primary == nullptr) return;
-    primary->changes().OnCreate({0, lot}, [this, lot, tries, open](const auto& bytes) {
+    const std::uint64_t epoch = primary->Replica(PartitionOf(lot.lot_id)).epoch();
+    primary->changes().OnCreate({0, epoch, lot}, [this, lot, tries, open](const auto& bytes) {
       fleet_->At(1 * kMs, [this, lot, tries, open, bytes] { OnAnswer(lot, tries, open, bytes); });
     });
   }
--- a/tests/tier/batch/store_room_test.cpp
+++ b/tests/tier/batch/store_room_test.cpp
@@ -110,13 +110,14 @@
   void Submit(Fleet* fleet, int number) {
     VirtualStore* primary = fleet->PrimaryOf("lot" + std::to_string(number));
     CPPUNIT_ASSERT(primary != nullptr);
-    primary->changes().OnCreate(
-        {0, Spec(number)}, [this](const absl::StatusOr<std::string>& bytes) {
-          CPPUNIT_ASSERT_MESSAGE(bytes.status().ToString(), bytes.ok());
-          const CreateStatus status = codec::Decode<CreateLotAnswer>(*bytes)->status;
-          CPPUNIT_ASSERT(status != CreateStatus::kOverQuota);
-          ++(status == CreateStatus::kAccepted ? accepted_ : refused_);
-        });
+    const LotSpec lot = Spec(number);
+    const std::uint64_t epoch = primary->Replica(PartitionOf(lot.lot_id)).epoch();
+    primary->changes().OnCreate({0, epoch, lot}, [this](const absl::StatusOr<std::string>& bytes) {
+      CPPUNIT_ASSERT_MESSAGE(bytes.status().ToString(), bytes.ok());
+      const CreateStatus status = codec::Decode<CreateLotAnswer>(*bytes)->status;
+      CPPUNIT_ASSERT(status != CreateStatus::kOverQuota);
+      ++(status == CreateStatus::kAccepted ? accepted_ : refused_);
+    });
     Turn(fleet);
   }
 
--- a/tests/tier/batch/store_server_test.cpp
+++ b/tests/tier/batch/store_server_test.cpp
@@ -120,6 +120,7 @@
     });
     CPPUNIT_ASSERT(active);
   }
+  std::uint64_t epoch() const { return epoch_; }  // of the table and of all its partitions
   disk::TableStore* Disk(const std::string& name) { return stores_[name].disk.get(); }
   template <class Answer, class Message>
   absl::StatusOr<Answer> Ask(mesh::MessageType type, const Message& message) {
@@ -316,8 +317,8 @@
     return spec;
   }
   static CreateStatus Create(Fleet* fleet, const LotSpec& spec) {
-    const auto answer =
-        fleet->Ask<CreateLotAnswer>(mesh::MessageType::kLotCreate, CreateLot{0, spec});
+    const auto answer = fleet->Ask<CreateLotAnswer>(mesh::MessageType::kLotCreate,
+                                                    CreateLot{0, fleet->epoch(), spec});
     CPPUNIT_ASSERT_MESSAGE(answer.status().ToString(), answer.ok());
     return answer->status;
   }
