Requests that come before the first configuration wait for it instead of being refused

Cause: after a loss of power of all, nodes are up 0.1 to 0.5 s after the power and know the confirmed state 0.6 to 0.9 s after it; a refusal in between is the last answer of a client that has used its retry. The guarantee stands: nothing is served before the confirmed state.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,21 +36,54 @@
 }
 
 Gateway::Gateway(control::ControlClient* control, proxy::JobRunner* runner, Timers* timers)
-    : control_(control), context_{runner, timers, std::make_shared<Outcomes>()} {}
+    : control_(control),
+      context_{runner, timers, std::make_shared<Outcomes>()},
+      start_queue_(timers, [this](const std::shared_ptr<front::Exchange>& exchange) {
+        ++context_.outcomes->no_configuration;
+        Refuse(exchange.get(), kUnavailable);
+      }) {
+  control_->OnChange([this, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) OnControlChange();
+  });
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::OnControlChange() {
+  if (start_queue_.size() == 0 || control_->Current()->routes == nullptr) return;
+  start_queue_.Release(
+      [this](std::shared_ptr<front::Exchange> exchange) { Dispatch(std::move(exchange)); });
+}
+
+void Gateway::SetDraining(bool draining) {
+  draining_ = draining;
+  if (!draining) return;
+  start_queue_.Release([this](const std::shared_ptr<front::Exchange>& exchange) {
+    ++context_.outcomes->draining;
+    Refuse(exchange.get(), kUnavailable);
+  });
+}
+
+void Gateway::HoldUntilConfigured(std::shared_ptr<front::Exchange> exchange) {
+  if (!draining_ && start_queue_.Hold(exchange)) return;
+  ++context_.outcomes->no_configuration;
+  Refuse(exchange.get(), kUnavailable);
+}
 
 void Gateway::Handle(std::shared_ptr<front::Exchange> exchange) {
+  ++context_.outcomes->requests;
+  if (control_->Current()->routes == nullptr) return HoldUntilConfigured(std::move(exchange));
+  Dispatch(std::move(exchange));
+}
+
+void Gateway::Dispatch(std::shared_ptr<front::Exchange> exchange) {
   Outcomes& outcomes = *context_.outcomes;
-  ++outcomes.requests;
+  const auto routes = control_->Current()->routes;
   const http::Message& request = exchange->request();
   if (lot_handler_ && IsLotCall(request.method, request.target)) {
     ++outcomes.lots;
     return lot_handler_(std::move(exchange));
   }
-  const auto routes = control_->Current()->routes;
-  if (routes == nullptr) {
-    ++outcomes.no_configuration;
-    return Refuse(exchange.get(), kUnavailable);
-  }
   const routing::Route* const route = routes->Match(HostOf(request), PathOf(request.target));
   if (route == nullptr) {
     ++outcomes.no_route;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "front/exchange.h"
 #include "gateway/live_request.h"
 #include "gateway/outcomes.h"
+#include "gateway/start_queue.h"
 #include "proxy/job.h"
 #include "routing/route_table.h"
 
@@ -28,17 +29,24 @@
 
   // All three must outlive the gateway and its requests.
   Gateway(control::ControlClient* control, proxy::JobRunner* runner, Timers* timers);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
 
   void Handle(std::shared_ptr<front::Exchange> exchange);
   void SetBulkHandler(BulkHandler handler) { bulk_handler_ = std::move(handler); }
   void SetLotHandler(LotHandler handler) { lot_handler_ = std::move(handler); }
   // While draining, new requests that would need a worker get 503: for the end of a drain, when
   // what begins now could not be finished. Requests under way go on.
-  void SetDraining(bool draining) { draining_ = draining; }
+  void SetDraining(bool draining);
 
   const Outcomes& outcomes() const { return *context_.outcomes; }
 
  private:
+  void OnControlChange();
+  // A configuration is known.
+  void Dispatch(std::shared_ptr<front::Exchange> exchange);
+  void HoldUntilConfigured(std::shared_ptr<front::Exchange> exchange);
   void HandleRouted(std::shared_ptr<front::Exchange> exchange, const routing::Route& route);
   void Refuse(front::Exchange* exchange, int status);
 
@@ -46,7 +54,9 @@
   LiveContext context_;
   BulkHandler bulk_handler_;
   LotHandler lot_handler_;
+  StartQueue start_queue_;
   bool draining_ = false;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for the control's listener
 };
 
 }  // namespace pearreach::gateway
--- /dev/null
+++ b/src/gateway/start_queue.cpp
@@ -0,0 +1,72 @@
+#include "gateway/start_queue.h"
+
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace pearreach::gateway {
+namespace {
+
+// A client that names no deadline is taken to leave after a second of silence.
+constexpr Micros kUnknownPatience = 900 * kMs;
+// Kept of a deadline for a refusal and the way back of it.
+constexpr double kPatienceShare = 0.9;
+// Bodies that wait, in all: a small part of the memory of the smallest machine (160 MB).
+constexpr std::size_t kMostBytes = 16 << 20;
+
+std::optional<double> DeadlineMs(const http::Message& request) {
+  const std::string* text = request.Find("X-Deadline-Ms");
+  if (text == nullptr) return std::nullopt;
+  double value = 0;
+  const char* const end = text->data() + text->size();
+  const auto read = std::from_chars(text->data(), end, value);
+  if (read.ec != std::errc() || read.ptr != end || !(value >= 0)) return std::nullopt;
+  return value;
+}
+
+Micros PatienceOf(const http::Message& request) {
+  const std::optional<double> deadline = DeadlineMs(request);
+  if (!deadline.has_value()) return kUnknownPatience;
+  return static_cast<Micros>(*deadline * kPatienceShare * static_cast<double>(kMs));
+}
+
+}  // namespace
+
+StartQueue::~StartQueue() {
+  for (auto& [number, held] : held_) timers_->Cancel(&held.timer);
+}
+
+bool StartQueue::Hold(std::shared_ptr<front::Exchange> exchange) {
+  const std::size_t bytes = exchange->request().body.size();
+  if (bytes_ + bytes > kMostBytes) return false;
+  const Micros until = exchange->arrived() + PatienceOf(exchange->request());
+  const std::uint64_t number = ++last_;
+  Held& held = held_[number];
+  held.exchange = std::move(exchange);
+  held.bytes = bytes;
+  held.timer =
+      timers_->After(std::max<Micros>(until - Now(), 0), [this, number] { OnTimeOver(number); });
+  bytes_ += bytes;
+  return true;
+}
+
+void StartQueue::OnTimeOver(std::uint64_t number) {
+  const auto found = held_.find(number);
+  if (found == held_.end()) return;
+  const Held held = std::move(found->second);
+  held_.erase(found);
+  bytes_ -= held.bytes;
+  if (held.exchange->open()) refuse_(held.exchange);
+}
+
+void StartQueue::Release(const Handler& handle) {
+  std::map<std::uint64_t, Held> released = std::exchange(held_, {});
+  bytes_ = 0;
+  for (auto& [number, held] : released) timers_->Cancel(&held.timer);
+  for (auto& [number, held] : released)
+    if (held.exchange->open()) handle(std::move(held.exchange));
+}
+
+}  // namespace pearreach::gateway
