--- a/src/batch/lot_api.cpp
+++ b/src/batch/lot_api.cpp
@@ -155,8 +155,8 @@
 }  // namespace
 
 LotApi::LotApi(Timers* timers, StoreClient* stores, control::ControlClient* control,
-               LotBounds bounds)
-    : timers_(timers), stores_(stores), control_(control), bounds_(bounds) {}
+               LotBounds bounds, bool offers)
+    : timers_(timers), stores_(stores), control_(control), bounds_(bounds), offers_(offers) {}
 
 bool LotApi::IsLotCall(const http::Message& request) {
   const std::string_view path = SplitTarget(request.target).path;
@@ -213,7 +213,7 @@
   const Micros aim = static_cast<Micros>(route.target_ms * kMs);
   time.unsent = std::min(time.overall, std::max(aim, kLeastUnsentTime));
   const auto hand_in =
-      std::make_shared<LotHandIn>(timers_, stores_, std::move(lot), time,
+      std::make_shared<LotHandIn>(timers_, stores_, std::move(lot), time, offers_,
                                   [exchange](const absl::StatusOr<CreateLotAnswer>& answer) {
                                     AnswerSubmit(exchange, answer);
                                   });
--- a/src/batch/lot_api.h
+++ b/src/batch/lot_api.h
@@ -23,7 +23,9 @@
 
 class LotApi {
  public:
-  LotApi(Timers* timers, StoreClient* stores, control::ControlClient* control, LotBounds bounds);
+  // `offers`: see LotHandIn.
+  LotApi(Timers* timers, StoreClient* stores, control::ControlClient* control, LotBounds bounds,
+         bool offers = true);
 
   void SetBounds(LotBounds bounds) { bounds_ = bounds; }
   // GET or DELETE of /lots/ID, GET of /items/ID.
@@ -46,6 +48,7 @@
   StoreClient* stores_;
   control::ControlClient* control_;
   LotBounds bounds_;
+  const bool offers_;
 };
 
 }  // namespace pearreach::batch
--- a/src/batch/lot_hand_in.cpp
+++ b/src/batch/lot_hand_in.cpp
@@ -23,17 +23,20 @@
 
 }  // namespace
 
-LotHandIn::LotHandIn(Timers* timers, StoreClient* stores, LotSpec lot, CallTime time, Done done)
+LotHandIn::LotHandIn(Timers* timers, StoreClient* stores, LotSpec lot, CallTime time, bool offers,
+                     Done done)
     : timers_(timers),
       stores_(stores),
       lot_(std::move(lot)),
       began_(Now()),
       time_(time),
+      offers_(offers),
       done_(std::move(done)) {}
 
 LotHandIn::~LotHandIn() { Cancel(); }
 
 void LotHandIn::Start() {
+  if (!offers_) return Create();
   const Micros unsent = time_.unsent > 0 ? time_.unsent : time_.overall;
   give_up_timer_ = timers_->After(unsent, [this] {
     give_up_timer_ = 0;
--- a/src/batch/lot_hand_in.h
+++ b/src/batch/lot_hand_in.h
@@ -22,9 +22,11 @@
  public:
   using Done = StoreClient::Done<CreateLotAnswer>;
 
-  // `time`: see StoreClient::Create. `done` is called exactly once, never from inside Start, unless
-  // Cancel comes first. UNAVAILABLE: surely not taken.
-  LotHandIn(Timers* timers, StoreClient* stores, LotSpec lot, CallTime time, Done done);
+  // `time`: see StoreClient::Create. `offers`: false sends the lot without a question. `done` is
+  // called exactly once, never from inside Start, unless Cancel comes first. UNAVAILABLE: surely
+  // not taken.
+  LotHandIn(Timers* timers, StoreClient* stores, LotSpec lot, CallTime time, bool offers,
+            Done done);
   ~LotHandIn();
   LotHandIn(const LotHandIn&) = delete;
   LotHandIn& operator=(const LotHandIn&) = delete;
@@ -51,6 +53,7 @@
   LotSpec lot_;
   const Micros began_;
   const CallTime time_;
+  const bool offers_;
   Done done_;  // null: it has ended
   StoreClient::CallId offer_call_ = 0, quota_call_ = 0, create_call_ = 0;
   std::optional<OfferVerdict> offer_;
--- a/src/batch/lot_store.cpp
+++ b/src/batch/lot_store.cpp
@@ -46,6 +46,7 @@
                      [this](Micros delay, std::function<void()> callback) {
                        After(delay, std::move(callback));
                      }}),
+      silence_(mesh, control),
       reads_(this),
       quota_(this),
       items_(
@@ -99,6 +100,8 @@
 void StoreServer::RegisterHandlers() {
   using mesh::MessageType;
   using mesh::Respond;
+  mesh_->Handle(MessageType::kStorePing, [](const std::string&, std::string_view,
+                                            const Respond& respond) { respond(std::string()); });
   Register<CreateLot>(MessageType::kLotCreate, [this](CreateLot message, Respond respond) {
     changes_.OnCreate(std::move(message), std::move(respond));
   });
@@ -292,14 +295,8 @@
     }
   }
   if (filled.empty()) return;
-  for (const auto& [store, status] : filled) {
-    const std::string body = codec::Encode(status);
-    for (const auto& [name, member] : control_->members()) {
-      if (!IsThere(member) || !member.info.Is(coordination::MemberInfo::kQuorumMember)) continue;
-      mesh_->Call(member.info.address, mesh::MessageType::kStoreStatus, body, kFilledPeriod,
-                  [](const absl::StatusOr<std::string>&) {});
-    }
-  }
+  for (const auto& [store, status] : filled)
+    SendToPlacementDuty(mesh_, *control_, status, kFilledPeriod);
   filled_timer_ = After(kFilledPeriod, [this] { ReportFilled(); });
 }
 
--- a/src/batch/lot_store.h
+++ b/src/batch/lot_store.h
@@ -21,6 +21,7 @@
 #include "batch/messages.h"
 #include "batch/repair_pacer.h"
 #include "batch/replication.h"
+#include "batch/silence_reports.h"
 #include "control/control_client.h"
 #include "disk/table_store.h"
 #include "mesh/mesh.h"
@@ -61,6 +62,7 @@
   void OnActive(std::uint32_t partition) override;
   void OnInactive(std::uint32_t partition) override;
   void OnFilled(std::uint32_t partition) override;
+  void OnSilent(const StoreId& peer) override { silence_.Report(peer, Now()); }
   const StoreId& Self() const override { return self_; }
   const PlacementTable& Placement() const override { return placement_; }
   PartitionReplica& Replica(std::uint32_t partition) override { return *replicas_[partition]; }
@@ -97,6 +99,7 @@
   DiskRoom room_;
   Micros no_room_logged_at_ = 0;
   RepairPacer repair_pacer_;
+  SilenceReports silence_;
   PlacementTable placement_;
   std::uint64_t stores_revision_ = 0;
   std::map<mesh::MessageType, Handler> handlers_;
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -260,13 +260,15 @@
   }
 };
 
-// Store -> placement duty (kStoreStatus): joiners that hold all of a partition now.
+// To the placement duty (kStoreStatus): a joiner holds all of these partitions now; these stores
+// did not answer the sender.
 struct StoreStatus {
-  StoreId store;
+  StoreId store;                                                // the joiner
   std::vector<std::pair<std::uint32_t, std::uint64_t>> filled;  // partition, its epoch
+  std::vector<StoreId> silent{};
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& store& filled;
+    archive& store& filled& silent;
   }
 };
 
--- a/src/batch/placement_duty.cpp
+++ b/src/batch/placement_duty.cpp
@@ -19,16 +19,22 @@
 // A store of the table that a new holder of the duty has not heard of is gone after this.
 constexpr Micros kUnknownTime = 10 * kSecond;
 constexpr Micros kChangeTimeout = 2 * kSecond;
+// A store that has not answered somebody for a quarter of a second and the duty for this time more
+// has been silent for over half a second: longer than any way takes that is not in trouble.
+constexpr Micros kPingTime = 350 * kMs;
 constexpr char kDutyName[] = "placement";
 
 }  // namespace
 
 PlacementDuty::PlacementDuty(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control,
-                             std::string self, PlacementSpread spread, Micros silent_after)
+                             std::string self, PlacementSpread spread, Micros silent_after,
+                             bool asks_silent)
     : timers_(timers),
+      mesh_(mesh),
       control_(control),
       duty_(control, kDutyName, std::move(self), [this] { LookLater(0); }),
       spread_(std::move(spread)),
+      asks_silent_(asks_silent),
       presence_(silent_after) {
   mesh->Handle(mesh::MessageType::kStoreStatus,
                [this, alive = alive_](const std::string&, std::string_view body,
@@ -68,9 +74,29 @@
     filled_.insert({status->store, partition, epoch});
   }
   respond(std::string());
+  for (const StoreId& store : status->silent) AskSilent(store);
   if (!status->filled.empty()) Look();
 }
 
+// A report is no more than a hint: its sender may be the one that is cut off.
+void PlacementDuty::AskSilent(const StoreId& store) {
+  const auto member = control_->members().find(store.name);
+  const bool known = asks_silent_ && member != control_->members().end() &&
+                     member->second.info.disk_id == store.disk_id && !asking_.contains(store);
+  if (!known) return;
+  asking_.insert(store);
+  mesh_->Call(member->second.info.address, mesh::MessageType::kStorePing, {}, kPingTime,
+              [this, alive = alive_, store](const absl::StatusOr<std::string>& answer) {
+                if (!*alive) return;
+                asking_.erase(store);
+                if (answer.ok())
+                  presence_.MarkHeard(Now(), store);
+                else if (on_duty_)
+                  presence_.MarkSilent(Now(), store);
+                LookLater(0);
+              });
+}
+
 void PlacementDuty::BeginDuty(Micros now) {
   on_duty_ = true;
   duty_since_ = now;
@@ -140,11 +166,13 @@
     LookLater(kBusyPeriod);
     return;
   }
+  for (const auto& [store, since] : presence_.silent()) AskSilent(store);
   const PlacementInput input = Gather(now);
   auto next = NextPlacement(table_.get(), input);
   if (next.has_value()) Propose(*std::move(next), revision_);
   const bool calm = !proposing_ && table_ != nullptr && IsSettled(*table_, spread_.replicas);
-  Micros next_look = calm ? kCalmPeriod : kBusyPeriod;
+  const bool calm_stores = presence_.silent().empty();
+  Micros next_look = calm && calm_stores ? kCalmPeriod : kBusyPeriod;
   if (const Micros silence = presence_.NextSilence(); silence > now)
     next_look = std::min(next_look, silence - now);
   LookLater(next_look);
--- a/src/batch/placement_duty.h
+++ b/src/batch/placement_duty.h
@@ -25,8 +25,10 @@
  public:
   // `self`: a name of this process that no other one has. Handles kStoreStatus; a node that does
   // not hold the duty answers it FAILED_PRECONDITION. `silent_after`: see StorePresence.
+  // `asks_silent`: stores that others report as silent are asked, and count as gone where they
+  // don't answer.
   PlacementDuty(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control, std::string self,
-                PlacementSpread spread, Micros silent_after);
+                PlacementSpread spread, Micros silent_after, bool asks_silent = true);
   ~PlacementDuty();
   PlacementDuty(const PlacementDuty&) = delete;
   PlacementDuty& operator=(const PlacementDuty&) = delete;
@@ -41,17 +43,21 @@
   void EndDuty();
   bool LoadTable();
   PlacementInput Gather(Micros now);
+  void AskSilent(const StoreId& store);
   void ForgetOldReports();
   void Propose(PlacementTable table, std::uint64_t revision);
 
   Timers* timers_;
+  mesh::Mesh* mesh_;
   control::ControlClient* control_;
   control::DutyHolder duty_;
   const PlacementSpread spread_;
   Timers::Id timer_ = 0;
   bool on_duty_ = false, proposing_ = false;
   Micros duty_since_ = 0;
+  const bool asks_silent_;
   StorePresence presence_;
+  std::set<StoreId> asking_;  // stores that were reported as silent
   std::set<FilledReport> filled_;
   std::unique_ptr<PlacementTable> table_;  // of `revision_`
   std::uint64_t revision_ = 0;
--- a/src/batch/replication.cpp
+++ b/src/batch/replication.cpp
@@ -312,6 +312,11 @@
   });
 }
 
+void PartitionReplica::TellSilent(Micros since) {
+  for (const auto& [peer, link] : links_)
+    if (link->required && link->confirmed_at() < since) environment_->OnSilent(peer);
+}
+
 void PartitionReplica::CheckConfirmations() {
   if (confirmations_.empty()) return;
   const Micros now = environment_->Now();
@@ -322,7 +327,10 @@
   }
   confirmations_ = std::move(waiting);
   ArmConfirmTimer();
-  for (const Confirmation& one : finished) one.done(ConfirmedSince(one.since, one.all_required));
+  for (const Confirmation& one : finished) {
+    if (one.all_required) TellSilent(one.since);
+    one.done(ConfirmedSince(one.since, one.all_required));
+  }
 }
 
 // ---------------------------------------------------------------- as a backup
--- a/src/batch/replication.h
+++ b/src/batch/replication.h
@@ -57,6 +57,8 @@
   // Bytes that this store's disk has for further lots; as another store told it.
   virtual std::uint64_t Room() const { return std::numeric_limits<std::uint64_t>::max(); }
   virtual void NoteRoom(const StoreId& /*store*/, std::uint64_t /*bytes*/) {}
+  // A replica that a change would wait for has not answered.
+  virtual void OnSilent(const StoreId& /*peer*/) {}
   // A joiner holds all of the partition, under its present epoch.
   virtual void OnFilled(std::uint32_t partition) = 0;
 };
@@ -129,6 +131,7 @@
   void OnDiskFailure(const absl::Status& status);
   void AwaitConfirmation(Confirmation confirmation);
   void ArmConfirmTimer();
+  void TellSilent(Micros since);
   void CheckConfirmations();
   bool IsAsked(const ReplicaLink& link, bool all_required) const {
     return all_required ? link.required : link.counts;
--- a/src/batch/store_client.cpp
+++ b/src/batch/store_client.cpp
@@ -38,18 +38,46 @@
   Micros deadline = 0, unsent_deadline = 0, attempt = 0;
   Encoder encode;
   Finished finished;
+  bool pausing = false;  // until its next attempt
   bool unclear = false;  // a store may have carried it out without saying so
   // Epochs of the partition under which it was asked last, and last without an answer.
   std::uint64_t asked_epoch = 0, unclear_epoch = 0;
   std::uint64_t tries = 0;  // numbers the attempt whose answer counts
   std::string last_error;   // of a store, for the log
-  std::string last_store;   // that was asked, for the log
+  StoreId asked;            // the last store
   Micros began = 0;
   Timers::Id timer = 0;
 };
 
-StoreClient::StoreClient(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control)
-    : timers_(timers), mesh_(mesh), control_(control) {}
+StoreClient::StoreClient(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control,
+                         std::string self)
+    : timers_(timers),
+      mesh_(mesh),
+      control_(control),
+      silence_(mesh, control),
+      path_(mesh, control, std::move(self)) {
+  control_->OnChange([this, alive = alive_] {
+    if (*alive && control_->Current()->stores_revision != table_revision_) WakeMoved();
+  });
+}
+
+// Calls that pause until a new placement comes go to the partition's new primary at once.
+void StoreClient::WakeMoved() {
+  const auto table = Table();
+  if (table == nullptr) return;
+  std::vector<CallId> moved;
+  for (const auto& [id, call] : calls_) {
+    const std::uint64_t epoch = table->partitions[PartitionOf(call->lot_id)].epoch;
+    if (call->pausing && call->asked_epoch != epoch) moved.push_back(id);
+  }
+  for (const CallId id : moved) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) continue;
+    timers_->Cancel(&found->second->timer);
+    found->second->pausing = false;
+    Attempt(id);
+  }
+}
 
 StoreClient::~StoreClient() {
   *alive_ = false;
@@ -71,17 +99,6 @@
   return table_;
 }
 
-std::string StoreClient::AddressOf(const StoreId& store) const {
-  const auto& members = control_->members();
-  const auto found = members.find(store.name);
-  if (found == members.end()) return {};
-  const coordination::Member& member = found->second;
-  if (member.info.disk_id != store.disk_id) return {};
-  if (member.status == coordination::MemberStatus::kDead) return {};
-  if (member.status == coordination::MemberStatus::kLeft) return {};
-  return member.info.address;
-}
-
 const StoreId* StoreClient::PrimaryOf(std::string_view lot_id) {
   const auto table = Table();
   if (table == nullptr) return nullptr;
@@ -98,7 +115,7 @@
   }
   std::vector<StoreId> live;
   for (const StoreId& store : primaries) {
-    if (!AddressOf(store).empty()) live.push_back(store);
+    if (!path_.AddressOf(store).empty()) live.push_back(store);
   }
   return live;
 }
@@ -128,24 +145,25 @@
   if (found == calls_.end()) return;
   Call* call = found->second.get();
   call->timer = 0;
+  call->pausing = false;
   const StoreId* primary = PrimaryOf(call->lot_id);
-  const std::string address = primary == nullptr ? std::string() : AddressOf(*primary);
+  const bool there = primary != nullptr && !path_.AddressOf(*primary).empty();
   const Micros left = call->deadline - Now();
-  if (address.empty() || left <= 0) {
+  if (!there || left <= 0) {
     RetryLater(id, call);
     return;
   }
   const std::uint64_t number = ++call->tries;
-  call->last_store = primary->name;
+  call->asked = *primary;
   const Asking asking{table_->epoch, table_->partitions[PartitionOf(call->lot_id)].epoch, left};
   call->asked_epoch = asking.partition_epoch;
-  mesh_->Call(address, call->type, call->encode(asking), std::min(left, call->attempt),
-              [this, alive = alive_, id, number](absl::StatusOr<std::string> answer) {
-                if (!*alive) return;
-                const auto at = calls_.find(id);
-                if (at == calls_.end() || at->second->tries != number) return;
-                OnAnswer(id, std::move(answer));
-              });
+  path_.Call(call->asked, call->type, call->encode(asking), std::min(left, call->attempt),
+             [this, alive = alive_, id, number](absl::StatusOr<std::string> answer) {
+               if (!*alive) return;
+               const auto at = calls_.find(id);
+               if (at == calls_.end() || at->second->tries != number) return;
+               OnAnswer(id, std::move(answer));
+             });
 }
 
 void StoreClient::OnAnswer(CallId id, absl::StatusOr<std::string> answer) {
@@ -162,6 +180,8 @@
     call->unclear_epoch = call->asked_epoch;
   }
   call->last_error = std::string(answer.status().message());
+  const bool is_short = call->attempt < kAttemptTime;  // others may wait for something
+  if (is_short && absl::IsDeadlineExceeded(answer.status())) silence_.Report(call->asked, Now());
   RetryLater(id, call);
 }
 
@@ -174,6 +194,7 @@
         timers_->After(std::max<Micros>(left, 0), [this, id] { GiveUp(id, *calls_.at(id)); });
     return;
   }
+  call->pausing = true;
   call->timer = timers_->After(kRetryPause, [this, id] { Attempt(id); });
 }
 
@@ -189,7 +210,7 @@
       {logging::F("lot", call.lot_id), logging::F("why", why),
        logging::F("partition", PartitionOf(call.lot_id)),
        logging::F("primary", primary == nullptr ? std::string("none") : primary->name),
-       logging::F("asked_last", call.last_store), logging::F("tries", call.tries),
+       logging::F("asked_last", call.asked.name), logging::F("tries", call.tries),
        logging::F("unclear", call.unclear), logging::F("waited_ms", (Now() - call.began) / kMs),
        logging::F("last_error", call.last_error)});
 }
@@ -323,7 +344,7 @@
 template <class Answer>
 void StoreClient::CallStore(const StoreId& store, mesh::MessageType type, std::string body,
                             Micros timeout, Done<Answer> done) {
-  const std::string address = AddressOf(store);
+  const std::string address = path_.AddressOf(store);
   if (address.empty()) {
     timers_->After(0, [alive = alive_, done = std::move(done)] {
       if (*alive) done(absl::UnavailableError("the store is not there"));
--- a/src/batch/store_client.h
+++ b/src/batch/store_client.h
@@ -16,6 +16,8 @@
 #include "base/timers.h"
 #include "batch/messages.h"
 #include "batch/quota.h"
+#include "batch/silence_reports.h"
+#include "batch/store_path.h"
 #include "control/control_client.h"
 #include "mesh/mesh.h"
 
@@ -38,7 +40,9 @@
   using Done = std::function<void(absl::StatusOr<Answer>)>;
   using CallId = std::uint64_t;  // 0 is never a call
 
-  StoreClient(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control);
+  // `self`: see StorePath.
+  StoreClient(Timers* timers, mesh::Mesh* mesh, control::ControlClient* control,
+              std::string self = {});
   ~StoreClient();
   StoreClient(const StoreClient&) = delete;
   StoreClient& operator=(const StoreClient&) = delete;
@@ -85,11 +89,10 @@
   void Attempt(CallId id);
   void OnAnswer(CallId id, absl::StatusOr<std::string> answer);
   void RetryLater(CallId id, Call* call);
+  void WakeMoved();
   void GiveUp(CallId id, const Call& call);
   void LogLotGivenUp(const Call& call, std::string_view why) const;
   void Finish(CallId id, absl::StatusOr<std::string> answer);
-  // The mesh address of the store; empty: not known, dead, or its disk is another one.
-  std::string AddressOf(const StoreId& store) const;
   template <class Answer>
   void CallStore(const StoreId& store, mesh::MessageType type, std::string body, Micros timeout,
                  Done<Answer> done);
@@ -99,6 +102,8 @@
   control::ControlClient* control_;
   std::shared_ptr<const PlacementTable> table_;
   std::uint64_t table_revision_ = 0;
+  SilenceReports silence_;
+  StorePath path_;
   std::unordered_map<CallId, std::unique_ptr<Call>> calls_;
   CallId last_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for callbacks of the mesh
--- /dev/null
+++ b/src/batch/store_path.cpp
@@ -0,0 +1,111 @@
+#include "batch/store_path.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+#include "codec/archive.h"
+
+namespace pearreach::batch {
+namespace {
+
+using coordination::MemberInfo;
+using coordination::MemberStatus;
+using mesh::MessageType;
+
+// A way is kept for so long before the direct one is tried again: about as long as a cut lasts that
+// is worth going round.
+constexpr Micros kRelayedFor = 2 * kSecond;
+// Of a relayed call's time, for the way to the other node and back.
+constexpr Micros kRelayMargin = 20 * kMs;
+
+constexpr std::array<MessageType, 7> kRelayed = {
+    MessageType::kLotCreate,    MessageType::kLotRead,    MessageType::kLotItemBody,
+    MessageType::kLotCancel,    MessageType::kItemResult, MessageType::kLotOffer,
+    MessageType::kQuotaQuestion};
+
+bool MayBeRelayed(std::uint8_t type) {
+  return std::any_of(kRelayed.begin(), kRelayed.end(),
+                     [type](MessageType one) { return static_cast<std::uint8_t>(one) == type; });
+}
+
+}  // namespace
+
+StorePath::StorePath(mesh::Mesh* mesh, const control::ControlClient* control, std::string self)
+    : mesh_(mesh), control_(control), self_(std::move(self)), random_(std::random_device()()) {
+  mesh_->Handle(MessageType::kStoreRelay,
+                [this, alive = std::weak_ptr<bool>(alive_)](
+                    const std::string&, std::string_view body, const mesh::Respond& respond) {
+                  if (!alive.expired()) Serve(body, respond);
+                });
+}
+
+StorePath::~StorePath() = default;
+
+std::string StorePath::AddressOf(const StoreId& store) const {
+  const auto& members = control_->members();
+  const auto found = members.find(store.name);
+  if (found == members.end()) return {};
+  const coordination::Member& member = found->second;
+  const bool there = member.info.disk_id == store.disk_id && member.status != MemberStatus::kDead &&
+                     member.status != MemberStatus::kLeft;
+  return there ? member.info.address : std::string();
+}
+
+// Nodes outside the quorum: what cuts its members off does not concern them.
+std::string StorePath::ChooseRelay() {
+  std::vector<const std::string*> relays;
+  for (const auto& [name, member] : control_->members()) {
+    const bool fits = member.status == MemberStatus::kAlive && name != self_ &&
+                      member.info.Is(MemberInfo::kServesEdge) &&
+                      !member.info.Is(MemberInfo::kQuorumMember);
+    if (fits) relays.push_back(&member.info.address);
+  }
+  if (self_.empty() || relays.empty()) return {};
+  return *relays[std::uniform_int_distribution<std::size_t>(0, relays.size() - 1)(random_)];
+}
+
+void StorePath::Call(const StoreId& store, MessageType type, std::string body, Micros timeout,
+                     mesh::Done done) {
+  const auto way = ways_.find(store);
+  const bool wanted = way != ways_.end() && way->second.relayed && Now() < way->second.until;
+  const std::string relay = wanted ? ChooseRelay() : std::string();
+  const bool relayed = !relay.empty();
+  const auto answered = [this, alive = std::weak_ptr<bool>(alive_), store, relayed,
+                         done = std::move(done)](absl::StatusOr<std::string> answer) {
+    if (!alive.expired()) OnAnswer(store, relayed, answer.status());
+    done(std::move(answer));
+  };
+  if (!relayed) return mesh_->Call(AddressOf(store), type, std::move(body), timeout, answered);
+  const Micros left = std::max(timeout - kRelayMargin, timeout / 2);
+  const RelayedCall call{store, static_cast<std::uint8_t>(type), std::move(body), left / kMs};
+  mesh_->Call(relay, MessageType::kStoreRelay, codec::Encode(call), timeout, answered);
+}
+
+void StorePath::OnAnswer(const StoreId& store, bool relayed, const absl::Status& status) {
+  if (self_.empty()) return;
+  if (!absl::IsDeadlineExceeded(status)) {
+    const auto way = ways_.find(store);
+    if (!relayed && way != ways_.end() && !way->second.relayed) ways_.erase(way);
+    return;
+  }
+  Way& way = ways_[store];
+  if (way.relayed != relayed) return;  // an answer to a call of before the last turn
+  way.relayed = !relayed;
+  way.until = Now() + kRelayedFor;
+}
+
+void StorePath::Serve(std::string_view body, const mesh::Respond& respond) {
+  auto call = codec::Decode<RelayedCall>(body);
+  if (!call.ok()) return respond(call.status());
+  const std::string address = AddressOf(call->store);
+  if (address.empty() || !MayBeRelayed(call->type)) {
+    return respond(absl::FailedPreconditionError("no such store, or no call to pass on"));
+  }
+  mesh_->Call(address, static_cast<MessageType>(call->type), std::move(call->body),
+              std::max<Micros>(call->timeout_ms, 1) * kMs,
+              [respond](absl::StatusOr<std::string> answer) { respond(std::move(answer)); });
+}
+
+}  // namespace pearreach::batch
--- /dev/null
+++ b/src/batch/store_path.h
@@ -0,0 +1,67 @@
+// The way of an edge node's calls to the stores: the direct one, or through another edge node while
+// the direct one gives no answer. A node that is cut off from the stores goes on handing lots in,
+// reading them and delivering results.
+#ifndef PEARREACH_SRC_BATCH_STORE_PATH_H_
+#define PEARREACH_SRC_BATCH_STORE_PATH_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+
+#include "base/timers.h"
+#include "batch/messages.h"
+#include "control/control_client.h"
+#include "mesh/mesh.h"
+
+namespace pearreach::batch {
+
+// A call to a store that the receiver makes for the sender (kStoreRelay).
+struct RelayedCall {
+  StoreId store;
+  std::uint8_t type = 0;  // mesh::MessageType
+  std::string body;
+  std::int64_t timeout_ms = 0;
+  template <class Archive>
+  void serialize(Archive& archive, unsigned) {
+    archive& store& type& body& timeout_ms;
+  }
+};
+
+class StorePath {
+ public:
+  // `self`: this node's name; empty: no call goes through another node. Handles kStoreRelay.
+  StorePath(mesh::Mesh* mesh, const control::ControlClient* control, std::string self);
+  ~StorePath();
+  StorePath(const StorePath&) = delete;
+  StorePath& operator=(const StorePath&) = delete;
+
+  // As mesh::Mesh::Call. Where a call gets no answer, those that follow go another way for a while.
+  void Call(const StoreId& store, mesh::MessageType type, std::string body, Micros timeout,
+            mesh::Done done);
+  // The mesh address of the store; empty: not known, dead, or its disk is another one.
+  std::string AddressOf(const StoreId& store) const;
+
+ private:
+  struct Way {
+    bool relayed = false;
+    Micros until = 0;  // then the direct way is tried again
+  };
+
+  void OnAnswer(const StoreId& store, bool relayed, const absl::Status& status);
+  std::string ChooseRelay();
+  void Serve(std::string_view body, const mesh::Respond& respond);
+
+  mesh::Mesh* const mesh_;
+  const control::ControlClient* const control_;
+  const std::string self_;
+  std::minstd_rand random_;
+  std::map<StoreId, Way> ways_;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_STORE_PATH_H_
--- a/src/batch/store_presence.cpp
+++ b/src/batch/store_presence.cpp
@@ -35,6 +35,7 @@
 
 void StorePresence::Reset(Micros now) {
   seen_.clear();
+  silent_.clear();
   changed_ = now;
 }
 
@@ -51,12 +52,24 @@
   for (auto& [name, store] : stores) {
     Observe(now, store);
     const bool is_suspect = store.condition == StoreCondition::kUncertain;
-    if (is_suspect && now - seen_.at(name).since >= silent_after_)
-      store.condition = StoreCondition::kGone;
+    const bool is_silent = is_suspect && now - seen_.at(name).since >= silent_after_;
+    if (is_silent || silent_.contains(store.id)) store.condition = StoreCondition::kGone;
   }
+  std::erase_if(silent_, [&](const auto& entry) {
+    const auto at = stores.find(entry.first.name);
+    return at != stores.end() && at->second.id != entry.first;
+  });
   return stores;
 }
 
+void StorePresence::MarkSilent(Micros now, const StoreId& store) {
+  if (silent_.emplace(store, now).second) changed_ = now;
+}
+
+void StorePresence::MarkHeard(Micros now, const StoreId& store) {
+  if (silent_.erase(store) > 0) changed_ = now;
+}
+
 void StorePresence::AddUnheard(Micros now, const StoreId& store,
                                std::map<std::string, StoreView>* stores) {
   const auto [at, fresh] = stores->try_emplace(store.name);
@@ -67,10 +80,12 @@
 
 // A suspect that stays silent is gone already for the table, and may come back just the same.
 bool StorePresence::AwaitsReturn(Micros now, Micros span) const {
-  return std::any_of(seen_.begin(), seen_.end(), [&](const auto& entry) {
-    const Seen& seen = entry.second;
-    return seen.condition != StoreCondition::kLive && now - seen.since < span;
-  });
+  const bool lately_silent = std::any_of(
+      silent_.begin(), silent_.end(), [&](const auto& entry) { return now - entry.second < span; });
+  return lately_silent || std::any_of(seen_.begin(), seen_.end(), [&](const auto& entry) {
+           const Seen& seen = entry.second;
+           return seen.condition != StoreCondition::kLive && now - seen.since < span;
+         });
 }
 
 Micros StorePresence::NextSilence() const {
--- a/src/batch/store_presence.h
+++ b/src/batch/store_presence.h
@@ -30,6 +30,12 @@
   // Adds a store that only the placement table names: it was never heard of and is gone.
   void AddUnheard(Micros now, const StoreId& store, std::map<std::string, StoreView>* stores);
 
+  // A store did not answer the duty, or has answered it again. One that is silent counts as gone
+  // until it answers or another disk is at its place.
+  void MarkSilent(Micros now, const StoreId& store);
+  void MarkHeard(Micros now, const StoreId& store);
+  const std::map<StoreId, Micros>& silent() const { return silent_; }  // since when
+
   // Since when no store has appeared, gone or changed.
   Micros changed() const { return changed_; }
   // Some store has been gone for less than `span`: it may come back.
@@ -47,6 +53,7 @@
 
   const Micros silent_after_;
   std::map<std::string, Seen> seen_;
+  std::map<StoreId, Micros> silent_;
   Micros changed_ = 0;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,9 +35,11 @@
   return method == "DELETE" && NamesOne(path, "/lots/");
 }
 
-Gateway::Gateway(control::ControlClient* control, proxy::JobRunner* runner, Timers* timers)
+Gateway::Gateway(control::ControlClient* control, proxy::JobRunner* runner, Timers* timers,
+                 bool waits)
     : control_(control),
       context_{runner, timers, std::make_shared<Outcomes>()},
+      waits_(waits),
       start_queue_(timers, [this](const std::shared_ptr<front::Exchange>& exchange) {
         ++context_.outcomes->no_configuration;
         Refuse(exchange.get(), kUnavailable);
@@ -65,7 +67,7 @@
 }
 
 void Gateway::HoldUntilConfigured(std::shared_ptr<front::Exchange> exchange) {
-  if (!draining_ && start_queue_.Hold(exchange)) return;
+  if (waits_ && !draining_ && start_queue_.Hold(exchange)) return;
   ++context_.outcomes->no_configuration;
   Refuse(exchange.get(), kUnavailable);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,8 +27,10 @@
   using BulkHandler = std::function<void(std::shared_ptr<front::Exchange>, const routing::Route&)>;
   using LotHandler = std::function<void(std::shared_ptr<front::Exchange>)>;
 
-  // All three must outlive the gateway and its requests.
-  Gateway(control::ControlClient* control, proxy::JobRunner* runner, Timers* timers);
+  // All three must outlive the gateway and its requests. `waits`: requests that come before the
+  // first configuration are held for it; else they get 503.
+  Gateway(control::ControlClient* control, proxy::JobRunner* runner, Timers* timers,
+          bool waits = true);
   ~Gateway();
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
@@ -54,6 +56,7 @@
   LiveContext context_;
   BulkHandler bulk_handler_;
   LotHandler lot_handler_;
+  const bool waits_;
   StartQueue start_queue_;
   bool draining_ = false;
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for the control's listener
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -39,8 +39,10 @@
   kRepairDigest = 31,   // primary store -> backup store: digests over ranges of lots
   kQuotaReserve = 32,   // primary store -> quota owner
   kQuotaReport = 33,    // primary store -> quota owner
-  kStoreStatus = 34,    // store -> placement duty
+  kStoreStatus = 34,    // store or edge -> placement duty
   kQuotaQuestion = 35,  // edge -> quota owner: would a lot fit?
+  kStorePing = 36,      // placement duty -> store: answered at once
+  kStoreRelay = 37,     // edge -> edge: a call to a store that the sender does not reach
 };
 
 using Respond = std::function<void(absl::StatusOr<std::string> answer)>;
--- a/src/module/worker_choice.h
+++ b/src/module/worker_choice.h
@@ -80,9 +80,9 @@
   }
 
   // Where crossing zones has a price, workers of this one that have room; then home workers, and
-  // open connections where a new one has a price. All others are looked at only when these yield
-  // nobody, and not again while nothing has changed: the ordinary send costs the same however many
-  // workers there are.
+  // open connections where a new one has a price. All others only when these yield nobody, and not
+  // again while nothing has changed: the ordinary send costs the same however many workers there
+  // are.
   void Sample(Request& r, const Permit& permit) {
     const auto linked = [&](const Worker& w) { return Connected(w); };
     const auto home = [&](Worker& w) { return HomeRoom(w, r); };
@@ -103,8 +103,7 @@
     }
   }
 
-  // Samples one set of the pools with room: from a random place by a random stride prime to their
-  // number, so that each is met once at most, until there are enough that suit.
+  // Samples one set of the pools with room: each is met once at most, until enough of them suit.
   template <class Good>
   bool Look(Members Pool::*set, const Request& r, const Permit& permit, Good good,
             std::size_t most = std::numeric_limits<std::size_t>::max()) {
@@ -121,16 +120,13 @@
     return !sample_.empty();
   }
 
-  // By this node's tally and what it told of others' jobs, no more than so many slots' jobs wait
-  // there with this one: in its own zone for less than going to another one costs.
+  // By its own tally and what it told, no more than so many slots' jobs wait there with this one.
   bool HasRoom(const Worker& w, const Request& r, double wait) const {
-    const double taken = w.taken.Now(now_, kTakenMemory);
-    return w.busy + taken + r.slots <= PoolOf(w).slots_seen + wait;
+    return w.busy + w.taken.Now(now_, kTakenMemory) + r.slots <= PoolOf(w).slots_seen + wait;
   }
 
-  // Its slots that are this node's part are not all in use. On its own part a node's tally tells
-  // most of the load, however many nodes there are. How many slots a worker has is asked now and
-  // then.
+  // Its slots that are this node's part are not all in use, nor are all of them by its last word.
+  // On its own part a node's tally tells most of the load. How many slots it has is asked at times.
   bool HomeRoom(Worker& w, const Request& r) {
     if (w.part <= 0) return false;
     if (s_.may_probe && now_ > w.probed_at + kHomeProbe) {
@@ -138,12 +134,13 @@
       Act(Probe{IdOf(w)});
     }
     const Pool& p = PoolOf(w);
-    return !p.told || w.busy + r.slots <= std::ceil(w.part * p.slots_seen);
+    const double room = std::min(std::ceil(w.part * p.slots_seen), p.slots_seen - Others(w));
+    return !p.told || w.busy + r.slots <= room;
   }
 
   // A job with a key samples the first workers in the key's own order, the same at every node, and
-  // spills further down the longer it waits: a fetch of what it needs costs its slot and the shared
-  // store, which jams when keys scatter; but a much asked key has work for more than a few workers.
+  // spills further down the longer it waits: a fetch costs its slot and the shared store, which
+  // jams when keys scatter; but a much asked key has work for more than a few workers.
   void SampleByKey(const Request& r, const Permit& permit, std::size_t at_least) {
     order_.clear();
     for (const Pool* p : open_)
@@ -172,9 +169,9 @@
     return s_.may_probe && slots < s_.balancers;
   }
 
-  // There the first workers of the key's order are probed, and what they tell of others' jobs
-  // counts as tallied. Past the key's own places a job must fetch, which costs as much as full
-  // workers: so a much asked key spreads, but not every key when all are busy.
+  // There the first workers of the key's order are probed, and what they tell counts as tallied.
+  // Past the key's places a job must fetch, which costs as much as full workers: a much asked key
+  // spreads.
   const WorkerId* AskByKey(Request& r, const Permit& permit) {
     SampleByKey(r, permit, kSample);
     const WorkerId* best = nullptr;
@@ -196,6 +193,11 @@
     return all || now_ >= r.asked_at + kAskWait ? best : nullptr;
   }
 
+  // Jobs of others there, as it told last; what it told fades.
+  double Others(const Worker& w) const {
+    return w.others * std::max(0.0, 1 - static_cast<double>(now_ - w.answered_at) / kTakenMemory);
+  }
+
   // What it told of others' jobs when it was probed is fresh.
   bool Answered(const Worker& w) const { return now_ <= w.answered_at + 2 * kAskWait; }
 
@@ -216,8 +218,7 @@
     const double size = s_.weighted_workers && largest_weight_ > 0
                             ? w.entry.weight / largest_weight_
                             : 1 / pools_[w.entry.kind].slowdown;
-    const double others = Answered(w) ? w.others : 0;
-    double cost = (w.busy + others + r.slots) * w.slowness / std::max(size, 0.01);
+    double cost = (w.busy + Others(w) + r.slots) * w.slowness / std::max(size, 0.01);
     if (w.entry.zone != s_.zone) cost += s_.cross_zone_price > 0 ? kPricedRemote : kRemoteCost;
     return cost;
   }
--- a/src/proxy/job_runner.cpp
+++ b/src/proxy/job_runner.cpp
@@ -19,11 +19,11 @@
 constexpr Micros kShareEvery = 200 * kMs;        // this node's share is looked at no more often
 constexpr std::size_t kLeastConnections = 2;     // to each worker, however many nodes there are
 constexpr std::size_t kDefaultConnections = 16;  // of a service that names no limit
-constexpr double kBulkFill = 0.85;  // of this node's slots; what lies above is kept for live jobs
-constexpr double kMostFill = 0.9;   // of all slots, by what workers told; beyond it bulk jobs wait
+constexpr double kMostFill = 0.9;  // of all slots, by what workers told; beyond it bulk jobs wait
 // Bulk jobs whose prompts are unread, a worker and all nodes together; and those held ready behind.
 constexpr double kUnreadBulk = 1;
 constexpr int kBulkAhead = 4;
+constexpr int kUnpacedBulk = 1 << 16;  // more than a node runs
 
 class Runner final : public JobRunner, private JobHost {
  public:
@@ -41,7 +41,10 @@
   void RefreshWorkers() override { Refresh(); }
   std::size_t ConnectionLimit(const std::string& service) const override;
   double WorkerTokens(const std::string& service) const override;
-  Micros LearnsWorkersUntil(Micros now) const override { return fleet_start_.LearnsUntil(now); }
+  Micros LearnsWorkersUntil(Micros now) const override {
+    return options_.policy.wait_for_workers ? fleet_start_.LearnsUntil(now) : 0;
+  }
+  const settings::PolicyOptions& policy() const override { return options_.policy; }
   void Forget(std::uint64_t job) override { jobs_.erase(job); }
 
   ServiceLine& Line(const std::string& service);
@@ -133,7 +136,7 @@
   const double taken = line.workers.SlotsTaken(Now(), &told);
   const double slots = line.workers.ready_slots();
   if (slots < 1 || (told && taken > kMostFill * slots)) return 0;
-  const double usable = kBulkFill * slots / share_.nodes;
+  const double usable = options_.policy.bulk_fill * slots / share_.nodes;
   const int held =
       line.dispatcher.held_bulk() + line.bulk_waiting + static_cast<int>(line.bulk_gate.waiting());
   const int out = line.workers.InFlight();
@@ -231,6 +234,8 @@
 
 void Runner::PaceBulk(ServiceLine* line) {
   const double part = kUnreadBulk * line->workers.ready_count() / share_.nodes;
+  const bool paced = options_.policy.pace_unread_bulk;
+  if (!paced) return line->bulk_gate.SetAllowance(kUnpacedBulk);
   line->bulk_gate.SetAllowance(static_cast<int>(std::lround(part)));
 }
 
--- a/src/proxy/job_runner.h
+++ b/src/proxy/job_runner.h
@@ -10,6 +10,7 @@
 #include "control/control_client.h"
 #include "proxy/job.h"
 #include "registry/worker_table.h"
+#include "settings/policy_options.h"
 
 namespace pearreach::proxy {
 
@@ -20,6 +21,7 @@
   // So long after its start a node may not know the others yet: it runs bulk jobs one by one.
   Micros settle = kSecond;
   Micros learn_time = 0;  // in which all workers call after a start of all nodes (FleetStart)
+  settings::PolicyOptions policy{};
 };
 
 // All must outlive the runner; listeners that it adds end with it.
--- a/src/proxy/pool_dispatcher.cpp
+++ b/src/proxy/pool_dispatcher.cpp
@@ -23,6 +23,13 @@
 constexpr std::size_t kMostClasses = 64;    // then those that no job uses now are dropped
 constexpr Micros kOutFor = 3600 * kSecond;  // an attempt under way is not ended by the module
 
+marlquay::LoadReport ReportOf(const WorkerLoad& load) {
+  marlquay::LoadReport report;
+  report.free_slots = std::max(0.0, load.slots - load.running - load.waiting);
+  report.in_flight = load.running + load.waiting;
+  return report;
+}
+
 }  // namespace
 
 PoolDispatcher::PoolDispatcher(Timers* timers, ServiceWorkers* workers, std::string service,
@@ -94,6 +101,11 @@
   Post(marlquay::AttemptProgress{id, 0, found->second.worker, 0});
 }
 
+// The module weighs what a worker told of others' jobs only as a probe's word.
+void PoolDispatcher::Told(marlquay::WorkerId worker, const WorkerLoad& load) {
+  Post(marlquay::ProbeEnded{worker, true, ReportOf(load)});
+}
+
 // A placement is over with its one attempt; the job places itself anew if it goes on.
 void PoolDispatcher::Ended(PlacementId id, marlquay::Outcome outcome, Micros latency,
                            const std::optional<WorkerLoad>& load) {
@@ -105,14 +117,10 @@
   ended.outcome = outcome;
   ended.latency = latency;
   ended.settled = true;
-  if (load) {
-    ended.load.free_slots = std::max(0.0, load->slots - load->running - load->waiting);
-    ended.load.in_flight = load->running + load->waiting;
-  }
+  if (load) ended.load = ReportOf(*load);
   if (!rebuild_) {
     Post(ended);
-    // The module weighs what a worker told of others' jobs only as a probe's word.
-    if (load) Post(marlquay::ProbeEnded{ended.worker, true, ended.load});
+    if (load) Told(ended.worker, *load);
   }
   open_.erase(found);
 }
--- a/src/proxy/pool_dispatcher.h
+++ b/src/proxy/pool_dispatcher.h
@@ -65,6 +65,8 @@
   // The answer has begun; Progress: it goes on.
   void Began(PlacementId id);
   void Progress(PlacementId id);
+  // A worker has told its load just now.
+  void Told(marlquay::WorkerId worker, const WorkerLoad& load);
   void Ended(PlacementId id, marlquay::Outcome outcome, Micros latency,
              const std::optional<WorkerLoad>& load);
 
--- a/src/proxy/running_job.cpp
+++ b/src/proxy/running_job.cpp
@@ -34,6 +34,7 @@
 constexpr Micros kPlainSilence = 1500 * kMs;
 constexpr Micros kProgressWhilePaused = kSecond;
 constexpr double kPlainSilenceTargets = 5;
+constexpr Micros kSilenceLook = 50 * kMs;  // between looks whether the budget allows a repeat
 
 // Shared parts that are read anew for less time than the search for their worker may cost are not
 // worth it.
@@ -147,7 +148,8 @@
 // and the workers are not loaded.
 std::vector<marlquay::WorkerId> RunningJob::Homes() const {
   std::vector<marlquay::WorkerId> homes;
-  if (spec_.prefix_key == 0 || spec_.shared_tokens < kLeastShared) return homes;
+  const bool worth = spec_.prefix_key != 0 && spec_.shared_tokens >= kLeastShared;
+  if (!worth || !host_->policy().prefix_homes) return homes;
   const Micros now = Now();
   homes = line_->workers.HomesOf(spec_.prefix_key, kHomes);
   std::erase_if(homes,
@@ -241,7 +243,7 @@
   request.streamed = spec_.streamed;
   request.repeatable = spec_.repeatable;
   request.connection_limit = host_->ConnectionLimit(spec_.service);
-  ++sends_;
+  if (++sends_ == 1 && !spec_.streamed) line_->silence.NoteSend();
   ++chosen.in_flight;
   NoteSent(&chosen);
   AttemptListener* const listener = this;
@@ -271,6 +273,7 @@
   }
   if (load_) line_->workers.Tell(worker_, *load_);
   const Micros latency = sent_ == 0 ? 0 : Now() - sent_;
+  if (outcome == Outcome::kGood && !spec_.streamed) line_->silence.NoteAnswer(latency);
   line_->dispatcher.Ended(std::exchange(placement_, 0), outcome, latency, load_);
   load_.reset();
 }
@@ -389,8 +392,11 @@
 // ---------------------------------------------------------------- silence
 
 Micros RunningJob::SilenceLimit() const {
-  if (!spec_.streamed)
+  if (!spec_.streamed) {
+    if (host_->policy().learn_silence)
+      return line_->silence.Limit(FromMs(spec_.target_ms), spec_.due - sent_);
     return std::max(kPlainSilence, FromMs(kPlainSilenceTargets * spec_.target_ms));
+  }
   const Micros between = std::max(kStreamSilence, FromMs(kStreamSilenceGaps * spec_.gap_aim_ms));
   if (heard_ != 0) return between;
   return std::max(between, FromMs(kFirstEventTargets * spec_.target_ms));
@@ -415,10 +421,15 @@
   }
   const Micros silent_at = std::max(sent_, heard_) + SilenceLimit();
   if (now < silent_at) return WatchSilence(silent_at - now);
-  if (now + FromMs(spec_.target_ms) >= spec_.due) return;
+  const bool learned = !spec_.streamed && host_->policy().learn_silence;
+  // Another worker takes about as long as this one has been given.
+  const Micros needed = learned ? SilenceLimit() : FromMs(spec_.target_ms);
+  if (now + needed >= spec_.due) return;
   if (attempt_ == nullptr || (!spec_.streamed && attempt_->heard())) return;
+  if (learned && !line_->silence.TakeRepeat()) return WatchSilence(kSilenceLook);
   if (attempt_->written()) ++runs_;
-  Leave(Outcome::kTimeout);
+  // Silence so soon is no word on the slots of all workers, but on this one.
+  Leave(learned ? Outcome::kError : Outcome::kTimeout);
   AfterRun();
 }
 
--- a/src/proxy/running_job.h
+++ b/src/proxy/running_job.h
@@ -14,6 +14,7 @@
 #include "proxy/event_splitter.h"
 #include "proxy/job.h"
 #include "proxy/service_line.h"
+#include "settings/policy_options.h"
 
 namespace pearreach::proxy {
 
@@ -31,6 +32,7 @@
   virtual double WorkerTokens(const std::string& service) const = 0;
   // Bulk jobs of this service that would not harm live ones, beside those that wait.
   virtual int BulkRoom(const std::string& service) const = 0;
+  virtual const settings::PolicyOptions& policy() const = 0;
   // Until when all nodes wait for workers to call after a start of them all; 0: they don't.
   virtual Micros LearnsWorkersUntil(Micros now) const = 0;
   // The job has ended: its runner forgets it.
--- a/src/proxy/running_job_answer.cpp
+++ b/src/proxy/running_job_answer.cpp
@@ -28,7 +28,11 @@
 
 // A stream's head waits for its first event: until then another worker may still give both.
 void RunningJob::OnStreamHead(const ResponseHead& head) {
-  if (const auto load = ReadWorkerLoad(head)) line_->workers.Tell(worker_, *load);
+  // At the first event, so it is as fresh as it can be: told to the module at once.
+  if (const auto load = ReadWorkerLoad(head)) {
+    line_->workers.Tell(worker_, *load);
+    if (host_->policy().told_load) line_->dispatcher.Told(worker_, *load);
+  }
   worker_status_ = head.status;
   if (!head_passed_) head_ = head;
 }
--- a/src/proxy/service_line.h
+++ b/src/proxy/service_line.h
@@ -7,6 +7,7 @@
 #include "proxy/bulk_gate.h"
 #include "proxy/pool_dispatcher.h"
 #include "proxy/service_workers.h"
+#include "proxy/silence_watch.h"
 
 namespace pearreach::proxy {
 
@@ -18,6 +19,7 @@
   ServiceWorkers workers;
   PoolDispatcher dispatcher;
   BulkGate bulk_gate;
+  SilenceWatch silence;  // of plain requests
   int bulk_waiting = 0;  // jobs that wait for this node's part of the slots to have room
 };
 
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -60,6 +60,9 @@
   CheckRequired(root, findings);
   CheckPortRange(root["port_range"], settings.port_range, findings);
   CheckBeat(root["beat_ms"], settings.beat_ms, findings);
+  const YAML::Node policy = root["policy"];
+  const bool given = policy.IsDefined() && !policy.IsNull();
+  if (given) ReadPolicy(policy, "policy", &settings.policy, findings);
   return settings;
 }
 
--- a/src/settings/node_settings.h
+++ b/src/settings/node_settings.h
@@ -11,6 +11,8 @@
 #include <string>
 #include <vector>
 
+#include "settings/policy_options.h"
+
 namespace pearreach::settings {
 
 struct Bind {
@@ -51,6 +53,7 @@
   Tolerance tolerance;
   Bounds bounds;
   double beat_ms = 1000;
+  PolicyOptions policy;
 
   bool Serves(const std::string& what) const;
   int peer_port() const { return port_range.empty() ? 0 : port_range.front(); }
--- a/src/tier/main/main.cpp
+++ b/src/tier/main/main.cpp
@@ -17,6 +17,8 @@
 #include "tier/node.h"
 
 ABSL_FLAG(std::string, settings, "", "Settings file (YAML); default: $PEARREACH_BOOT");
+ABSL_FLAG(std::string, policy, "",
+          "File (YAML) in place of the settings' section `policy`, for measurements");
 ABSL_FLAG(std::string, log_level, "info",
           "Least severity that is logged: debug, info, warning, error");
 
@@ -27,7 +29,7 @@
 
 constexpr int kWrongUse = 2;
 constexpr char kUsage[] =
-    "pearreach-tier COMMAND [--settings FILE] [--log_level LEVEL]\n\n"
+    "pearreach-tier COMMAND [--settings FILE] [--policy FILE] [--log_level LEVEL]\n\n"
     "  serve    run this machine's part of the tier until SIGTERM or SIGINT\n"
     "  check    read the settings and say what is wrong with them\n"
     "  version  print the version";
@@ -51,7 +53,13 @@
   const std::string path = SettingsPath();
   if (path.empty())
     return absl::InvalidArgumentError("no settings: give --settings or set PEARREACH_BOOT");
-  return pearreach::settings::ReadSettingsFile(path);
+  auto settings = pearreach::settings::ReadSettingsFile(path);
+  const std::string policy_path = absl::GetFlag(FLAGS_policy);
+  if (!settings.ok() || policy_path.empty()) return settings;
+  const auto policy = pearreach::settings::ReadPolicyFile(policy_path);
+  if (!policy.ok()) return policy.status();
+  settings->policy = *policy;
+  return settings;
 }
 
 struct Running {
--- a/src/tier/node.cpp
+++ b/src/tier/node.cpp
@@ -165,12 +165,17 @@
   options.zone = settings_.zone;
   options.seed = WallMilliseconds() ^ std::hash<std::string>()(settings_.node_name);
   options.learn_time = static_cast<Micros>(kLearnBeats * settings_.beat_ms * kMs);
+  options.policy = settings_.policy;
   runner_ = proxy::MakeJobRunner(&timers_, registry_.get(), control_.get(), options);
-  gateway_ = std::make_unique<gateway::Gateway>(control_.get(), runner_.get(), &timers_);
-  store_client_ = std::make_unique<batch::StoreClient>(&timers_, mesh_.get(), control_.get());
+  gateway_ = std::make_unique<gateway::Gateway>(control_.get(), runner_.get(), &timers_,
+                                                settings_.policy.wait_for_configuration);
+  store_client_ = std::make_unique<batch::StoreClient>(
+      &timers_, mesh_.get(), control_.get(),
+      settings_.policy.relay_lot_calls ? settings_.node_name : std::string());
   lot_api_ = std::make_unique<batch::LotApi>(
       &timers_, store_client_.get(), control_.get(),
-      batch::LotBounds{settings_.bounds.status_s, settings_.bounds.quota_excess});
+      batch::LotBounds{settings_.bounds.status_s, settings_.bounds.quota_excess},
+      settings_.policy.offer_lots);
   item_worker_ =
       std::make_unique<batch::ItemWorker>(&timers_, store_client_.get(), control_.get(),
                                           runner_.get(), settings_.node_name, incarnation_);
@@ -211,7 +216,7 @@
       batch::PlacementSpread{replicas, static_cast<std::size_t>(std::max(tolerance.zones, 0)) + 1,
                              static_cast<std::size_t>(std::max(tolerance.regions, 0)) + 1,
                              settings_.zones},
-      control::TimingOf(settings_.bounds).probe_period);
+      control::TimingOf(settings_.bounds).probe_period, settings_.policy.ask_silent_stores);
   control_->OnMembersChanged([this](const std::vector<std::string>&) { placement_duty_->Look(); });
   retire_api_ = std::make_unique<batch::RetireApi>(&timers_, control_.get(), replicas);
   retire_api_->AddTo(&router_);
--- a/tests/fuzz/tier_messages_fuzz.cpp
+++ b/tests/fuzz/tier_messages_fuzz.cpp
@@ -10,6 +10,7 @@
 #include "batch/messages.h"
 #include "batch/quota.h"
 #include "batch/replication_messages.h"
+#include "batch/store_path.h"
 #include "codec/archive.h"
 #include "control/messages.h"
 #include "coordination/chain_messages.h"
@@ -46,6 +47,8 @@
     Read<batch::TakeItems>,         Read<batch::TakeItemsAnswer>,
     Read<batch::ItemResult>,        Read<batch::RenewLeases>,
     Read<batch::RenewLeasesAnswer>, Read<batch::StoreStatus>,
+    Read<batch::OfferLot>,          Read<batch::OfferLotAnswer>,
+    Read<batch::QuotaQuestion>,     Read<batch::RelayedCall>,
     Read<batch::Replicate>,         Read<batch::ReplicateAnswer>,
     Read<batch::RepairDigest>,      Read<batch::RepairDigestAnswer>,
     Read<batch::QuotaReserve>,      Read<batch::QuotaReserveAnswer>,
--- a/tests/tier/batch/edge_hand_in_test.cpp
+++ b/tests/tier/batch/edge_hand_in_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(ALaterEpochMakesAnUnclearHandInClear);
   CPPUNIT_TEST(TheSameEpochLeavesItUnclear);
   CPPUNIT_TEST(CancelEndsEveryQuestion);
+  CPPUNIT_TEST(SendsAtOnceWhereOffersAreOff);
   CPPUNIT_TEST_SUITE_END();
 
   using Result = std::optional<absl::StatusOr<CreateLotAnswer>>;
@@ -43,7 +44,7 @@
     time.overall = 2 * kSecond;
     time.unsent = unsent;
     auto hand_in = std::make_shared<LotHandIn>(
-        &timers_, &stores_, std::move(lot), time,
+        &timers_, &stores_, std::move(lot), time, offers_,
         [this](const absl::StatusOr<CreateLotAnswer>& answer) { result_ = answer; });
     hand_in->Start();
     return hand_in;
@@ -70,6 +71,7 @@
   FakeControl control_;
   StoreClient stores_{&timers_, &mesh_, &control_};
   Result result_;
+  bool offers_ = true;
 
  public:
   void setUp() override {
@@ -167,6 +169,13 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, stores_.pending());
     CPPUNIT_ASSERT(!result_.has_value());
   }
+
+  void SendsAtOnceWhereOffersAreOff() {
+    offers_ = false;
+    const auto hand_in = Begin();
+    CPPUNIT_ASSERT(!mesh_.Has(MessageType::kLotOffer));
+    CPPUNIT_ASSERT(mesh_.Has(MessageType::kLotCreate));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EdgeHandInTest);
--- a/tests/tier/batch/placement_duty_test.cpp
+++ b/tests/tier/batch/placement_duty_test.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(TakesTheDutyFromAnEarlierHolder);
   CPPUNIT_TEST(TakesReportsOfFilledStores);
   CPPUNIT_TEST(RefusesReportsOffDuty);
+  CPPUNIT_TEST(AsksAReportedStoreItself);
   CPPUNIT_TEST(AnswersRetireBegin);
   CPPUNIT_TEST(RepeatsAfterAConflict);
   CPPUNIT_TEST(TellsCompletion);
@@ -108,6 +109,27 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, control_.fences.back().revision);
   }
 
+  // A report alone changes nothing: its sender may be the one that is cut off.
+  void AsksAReportedStoreItself() {
+    control_.is_duty_holder = true;
+    AddStores(2);
+    control_.SetTable(TableOf({"s0", "d"}, {"s1", "d"}));
+    PlacementDuty duty(&timers_, &mesh_, &control_, "n1#1", {2}, kSilentAfter);
+    StoreStatus status;
+    status.silent = {{"s0", "d"}, {"s1", "d"}};
+    CPPUNIT_ASSERT(TurnUntil([&] { return Send(status).ok(); }));
+    const FakeCall first = mesh_.Next(mesh::MessageType::kStorePing);
+    const FakeCall second = mesh_.Next(mesh::MessageType::kStorePing);
+    CPPUNIT_ASSERT_EQUAL(std::string("s0:1"), first.address);
+    CPPUNIT_ASSERT_EQUAL(std::string("s1:1"), second.address);
+    second.done(std::string());
+    duty.Look();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, control_.Table().partitions[0].replicas.size());
+    first.done(absl::DeadlineExceededError("silence"));
+    CPPUNIT_ASSERT(TurnUntil([&] { return control_.Table().partitions[0].replicas.size() == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("s1"), control_.Table().partitions[0].replicas[0].name);
+  }
+
   void TakesReportsOfFilledStores() {
     control_.is_duty_holder = true;
     AddStores(2);
--- a/tests/tier/batch/store_presence_test.cpp
+++ b/tests/tier/batch/store_presence_test.cpp
@@ -30,6 +30,8 @@
   CPPUNIT_TEST(ARefutationStartsAnew);
   CPPUNIT_TEST(AwaitsTheReturnOfWhatWentAway);
   CPPUNIT_TEST(AStoreThatWasNeverHeardIsGone);
+  CPPUNIT_TEST(AStoreThatDoesNotAnswerIsGoneUntilItDoes);
+  CPPUNIT_TEST(ANewDiskIsNotTheSilentOne);
   CPPUNIT_TEST_SUITE_END();
 
   StorePresence presence_{kSilentAfter};
@@ -76,6 +78,24 @@
     CPPUNIT_ASSERT(stores.at("s0").condition == StoreCondition::kLive);
     CPPUNIT_ASSERT(stores.at("s9").condition == StoreCondition::kGone);
   }
+
+  void AStoreThatDoesNotAnswerIsGoneUntilItDoes() {
+    At(0, MemberStatus::kAlive);
+    presence_.MarkSilent(kStart, {"s0", "d"});
+    CPPUNIT_ASSERT(At(kMs, MemberStatus::kAlive) == StoreCondition::kGone);
+    CPPUNIT_ASSERT(presence_.AwaitsReturn(kStart + kMs, kReturn));
+    presence_.MarkHeard(kStart + 2 * kMs, {"s0", "d"});
+    CPPUNIT_ASSERT(At(3 * kMs, MemberStatus::kAlive) == StoreCondition::kLive);
+    CPPUNIT_ASSERT(!presence_.AwaitsReturn(kStart + 3 * kMs, kReturn));
+  }
+
+  void ANewDiskIsNotTheSilentOne() {
+    At(0, MemberStatus::kAlive);
+    presence_.MarkSilent(kStart, {"s0", "d"});
+    const auto stores = presence_.Look(kStart + kMs, One(MemberStatus::kAlive, "new"));
+    CPPUNIT_ASSERT(stores.at("s0").condition == StoreCondition::kLive);
+    CPPUNIT_ASSERT(presence_.silent().empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StorePresenceTest);
--- /dev/null
+++ b/tests/tier/proxy/silence_watch_test.cpp
@@ -0,0 +1,72 @@
+// How long a silent worker is waited for, and how many requests may go to another one.
+#include "proxy/silence_watch.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pearreach::proxy {
+namespace {
+
+class SilenceWatchTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SilenceWatchTest);
+  CPPUNIT_TEST(LimitsByTable);
+  CPPUNIT_TEST(FollowsTheLatestAnswers);
+  CPPUNIT_TEST(RepeatsStayASmallPartOfTheSends);
+  CPPUNIT_TEST_SUITE_END();
+
+  static SilenceWatch After(int answers, Micros latency, int slow = 0, Micros slow_latency = 0) {
+    SilenceWatch watch;
+    for (int i = 0; i < answers; ++i) watch.NoteAnswer(i < slow ? slow_latency : latency);
+    return watch;
+  }
+
+ public:
+  void LimitsByTable() {
+    const struct {
+      const char* what;
+      SilenceWatch watch;
+      Micros target, left, limit;
+    } kCases[] = {
+        {"nothing known", SilenceWatch(), 120, 10'000, 1500},
+        {"nothing known, long objective", SilenceWatch(), 400, 10'000, 2000},
+        {"nothing known, little time", SilenceWatch(), 120, 1000, 500},
+        {"too few answers", After(15, 20 * kMs), 120, 10'000, 1500},
+        {"one slow answer is none", After(100, 60 * kMs, 1, 900 * kMs), 120, 1000, 90},
+        {"two slow answers count", After(100, 20 * kMs, 2, 200 * kMs), 120, 1000, 300},
+        {"fast service, half the objective", After(100, 10 * kMs), 120, 1000, 60},
+        {"half of the time that is left", After(100, 400 * kMs), 120, 1000, 500},
+    };
+    for (const auto& c : kCases)
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.what, c.limit * kMs,
+                                   c.watch.Limit(c.target * kMs, c.left * kMs));
+  }
+
+  void FollowsTheLatestAnswers() {
+    SilenceWatch watch = After(200, 20 * kMs);
+    CPPUNIT_ASSERT_EQUAL(Micros{60 * kMs}, watch.Limit(120 * kMs, 10 * kSecond));
+    for (int i = 0; i < 10; ++i) watch.NoteAnswer(200 * kMs);
+    CPPUNIT_ASSERT_EQUAL(Micros{300 * kMs}, watch.Limit(120 * kMs, 10 * kSecond));
+    for (int i = 0; i < 128; ++i) watch.NoteAnswer(20 * kMs);
+    CPPUNIT_ASSERT_EQUAL(Micros{60 * kMs}, watch.Limit(120 * kMs, 10 * kSecond));
+  }
+
+  void RepeatsStayASmallPartOfTheSends() {
+    SilenceWatch watch;
+    constexpr int kSends = 1000;
+    int repeats = 0;
+    for (int i = 0; i < kSends; ++i) {
+      watch.NoteSend();
+      if (watch.TakeRepeat()) ++repeats;
+    }
+    CPPUNIT_ASSERT(repeats >= kSends / 5 && repeats <= kSends / 5 + 1);
+    while (watch.TakeRepeat()) ++repeats;
+    for (int i = 0; i < kSends; ++i) watch.NoteSend();
+    int saved = 0;
+    while (watch.TakeRepeat()) ++saved;
+    CPPUNIT_ASSERT_EQUAL(10, saved);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SilenceWatchTest);
+
+}  // namespace
+}  // namespace pearreach::proxy
