Tell a lot that does not fit its quota when it may, by the rate at which tokens become free

A refused lot came again every 0.3 s, 13 times, and took what became free from lots whose 202 would still have been in time. The owner of a route now estimates the wait from what became free in the last second and from the other lots it refused; without a word it is 0.5 s as before.

--- a/src/batch/lot_api.cpp
+++ b/src/batch/lot_api.cpp
@@ -1,5 +1,7 @@
 #include "batch/lot_api.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <charconv>
 #include <limits>
@@ -98,10 +100,17 @@
   exchange->Respond(status, {{"Content-Type", "application/json"}}, body);
 }
 
-void Refuse(const std::shared_ptr<front::Exchange>& exchange, int status, const char* retry_after) {
+void Refuse(const std::shared_ptr<front::Exchange>& exchange, int status,
+            const std::string& retry_after) {
   exchange->Respond(status, {{"Retry-After", retry_after}}, {});
 }
 
+// Seconds with fractions, as clients take them.
+std::string RetryAfterOf(const CreateLotAnswer& answer) {
+  if (answer.retry_after_ms <= 0) return kWriteRetryAfter;
+  return fmt::format("{:.1f}", static_cast<double>(answer.retry_after_ms) / 1000);
+}
+
 // The last segment after `prefix`; empty: it is not one.
 std::string_view IdAfter(std::string_view path, std::string_view prefix) {
   if (path.substr(0, prefix.size()) != prefix) return {};
@@ -143,7 +152,7 @@
   } else if (answer.ok() && answer->status == CreateStatus::kNoRoom) {
     Refuse(exchange, 503, kNoRoomRetryAfter);
   } else if (answer.ok()) {
-    Refuse(exchange, 429, kWriteRetryAfter);
+    Refuse(exchange, 429, RetryAfterOf(*answer));
   } else if (absl::IsUnavailable(answer.status())) {
     Refuse(exchange, 503, kWriteRetryAfter);
   } else {
--- a/src/batch/lot_hand_in.cpp
+++ b/src/batch/lot_hand_in.cpp
@@ -97,16 +97,17 @@
   quota_call_ = 0;
   if (!answer.ok()) return;
   fits_ = answer->verdict;
+  retry_after_ms_ = answer->retry_after_ms;
   Decide();
 }
 
 void LotHandIn::Decide() {
   if (create_call_ != 0 || done_ == nullptr) return;
   if (offer_ == OfferVerdict::kKnown) return Create();
-  if (offer_ == OfferVerdict::kNoRoom) return Finish(CreateLotAnswer{CreateStatus::kNoRoom});
+  if (offer_ == OfferVerdict::kNoRoom) return Finish(CreateLotAnswer{CreateStatus::kNoRoom, 0});
   if (!fits_.has_value()) return;
   if (!offer_.has_value()) return AwaitOffer();
-  if (IsOver()) return Finish(CreateLotAnswer{CreateStatus::kOverQuota});
+  if (IsOver()) return RefuseOverQuota();
   Create();
 }
 
@@ -117,7 +118,7 @@
   offer_timer_ = timers_->After(kQuestionTime, [this] {
     offer_timer_ = 0;
     const auto self = shared_from_this();
-    if (!offer_.has_value()) Finish(CreateLotAnswer{CreateStatus::kOverQuota});
+    if (!offer_.has_value()) RefuseOverQuota();
   });
 }
 
@@ -139,6 +140,10 @@
                       });
 }
 
+void LotHandIn::RefuseOverQuota() {
+  Finish(CreateLotAnswer{CreateStatus::kOverQuota, retry_after_ms_});
+}
+
 void LotHandIn::GiveUp() {
   const char* why = fits_.has_value() ? "its stores do not all answer" : "the quota is not known";
   logging::Info(kModule, "lot refused",
--- a/src/batch/lot_hand_in.h
+++ b/src/batch/lot_hand_in.h
@@ -44,6 +44,7 @@
   void AwaitOffer();
   void Create();
   void GiveUp();
+  void RefuseOverQuota();
   void Finish(const absl::StatusOr<CreateLotAnswer>& answer);
   bool IsOver() const { return fits_.has_value() && *fits_ == QuotaVerdict::kOver; }
   CallTime QuestionTime() const;
@@ -58,6 +59,7 @@
   StoreClient::CallId offer_call_ = 0, quota_call_ = 0, create_call_ = 0;
   std::optional<OfferVerdict> offer_;
   std::optional<QuotaVerdict> fits_;
+  std::int64_t retry_after_ms_ = 0;
   Timers::Id give_up_timer_ = 0, offer_timer_ = 0;
 };
 
--- a/src/batch/lot_store_changes.cpp
+++ b/src/batch/lot_store_changes.cpp
@@ -68,7 +68,7 @@
     return;
   }
   if (known != nullptr && known->accepted) {
-    respond(codec::Encode(CreateLotAnswer{CreateStatus::kAccepted}));
+    respond(codec::Encode(CreateLotAnswer{CreateStatus::kAccepted, 0}));
     return;
   }
   if (under_way != creating_.end()) {
@@ -76,7 +76,7 @@
     return;
   }
   if (!context_->HasRoom(replica->table(), LotBytes(*lot))) {
-    respond(codec::Encode(CreateLotAnswer{CreateStatus::kNoRoom}));
+    respond(codec::Encode(CreateLotAnswer{CreateStatus::kNoRoom, 0}));
     return;
   }
   creating_[lot->lot_id] = {lot->fingerprint, {std::move(respond)}};
@@ -125,7 +125,7 @@
   creating_.erase(at);
   for (const mesh::Respond& respond : creation.waiting) {
     if (outcome.ok()) {
-      respond(codec::Encode(CreateLotAnswer{*outcome}));
+      respond(codec::Encode(CreateLotAnswer{*outcome, 0}));
     } else {
       respond(outcome.status());
     }
--- a/src/batch/lot_store_quota.cpp
+++ b/src/batch/lot_store_quota.cpp
@@ -17,7 +17,7 @@
   return started | (context->Random() & ((1U << kRandomBits) - 1));
 }
 
-std::string Verdict(QuotaVerdict verdict) { return codec::Encode(QuotaReserveAnswer{verdict}); }
+std::string Verdict(QuotaVerdict verdict) { return codec::Encode(QuotaReserveAnswer{verdict, 0}); }
 
 }  // namespace
 
@@ -176,7 +176,11 @@
     respond(NotPrimary());
     return;
   }
-  respond(Verdict(OwnedOf(question.route).ledger.Fits(question)));
+  QuotaLedger& ledger = OwnedOf(question.route).ledger;
+  QuotaReserveAnswer answer{ledger.Fits(question), 0};
+  if (answer.verdict == QuotaVerdict::kOver)
+    answer.retry_after_ms = ledger.RetryAfter(question, context_->Now()) / kMs;
+  respond(codec::Encode(answer));
 }
 
 QuotaService::Owned& QuotaService::OwnedOf(const std::string& route) {
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -120,9 +120,10 @@
 };
 struct CreateLotAnswer {
   CreateStatus status = CreateStatus::kAccepted;
+  std::int64_t retry_after_ms = 0;  // of a refusal; 0: not known
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& status;
+    archive& status& retry_after_ms;
   }
 };
 
--- a/src/batch/quota.cpp
+++ b/src/batch/quota.cpp
@@ -40,6 +40,7 @@
     if (taken.contains(PartitionOf(lot.lot_id))) waiting[lot.lot_id] = lot.tokens;
   }
   const std::set<std::string> asked(report.asked.begin(), report.asked.end());
+  const double before = Sum();
   std::vector<std::string> released;
   std::erase_if(entries_, [&](const auto& entry) {
     const auto reporter = taken.find(PartitionOf(entry.first));
@@ -49,6 +50,7 @@
     return true;
   });
   for (const auto& [lot, tokens] : waiting) entries_[lot].tokens = tokens;
+  drain_.NoteFreed(std::max(before - Sum(), 0.0), now);
   return released;
 }
 
@@ -81,6 +83,11 @@
   return IsFresh() ? QuotaVerdict::kOver : QuotaVerdict::kUnknown;
 }
 
+Micros QuotaLedger::RetryAfter(const QuotaQuestion& question, Micros now) {
+  drain_.NoteRefused(question.lot_id, question.tokens, now);
+  return drain_.Wait(question.lot_id, Sum() + question.tokens - question.cap, now);
+}
+
 QuotaVerdict QuotaLedger::Reserve(const QuotaReserve& reserve, Micros now) {
   Entry& entry = entries_[reserve.lot_id];
   const double tokens = reserve.reservation.tokens;
@@ -92,6 +99,7 @@
   entry.reservation = reserve.reservation;
   entry.reserved = true;
   entry.granted = now;
+  drain_.NoteGranted(reserve.lot_id);
   return QuotaVerdict::kGranted;
 }
 
--- a/src/batch/quota.h
+++ b/src/batch/quota.h
@@ -13,6 +13,7 @@
 #include "base/timers.h"
 #include "batch/lot_state.h"
 #include "batch/messages.h"
+#include "batch/quota_drain.h"
 
 namespace pearreach::batch {
 
@@ -48,9 +49,10 @@
 // The answer to both.
 struct QuotaReserveAnswer {
   QuotaVerdict verdict = QuotaVerdict::kUnknown;
+  std::int64_t retry_after_ms = 0;  // kOver: when it may fit; 0: not known
   template <class Archive>
   void serialize(Archive& archive, unsigned) {
-    archive& verdict;
+    archive& verdict& retry_after_ms;
   }
 };
 
@@ -95,6 +97,8 @@
   // that does not fit.
   QuotaVerdict Fits(const QuotaQuestion& question) const;
   double Sum() const;
+  // Of a lot that does not fit: notes that it was refused, and when it may fit.
+  Micros RetryAfter(const QuotaQuestion& question, Micros now);
   // All partitions that tokens were granted to have reported to this ledger.
   bool IsFresh() const;
   // A partition that tokens were granted to has been silent for kReportSpan.
@@ -115,6 +119,7 @@
 
   std::map<std::string, Entry> entries_;         // by lot
   std::map<std::uint32_t, Reporter> reporters_;  // by partition
+  QuotaDrain drain_;
   Micros since_ = 0;
 };
 
--- /dev/null
+++ b/src/batch/quota_drain.h
@@ -0,0 +1,34 @@
+// When a lot that does not fit its route's quota may fit: by how fast tokens have become free there
+// lately, and what else was refused meanwhile and will be asked for again. Pure.
+#ifndef PEARREACH_SRC_BATCH_QUOTA_DRAIN_H_
+#define PEARREACH_SRC_BATCH_QUOTA_DRAIN_H_
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "base/timers.h"
+
+namespace pearreach::batch {
+
+class QuotaDrain {
+ public:
+  // Tokens that no longer wait.
+  void NoteFreed(double tokens, Micros now);
+  void NoteRefused(const std::string& lot_id, double tokens, Micros now);
+  void NoteGranted(const std::string& lot_id) { refused_.erase(lot_id); }
+  // Until so many tokens, and those of the other refused lots, have become free; a default where
+  // nothing has become free lately.
+  Micros Wait(const std::string& lot_id, double missing, Micros now) const;
+
+ private:
+  double Rate(Micros now) const;  // tokens a second
+
+  double freed_ = 0;  // fades over kMemory
+  Micros freed_at_ = 0;
+  std::map<std::string, std::pair<double, Micros>> refused_;  // tokens, when last
+};
+
+}  // namespace pearreach::batch
+
+#endif  // PEARREACH_SRC_BATCH_QUOTA_DRAIN_H_
--- a/tests/tier/batch/edge_hand_in_test.cpp
+++ b/tests/tier/batch/edge_hand_in_test.cpp
@@ -53,7 +53,7 @@
     mesh_.Next(MessageType::kLotOffer).Reply(OfferLotAnswer{verdict});
   }
   void AnswerQuota(QuotaVerdict verdict) {
-    mesh_.Next(MessageType::kQuotaQuestion).Reply(QuotaReserveAnswer{verdict});
+    mesh_.Next(MessageType::kQuotaQuestion).Reply(QuotaReserveAnswer{verdict, 0});
   }
   bool Ended() {
     return TurnUntil([this] { return result_.has_value(); });
@@ -147,7 +147,7 @@
     RaiseEpoch();
     const FakeCall again = mesh_.Next(MessageType::kLotCreate);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, again.As<CreateLot>().partition_epoch);
-    again.Reply(CreateLotAnswer{CreateStatus::kOverQuota});
+    again.Reply(CreateLotAnswer{CreateStatus::kOverQuota, 0});
     CPPUNIT_ASSERT(result_.has_value() && result_->ok());
     CPPUNIT_ASSERT(Status() == CreateStatus::kOverQuota);
   }
@@ -157,7 +157,7 @@
     AnswerQuota(QuotaVerdict::kGranted);
     AnswerOffer(OfferVerdict::kWelcome);
     mesh_.Next(MessageType::kLotCreate).done(absl::UnavailableError("connection"));
-    mesh_.Next(MessageType::kLotCreate).Reply(CreateLotAnswer{CreateStatus::kOverQuota});
+    mesh_.Next(MessageType::kLotCreate).Reply(CreateLotAnswer{CreateStatus::kOverQuota, 0});
     CPPUNIT_ASSERT(result_.has_value());
     CPPUNIT_ASSERT(absl::IsDeadlineExceeded(result_->status()));
   }
--- a/tests/tier/batch/edge_lot_api_test.cpp
+++ b/tests/tier/batch/edge_lot_api_test.cpp
@@ -54,7 +54,7 @@
 
   // The stores answer that the lot may come.
   void Admit() {
-    mesh_.Next(MessageType::kQuotaQuestion).Reply(QuotaReserveAnswer{QuotaVerdict::kGranted});
+    mesh_.Next(MessageType::kQuotaQuestion).Reply(QuotaReserveAnswer{QuotaVerdict::kGranted, 0});
     mesh_.Next(MessageType::kLotOffer).Reply(OfferLotAnswer{OfferVerdict::kWelcome});
   }
 
@@ -106,9 +106,9 @@
       int status;
     };
     const std::vector<Case> cases = {
-        {codec::Encode(CreateLotAnswer{CreateStatus::kAccepted}), 202},
-        {codec::Encode(CreateLotAnswer{CreateStatus::kOverQuota}), 429},
-        {codec::Encode(CreateLotAnswer{CreateStatus::kNoRoom}), 503},
+        {codec::Encode(CreateLotAnswer{CreateStatus::kAccepted, 0}), 202},
+        {codec::Encode(CreateLotAnswer{CreateStatus::kOverQuota, 0}), 429},
+        {codec::Encode(CreateLotAnswer{CreateStatus::kNoRoom, 0}), 503},
         {absl::InternalError("x"), 504},
     };
     for (const Case& c : cases) {
@@ -152,13 +152,13 @@
     const auto exchange = Submit(kLot, "300");
     Admit();
     mesh_.Next(MessageType::kLotCreate).done(absl::UnavailableError("connection"));
-    mesh_.Next(MessageType::kLotCreate).Reply(CreateLotAnswer{CreateStatus::kOverQuota});
+    mesh_.Next(MessageType::kLotCreate).Reply(CreateLotAnswer{CreateStatus::kOverQuota, 0});
     CPPUNIT_ASSERT_EQUAL(504, exchange->status);
   }
 
   void RefusesWhatWasNeverSent() {
     const auto exchange = Submit(kLot, "250");
-    mesh_.Next(MessageType::kQuotaQuestion).Reply(QuotaReserveAnswer{QuotaVerdict::kGranted});
+    mesh_.Next(MessageType::kQuotaQuestion).Reply(QuotaReserveAnswer{QuotaVerdict::kGranted, 0});
     mesh_.Next(MessageType::kLotOffer).done(absl::FailedPreconditionError("not primary"));
     control_.member_map["s0"].status = coordination::MemberStatus::kDead;
     CPPUNIT_ASSERT(TurnUntil([&] { return exchange->status != 0; }));
