Show requests that a node takes late in its grace and leaves unanswered

What is taken in between on a connection that was kept open is passed on to a worker; a node that ends a second before the grace is over drops it without an answer.

Nothing of the product is changed.

--- a/review/lib/tier.py
+++ b/review/lib/tier.py
@@ -78,6 +78,7 @@
     def __init__(self, tier, worker_id, address, service, zone):
         self.tier, self.worker_id, self.address = tier, worker_id, address
         self.service, self.zone = service, zone
+        self.ran = []  # when, and the id of each request
         self._call_seq = 0
         self._ended = threading.Event()
         ip, port = address.rsplit(":", 1)
@@ -143,15 +144,20 @@
                                 "Content-Length: 0\r\n\r\n" % attempt_id).encode())
             return True
         self.tier.record.write("worker %s runs %s %s" % (self.worker_id, attempt_id, first[1]))
+        self.ran.append((time.monotonic(), attempt_id))
+        self.respond(connection, attempt_id, first[1], int(headers.get("last-event-id", "0")))
+        return True
+
+    def respond(self, connection, attempt_id, path, last_event_id):
+        """The answer to a request that runs; here three events at once, whatever the path."""
         connection.sendall(("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Seal: %s.%s\r\n"
                             "Content-Type: text/event-stream\r\n"
                             "Transfer-Encoding: chunked\r\n\r\n"
                             % (attempt_id, self.worker_id, attempt_id)).encode())
-        for number in range(int(headers.get("last-event-id", "0")) + 1, 4):
+        for number in range(last_event_id + 1, 4):
             event = "id: %d\ndata: %s-%d\n\n" % (number, attempt_id, number)
             connection.sendall(("%x\r\n%s\r\n" % (len(event), event)).encode())
         connection.sendall(b"0\r\n\r\n")
-        return True
 
     def end(self):
         self._ended.set()
@@ -277,10 +283,13 @@
     def machines(self):
         return self.edges + self.stores
 
+    def worker_address(self, i):
+        return "127.%d.%d.3:8080" % (self._net, i + 1)
+
     def start_workers(self, service="demo"):
         for i in range(self._worker_count):
-            address = "127.%d.%d.3:8080" % (self._net, i + 1)
-            self.workers.append(Worker(self, "w-%d" % (i + 1), address, service, ZONES[i % 3]))
+            self.workers.append(Worker(self, "w-%d" % (i + 1), self.worker_address(i), service,
+                                       ZONES[i % 3]))
 
     def end(self):
         for worker in self.workers:
