--- a/lab/soak/http_connection.h
+++ b/lab/soak/http_connection.h
@@ -20,9 +20,13 @@
   int error = 0;          // errno of the read that failed; 0: the other end closed
   bool complete = false;  // the body came as a whole
   bool timed_out = false;
+  bool sent = false;  // the whole request has been handed to the connection
   std::string head, body;
 };
 
+// The bytes of the request, with a Content-Length.
+std::string BytesOf(const HttpRequest& request);
+
 class HttpConnection {
  public:
   HttpConnection(std::string ip, int port) : ip_(std::move(ip)), port_(port) {}
@@ -34,11 +38,14 @@
   bool Connect();
   // Sends on the connection and waits for the whole answer, 10 s at most for each part of it.
   HttpAnswer Ask(const HttpRequest& request);
+  // The two halves of Ask, for requests in pieces and several at once. The connection stays open
+  // until an answer says that it ends.
+  bool Send(const std::string& bytes);
+  HttpAnswer ReadAnswer();
   void Close();
   bool open() const { return descriptor_ >= 0; }
 
  private:
-  bool Send(const std::string& bytes);
   bool ReadMore(HttpAnswer* answer);
   bool ReadBody(HttpAnswer* answer);
   bool ReadChunks(HttpAnswer* answer);
--- a/lab/soak/operator.cpp
+++ b/lab/soak/operator.cpp
@@ -37,6 +37,7 @@
   }
   configuration.tenants[kHotTenant] = {{kHotKey}, 8, 6};
   configuration.tenants[kSteadyTenant] = {{kSteadyKey}, 8, 6};
+  configuration.tenants[kKeptTenant] = {{kKeptKey}, 0, 0};
   return configuration;
 }
 
--- a/lab/soak/operator.h
+++ b/lab/soak/operator.h
@@ -18,6 +18,8 @@
 // Both send many times their limit; that of the second is never changed.
 inline constexpr char kHotTenant[] = "tenant-hot", kHotKey[] = "key-hot";
 inline constexpr char kSteadyTenant[] = "tenant-steady", kSteadyKey[] = "key-steady";
+// Without a limit, and never changed.
+inline constexpr char kKeptTenant[] = "tenant-kept", kKeptKey[] = "key-kept";
 
 class Operator {
  public:
