Take requests on a leaving node only if they end within its grace

Cause: the gateway refused new requests only from half of grace_s on (4 s), whatever their deadline; a connection whose stream began before the signal stays open for one more request, and the process ends at grace_s - 0.7 s with whatever is open. Change: from the moment on at which the platform sends no more connections (2.5 s, or half of a short grace), a request is taken only if its deadline comes before the process ends, else it gets a 503 at once. A request is thus answered, or refused with the promise that it has not run. SetDraining(true) in three tests became BeginDrain(Now()), which refuses as much.

--- a/src/tier/gateway/gateway.cpp
+++ b/src/tier/gateway/gateway.cpp
@@ -76,17 +76,26 @@
       [this](std::shared_ptr<http_server::Exchange> exchange) { Dispatch(std::move(exchange)); });
 }
 
-void Gateway::SetDraining(bool draining) {
-  draining_ = draining;
-  if (!draining) return;
+void Gateway::BeginDrain(Micros answer_by) {
+  answer_by_ = answer_by;
   start_queue_.Release([this](const std::shared_ptr<http_server::Exchange>& exchange) {
-    ++context_.outcomes->draining;
-    Refuse(exchange.get(), kUnavailable);
+    RefuseDraining(exchange.get());
   });
 }
 
+bool Gateway::HasTimeFor(const Routed& routed) const {
+  if (!answer_by_.has_value()) return true;
+  const http_server::Exchange& exchange = *routed.exchange;
+  return RequestDeadline(*routed.route, exchange.request(), exchange.arrived()) < *answer_by_;
+}
+
+void Gateway::RefuseDraining(http_server::Exchange* exchange) {
+  ++context_.outcomes->draining;
+  Refuse(exchange, kUnavailable);
+}
+
 void Gateway::HoldUntilConfigured(const std::shared_ptr<http_server::Exchange>& exchange) {
-  if (hold_until_configured_ && !draining_ && start_queue_.Hold(exchange)) return;
+  if (hold_until_configured_ && !answer_by_.has_value() && start_queue_.Hold(exchange)) return;
   ++context_.outcomes->no_configuration;
   Refuse(exchange.get(), kUnavailable);
 }
@@ -123,10 +132,7 @@
 
 void Gateway::HandleRouted(Routed routed) {
   Outcomes& outcomes = *context_.outcomes;
-  if (draining_) {
-    ++outcomes.draining;
-    return Refuse(routed.exchange.get(), kUnavailable);
-  }
+  if (!HasTimeFor(routed)) return RefuseDraining(routed.exchange.get());
   if (routed.route->variant == routing::Variant::kBulk) {
     ++outcomes.bulk;
     if (!bulk_handler_) return Refuse(routed.exchange.get(), kUnavailable);
@@ -156,10 +162,7 @@
 
 void Gateway::OnQuotaDecision(const Routed& routed, const quota::Decision& decision) {
   http_server::Exchange* const exchange = routed.exchange.get();
-  if (draining_) {
-    ++context_.outcomes->draining;
-    return Refuse(exchange, kUnavailable);
-  }
+  if (!HasTimeFor(routed)) return RefuseDraining(exchange);
   if (decision.verdict == quota::Verdict::kGranted) return StartRequest(routed);
   const bool over_limit = decision.verdict == quota::Verdict::kOverLimit;
   ++(over_limit ? context_.outcomes->over_limit : context_.outcomes->no_quota);
--- a/src/tier/gateway/gateway.h
+++ b/src/tier/gateway/gateway.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "common/event_loop/timers.h"
@@ -47,9 +48,10 @@
   // Sets the rate limiter of tenants; null: no limits. `limiter` must outlive the gateway and its
   // requests.
   void SetLimiter(quota::RequestLimiter* limiter) { limiter_ = limiter; }
-  // While draining, new requests that need a worker get a 503. Used at the end of a drain, when new
-  // requests could not be completed. Requests in progress continue.
-  void SetDraining(bool draining);
+  // From now on, a new request that needs a worker or the stores gets a 503 unless its deadline
+  // comes before `answer_by`, when this process gives the last answers. Requests in progress
+  // continue.
+  void BeginDrain(Micros answer_by);
 
   const Outcomes& outcomes() const { return *context_.outcomes; }
 
@@ -71,6 +73,9 @@
   void AcquireQuota(Routed routed);
   void OnQuotaDecision(const Routed& routed, const quota::Decision& decision);
   void StartRequest(const Routed& routed);
+  // Whether this process can still see the request to its end.
+  bool HasTimeFor(const Routed& routed) const;
+  void RefuseDraining(http_server::Exchange* exchange);
   void Refuse(http_server::Exchange* exchange, int status);
   // Rejects a request whose sender may not be served now: with 503 if the configuration may be
   // outdated, otherwise with 401. False: the sender may be served.
@@ -85,7 +90,7 @@
   WithdrawnKeys withdrawn_keys_;
   const bool hold_until_configured_;
   StartQueue start_queue_;
-  bool draining_ = false;
+  std::optional<Micros> answer_by_;  // of a drain
   // Lets the control listener detect destruction.
   const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/tier/gateway/request_builder.cpp
+++ b/src/tier/gateway/request_builder.cpp
@@ -71,12 +71,16 @@
 
 }  // namespace
 
+Micros RequestDeadline(const routing::Route& route, const http::Message& request, Micros arrived) {
+  return arrived + static_cast<Micros>(TimeLimitMs(route, request) * kMs);
+}
+
 proxy::RequestSpec BuildRequestSpec(const routing::Route& route, const Sender& sender,
                                     http::Message* request, Micros arrived) {
   proxy::RequestSpec spec;
   spec.attempt_id = ValueOf(*request, "X-Attempt-Id");
   spec.service = routing::RouteTable::Pick(route, SplitPoint(spec.attempt_id)).service;
-  spec.deadline = arrived + static_cast<Micros>(TimeLimitMs(route, *request) * kMs);
+  spec.deadline = RequestDeadline(route, *request, arrived);
   spec.target_ms = route.target_ms;
   spec.gap_target_ms = route.gap_target_ms;
   spec.rank = EffectiveRank(route, sender);
--- a/src/tier/gateway/request_builder.h
+++ b/src/tier/gateway/request_builder.h
@@ -10,6 +10,10 @@
 
 namespace pearreach::gateway {
 
+// When the request's time is over, on the clock of Now(): the client's deadline or the end of the
+// route's limit, the earlier of the two. `arrived`: when the request had been read.
+Micros RequestDeadline(const routing::Route& route, const http::Message& request, Micros arrived);
+
 // Moves target, headers and body out of `request`, which must have an X-Attempt-Id. `sender`:
 // result of Authenticate; its tenant's rank overrides the route's.
 proxy::RequestSpec BuildRequestSpec(const routing::Route& route, const Sender& sender,
--- a/src/tier/server/node.cpp
+++ b/src/tier/server/node.cpp
@@ -344,9 +344,12 @@
   bool done = true;
   if (edge_server_ != nullptr) {
     const Micros notices = std::min(kPlatformNotices, grace / 2);
-    // Guards requests that come at the very end: nothing new is read once the process may go.
-    if (since > notices) edge_server_->StopAccepting();
-    if (since > grace / 2) gateway_->SetDraining(true);
+    // Guards requests that come at the very end: nothing new is read once the process may go, and
+    // what still comes on open connections is taken only if it ends before that.
+    if (since > notices) {
+      edge_server_->StopAccepting();
+      gateway_->BeginDrain(stopped_at_ + grace - kExitMargin - kLeaveDelay);
+    }
     done = since > notices && items_returned_ && edge_server_->connections() == 0;
   }
   done =
--- a/tests/tier/gateway/gateway_test.cpp
+++ b/tests/tier/gateway/gateway_test.cpp
@@ -124,6 +124,8 @@
   CPPUNIT_TEST(EndsAtTheLimitWith504);
   CPPUNIT_TEST(EndsAtTheLimitAbortsStreams);
   CPPUNIT_TEST(DrainingRefusesNewWork);
+  CPPUNIT_TEST(DrainingTakesWhatEndsInTime);
+  CPPUNIT_TEST(DrainingRefusesWhatWaitedTooLongForItsQuota);
   CPPUNIT_TEST(SetsTheTenantWhateverTheClientSent);
   CPPUNIT_TEST(RefusesUnknownKeys);
   CPPUNIT_TEST(FollowsKeysThatMove);
@@ -212,7 +214,7 @@
     }
     CPPUNIT_ASSERT_EQUAL(0, exchanges[3]->status);
     CPPUNIT_ASSERT_EQUAL(503, exchanges[4]->status);
-    gateway.SetDraining(true);
+    gateway.BeginDrain(Now());
     for (const auto& exchange : exchanges) CPPUNIT_ASSERT_EQUAL(503, exchange->status);
   }
 
@@ -416,7 +418,7 @@
 
   void DrainingRefusesNewWork() {
     const auto before = Handle(Request("POST", "/p/x"));
-    gateway_->SetDraining(true);
+    gateway_->BeginDrain(Now());
     CPPUNIT_ASSERT_EQUAL(503, Handle(Request("POST", "/p/x"))->status);
     CPPUNIT_ASSERT_EQUAL(503, Handle(Request("POST", "/lot/x"))->status);
     CPPUNIT_ASSERT_EQUAL(404, Handle(Request("POST", "/nowhere"))->status);
@@ -428,6 +430,38 @@
     CPPUNIT_ASSERT_EQUAL(200, before->status);
   }
 
+  // LOST: a node that leaves took requests that it could not answer in what was left of its grace.
+  void DrainingTakesWhatEndsInTime() {
+    gateway_->BeginDrain(Now() + 2 * kSecond);
+    const struct {
+      const char *target, *deadline_ms;
+      bool taken;
+    } kCases[] = {{"/p/x", "1000", true},     {"/p/x", "3000", false},    {"/lot/x", "1000", true},
+                  {"/lot/x", "3000", false},  {"/brief/x", "3000", true},  // by its route's limit
+                  {"/brief/x", nullptr, true}};
+    for (const auto& c : kCases) {
+      http::Message request = Request("POST", c.target);
+      if (c.deadline_ms != nullptr) request.headers.push_back({"X-Deadline-Ms", c.deadline_ms});
+      const auto exchange = Handle(std::move(request));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(c.target, c.taken ? 0 : 503, exchange->status);
+      if (!c.taken) CPPUNIT_ASSERT_EQUAL(std::string("77aa"), exchange->Header("X-Attempt-Id"));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, gateway_->outcomes().draining);
+  }
+
+  void DrainingRefusesWhatWaitedTooLongForItsQuota() {
+    ManualLimiter limiter;
+    gateway_->SetLimiter(&limiter);
+    control_->Use(WithTenants(kTenants));
+    http::Message request = WithKey(Request("POST", "/p/once/x"), "k-acme");
+    request.headers.push_back({"X-Deadline-Ms", "5000"});
+    const auto exchange = Handle(request);
+    gateway_->BeginDrain(Now() + kSecond);
+    limiter.Decide({quota::Verdict::kGranted});
+    CPPUNIT_ASSERT_EQUAL(503, exchange->status);
+    CPPUNIT_ASSERT(runner_->specs.empty());
+  }
+
   // UNASKED: a worker gets the name of the tenant that owns the key, and never the key.
   void SetsTheTenantWhateverTheClientSent() {
     control_->Use(WithTenants(kTenants));
@@ -667,7 +701,7 @@
     later.Use(WithTenants(kTenants));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, limiter.deadlines.size());
     CPPUNIT_ASSERT(limiter.deadlines[0] > Now());
-    gateway.SetDraining(true);  // no request starts while draining, granted or not
+    gateway.BeginDrain(Now());  // no request starts while draining, granted or not
     limiter.Decide({quota::Verdict::kGranted});
     CPPUNIT_ASSERT_EQUAL(503, exchange->status);
     CPPUNIT_ASSERT(runner_->specs.empty());
