Give each request that a leaving node has read a last answer

What callers saw: at the end of its grace a node ended with whatever was open: requests at a worker, held reads (X-Wait-Ms), pipelined requests, bodies half read, control calls; the connections closed without an answer, also where no worker had been sent the request. Cause: Leave told the other nodes and ended the process; nothing went through the open exchanges. Change: HttpServer::Shutdown gives each open request its last answer and closes its connection. Exchange::OnShutdown asks the handler first, since it knows more: the runner ends a request by whether a worker may have run it (503, or 502), a held read gets a 503, a submission 503 or 504; what no handler answers gets a 504, what has not come whole a 503; a stream under way is cut off so that it cannot look complete. Calls about batch jobs are bounded by what is left, control calls are drained too. A machine whose disk was rolled back answers before it ends.

--- a/src/tier/batch/batch_job_api.cpp
+++ b/src/tier/batch/batch_job_api.cpp
@@ -132,9 +132,21 @@
   return request.method == "GET" && !LastSegmentAfter(path, kItemsPath).empty();
 }
 
-void BatchJobApi::CancelOnDisconnect(const std::shared_ptr<http_server::Exchange>& exchange,
+void BatchJobApi::CancelWithExchange(const std::shared_ptr<http_server::Exchange>& exchange,
                                      StoreClient::CallId call) {
   exchange->OnClosed([stores = stores_, call] { stores->Cancel(call); });
+  const std::weak_ptr<http_server::Exchange> weak = exchange;
+  exchange->OnShutdown([stores = stores_, call, weak] {
+    const auto client = weak.lock();
+    if (client == nullptr) return;
+    stores->Cancel(call);
+    RejectWithRetryAfter(client, 503, kReadRetryAfter);
+  });
+}
+
+Micros BatchJobApi::TimeForCall(Micros time) const {
+  if (!answer_by_.has_value()) return time;
+  return std::clamp<Micros>(*answer_by_ - Now(), 0, time);
 }
 
 void BatchJobApi::Handle(const std::shared_ptr<http_server::Exchange>& exchange) {
@@ -187,6 +199,7 @@
       });
   // The client's connection owns the submission.
   exchange->OnClosed([submission] { submission->Cancel(); });
+  exchange->OnShutdown([submission] { submission->Terminate(); });
   submission->Start();
 }
 
@@ -207,7 +220,7 @@
     read.wait_ms = static_cast<std::int64_t>(std::min(wait_ms, static_cast<double>(kMaxWaitMs)));
   }
   CallTime time;
-  time.overall = read.wait_ms * kMs + kReadTimeout;
+  time.overall = TimeForCall(read.wait_ms * kMs + kReadTimeout);
   time.attempt = read.wait_ms * kMs + kReadAttemptTimeout;
   const std::uint64_t start = read.start_after;
   const auto on_response = [exchange, start](const absl::StatusOr<ReadBatchJobResponse>& response) {
@@ -215,7 +228,7 @@
       RespondJson(exchange, 200, WriteOutputs(found, start));
     });
   };
-  CancelOnDisconnect(exchange, stores_->Read(std::move(read), time, on_response));
+  CancelWithExchange(exchange, stores_->Read(std::move(read), time, on_response));
 }
 
 void BatchJobApi::ReadBody(const std::shared_ptr<http_server::Exchange>& exchange,
@@ -229,7 +242,7 @@
   read.batch_job_id = std::move(batch_job_id);
   read.item_id = PercentDecode(*item);
   CallTime time;
-  time.overall = kReadTimeout;
+  time.overall = TimeForCall(kReadTimeout);
   time.attempt = kReadAttemptTimeout;
   const auto on_response = [exchange](const absl::StatusOr<ReadItemBodyResponse>& response) {
     RespondIfFound(
@@ -237,7 +250,7 @@
           exchange->Respond(200, {{"Content-Type", "application/octet-stream"}}, found.body);
         });
   };
-  CancelOnDisconnect(exchange, stores_->ReadBody(std::move(read), time, on_response));
+  CancelWithExchange(exchange, stores_->ReadBody(std::move(read), time, on_response));
 }
 
 void BatchJobApi::CancelBatch(const std::shared_ptr<http_server::Exchange>& exchange,
@@ -245,12 +258,12 @@
   CancelBatchJob cancel;
   cancel.batch_job_id = std::move(batch_job_id);
   CallTime time;
-  time.overall = kCancelTimeout;
+  time.overall = TimeForCall(kCancelTimeout);
   const auto on_response = [exchange](const absl::StatusOr<CancelBatchJobResponse>& response) {
     RespondIfFound(exchange, response, kNoSuchBatchJob,
                    [&](const CancelBatchJobResponse&) { RespondJson(exchange, 200, "{}"); });
   };
-  CancelOnDisconnect(exchange, stores_->CancelBatch(std::move(cancel), time, on_response));
+  CancelWithExchange(exchange, stores_->CancelBatch(std::move(cancel), time, on_response));
 }
 
 }  // namespace pearreach::batch
--- a/src/tier/batch/batch_job_api.h
+++ b/src/tier/batch/batch_job_api.h
@@ -30,6 +30,9 @@
               BatchJobLimits limits, bool offers = true);
 
   void SetLimits(BatchJobLimits limits) { limits_ = limits; }
+  // From now on, calls about batch jobs end before `answer_by`, on the clock of Now(), when this
+  // process gives the last answers; reads are held no longer than that.
+  void BeginDrain(Micros answer_by) { answer_by_ = answer_by; }
   // GET or DELETE of /lots/ID, GET of /items/ID.
   static bool IsBatchJobCall(const http::Message& request);
   // Responds to a call for which IsBatchJobCall is true: 404 if there is no such batch job or item,
@@ -51,15 +54,17 @@
                 std::string_view query);
   void CancelBatch(const std::shared_ptr<http_server::Exchange>& exchange,
                    std::string batch_job_id);
-  // Cancels the call when the client disconnects.
-  void CancelOnDisconnect(const std::shared_ptr<http_server::Exchange>& exchange,
+  // Cancels the call when the client disconnects, and when the server shuts down: then with a 503.
+  void CancelWithExchange(const std::shared_ptr<http_server::Exchange>& exchange,
                           StoreClient::CallId call);
+  Micros TimeForCall(Micros time) const;  // `time`, or less while draining
 
   Timers* timers_;
   StoreClient* stores_;
   control::ControlClient* control_;
   BatchJobLimits limits_;
   const bool offers_;
+  std::optional<Micros> answer_by_;  // of a drain
 };
 
 }  // namespace pearreach::batch
--- a/src/tier/batch/batch_job_submission.cpp
+++ b/src/tier/batch/batch_job_submission.cpp
@@ -59,6 +59,12 @@
     stores_->Cancel(std::exchange(*call, 0));
 }
 
+void BatchJobSubmission::Terminate() {
+  const auto self = shared_from_this();
+  constexpr char kWhy[] = "this node shuts down";
+  Finish(create_call_ == 0 ? absl::UnavailableError(kWhy) : absl::DeadlineExceededError(kWhy));
+}
+
 CallTime BatchJobSubmission::PreCheckTime() const {
   CallTime time;
   time.overall = std::max<Micros>(started_at_ + time_.overall - Now(), 0);
--- a/src/tier/batch/batch_job_submission.h
+++ b/src/tier/batch/batch_job_submission.h
@@ -35,6 +35,9 @@
   void Start();
   // The client has disconnected.
   void Cancel();
+  // Ends it now, since this process shuts down: UNAVAILABLE if the batch job has not been sent to a
+  // store, DEADLINE_EXCEEDED if it has.
+  void Terminate();
 
  private:
   void Offer();
--- a/src/tier/gateway/gateway.cpp
+++ b/src/tier/gateway/gateway.cpp
@@ -158,6 +158,13 @@
     limiter_->Cancel(acquisition);
     ++context_.outcomes->client_gone;
   });
+  const std::weak_ptr<http_server::Exchange> weak = exchange;
+  exchange->OnShutdown([this, acquisition, weak] {
+    const auto client = weak.lock();
+    if (client == nullptr) return;
+    limiter_->Cancel(acquisition);
+    RefuseDraining(client.get());
+  });
 }
 
 void Gateway::OnQuotaDecision(const Routed& routed, const quota::Decision& decision) {
--- a/src/tier/gateway/live_request.cpp
+++ b/src/tier/gateway/live_request.cpp
@@ -28,6 +28,9 @@
   exchange_->OnClosed([weak] {
     if (const auto self = weak.lock()) self->OnClientDisconnected();
   });
+  exchange_->OnShutdown([weak] {
+    if (const auto self = weak.lock()) self->OnServerShutdown();
+  });
   exchange_->OnDrained([weak] {
     const auto self = weak.lock();
     if (self != nullptr && self->submitted_) self->context_.runner->Resume(self->request_id_);
@@ -129,6 +132,11 @@
   exchange_.reset();
 }
 
+// The runner knows whether a worker may have run the request, so it decides on the answer.
+void LiveRequest::OnServerShutdown() {
+  if (submitted_ && !ended_) context_.runner->Terminate(request_id_);
+}
+
 void LiveRequest::OnDeadline() {
   const auto self = shared_from_this();
   if (!End()) return;
--- a/src/tier/gateway/live_request.h
+++ b/src/tier/gateway/live_request.h
@@ -37,6 +37,7 @@
 
  private:
   void OnClientDisconnected();
+  void OnServerShutdown();
   void OnDeadline();
   void Complete();
   void RespondFailure(const proxy::RequestResult& result);
--- a/src/tier/http_server/client_exchange.cpp
+++ b/src/tier/http_server/client_exchange.cpp
@@ -16,7 +16,7 @@
 
 void ClientExchange::Respond(int status, std::vector<http::Header> headers, std::string_view body) {
   if (!open() || streaming_) return;
-  const auto closed = std::exchange(closed_, nullptr);  // dropped last: it may own much
+  const Callbacks dropped_last = TakeCallbacks();
   connection_->SendComplete(status, headers, body);
 }
 
@@ -32,13 +32,13 @@
 
 void ClientExchange::Finish() {
   if (!open() || !streaming_) return;
-  const auto closed = std::exchange(closed_, nullptr);
+  const Callbacks dropped_last = TakeCallbacks();
   connection_->EndChunks();
 }
 
 void ClientExchange::Abort() {
   if (!open()) return;
-  const auto closed = std::exchange(closed_, nullptr);
+  const Callbacks dropped_last = TakeCallbacks();
   connection_->AbortAnswer(this);
 }
 
@@ -53,10 +53,23 @@
   if (drained) drained();
 }
 
+void ClientExchange::OnShutdown(std::function<void()> shutdown) {
+  if (open()) shutdown_ = std::move(shutdown);
+}
+
+ClientExchange::Callbacks ClientExchange::TakeCallbacks() {
+  return {std::exchange(closed_, nullptr), std::exchange(shutdown_, nullptr)};
+}
+
 void ClientExchange::ClientGone() {
   drained_ = nullptr;
-  const auto closed = std::exchange(closed_, nullptr);
-  if (closed) closed();
+  const Callbacks callbacks = TakeCallbacks();
+  if (callbacks.closed) callbacks.closed();
+}
+
+void ClientExchange::OnServerShutdown() {
+  const auto shutdown = std::exchange(shutdown_, nullptr);
+  if (shutdown) shutdown();
 }
 
 }  // namespace pearreach::http_server
--- a/src/tier/http_server/client_exchange.h
+++ b/src/tier/http_server/client_exchange.h
@@ -33,18 +33,28 @@
   std::size_t unsent() const override;
   void OnDrained(std::function<void()> drained) override { drained_ = std::move(drained); }
   void OnClosed(std::function<void()> closed) override;
+  void OnShutdown(std::function<void()> shutdown) override;
 
   // Of the connection: it has ended before the answer was whole. This may drop the exchange.
   void ClientGone();
   // Likewise: it has sent all that was written.
   void Drained();
+  // Likewise: the server shuts down. This may answer and drop the exchange.
+  void OnServerShutdown();
+  bool streaming() const { return streaming_; }  // an answer of unknown length has begun
 
  private:
   bool streaming_ = false;
   std::shared_ptr<Connection> connection_;
   http::Message request_;
   Micros arrived_;
-  std::function<void()> closed_, drained_;
+  // Moves the handler's callbacks out, to be dropped last: they may own much.
+  struct Callbacks {
+    std::function<void()> closed, shutdown;
+  };
+  Callbacks TakeCallbacks();
+
+  std::function<void()> closed_, drained_, shutdown_;
 };
 
 }  // namespace pearreach::http_server
--- a/src/tier/http_server/connection.cpp
+++ b/src/tier/http_server/connection.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t kLargeBody = 32 << 10;  // a parser that held more gives its memory back
 constexpr std::size_t kReadAhead = 64 << 10;  // of pipelined requests, beyond one of full size
 
+constexpr int kServiceUnavailable = 503;  // promises that the request has not run
+constexpr int kGatewayTimeout = 504;      // promises nothing
+
 http::Limits LimitsOf(const ServerOptions& options) {
   http::Limits limits;
   limits.head = options.max_header_bytes;
@@ -92,6 +95,7 @@
 }
 
 void Connection::AwaitMore() {
+  if (server_->shutting_down && !parser_.Between()) return RefusePartial();
   if (parser_.Between()) {
     if (phase_ != Phase::kWaiting) EnterWaiting(server_->options.idle);
     return;
@@ -115,13 +119,18 @@
   if (message.body.size() > kLargeBody && parser_.Between()) RenewParser();
   auto exchange =
       std::make_shared<ClientExchange>(shared_from_this(), std::move(message), last_data_);
+  const ClientExchange* const handed_out = exchange.get();
   current_ = exchange.get();
   ++server_->unanswered;
   server_->handler(std::move(exchange));
+  if (server_->shutting_down && Awaits(handed_out)) EndExchange();
 }
 
 void Connection::RefuseMalformed() { RespondAndClose(parser_.error_status()); }
 
+// The rest would come too late.
+void Connection::RefusePartial() { RespondAndClose(kServiceUnavailable); }
+
 // ---------------------------------------------------------------- writing
 
 bool Connection::Awaits(const ClientExchange* exchange) const {
@@ -224,4 +233,16 @@
   if (Send(WriteHead(status, {}, Framing::kLength, 0, notice))) CloseGently();
 }
 
+void Connection::EndExchange() {
+  ClientExchange* const exchange = current_;
+  exchange->OnServerShutdown();
+  if (!Awaits(exchange)) return;
+  if (exchange->streaming()) {
+    if (old_version_) stream_->ResetOnClose();
+    return Drop();
+  }
+  SendComplete(kGatewayTimeout, {}, "");
+  exchange->ClientGone();  // its handler is to do nothing more for it
+}
+
 }  // namespace pearreach::http_server
--- a/src/tier/http_server/connection.h
+++ b/src/tier/http_server/connection.h
@@ -27,7 +27,10 @@
   Connection& operator=(const Connection&) = delete;
 
   void Start();
-  void OnDrain();  // the server drains from now on
+  void OnDrain();   // the server drains from now on
+  void Shutdown();  // HttpServer::Shutdown, for this connection
+  // Whether a request has come, or has begun to, and its answer has not been sent whole.
+  bool OwesAnswer() const;
   // Between requests for at least `idle`, and nothing has come: it may be closed to make room.
   bool IdleFor(Micros idle) const;
   void Drop();  // closes at once; an exchange under way hears of it
@@ -56,6 +59,7 @@
   void AwaitMore();
   void HandOut();
   void RefuseMalformed();
+  void RefusePartial();
   void RenewParser();
   std::size_t MaxBuffered() const;
 
@@ -65,6 +69,7 @@
   ConnectionNotice Notice() const;
   void AnswerDone();
   void RespondAndClose(int status);
+  void EndExchange();  // with its last answer, as the server shuts down
 
   // Phases.
   void EnterWaiting(Micros limit);
--- a/src/tier/http_server/connection_phases.cpp
+++ b/src/tier/http_server/connection_phases.cpp
@@ -46,6 +46,28 @@
   if (phase_ == Phase::kWaiting) SetDeadline(std::min(deadline_, Now() + server_->linger));
 }
 
+void Connection::Shutdown() {
+  const auto self = shared_from_this();
+  switch (phase_) {
+    case Phase::kWaiting:
+      if (stream_->unsent() > 0) return CloseGently();
+      SetDeadline(Now());  // bytes that have come meanwhile are read first
+      return;
+    case Phase::kReading:
+      return RefusePartial();
+    case Phase::kBusy:
+      return EndExchange();
+    case Phase::kClosing:
+    case Phase::kClosed:
+      return;
+  }
+}
+
+bool Connection::OwesAnswer() const {
+  if (phase_ == Phase::kClosed) return false;
+  return phase_ == Phase::kBusy || phase_ == Phase::kReading || unsent() > 0;
+}
+
 bool Connection::IdleFor(Micros idle) const {
   return phase_ == Phase::kWaiting && Now() - waiting_since_ >= idle && stream_->unsent() == 0 &&
          stream_->Quiet();
--- a/src/tier/http_server/exchange.h
+++ b/src/tier/http_server/exchange.h
@@ -37,6 +37,9 @@
   virtual void OnDrained(std::function<void()> drained) { drained = nullptr; }
   // Called once when the client's connection ends before the answer is whole.
   virtual void OnClosed(std::function<void()> closed) = 0;
+  // Called once when the server shuts down before the answer is whole. The handler should answer
+  // now; the server answers 504 for one that does not, and cuts off a stream that is under way.
+  virtual void OnShutdown(std::function<void()> shutdown) { shutdown = nullptr; }
 };
 
 using ExchangeHandler = std::function<void(std::shared_ptr<Exchange>)>;
--- a/src/tier/http_server/http_server.cpp
+++ b/src/tier/http_server/http_server.cpp
@@ -1,5 +1,6 @@
 #include "tier/http_server/http_server.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -60,6 +61,18 @@
     listener_.reset();
   }
 
+  void Shutdown() {
+    StopAccepting();
+    state_->draining = state_->shutting_down = true;
+    state_->linger = 0;
+    for (const auto& connection : All()) connection->Shutdown();
+  }
+
+  bool AllAnswersSent() const {
+    return std::none_of(state_->connections.begin(), state_->connections.end(),
+                        [](const auto& entry) { return entry.second->OwesAnswer(); });
+  }
+
   const ServerState& state() const { return *state_; }
 
  private:
@@ -124,6 +137,8 @@
 void HttpServer::SetOptions(const ServerOptions& options) { impl_->SetOptions(options); }
 void HttpServer::Drain(Micros linger) { impl_->Drain(linger); }
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
+void HttpServer::Shutdown() { impl_->Shutdown(); }
+bool HttpServer::AllAnswersSent() const { return impl_->AllAnswersSent(); }
 std::size_t HttpServer::connections() const { return impl_->state().connections.size(); }
 std::size_t HttpServer::unanswered() const { return impl_->state().unanswered; }
 
--- a/src/tier/http_server/http_server.h
+++ b/src/tier/http_server/http_server.h
@@ -35,6 +35,12 @@
   // are still accepted and served so until StopAccepting.
   void Drain(Micros linger);
   void StopAccepting();
+  // The end of a drain: accepts no more connections and gives each request that has been read, or
+  // has begun to come, its last answer now (Exchange::OnShutdown; 503 for one that has not come
+  // whole), then closes its connection. Idle connections are closed.
+  void Shutdown();
+  // Whether no request that was read waits for its answer, or for the rest of it to be sent.
+  bool AllAnswersSent() const;
   std::size_t connections() const;
   std::size_t unanswered() const;  // exchanges handed out and not yet answered whole
 
--- a/src/tier/http_server/server_state.h
+++ b/src/tier/http_server/server_state.h
@@ -22,7 +22,8 @@
   unsigned options_version = 0;  // counts the changes of `options`
   ExchangeHandler handler;
   bool draining = false;
-  Micros linger = 0;  // of a drain: how long a connection waits for one more request
+  bool shutting_down = false;  // what is still read gets its last answer at once
+  Micros linger = 0;           // of a drain: how long a connection waits for one more request
   std::size_t unanswered = 0;
   std::unordered_map<Connection*, std::shared_ptr<Connection>> connections;
   std::list<Connection*> waiting;    // connections between requests, the longest idle first
--- a/src/tier/proxy/active_request.cpp
+++ b/src/tier/proxy/active_request.cpp
@@ -313,10 +313,22 @@
 }
 
 void ActiveRequest::OnDeadline() {
-  const bool in_flight = attempt_ != nullptr && attempt_->written();
-  const bool no_response = in_flight && !attempt_->response_begun();
-  if (in_flight) retries_.OnMayHaveRun();
-  AbandonAttempt(no_response ? Outcome::kTimeout : Outcome::kCancelled);
+  EndAttemptAndRequest(AwaitsResponse() ? Outcome::kTimeout : Outcome::kCancelled);
+}
+
+void ActiveRequest::Terminate() {
+  const auto self = shared_from_this();
+  EndAttemptAndRequest(Outcome::kCancelled);
+}
+
+// Whether the worker has been sent the request and has not begun to respond.
+bool ActiveRequest::AwaitsResponse() const {
+  return attempt_ != nullptr && attempt_->written() && !attempt_->response_begun();
+}
+
+void ActiveRequest::EndAttemptAndRequest(Outcome outcome) {
+  if (attempt_ != nullptr && attempt_->written()) retries_.OnMayHaveRun();
+  AbandonAttempt(outcome);
   EndWithoutResponse();
 }
 
--- a/src/tier/proxy/active_request.h
+++ b/src/tier/proxy/active_request.h
@@ -55,6 +55,8 @@
   void Start();
   // Closes the connection to the worker at once; the sink is not called any more.
   void Cancel();
+  // Ends the request now, with what is known of it (RequestRunner::Terminate).
+  void Terminate();
   // Continues reading the worker's response after the sink has drained its backlog.
   void Resume();
 
@@ -90,6 +92,8 @@
   Micros ResponseTimeLimit() const;  // microseconds from the send or the stream's last event
   void OnTimeout();
   void OnDeadline();
+  bool AwaitsResponse() const;
+  void EndAttemptAndRequest(dispatch::Outcome outcome);
   void EndWithoutResponse();
   void End(RequestResult result);
 
--- a/src/tier/proxy/request.h
+++ b/src/tier/proxy/request.h
@@ -78,6 +78,9 @@
   // Cancels a request because its client disconnected or its batch job was cancelled. Closes the
   // connection to the worker at once; the sink is not called any more.
   virtual void Cancel(std::uint64_t request) = 0;
+  // Ends a request before its deadline, because this process shuts down. The sink receives OnEnd
+  // with what is known of the request, as at its deadline.
+  virtual void Terminate(std::uint64_t) {}
   // Continues reading the worker's response after the client has received the backlog.
   virtual void Resume(std::uint64_t) {}
   // Number of further batch items of this service that this node can run now without delaying live
--- a/src/tier/proxy/request_runner.cpp
+++ b/src/tier/proxy/request_runner.cpp
@@ -36,6 +36,7 @@
 
   std::uint64_t Submit(RequestSpec spec, std::shared_ptr<RequestSink> sink) override;
   void Cancel(std::uint64_t request) override;
+  void Terminate(std::uint64_t request) override;
   void Resume(std::uint64_t request) override;
   int BulkCapacity(const std::string& service) const override;  // also implements ActiveRequestHost
 
@@ -116,6 +117,11 @@
   running->Cancel();
 }
 
+void Runner::Terminate(std::uint64_t request) {
+  const auto found = requests_.find(request);
+  if (found != requests_.end()) std::shared_ptr(found->second)->Terminate();
+}
+
 void Runner::Resume(std::uint64_t request) {
   const auto found = requests_.find(request);
   if (found != requests_.end()) std::shared_ptr(found->second)->Resume();
--- a/src/tier/server/node.cpp
+++ b/src/tier/server/node.cpp
@@ -33,6 +33,7 @@
 #include "tier/registry/worker_registry.h"
 #include "tier/rpc/transport.h"
 #include "tier/server/request_report.h"
+#include "tier/server/shutdown_sequence.h"
 #include "tier/storage/table_store.h"
 
 namespace pearreach::server {
@@ -44,11 +45,7 @@
 constexpr int kReservedDescriptors = 300;  // for files, the mesh, control calls and workers
 constexpr std::size_t kMinConnections = 64;
 constexpr std::size_t kControlConnections = 200;
-constexpr Micros kPlatformNotices = 2500 * kMs;  // two missed readiness questions, one a second
-constexpr Micros kLeaveDelay = 300 * kMs;        // for the word of the leaving to go out
-constexpr Micros kExitMargin = 700 * kMs;        // kept of `grace_s`
-constexpr double kLearnBeats = 1.5;              // of heartbeats, in which all workers call
-constexpr Micros kPoll = 50 * kMs;               // between looks at what is still under way
+constexpr double kLearnBeats = 1.5;  // of heartbeats, in which all workers call
 
 std::uint64_t WallMilliseconds() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -85,10 +82,12 @@
 
 }  // namespace
 
-class Node::Impl {
+class Node::Impl : private ShutdownActions {
  public:
   Impl(settings::NodeSettings settings, std::function<void()> finished)
-      : settings_(std::move(settings)), finished_(std::move(finished)) {}
+      : settings_(std::move(settings)),
+        finished_(std::move(finished)),
+        shutdown_(settings_.Serves("edge"), this) {}
 
   absl::Status Start();
   void Stop();
@@ -106,10 +105,18 @@
   void OnControlChange();
   void EndOnOldDisk();
   bool Ready() const;
-  void Route(std::shared_ptr<http_server::Exchange> exchange);
-  // Until nothing is under way here and nobody needs what this process holds, or time is over.
-  void AwaitEnd();
-  void Leave();
+  // Those that are open.
+  std::vector<http_server::HttpServer*> HttpServers() const;
+  void StepShutdown();
+
+  // ShutdownActions
+  void BeginDrain(Micros refuse_at, Micros answer_by) override;
+  void RefuseNewWork(Micros answer_by) override;
+  bool IsIdle() const override;
+  void AnnounceLeave() override { control_->Leave(); }
+  void AnswerOpenRequests() override;
+  bool AllAnswersSent() const override;
+  void Exit() override;
 
   settings::NodeSettings settings_;
   const std::function<void()> finished_;
@@ -136,8 +143,8 @@
   std::unique_ptr<batch::RetireApi> retire_api_;
   std::unique_ptr<batch::StoreServer> store_server_;
   std::unique_ptr<http_server::HttpServer> edge_server_, control_server_, readiness_server_;
-  bool stopping_ = false, items_returned_ = true, left_ = false;
-  Micros stopped_at_ = 0;
+  ShutdownSequence shutdown_;
+  bool item_worker_stopped_ = false, items_returned_ = true;
 };
 
 bool Node::Impl::HasDisk() const {
@@ -302,6 +309,7 @@
     logging::Error(kModule, "old tables cannot be removed",
                    {logging::F("why", removed.ToString())});
   }
+  AnswerOpenRequests();
   finished_();
 }
 
@@ -313,11 +321,14 @@
         ClientOptions(snapshot->routes->limits(), settings_.limits.file_limit));
 }
 
-bool Node::Impl::Ready() const { return !stopping_ && control_->Current()->routes != nullptr; }
+bool Node::Impl::Ready() const {
+  return !shutdown_.begun() && control_->Current()->routes != nullptr;
+}
 
 void Node::Impl::Reload(const settings::NodeSettings& settings) {
   // Where this process listens and what it holds stand for its life; bounds are taken over.
   settings_.bounds = settings.bounds;
+  shutdown_.SetGrace(Seconds(settings.bounds.grace_s), Now());
   control_->SetRevocationBounds(settings.bounds);
   if (batch_job_api_ != nullptr)
     batch_job_api_->SetLimits({settings.bounds.status_s, settings.bounds.quota_excess});
@@ -325,46 +336,67 @@
 }
 
 void Node::Impl::Stop() {
-  if (std::exchange(stopping_, true)) return;
-  stopped_at_ = Now();
+  if (shutdown_.begun()) return;
   logging::Info(kModule, "stopping", {});
   control_->PrepareToShutDown();
-  if (edge_server_ != nullptr) {
-    items_returned_ = false;
-    const Micros linger = std::min(kPlatformNotices, Seconds(settings_.bounds.grace_s) / 2);
-    edge_server_->Drain(linger);
-    item_worker_->Stop(linger, [this] { items_returned_ = true; });
-  }
-  AwaitEnd();
+  shutdown_.Begin(Seconds(settings_.bounds.grace_s), Now());
+  StepShutdown();
+}
+
+void Node::Impl::StepShutdown() {
+  const std::optional<Micros> delay = shutdown_.Step(Now());
+  if (delay.has_value()) timers_.After(*delay, [this] { StepShutdown(); });
+}
+
+std::vector<http_server::HttpServer*> Node::Impl::HttpServers() const {
+  std::vector<http_server::HttpServer*> servers;
+  for (const auto* server : {&edge_server_, &control_server_, &readiness_server_})
+    if (*server != nullptr) servers.push_back(server->get());
+  return servers;
+}
+
+void Node::Impl::BeginDrain(Micros refuse_at, Micros answer_by) {
+  const Micros linger = refuse_at - Now();
+  for (http_server::HttpServer* server : HttpServers())
+    if (server != readiness_server_.get()) server->Drain(linger);
+  if (edge_server_ == nullptr) return;
+  batch_job_api_->BeginDrain(answer_by);
+  if (std::exchange(item_worker_stopped_, true)) return;
+  items_returned_ = false;
+  item_worker_->Stop(linger, [this] { items_returned_ = true; });
 }
 
-void Node::Impl::AwaitEnd() {
-  const Micros since = Now() - stopped_at_;
-  const Micros grace = Seconds(settings_.bounds.grace_s);
-  bool done = true;
-  if (edge_server_ != nullptr) {
-    const Micros notices = std::min(kPlatformNotices, grace / 2);
-    // Guards requests that come at the very end: nothing new is read once the process may go, and
-    // what still comes on open connections is taken only if it ends before that.
-    if (since > notices) {
-      edge_server_->StopAccepting();
-      gateway_->BeginDrain(stopped_at_ + grace - kExitMargin - kLeaveDelay);
-    }
-    done = since > notices && items_returned_ && edge_server_->connections() == 0;
+void Node::Impl::RefuseNewWork(Micros answer_by) {
+  if (edge_server_ == nullptr) return;
+  edge_server_->StopAccepting();
+  gateway_->BeginDrain(answer_by);
+}
+
+bool Node::Impl::IsIdle() const {
+  const bool serves_nobody =
+      edge_server_ == nullptr || (items_returned_ && edge_server_->connections() == 0);
+  return serves_nobody && control_->MayShutDown() &&
+         (store_server_ == nullptr || store_server_->MayShutDown());
+}
+
+void Node::Impl::AnswerOpenRequests() {
+  std::size_t open = 0;
+  for (http_server::HttpServer* server : HttpServers()) {
+    open += server->unanswered();
+    server->Shutdown();
   }
-  done =
-      done && control_->MayShutDown() && (store_server_ == nullptr || store_server_->MayShutDown());
-  if (done || since > grace - kExitMargin - kLeaveDelay) return Leave();
-  timers_.After(kPoll, [this] { AwaitEnd(); });
+  logging::Info(kModule, "last answers", {logging::F("open_requests", open)});
 }
 
-void Node::Impl::Leave() {
-  if (std::exchange(left_, true)) return;
-  control_->Leave();
-  timers_.After(kLeaveDelay, [this] {
-    logging::Info(kModule, "stopped", {});
-    finished_();
-  });
+bool Node::Impl::AllAnswersSent() const {
+  const std::vector<http_server::HttpServer*> servers = HttpServers();
+  return std::all_of(servers.begin(), servers.end(),
+                     [](const auto* server) { return server->AllAnswersSent(); });
+}
+
+void Node::Impl::Exit() {
+  logging::Info(kModule, "stopped", {});
+  finished_();
 }
 
 Node::Node(settings::NodeSettings settings, std::function<void()> finished)
--- /dev/null
+++ b/src/tier/server/shutdown_schedule.cpp
@@ -0,0 +1,26 @@
+#include "tier/server/shutdown_schedule.h"
+
+#include <algorithm>
+
+namespace pearreach::server {
+namespace {
+
+// Two missed readiness checks, one a second: then the platform sends no more connections.
+constexpr Micros kReadinessNoticeTime = 2500 * kMs;
+constexpr Micros kExitMargin = 700 * kMs;  // of the grace, left unused
+constexpr Micros kAnswerTime = 200 * kMs;  // for the last answers to be sent
+constexpr Micros kLeaveDelay = 300 * kMs;  // for the announcement of the departure to spread
+
+}  // namespace
+
+ShutdownSchedule MakeShutdownSchedule(Micros grace, bool serves_clients) {
+  ShutdownSchedule schedule;
+  schedule.leave_delay = kLeaveDelay;
+  if (serves_clients) schedule.refuse = std::min(kReadinessNoticeTime, grace / 2);
+  schedule.exit = grace - kExitMargin;
+  schedule.answer = schedule.exit - kAnswerTime;
+  schedule.leave = schedule.exit - schedule.leave_delay;
+  return schedule;
+}
+
+}  // namespace pearreach::server
--- a/tests/lab/leaving_node_test.cpp
+++ b/tests/lab/leaving_node_test.cpp
@@ -144,5 +144,115 @@
   EXPECT_EQ(answered, followed);
 }
 
+// Guards against work that outlasts the grace and got no answer at all.
+TEST_F(LeavingNodeTest, AnswersWhatOutlastsTheGrace) {
+  Start(2 * kSecond);
+  HttpAnswer answer;
+  std::thread client([&] {
+    HttpConnection connection(edge_->ip(), kEdgePort);
+    answer = connection.Ask(Work(5 * kSecond, 6 * kSecond));
+  });
+  SleepFor(300 * kMillisecond);
+  Terminate();
+  ExpectEndInTime();
+  client.join();
+  EXPECT_TRUE(answer.complete);
+  EXPECT_TRUE(answer.status == 502 || answer.status == 504) << answer.status;
+}
+
+// Guards against reads that were held when their node ended, and got no answer.
+TEST_F(LeavingNodeTest, AnswersHeldReads) {
+  Start(4 * kSecond);
+  HttpRequest submit = Request("POST", "/lots-in/1", {});
+  const std::string id = submit.headers.front().second;
+  submit.body = fmt::format(
+      R"({{"entries":[{{"worker_id":"i-1","path":"/stream/1","headers":{{"X-Model":"m","X-Token-Count":"4,1000"}},"payload":"cHJvbXB0","tokens":7}}]}})");
+  ASSERT_TRUE(Await([&] {
+    HttpConnection connection(edge_->ip(), kEdgePort);
+    return connection.Ask(submit).status == 202;
+  }));
+  HttpAnswer answer;
+  std::thread client([&] {
+    HttpConnection connection(edge_->ip(), kEdgePort);
+    answer = connection.Ask(
+        Request("GET", fmt::format("/lots/{}?start_after=0", id), {{"X-Wait-Ms", "9000"}}));
+  });
+  SleepFor(300 * kMillisecond);
+  Terminate();
+  ExpectEndInTime();
+  client.join();
+  EXPECT_TRUE(answer.complete);
+  EXPECT_TRUE(answer.status == 503 || answer.status == 200) << answer.status;
+}
+
+// Guards against pipelined requests that were read behind a slow one and dropped at the end.
+TEST_F(LeavingNodeTest, AnswersPipelinedRequests) {
+  Start(2 * kSecond);
+  HttpConnection connection(edge_->ip(), kEdgePort);
+  ASSERT_TRUE(connection.Connect());
+  ASSERT_TRUE(connection.Send(BytesOf(Work(5 * kSecond, 6 * kSecond)) +
+                              BytesOf(Work(kSecond, 6 * kSecond)) +
+                              BytesOf(Work(kSecond, 6 * kSecond))));
+  SleepFor(300 * kMillisecond);
+  Terminate();
+  const HttpAnswer first = connection.ReadAnswer();
+  EXPECT_TRUE(first.status == 502 || first.status == 504) << first.status;
+  EXPECT_EQ(connection.ReadAnswer().status, 503);
+  EXPECT_EQ(connection.ReadAnswer().status, 503);
+  EXPECT_FALSE(connection.open());
+  ExpectEndInTime();
+}
+
+// Guards against connections that ended in the middle of a body without a word.
+TEST_F(LeavingNodeTest, RefusesBodiesThatDoNotComeInTime) {
+  Start(2 * kSecond);
+  HttpConnection connection(edge_->ip(), kEdgePort);
+  ASSERT_TRUE(connection.Connect());
+  const std::string bytes = BytesOf(Work(0, 6 * kSecond));
+  ASSERT_TRUE(connection.Send(bytes.substr(0, bytes.size() - 2)));
+  SleepFor(300 * kMillisecond);
+  Terminate();
+  EXPECT_EQ(connection.ReadAnswer().status, 503);
+  ExpectEndInTime();
+}
+
+// Guards against a second SIGTERM, or a SIGHUP, that changes what the first one has begun.
+TEST_F(LeavingNodeTest, TakesFurtherSignalsWhileItStops) {
+  Start(4 * kSecond);
+  HttpAnswer answer;
+  std::thread client([&] {
+    HttpConnection connection(edge_->ip(), kEdgePort);
+    answer = connection.Ask(Work(2800 * kMillisecond, 6 * kSecond));
+  });
+  SleepFor(100 * kMillisecond);
+  Terminate();
+  for (const int number : {SIGTERM, SIGHUP, SIGTERM, SIGHUP}) {
+    SleepFor(300 * kMillisecond);
+    edge_->Signal(number);
+  }
+  ExpectEndInTime();
+  client.join();
+  EXPECT_EQ(answer.status, 200);
+}
+
+// Guards against control calls that were read and dropped; crossing the close is allowed.
+TEST_F(LeavingNodeTest, AnswersControlCallsUntilItsEnd) {
+  Start(2 * kSecond);
+  int answered = 0, lost = 0;
+  Terminate();
+  while (SinceSignal() < 3 * kSecond) {
+    HttpConnection connection(edge_->ip(), kControlPort);
+    if (!connection.Connect()) break;
+    const Microseconds sent_at = Now();
+    const HttpAnswer answer = connection.Ask(Request("GET", "/Config.Read", {}));
+    const bool crossed = Now() - sent_at < 200 * kMillisecond;
+    answered += answer.complete ? 1 : 0;
+    lost += !answer.complete && !crossed ? 1 : 0;
+  }
+  ExpectEndInTime();
+  EXPECT_GT(answered, 0);
+  EXPECT_EQ(lost, 0);
+}
+
 }  // namespace
 }  // namespace pearreach::soak
--- a/tests/tier/batch/edge_batch_job_api_test.cpp
+++ b/tests/tier/batch/edge_batch_job_api_test.cpp
@@ -43,6 +43,9 @@
   CPPUNIT_TEST(CancelsABatchJob);
   CPPUNIT_TEST(RejectsCallsBeforeAConfiguration);
   CPPUNIT_TEST(CancelsTheCallOfADisconnectedClient);
+  CPPUNIT_TEST(ShutdownAnswersHeldReads);
+  CPPUNIT_TEST(ShutdownAnswersSubmissionsByWhatIsKnown);
+  CPPUNIT_TEST(DrainBoundsTheTimeOfCalls);
   CPPUNIT_TEST(RecognizesItsPaths);
   CPPUNIT_TEST_SUITE_END();
 
@@ -340,6 +343,45 @@
     CPPUNIT_ASSERT_EQUAL(0, exchange->status);
   }
 
+  // LOST: a read that was held when its node ended got no answer.
+  void ShutdownAnswersHeldReads() {
+    for (const char* target : {"/lots/lot", "/items/lot?worker_id=i1"}) {
+      const auto exchange = Handle("GET", target, {{"X-Wait-Ms", "9000"}});
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stores_.pending());
+      exchange->shutdown();
+      CPPUNIT_ASSERT_EQUAL(503, exchange->status);
+      CPPUNIT_ASSERT_EQUAL(std::string("Retry-After"), exchange->answer_headers.at(0).name);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, stores_.pending());
+    }
+  }
+
+  // REFUSED: a 503 promises that no item runs, so it ends only what no store has been sent.
+  void ShutdownAnswersSubmissionsByWhatIsKnown() {
+    const auto unsent = Submit(kBatchJob);
+    unsent->shutdown();
+    CPPUNIT_ASSERT_EQUAL(503, unsent->status);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, stores_.pending());
+    transport_.calls.clear();
+    const auto sent = Submit(kBatchJob);
+    GrantQuotaAndOffer();
+    CPPUNIT_ASSERT(TurnUntil([&] { return transport_.Has(MessageType::kBatchJobCreate); }));
+    sent->shutdown();
+    CPPUNIT_ASSERT_EQUAL(504, sent->status);
+  }
+
+  void DrainBoundsTheTimeOfCalls() {
+    api_.BeginDrain(Now() + 2 * kSecond);
+    const auto held = Handle("GET", "/lots/lot", {{"X-Wait-Ms", "9000"}});
+    const FakeCall call = transport_.Next(MessageType::kBatchJobRead);
+    const std::int64_t wait_ms = call.As<ReadBatchJob>().wait_ms;
+    CPPUNIT_ASSERT(wait_ms > 1000 && wait_ms < 2000);
+    CPPUNIT_ASSERT(call.timeout <= 2 * kSecond);
+    api_.BeginDrain(Now());
+    const auto late = Handle("DELETE", "/lots/lot");
+    CPPUNIT_ASSERT(TurnUntil([&] { return late->status != 0; }));
+    CPPUNIT_ASSERT_EQUAL(503, late->status);
+  }
+
   void RecognizesItsPaths() {
     struct Case {
       const char *method, *target;
--- a/tests/tier/batch/edge_fakes.h
+++ b/tests/tier/batch/edge_fakes.h
@@ -206,13 +206,14 @@
   void Abort() override { gone = true; }
   std::size_t unsent() const override { return 0; }
   void OnClosed(std::function<void()> handler) override { closed = std::move(handler); }
+  void OnShutdown(std::function<void()> handler) override { shutdown = std::move(handler); }
 
   http::Message message;
   int status = 0;
   std::vector<http::Header> answer_headers;
   std::string body;
   bool gone = false;
-  std::function<void()> closed;
+  std::function<void()> closed, shutdown;
 };
 
 // A table with `first` as the primary of all partitions and `second` as their other replica.
--- a/tests/tier/gateway/doubles.h
+++ b/tests/tier/gateway/doubles.h
@@ -55,7 +55,13 @@
   std::size_t unsent() const override { return waiting; }
   void OnDrained(std::function<void()> drained) override { drained_ = std::move(drained); }
   void OnClosed(std::function<void()> closed) override { closed_ = std::move(closed); }
+  void OnShutdown(std::function<void()> shutdown) override { shutdown_ = std::move(shutdown); }
 
+  // The server shuts down.
+  void Shutdown() {
+    const auto shutdown = std::exchange(shutdown_, nullptr);
+    if (shutdown) shutdown();
+  }
   void Disconnect() {
     gone = true;
     const auto closed = std::exchange(closed_, nullptr);
@@ -84,7 +90,7 @@
 
   http::Message request_;
   const Micros arrived_;
-  std::function<void()> closed_, drained_;
+  std::function<void()> closed_, drained_, shutdown_;
 };
 
 class ManualRunner final : public proxy::RequestRunner {
@@ -102,6 +108,7 @@
     cancelled.push_back(job);
     sinks.erase(job);
   }
+  void Terminate(std::uint64_t job) override { terminated.push_back(job); }
   void Resume(std::uint64_t job) override { resumed.push_back(job); }
   int BulkCapacity(const std::string&) const override { return 0; }
 
@@ -117,7 +124,7 @@
 
   std::vector<proxy::RequestSpec> specs;
   std::map<std::uint64_t, std::shared_ptr<proxy::RequestSink>> sinks;
-  std::vector<std::uint64_t> cancelled, resumed;
+  std::vector<std::uint64_t> cancelled, resumed, terminated;
   std::function<void(proxy::RequestSink&)> immediate;
 };
 
--- a/tests/tier/gateway/gateway_test.cpp
+++ b/tests/tier/gateway/gateway_test.cpp
@@ -126,6 +126,8 @@
   CPPUNIT_TEST(DrainingRefusesNewWork);
   CPPUNIT_TEST(DrainingTakesWhatEndsInTime);
   CPPUNIT_TEST(DrainingRefusesWhatWaitedTooLongForItsQuota);
+  CPPUNIT_TEST(ShutdownEndsRequestsByWhatIsKnown);
+  CPPUNIT_TEST(ShutdownRefusesRequestsThatWaitForQuota);
   CPPUNIT_TEST(SetsTheTenantWhateverTheClientSent);
   CPPUNIT_TEST(RefusesUnknownKeys);
   CPPUNIT_TEST(FollowsKeysThatMove);
@@ -462,6 +464,34 @@
     CPPUNIT_ASSERT(runner_->specs.empty());
   }
 
+  // REFUSED, LOST: at the end of a process only the runner knows whether a worker has the request.
+  void ShutdownEndsRequestsByWhatIsKnown() {
+    const auto refused = Handle(Request("POST", "/p/x"));
+    refused->Shutdown();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runner_->terminated.size());
+    CPPUNIT_ASSERT(!refused->done);
+    runner_->End(proxy::RequestEnd::kNotRun);
+    CPPUNIT_ASSERT_EQUAL(503, refused->status);
+    const auto failed = Handle(Request("POST", "/p/x"));
+    failed->Shutdown();
+    runner_->End(proxy::RequestEnd::kFailed);
+    CPPUNIT_ASSERT_EQUAL(502, failed->status);
+    refused->Shutdown();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, runner_->terminated.size());
+  }
+
+  void ShutdownRefusesRequestsThatWaitForQuota() {
+    ManualLimiter limiter;
+    gateway_->SetLimiter(&limiter);
+    control_->Use(WithTenants(kTenants));
+    const auto exchange = Handle(WithKey(Request("POST", "/p/once/x"), "k-acme"));
+    exchange->Shutdown();
+    CPPUNIT_ASSERT_EQUAL(503, exchange->status);
+    CPPUNIT_ASSERT(limiter.waiting.empty());
+    CPPUNIT_ASSERT(runner_->specs.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, gateway_->outcomes().draining);
+  }
+
   // UNASKED: a worker gets the name of the tenant that owns the key, and never the key.
   void SetsTheTenantWhateverTheClientSent() {
     control_->Use(WithTenants(kTenants));
--- a/tests/tier/http_server/connection_life_test.cpp
+++ b/tests/tier/http_server/connection_life_test.cpp
@@ -22,6 +22,13 @@
   CPPUNIT_TEST(FullServerTakesConnectionsLater);
   CPPUNIT_TEST(ServerEndsBeforeItsExchanges);
   CPPUNIT_TEST(DrainEndsAfterAStreamThatBeganBefore);
+  CPPUNIT_TEST(ShutdownAnswersOpenRequests);
+  CPPUNIT_TEST(ShutdownLetsHandlersAnswer);
+  CPPUNIT_TEST(ShutdownAnswersPipelinedRequests);
+  CPPUNIT_TEST(ShutdownRefusesPartialRequests);
+  CPPUNIT_TEST(ShutdownCutsStreamsOff);
+  CPPUNIT_TEST(ShutdownClosesIdleConnections);
+  CPPUNIT_TEST(ShutdownSendsLargeAnswersWhole);
   CPPUNIT_TEST_SUITE_END();
 
  private:
@@ -201,6 +208,120 @@
     CPPUNIT_ASSERT(client->SeesEnd());
     CPPUNIT_ASSERT(Has(client->got(), "two"));
   }
+
+  // LOST: a process that ended left requests that it had read without an answer.
+  void ShutdownAnswersOpenRequests() {
+    OpenKeeping();
+    const auto client = Client();
+    client->Send(kGet);
+    CPPUNIT_ASSERT(Handed(1));
+    bool told = false;
+    exchanges_[0]->OnClosed([&] { told = true; });
+    CPPUNIT_ASSERT(!server_->AllAnswersSent());
+    server_->Shutdown();
+    CPPUNIT_ASSERT(told);
+    CPPUNIT_ASSERT(!exchanges_[0]->open());
+    exchanges_[0]->Respond(200, {}, "late");
+    CPPUNIT_ASSERT(server_->AllAnswersSent());
+    CPPUNIT_ASSERT(client->SeesEnd());
+    CPPUNIT_ASSERT(Has(client->got(), "HTTP/1.1 504 "));
+    CPPUNIT_ASSERT(Has(client->got(), "Connection: close"));
+    CPPUNIT_ASSERT(!Has(client->got(), "late"));
+    CPPUNIT_ASSERT(!client->reset());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server_->unanswered());
+  }
+
+  void ShutdownLetsHandlersAnswer() {
+    OpenKeeping();
+    const auto client = Client();
+    client->Send(kGet);
+    CPPUNIT_ASSERT(Handed(1));
+    bool closed = false;
+    exchanges_[0]->OnClosed([&] { closed = true; });
+    exchanges_[0]->OnShutdown([this] {
+      const auto exchange = std::move(exchanges_[0]);  // the last reference
+      exchange->Respond(503, {{"Retry-After", "0.25"}}, "");
+    });
+    server_->Shutdown();
+    CPPUNIT_ASSERT(client->SeesEnd());
+    CPPUNIT_ASSERT(Has(client->got(), "HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(Has(client->got(), "Retry-After: 0.25"));
+    CPPUNIT_ASSERT(!closed);
+  }
+
+  void ShutdownAnswersPipelinedRequests() {
+    OpenKeeping();
+    const auto client = Client();
+    client->Send(Get("/1") + Get("/2") + Get("/3"));
+    CPPUNIT_ASSERT(Handed(1));
+    exchanges_[0]->OnShutdown([this] { exchanges_[0]->Respond(200, {}, "first"); });
+    server_->Shutdown();
+    CPPUNIT_ASSERT(!server_->AllAnswersSent());
+    CPPUNIT_ASSERT(client->SeesEnd());
+    CPPUNIT_ASSERT(server_->AllAnswersSent());
+    const std::string& got = client->got();
+    const std::size_t second = got.find("HTTP/1.1 504 ");
+    CPPUNIT_ASSERT(Has(got, "first") && got.find("first") < second);
+    const std::size_t third = got.find("HTTP/1.1 504 ", second + 1);
+    CPPUNIT_ASSERT(third != std::string::npos);
+    CPPUNIT_ASSERT(got.find("Connection: close") > third);
+  }
+
+  void ShutdownRefusesPartialRequests() {
+    Open(Echo);
+    const auto client = Client();
+    client->Send("POST /a HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
+    const auto behind = Client();
+    behind->Send(Get("/1") + "POST /a HTTP/1.1\r\nContent-Le");
+    CPPUNIT_ASSERT(behind->GotAll("GET /1 "));
+    CPPUNIT_ASSERT(RunUntil([&] { return !server_->AllAnswersSent(); }));
+    server_->Shutdown();
+    CPPUNIT_ASSERT(client->SeesEnd());
+    CPPUNIT_ASSERT(Has(client->got(), "HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(behind->SeesEnd());
+    CPPUNIT_ASSERT(Has(behind->got(), "HTTP/1.1 503 "));
+  }
+
+  void ShutdownCutsStreamsOff() {
+    OpenKeeping();
+    const auto client = Client();
+    client->Send(kGet);
+    CPPUNIT_ASSERT(Handed(1));
+    exchanges_[0]->BeginStream(200, {});
+    exchanges_[0]->Write("one");
+    bool told = false;
+    exchanges_[0]->OnClosed([&] { told = true; });
+    CPPUNIT_ASSERT(client->GotAll("one"));
+    server_->Shutdown();
+    CPPUNIT_ASSERT(told);
+    CPPUNIT_ASSERT(client->SeesEnd());
+    CPPUNIT_ASSERT(!Has(client->got(), "\r\n0\r\n"));
+    CPPUNIT_ASSERT(!Has(client->got(), "504"));
+  }
+
+  void ShutdownClosesIdleConnections() {
+    Open(Echo);
+    const int port = server_->port();
+    const auto client = Client();
+    client->Send(kGet);
+    CPPUNIT_ASSERT(client->GotAll("GET /a "));
+    server_->Shutdown();
+    CPPUNIT_ASSERT(server_->AllAnswersSent());
+    CPPUNIT_ASSERT(client->SeesEnd());
+    CPPUNIT_ASSERT(!RawClient(port).connected());
+  }
+
+  void ShutdownSendsLargeAnswersWhole() {
+    const std::string body(8 << 20, 'y');
+    Open([&](const std::shared_ptr<Exchange>& e) { e->Respond(200, {}, body); });
+    const auto client = Client();
+    client->Send(kGet);
+    CPPUNIT_ASSERT(RunUntil([&] { return !server_->AllAnswersSent(); }));
+    server_->Shutdown();
+    CPPUNIT_ASSERT(!server_->AllAnswersSent());
+    CPPUNIT_ASSERT(client->SeesEnd());
+    CPPUNIT_ASSERT(client->got().size() > body.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionLifeTest);
--- a/tests/tier/proxy/request_runner_test.cpp
+++ b/tests/tier/proxy/request_runner_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(RefusedConnectionIsNotRun);
   CPPUNIT_TEST(TimesOut);
   CPPUNIT_TEST(CancelClosesTheConnection);
+  CPPUNIT_TEST(TerminateTellsWhetherItMayHaveRun);
   CPPUNIT_TEST(ReusesConnections);
   CPPUNIT_TEST(HeedsClose);
   CPPUNIT_TEST(SkipsSurplusAnswers);
@@ -57,6 +58,34 @@
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // REFUSED: a process that ends promises "not run" only for what no worker has.
+  void TerminateTellsWhetherItMayHaveRun() {
+    Rig rig;
+    ScriptedWorker& worker = rig.Add({NoResponse()});
+    const auto sent = rig.Submit(PlainRequest());
+    const std::uint64_t request = rig.last_request;
+    CPPUNIT_ASSERT(RunUntil([&] { return !worker.calls().empty(); }));
+    rig.runner->Terminate(request);
+    CPPUNIT_ASSERT_EQUAL(1, sent->ends);
+    CPPUNIT_ASSERT_EQUAL(NameOf(RequestEnd::kFailed), NameOf(sent->result.end));
+    CPPUNIT_ASSERT(RunUntil([&] { return worker.closed_by_peer() > 0; }));
+    rig.runner->Terminate(request);
+    CPPUNIT_ASSERT_EQUAL(1, sent->ends);
+
+    ScriptedWorker& streaming = rig.Add({Events(1, 2, After::kNoResponse)});
+    rig.workers.Remove(worker.id());
+    const auto stream = rig.Submit(StreamedRequest(false));
+    CPPUNIT_ASSERT(RunUntil([&] { return !stream->body.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, streaming.calls().size());
+    rig.runner->Terminate(rig.last_request);
+    CPPUNIT_ASSERT_EQUAL(NameOf(RequestEnd::kBroken), NameOf(stream->result.end));
+
+    rig.workers.Remove(streaming.id());
+    const auto queued = rig.Submit(PlainRequest());
+    if (queued->ends == 0) rig.runner->Terminate(rig.last_request);
+    CPPUNIT_ASSERT_EQUAL(NameOf(RequestEnd::kNotRun), NameOf(queued->result.end));
+  }
+
   void PassesOnAnAnswer() {
     Rig rig;
     ScriptedWorker& worker =
