--- a/tests/lab/leaving_node_test.cpp
+++ b/tests/lab/leaving_node_test.cpp
@@ -144,6 +144,22 @@
   EXPECT_EQ(answered, followed);
 }
 
+// Guards against an end before the last sixth of a short grace, with workers at work.
+TEST_F(LeavingNodeTest, UsesAShortGrace) {
+  Start(2 * kSecond);
+  HttpAnswer answer;
+  std::thread client([&] {
+    HttpConnection connection(edge_->ip(), kEdgePort);
+    answer = connection.Ask(Work(1500 * kMillisecond, 6 * kSecond));
+  });
+  SleepFor(100 * kMillisecond);
+  Terminate();
+  ExpectEndInTime();
+  client.join();
+  EXPECT_EQ(answer.status, 200);
+  EXPECT_TRUE(answer.complete);
+}
+
 // Guards against work that outlasts the grace and got no answer at all.
 TEST_F(LeavingNodeTest, AnswersWhatOutlastsTheGrace) {
   Start(2 * kSecond);
