Handle signals from before the settings are read

Cause: SIGHUP and SIGTERM had their default action, the end of the process, until the node was built; a SIGHUP that came while the settings file was read ended pearreach-tier by itself. Change: the handlers are there first; a signal waits for the loop.

--- a/src/tier/server/main/main.cpp
+++ b/src/tier/server/main/main.cpp
@@ -82,15 +82,23 @@
   return G_SOURCE_CONTINUE;
 }
 
-int Serve(const NodeSettings& settings) {
+int RefuseSettings(const absl::Status& status) {
+  fmt::print(stderr, "{}\n", std::string(status.message()));
+  return kUsageError;
+}
+
+int Serve() {
   std::signal(SIGPIPE, SIG_IGN);
   Running running;
   running.loop = g_main_loop_new(nullptr, FALSE);
-  pearreach::server::Node node(settings, [&running] { g_main_loop_quit(running.loop); });
-  running.node = &node;
+  // Before the settings are read, so that a signal that comes meanwhile is handled by the loop.
   g_unix_signal_add(SIGTERM, OnTerminate, &running);
   g_unix_signal_add(SIGINT, OnTerminate, &running);
   g_unix_signal_add(SIGHUP, OnHangUp, &running);
+  const auto settings = ReadSettings();
+  if (!settings.ok()) return RefuseSettings(settings.status());
+  pearreach::server::Node node(*settings, [&running] { g_main_loop_quit(running.loop); });
+  running.node = &node;
   const absl::Status started = node.Start();
   if (!started.ok()) {
     logging::Error("main", "cannot start", {logging::F("why", std::string(started.message()))});
@@ -115,16 +123,11 @@
     fmt::print(stderr, "unknown command '{}'\n{}\n", command, kUsage);
     return kUsageError;
   }
+  if (command == "serve") return Serve();
   const auto settings = ReadSettings();
-  if (!settings.ok()) {
-    fmt::print(stderr, "{}\n", std::string(settings.status().message()));
-    return kUsageError;
-  }
-  if (command == "check") {
-    fmt::print("{}: good\n", SettingsPath());
-    return 0;
-  }
-  return Serve(*settings);
+  if (!settings.ok()) return RefuseSettings(settings.status());
+  fmt::print("{}: good\n", SettingsPath());
+  return 0;
 }
 
 }  // namespace
