Answer requests of the node that come behind others, or in part, at its end

What callers saw: a node (pearreach) that ends after SIGTERM read several requests of one connection, answered the first with a close and dropped the others; a request that had begun to come when the node started to refuse was cut off without a word. Cause: while it refuses, each answer closed its connection whatever had been read behind it, and the end of the drain waited for jobs and writes only. Evidence: the new Story.ATermRefusesWhatComesBehindAndWhatDoesNotComeWhole fails before (1 of 3 answers) and passes now; Story.ATermAnswersWhatWasTakenAndClosesTheRest passes as before. Change: a connection ends with the answer to the last request that has come on it; the drain waits for partial requests until its time is over and then refuses them with 503.

--- a/src/node/http_frontend/front.cpp
+++ b/src/node/http_frontend/front.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <utility>
+#include <vector>
 
 #include "node/engine/job_view.h"
 
@@ -257,10 +258,10 @@
     if (c == nullptr) return;
     switch (result.kind) {
       case DurableSubmitResult::Kind::kAccepted:
-        Respond(c, 202, "", keep_alive && !refusing_, {{"Location", "/_jobs/" + result.id}});
+        Respond(c, 202, "", keep_alive, {{"Location", "/_jobs/" + result.id}});
         break;
       case DurableSubmitResult::Kind::kUnavailable:
-        Refuse(c, keep_alive && !refusing_, result.retry_after);
+        Refuse(c, keep_alive, result.retry_after);
         break;
       case DurableSubmitResult::Kind::kBadCallback:
         Count("bad_requests");
@@ -283,16 +284,16 @@
         if (!*alive) return;
         Connection* c = Redeem(promise);
         if (c == nullptr) return;  // gone; its job goes on
-        const bool stays = keep_alive && !refusing_;
         std::vector<http::Header> headers = {{"Location", "/_jobs/" + id}};
         if (!view || !view->ended) {
-          Respond(c, 202, "", stays, std::move(headers));
+          Respond(c, 202, "", keep_alive, std::move(headers));
         } else if (view->served) {
-          Respond(c, 200, view->result, stays, std::move(headers));
+          Respond(c, 200, view->result, keep_alive, std::move(headers));
         } else if (view->refused) {
-          Refuse(c, stays, view->retry_after);
+          Refuse(c, keep_alive, view->retry_after);
         } else {
-          Respond(c, view->deadline_exceeded ? 504 : 502, "failed\n", stays, std::move(headers));
+          Respond(c, view->deadline_exceeded ? 504 : 502, "failed\n", keep_alive,
+                  std::move(headers));
         }
         if (handling_ != c) Read(c);
       });
@@ -317,10 +318,9 @@
     Connection* c = Redeem(promise);
     if (c == nullptr) return;
     if (!view)
-      Respond(c, 404, "no such job\n", keep_alive && !refusing_);
+      Respond(c, 404, "no such job\n", keep_alive);
     else
-      Respond(c, 200, WriteJobView(*view), keep_alive && !refusing_,
-              {{"Content-Type", "application/json"}});
+      Respond(c, 200, WriteJobView(*view), keep_alive, {{"Content-Type", "application/json"}});
     if (handling_ != c) Read(c);
   };
   if (message.method == "GET")
@@ -335,10 +335,11 @@
     const std::string* value = message.Find(name);
     return value == nullptr ? std::string() : *value;
   };
-  if ((c->over_budget && connections_.size() > budget_) || refusing_) {
+  const bool over_budget = c->over_budget && connections_.size() > budget_;
+  if (over_budget || refusing_) {
     Count("shed");
     if (dispatch::IndexOf(site.classes, cls) >= 0) ++shed_[cls];
-    return Refuse(c, false, site.settings.max_retry_after);
+    return Refuse(c, message.keep_alive && !over_budget, site.settings.max_retry_after);
   }
   Job job;
   Prefer prefer;
@@ -406,7 +407,7 @@
   waiting_.erase(it);
   c->ticket = 0;
   MarkQuiet(c);
-  const bool keep_alive = c->keep_alive && !refusing_;
+  const bool keep_alive = c->keep_alive;
   switch (answer.kind) {
     case Answer::Kind::kServed:
       Respond(c, 200, answer.result, keep_alive);
@@ -432,8 +433,7 @@
 
 void Front::Respond(Connection* c, int status, std::string_view body, bool keep_alive,
                     const std::vector<http::Header>& headers) {
-  // Near the budget a connection goes with its answer, which no request can cross.
-  if (!c->is_worker && (refusing_ || connections_.size() > budget_ / 4 * 3)) keep_alive = false;
+  if (!c->is_worker && EndsWithAnswer(*c)) keep_alive = false;
   c->answered = true;
   c->quiet_since =
       Now();  // an answer is a sign of life: call-backs come on one connection for long
@@ -448,6 +448,13 @@
   SweepBy(Now() + QuietLimit(*c, connections_.size()));
 }
 
+// Near the budget a connection goes with its answer, which no request can cross; at the end of a
+// drain with the answer to the last request that has come on it.
+bool Front::EndsWithAnswer(const Connection& c) const {
+  if (refusing_) return c.parser.Between() && c.stream->Quiet();
+  return connections_.size() > budget_ / 4 * 3;
+}
+
 // Never later than already set: with answers going out all the time, the sweep would never come.
 void Front::SweepBy(Micros at) {
   if (next_sweep_ != 0 && next_sweep_ <= at) return;
@@ -568,10 +575,24 @@
     if (!c->is_worker && !c->closing && !fresh && c->parser.Between() && c->stream->Quiet())
       Destroy(c);
   }
+  const bool partial = refusing_ && AwaitsPartialRequests();
   if (core_->open_jobs() > 0 || !written || !promised_.empty() || (clients && !refusing_) ||
-      Now() < drain_began_ + kDrainLeast)
+      partial || Now() < drain_began_ + kDrainLeast)
     return drain_.Set(Now() + kDrainStep);
   drained_();
 }
 
+// Whether a request has begun to come. Once the time to answer is over, these are refused.
+bool Front::AwaitsPartialRequests() {
+  std::vector<Connection*> partial;
+  for (Connection* c : quiet_)
+    if (!c->is_worker && !c->closing && !c->parser.Between()) partial.push_back(c);
+  if (Now() < stop_by_) return !partial.empty();
+  for (Connection* c : partial) {
+    Count("shed");
+    Refuse(c, false, core_->site().settings.max_retry_after);
+  }
+  return !partial.empty();  // until the answers are written
+}
+
 }  // namespace pearreach
--- a/src/node/http_frontend/front.h
+++ b/src/node/http_frontend/front.h
@@ -87,6 +87,8 @@
   void SweepBy(Micros at);
   void Sweep();
   void DrainStep();
+  bool EndsWithAnswer(const Connection& c) const;
+  bool AwaitsPartialRequests();
   void PassIdle();
 
   Core* core_;
--- a/tests/node/engine/stories_test.cpp
+++ b/tests/node/engine/stories_test.cpp
@@ -981,6 +981,44 @@
   EXPECT_TRUE(done);
 }
 
+// Guards against requests that had been read behind another one, or in part, when a node ended.
+TEST(Story, ATermRefusesWhatComesBehindAndWhatDoesNotComeWhole) {
+  const std::string job =
+      "POST /commit/x HTTP/1.1\r\nX-Request-ID: %\r\nX-Priority-Class: commit\r\n"
+      "X-Timeout: 900m\r\nContent-Length: 4\r\n\r\nbody";
+  const auto named = [&](const std::string& id) {
+    return job.substr(0, job.find('%')) + id + job.substr(job.find('%') + 1);
+  };
+  Rig rig;
+  Server worker(Accept);
+  rig.Workers({worker.address()});
+  Caller partial(rig.port()), slow(rig.port());
+  for (Caller* caller : {&partial, &slow}) {
+    caller->stream->Write("GET /ready HTTP/1.1\r\n\r\n");
+    EXPECT_EQ(caller->Status(), 200);
+  }
+  bool done = false;
+  rig.front.Drain([&] { done = true; });
+  const Micros began = Now();
+  const std::string whole = named("s");
+  slow.stream->Write(whole.substr(0, whole.size() - 2));
+  partial.stream->Write(whole.substr(0, whole.size() - 1));
+  RunFor(2000 * kMs);  // from then on it refuses
+  Caller late(rig.port());
+  late.stream->Write(named("a") + named("b") + named("c"));
+  EXPECT_EQ(late.Status(2), 503);
+  ASSERT_EQ(late.answers.size(), 3u);
+  EXPECT_TRUE(late.answers[0].keep_alive);
+  EXPECT_FALSE(late.answers[2].keep_alive);
+  EXPECT_FALSE(done) << "requests have begun to come";
+  slow.stream->Write("dy");
+  EXPECT_EQ(slow.Status(1), 503);
+  EXPECT_EQ(partial.Status(1), 503);
+  RunUntil([&] { return done; });
+  EXPECT_TRUE(done);
+  EXPECT_LT(Now() - began, 3700 * kMs) << "SIGKILL may come then";
+}
+
 // A worker that operators have detached is draining for the Dispatcher until it is attached again,
 // whatever later lists report. An id that no list has named cannot be detached.
 TEST(Story, ABannedWorkerIsADrainThatNoListEnds) {
