Soak: calls that are under way for long at nodes that leave; short graces

Change: at each edge node five clients that go on for the whole run: a slow request on the connection of a stream that has just ended, a held read, a body in pieces, pipelined requests, control calls on a kept connection. grace_s is 8, 4 or 2 by the seed. The first fault of each series is a SIGTERM, repeated and with a SIGHUP, to a store, an edge node and a worker, a second after the load begins; each situation is counted and a run without one of them fails. A run takes the first network that is free, as two runs of one seed had met.

--- a/lab/soak/checks.cpp
+++ b/lab/soak/checks.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -16,6 +17,9 @@
 constexpr Microseconds kWindow = kWindowSeconds * kSecond;
 constexpr double kExcess = 0.1, kSlack = 20;
 constexpr double kNearBound = 0.5;
+// `slack_ms`: a connection that ends sooner may have been closed before the request was read.
+constexpr Microseconds kCrossing = 200 * kMillisecond;
+constexpr Microseconds kSoonAfterSignal = 3 * kSecond;
 
 class Checks {
  public:
@@ -122,21 +126,68 @@
     }
   }
 
-  // A request that ran gets its answer from a node that is only told to stop.
+  // Each request that a node has read gets a whole answer, also from one that is told to stop.
   void CheckTermination(const SentRequest& request, int runs) {
     const Member& node = *request.node;
-    const bool terminated =
-        node.Disturbed(request.sent_at, request.ended_at) &&
-        !node.Disturbed(request.sent_at - kWindow, request.ended_at, /*abrupt_only=*/true);
-    if (runs > 0 && terminated) log_->Count("ran at a node that got SIGTERM");
-    if (runs == 0 || request.complete || request.timed_out) return;
+    const bool abrupt =
+        node.Disturbed(request.sent_at - kWindow, request.ended_at, /*abrupt_only=*/true);
+    const std::optional<Microseconds> stopped_at =
+        node.StopSignalIn(request.sent_at, request.ended_at);
+    if (!abrupt && stopped_at.has_value()) CountLeaving(request, runs, *stopped_at);
+    if (request.complete || request.timed_out) return;
+    const bool owed = runs > 0 || (request.sent && request.ended_at > request.sent_at + kCrossing);
+    if (!owed || IsExcused(request, runs, stopped_at)) return;
+    const std::string what = runs > 0 ? "ran, and " : "was sent, and ";
     if (!node.Disturbed(request.sent_at, request.ended_at)) {
-      Find("LOST", request, "ran, and the connection to a node without a fault ended before");
-    } else if (terminated) {
-      Find("LOST", request, "ran, and a node that got SIGTERM ended without its answer");
+      Find("LOST", request, what + "the connection to a node without a fault ended before");
+    } else if (!abrupt && stopped_at.has_value()) {
+      Find("LOST", request, what + "a node that got SIGTERM ended without its answer");
     }
   }
 
+  void CountLeaving(const SentRequest& request, int runs, Microseconds stopped_at) {
+    if (runs > 0) log_->Count("ran at a node that got SIGTERM");
+    if (request.ended_at < stopped_at) return;
+    const bool later = request.sent_at > stopped_at;
+    switch (request.form) {
+      case RequestForm::kAlone:
+        return;
+      case RequestForm::kAfterStream:
+        if (later) log_->Count("leaving: request after a stream");
+        return;
+      case RequestForm::kInPieces:
+        log_->Count("leaving: body in pieces");
+        return;
+      case RequestForm::kPipelined:
+        log_->Count("leaving: pipelined request");
+        return;
+      case RequestForm::kHeldRead:
+        log_->Count("leaving: held read");
+        return;
+      case RequestForm::kKeptControl:
+        log_->Count("leaving: control call");
+        return;
+    }
+  }
+
+  // The worker broke off, the request's time was over, or the worker was at work in the last sixth
+  // of the grace on a request that was sent soon after the signal.
+  bool IsExcused(const SentRequest& request, int runs, std::optional<Microseconds> stopped_at) {
+    if (request.deadline > 0 && request.ended_at >= request.sent_at + request.deadline) return true;
+    for (const WorkerRun& run : runs_)
+      if (run.attempt_id == request.attempt_id && run.worker != nullptr &&
+          run.worker->Disturbed(run.at, request.ended_at)) {
+        log_->Count("excused: the worker broke off");
+        return true;
+      }
+    if (runs == 0 || !stopped_at.has_value()) return false;
+    const Microseconds last_sixth = *stopped_at + request.node->grace() * 5 / 6;
+    if (request.sent_at > *stopped_at + kSoonAfterSignal || request.ended_at < last_sixth)
+      return false;
+    log_->Count("excused: the worker was at work in the last sixth of the grace");
+    return true;
+  }
+
   double BoundAt(const std::string& tenant, Microseconds from, Microseconds to) const {
     // A lower limit binds one window after every front machine has been in touch for kApply.
     Microseconds bound_from = from;
@@ -200,6 +251,7 @@
   for (const Member* worker : fleet.Of(Member::Kind::kWorker)) {
     std::ifstream file(worker->record_path());
     WorkerRun run;
+    run.worker = worker;
     std::string target;
     while (file >> run.at >> run.attempt_id >> run.tenant >> run.authorized >> target)
       runs.push_back(run);
--- a/lab/soak/checks.h
+++ b/lab/soak/checks.h
@@ -15,6 +15,7 @@
   Microseconds at = 0;
   std::string attempt_id, tenant;  // "-": no such header
   bool authorized = false;         // Authorization came through
+  const Member* worker = nullptr;  // where
 };
 
 std::vector<WorkerRun> ReadRuns(const Fleet& fleet);
--- a/lab/soak/client.cpp
+++ b/lab/soak/client.cpp
@@ -25,6 +25,9 @@
       return "/extra/1";
     case RequestKind::kBatch:
       return "/lots-in/1";
+    case RequestKind::kRead:
+    case RequestKind::kControl:
+      break;  // not of this client
   }
   return "/";
 }
@@ -117,6 +120,7 @@
   sent.status = answer.status;
   sent.error = answer.error;
   sent.complete = answer.complete;
+  sent.sent = answer.sent;
   sent.timed_out = answer.timed_out;
   sent.promises_not_run = answer.status == 401 || answer.status == 429 || answer.status == 503;
   log_->Count(fmt::format("{} {}", NameOf(sent.kind), answer.status));
--- a/lab/soak/faults.cpp
+++ b/lab/soak/faults.cpp
@@ -11,6 +11,8 @@
 // A member of the quorum is back only once its data are: half of `sync_s` and the first read.
 constexpr Microseconds kMemberPause = 6 * kSecond;
 constexpr Microseconds kOverGrace = 500 * kMillisecond;
+constexpr Microseconds kWorkerEnd = 8 * kSecond;   // of a worker after SIGTERM
+constexpr Microseconds kKilledEnd = 10 * kSecond;  // of any process after SIGKILL
 
 }  // namespace
 
@@ -19,9 +21,9 @@
 
 void Faults::Run(const std::atomic<bool>& stops) {
   if (members_.empty()) return;
+  SleepFor(kFirstFault);
   while (!stops) {
-    Member* const member =
-        members_[static_cast<std::size_t>(Draw(0, static_cast<int>(members_.size()) - 1))];
+    Member* const member = DrawMember();
     const Microseconds pause = member->keeps_data() ? kMemberPause : Draw(100, 3000) * kMillisecond;
     PlayOne(member);
     const Microseconds until = Now() + pause;
@@ -29,6 +31,12 @@
   }
 }
 
+// The first fault, a SIGTERM, meets the last member.
+Member* Faults::DrawMember() {
+  if (played_ == 0) return members_.back();
+  return members_[static_cast<std::size_t>(Draw(0, static_cast<int>(members_.size()) - 1))];
+}
+
 void Faults::PlayOne(Member* member) {
   ++played_;
   if (!member->Runs()) {
@@ -56,7 +64,8 @@
 }
 
 void Faults::Terminate(Member* member) {
-  const bool killed = Draw(0, 4) == 0;  // while it still serves on
+  const bool first = played_ == 1;
+  const bool killed = !first && Draw(0, 4) == 0;  // while it still serves on
   log_->Count(killed ? "SIGTERM, then SIGKILL" : "SIGTERM");
   member->BeginDisturbance(killed);
   const Microseconds from = Now();
@@ -65,7 +74,7 @@
   if (killed) {
     SleepFor(Draw(0, 3000) * kMillisecond);
     member->Signal(SIGKILL);
-    member->AwaitEnd(member->grace());
+    member->AwaitEnd(kKilledEnd);
   } else {
     AwaitStop(member, from);
   }
@@ -75,23 +84,25 @@
 }
 
 void Faults::SignalWhileItStops(Member* member) {
-  if (Draw(0, 3) == 0) {
+  const bool first = played_ == 1;
+  if (first || Draw(0, 3) == 0) {
     log_->Count("SIGTERM twice");
     member->Signal(SIGTERM);
   }
-  if (Draw(0, 3) == 0 && member->kind() != Member::Kind::kWorker) {
+  if ((first || Draw(0, 3) == 0) && member->kind() != Member::Kind::kWorker) {
     log_->Count("SIGTERM, then SIGHUP");
     member->Signal(SIGHUP);
   }
 }
 
 void Faults::AwaitStop(Member* member, Microseconds from) {
-  const std::optional<int> end = member->AwaitEnd(member->grace() + kOverGrace);
+  const Microseconds grace = member->kind() == Member::Kind::kWorker ? kWorkerEnd : member->grace();
+  const std::optional<int> end = member->AwaitEnd(grace + kOverGrace);
   if (!end) {
     log_->Find("GRACE", fmt::format("{} still runs {} ms after SIGTERM", member->name(),
                                     (Now() - from) / kMillisecond));
     member->Signal(SIGKILL);
-    member->AwaitEnd(member->grace());
+    member->AwaitEnd(kKilledEnd);
   } else if (*end != 0) {
     log_->Find("EXIT", fmt::format("{} ended with {} after SIGTERM", member->name(), *end));
   }
@@ -101,7 +112,7 @@
   log_->Count("SIGKILL");
   member->BeginDisturbance(/*abrupt=*/true);
   member->Signal(SIGKILL);
-  member->AwaitEnd(member->grace());
+  member->AwaitEnd(kKilledEnd);
   SleepFor(Draw(0, 1500) * kMillisecond);
   member->Start();
   member->EndDisturbance();
--- a/lab/soak/faults.h
+++ b/lab/soak/faults.h
@@ -13,6 +13,9 @@
 
 namespace pearreach::soak {
 
+// From the beginning of the load to the first fault of each series, a SIGTERM.
+inline constexpr Microseconds kFirstFault = 1 * kSecond;
+
 // One fault at a time on one of `members`, until `stops`; then all of them run. Give all that keep
 // data to one object, so that only one of them is lost at once.
 class Faults {
@@ -22,6 +25,7 @@
   void Run(const std::atomic<bool>& stops);
 
  private:
+  Member* DrawMember();
   void PlayOne(Member* member);
   void Terminate(Member* member);
   void SignalWhileItStops(Member* member);
--- a/lab/soak/fleet.cpp
+++ b/lab/soak/fleet.cpp
@@ -8,6 +8,8 @@
 #include <fstream>
 #include <limits>
 
+#include "lab/soak/http_connection.h"
+
 namespace pearreach::soak {
 namespace {
 
@@ -35,6 +37,18 @@
 
 }  // namespace
 
+int FreeNetwork(int first, int last) {
+  for (int tried = 0, network = first; tried < last; ++tried, network = network % last + 1) {
+    FleetOptions options;
+    options.network = network;
+    const std::string ip = IpOf(options, Member::Kind::kEdge, 1);
+    const bool in_use =
+        HttpConnection(ip, kControlPort).Connect() || HttpConnection(ip, kFirstPort).Connect();
+    if (!in_use) return network;
+  }
+  return first;
+}
+
 Member::Member(const FleetOptions& options, Kind kind, int index)
     : options_(options),
       kind_(kind),
@@ -82,6 +96,13 @@
   });
 }
 
+std::optional<Microseconds> Member::StopSignalIn(Microseconds from, Microseconds to) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const Disturbance& each : disturbances_)
+    if (!each.abrupt && each.from <= to && each.to >= from) return each.from;
+  return std::nullopt;
+}
+
 void Member::WriteSettings() const {
   const bool edge = kind_ == Kind::kEdge;
   const std::string data = options_.folder + "/" + name_;
--- a/lab/soak/fleet.h
+++ b/lab/soak/fleet.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,6 +27,10 @@
 inline constexpr int kMaxMembersOfEdges = 3;
 inline constexpr int kEdgePort = 19144, kReadinessPort = 19140, kControlPort = 19146;
 
+// The first network from `first` on, up to `last` and round again, at whose edge addresses nobody
+// listens; `first` if there is none.
+int FreeNetwork(int first, int last);
+
 // One process at a time; thread-safe.
 class Member {
  public:
@@ -41,6 +46,8 @@
   // From now on until `EndDisturbance`, and `kAfterwards` longer, it is not held to `kApply`.
   void BeginDisturbance(bool abrupt);
   void EndDisturbance();
+  // When the signal of a disturbance that falls into the span, and is not abrupt, was sent.
+  std::optional<Microseconds> StopSignalIn(Microseconds from, Microseconds to) const;
   // Whether a disturbance (an abrupt one only) falls into the span.
   bool Disturbed(Microseconds from, Microseconds to, bool abrupt_only = false) const;
 
--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <random>
 #include <string>
@@ -22,6 +23,7 @@
 #include "lab/soak/faults.h"
 #include "lab/soak/fleet.h"
 #include "lab/soak/http_connection.h"
+#include "lab/soak/long_caller.h"
 #include "lab/soak/operator.h"
 #include "lab/soak/process_group.h"
 
@@ -37,11 +39,18 @@
 namespace pearreach::soak {
 namespace {
 
-constexpr int kNetworks = 200;  // 127.1 to 127.200, by the seed
+constexpr int kNetworks = 200;  // 127.1 to 127.200, the first free one from the seed on
 constexpr int kClientsPerEdge = 4;
+constexpr RequestForm kLongForms[] = {RequestForm::kAfterStream, RequestForm::kInPieces,
+                                      RequestForm::kPipelined, RequestForm::kHeldRead,
+                                      RequestForm::kKeptControl};
+// `grace_s` of a run, by its seed.
+constexpr Microseconds kGraces[] = {4 * kSecond, 8 * kSecond, 2 * kSecond};
 constexpr Microseconds kReady = 30 * kSecond, kSettle = 8 * kSecond, kRetry = 200 * kMillisecond;
 constexpr const char* kMustCome[] = {
     "SIGTERM",
+    "SIGTERM twice",
+    "SIGTERM, then SIGHUP",
     "SIGKILL",
     "SIGSTOP",
     "plain 200",
@@ -59,16 +68,23 @@
     "checked: window of a limited tenant",
     "window at half of the bound or more",
     "checked: 429 at a node in touch",
+    "leaving: request after a stream",
+    "leaving: body in pieces",
+    "leaving: pipelined request",
+    "leaving: held read",
+    "leaving: control call",
 };
 
 FleetOptions OptionsFromFlags(const std::string& folder) {
   FleetOptions options;
   options.programs = std::filesystem::absolute(absl::GetFlag(FLAGS_program)).string();
   options.folder = folder;
-  options.network = 1 + static_cast<int>(absl::GetFlag(FLAGS_seed) % kNetworks);
+  options.network =
+      FreeNetwork(1 + static_cast<int>(absl::GetFlag(FLAGS_seed) % kNetworks), kNetworks);
   options.edges = absl::GetFlag(FLAGS_edges);
   options.stores = absl::GetFlag(FLAGS_stores);
   options.workers = absl::GetFlag(FLAGS_workers);
+  options.grace = kGraces[absl::GetFlag(FLAGS_seed) % std::size(kGraces)];
   return options;
 }
 
@@ -122,6 +138,7 @@
   void Load() {
     std::vector<std::thread> threads, late_threads;
     std::vector<std::unique_ptr<Client>> clients;
+    std::vector<std::unique_ptr<LongCaller>> long_callers;
     const auto add_client = [&](const Member* edge, const std::string& key) {
       const std::string name = fmt::format("c{}", clients.size());
       const ClientOptions options{name, random_(), edge, key};
@@ -130,6 +147,11 @@
     for (const Member* edge : fleet_.Of(Member::Kind::kEdge)) {
       for (int count = 0; count < kClientsPerEdge; ++count) add_client(edge, "");
       for (const char* key : {kHotKey, kSteadyKey}) add_client(edge, key);
+      for (const RequestForm form : kLongForms) {
+        const std::string name = fmt::format("l{}", long_callers.size());
+        const LongCallerOptions options{name, random_(), edge, kKeptKey, form};
+        long_callers.push_back(std::make_unique<LongCaller>(options, &log_));
+      }
     }
     std::vector<Member*> members, edges, workers;
     for (const auto& member : fleet_.members())
@@ -140,6 +162,7 @@
     Faults of_members(random_(), members, &log_), of_edges(random_(), edges, &log_),
         of_workers(random_(), workers, &log_);
     for (const auto& client : clients) late_threads.emplace_back([&] { client->Run(ends_); });
+    for (const auto& caller : long_callers) late_threads.emplace_back([&] { caller->Run(ends_); });
     for (Faults* faults : {&of_members, &of_edges, &of_workers})
       threads.emplace_back([this, faults] { faults->Run(faults_end_); });
     threads.emplace_back([this] { operator_.Run(faults_end_); });
--- a/lab/soak/request_log.h
+++ b/lab/soak/request_log.h
@@ -13,13 +13,26 @@
 
 namespace pearreach::soak {
 
-enum class RequestKind { kPlain, kEffectful, kStreamed, kExtra, kBatch };
+enum class RequestKind { kPlain, kEffectful, kStreamed, kExtra, kBatch, kRead, kControl };
+
+// How a request stood to those before it on its connection, or how it came.
+enum class RequestForm {
+  kAlone,
+  kAfterStream,  // on the connection of a stream that had ended just before
+  kInPieces,     // with a pause in its body
+  kPipelined,    // sent together with others
+  kHeldRead,     // a read that is held until there is more
+  kKeptControl,  // a call to the control address on a connection that is kept
+};
 
 struct SentRequest {
   std::string attempt_id, key;
   RequestKind kind = RequestKind::kPlain;
+  RequestForm form = RequestForm::kAlone;
   const Member* node = nullptr;
-  Microseconds sent_at = 0, ended_at = 0;
+  Microseconds sent_at = 0, ended_at = 0;  // `sent_at`: of its last byte
+  Microseconds deadline = 0;               // from `sent_at` on; 0: none was named
+  bool sent = true;                        // as a whole
   int status = 0;
   int error = 0;  // errno of the read that failed; 0: the other end closed
   bool complete = false, timed_out = false, promises_not_run = false;
--- a/tests/lab/soak_checks_test.cpp
+++ b/tests/lab/soak_checks_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Microseconds kStart = 1000 * kSecond;
+constexpr Microseconds kLeavingFor = 60 * kSecond;
 constexpr Microseconds kLate = kStart + 60 * kSecond;  // all versions have been applied
 
 class SoakChecksTest : public testing::Test {
@@ -49,7 +50,7 @@
 
   void Ran(const std::string& id, const std::string& tenant, Microseconds at,
            bool authorized = false) {
-    runs_.push_back({at + 10 * kMillisecond, id, tenant, authorized});
+    runs_.push_back({at + 10 * kMillisecond, id, tenant, authorized, nullptr});
   }
 
   // The rules with findings, in order, a blank after each.
@@ -163,6 +164,41 @@
   EXPECT_EQ(Findings(), "LOST ");
 }
 
+TEST_F(SoakChecksTest, FindsWhatALeavingNodeOwes) {
+  AddVersion(versions_[0].configuration, 1, Now() - kLeavingFor);
+  edge_->BeginDisturbance(/*abrupt=*/false);
+  const Microseconds signal = Now();
+  const auto cut = [&](const std::string& id, Microseconds sent, Microseconds ended, bool ran) {
+    SentRequest request = Sent(id, "key-one", signal + sent, 0);
+    request.ended_at = signal + ended;
+    if (ran) Ran(id, "one", signal + sent);
+    return request;
+  };
+  const Microseconds last_sixth = edge_->grace() * 5 / 6;
+  log_.Add(cut("in the last sixth", kSecond, last_sixth + kMillisecond, true));
+  log_.Add(cut("crosses the close", kSecond, kSecond + 150 * kMillisecond, false));
+  SentRequest late = cut("deadline is over", kSecond, 5 * kSecond, true);
+  late.deadline = 4 * kSecond;
+  log_.Add(late);
+  SentRequest partial = cut("not sent whole", kSecond, 5 * kSecond, false);
+  partial.sent = false;
+  log_.Add(partial);
+  EXPECT_EQ(Findings(), "");
+  log_.Add(cut("sent too late", 4 * kSecond, last_sixth + kMillisecond, true));
+  log_.Add(cut("before the last sixth", kSecond, last_sixth - kMillisecond, true));
+  log_.Add(cut("read, not run", kSecond, 2 * kSecond, false));
+  EXPECT_EQ(Findings(), "LOST LOST LOST ");
+}
+
+TEST_F(SoakChecksTest, ExcusesAnswersThatTheirWorkerBrokeOff) {
+  log_.Add(Sent("a", "key-one", Now(), 0));
+  AddVersion(versions_[0].configuration, 1, Now() - kLeavingFor);
+  Member* const worker = fleet_.Of(Member::Kind::kWorker).front();
+  runs_.push_back({Now(), "a", "one", false, worker});
+  worker->BeginDisturbance(/*abrupt=*/true);
+  EXPECT_EQ(Findings(), "");
+}
+
 TEST_F(SoakChecksTest, FindsAnUnlimitedTenantRefusedForItsLimit) {
   log_.Add(Sent("a", "key-limited", kLate, 429));
   EXPECT_EQ(Findings(), "");
