Parse bodies of heartbeats without recursion

Cause: ParseHeartbeat was the one reader of JSON that parsed by recursion. Change: it parses iteratively, as the readers of configurations, batch jobs and the node's JSON do.

--- a/src/tier/registry/heartbeat.cpp
+++ b/src/tier/registry/heartbeat.cpp
@@ -5,6 +5,9 @@
 namespace pearreach::registry {
 namespace {
 
+// Without recursion: the nesting of a body must not be bounded by the stack.
+constexpr unsigned kParseFlags = rapidjson::kParseIterativeFlag;
+
 std::string ReadText(const rapidjson::Value& object, const char* name) {
   const auto found = object.FindMember(name);
   if (found == object.MemberEnd() || !found->value.IsString()) return "";
@@ -22,7 +25,7 @@
 absl::StatusOr<WorkerRecord> ParseHeartbeat(const std::string& worker_id, const std::string& json,
                                             Micros now) {
   rapidjson::Document document;
-  document.Parse(json.data(), json.size());
+  document.Parse<kParseFlags>(json.data(), json.size());
   if (document.HasParseError() || !document.IsObject())
     return absl::InvalidArgumentError("the body is no JSON object");
   WorkerRecord record;
