--- a/tests/lab/leaving_node_test.cpp
+++ b/tests/lab/leaving_node_test.cpp
@@ -118,7 +118,7 @@
 
 // Guards against requests that were taken late in the grace, ran, and got no answer (review/3).
 TEST_F(LeavingNodeTest, AnswersRequestsThatFollowAStream) {
-  Start(8 * kSecond);
+  ASSERT_NO_FATAL_FAILURE(Start(8 * kSecond));
   constexpr int kClients = 8;
   std::vector<HttpAnswer> answers(kClients);
   std::atomic<int> followed = 0;
@@ -146,7 +146,7 @@
 
 // Guards against an end before the last sixth of a short grace, with workers at work.
 TEST_F(LeavingNodeTest, UsesAShortGrace) {
-  Start(2 * kSecond);
+  ASSERT_NO_FATAL_FAILURE(Start(2 * kSecond));
   HttpAnswer answer;
   std::thread client([&] {
     HttpConnection connection(edge_->ip(), kEdgePort);
@@ -162,7 +162,7 @@
 
 // Guards against work that outlasts the grace and got no answer at all.
 TEST_F(LeavingNodeTest, AnswersWhatOutlastsTheGrace) {
-  Start(2 * kSecond);
+  ASSERT_NO_FATAL_FAILURE(Start(2 * kSecond));
   HttpAnswer answer;
   std::thread client([&] {
     HttpConnection connection(edge_->ip(), kEdgePort);
@@ -178,7 +178,7 @@
 
 // Guards against reads that were held when their node ended, and got no answer.
 TEST_F(LeavingNodeTest, AnswersHeldReads) {
-  Start(4 * kSecond);
+  ASSERT_NO_FATAL_FAILURE(Start(4 * kSecond));
   HttpRequest submit = Request("POST", "/lots-in/1", {});
   const std::string id = submit.headers.front().second;
   submit.body = fmt::format(
@@ -203,7 +203,7 @@
 
 // Guards against pipelined requests that were read behind a slow one and dropped at the end.
 TEST_F(LeavingNodeTest, AnswersPipelinedRequests) {
-  Start(2 * kSecond);
+  ASSERT_NO_FATAL_FAILURE(Start(2 * kSecond));
   HttpConnection connection(edge_->ip(), kEdgePort);
   ASSERT_TRUE(connection.Connect());
   ASSERT_TRUE(connection.Send(BytesOf(Work(5 * kSecond, 6 * kSecond)) +
@@ -221,7 +221,7 @@
 
 // Guards against connections that ended in the middle of a body without a word.
 TEST_F(LeavingNodeTest, RefusesBodiesThatDoNotComeInTime) {
-  Start(2 * kSecond);
+  ASSERT_NO_FATAL_FAILURE(Start(2 * kSecond));
   HttpConnection connection(edge_->ip(), kEdgePort);
   ASSERT_TRUE(connection.Connect());
   const std::string bytes = BytesOf(Work(0, 6 * kSecond));
@@ -234,7 +234,7 @@
 
 // Guards against a second SIGTERM, or a SIGHUP, that changes what the first one has begun.
 TEST_F(LeavingNodeTest, TakesFurtherSignalsWhileItStops) {
-  Start(4 * kSecond);
+  ASSERT_NO_FATAL_FAILURE(Start(4 * kSecond));
   HttpAnswer answer;
   std::thread client([&] {
     HttpConnection connection(edge_->ip(), kEdgePort);
@@ -253,7 +253,7 @@
 
 // Guards against control calls that were read and dropped; crossing the close is allowed.
 TEST_F(LeavingNodeTest, AnswersControlCallsUntilItsEnd) {
-  Start(2 * kSecond);
+  ASSERT_NO_FATAL_FAILURE(Start(2 * kSecond));
   int answered = 0, lost = 0;
   Terminate();
   while (SinceSignal() < 3 * kSecond) {
