Break the guards of this change one by one; one of them was twice there, one untested

Cause: not every guard of the last answers and of reported joiners had been taken out on purpose. Found: a recorded joiner was both required at once and waited for before serving, and neither alone turned a test red, as the other held: the wait before serving is enough (what streams is required) and stays alone. A partial request behind one that gets its last answer could be waited for with all tests green: a test. Change: that line less, ShutdownRefusesPartialRequestsBehindOthers, counts of the situations in the filling test and in SeededRunsKeepTheOrder (fail where one never came), the list of guards and tests in docs/control-under-faults.md.

--- a/src/tier/batch/replication.cpp
+++ b/src/tier/batch/replication.cpp
@@ -93,8 +93,6 @@
     if (fresh) link = std::make_shared<ReplicaLink>(peer, this, environment_);
     link->is_replica = is_replica;
     UpdateRequired(link.get());
-    // An earlier process on this disk may have reported it: the report still stands.
-    if (filled_joiners_.Names(peer, table_.epoch)) link->required = true;
     if (fresh) link->Synchronise();
   };
   for (const StoreId& peer : table_.replicas) connect(peer, true);
@@ -108,6 +106,8 @@
   if (!primary_ || active_ || !barrier_done_) return;
   if (!environment_->IsDiskChecked(table_.replicas)) return;
   for (const auto& [peer, link] : links_) {
+    // A joiner that was reported, be it by an earlier process on this disk, may become a replica at
+    // any moment: it must have what is shown and acknowledged from here on.
     const bool may_take_over = link->is_replica || filled_joiners_.Names(peer, table_.epoch);
     if (may_take_over && !link->streaming()) return;
   }
--- a/tests/tier/batch/store_replication_test.cpp
+++ b/tests/tier/batch/store_replication_test.cpp
@@ -47,6 +47,13 @@
     CPPUNIT_ASSERT(!simulation.stores[0]->replica()->FilledJoiners().empty());
   }
 
+  // The primary is killed and starts again on its disk at once; the joiner is cut off until then.
+  static void RestartPrimaryAlone(Run* run, Micros joiner_back) {
+    run->simulation.stores[1]->Isolate(joiner_back);
+    run->simulation.stores[0]->Crash(false);
+    run->simulation.stores[0]->Start();
+  }
+
   // The placement goes by that report, the first store having gone once more.
   static void PromoteAlone(Run* run, std::uint64_t seed) {
     Simulation& simulation = run->simulation;
@@ -170,34 +177,36 @@
   // LOST (review/2): a report that a joiner is filled was taken after the process that made it had
   // been killed; the next one on its disk had acknowledged changes without the joiner.
   void RestartWithinAFillingLosesNothing() {
+    std::size_t submitted = 0, unanswered = 0;
     for (std::uint64_t seed = FirstSeed(); seed < SeedsEnd(kFillingSeeds); ++seed) {
       Run run(seed, 3);
       Fill(&run);
-      Simulation& simulation = run.simulation;
-      const Micros back = simulation.now + simulation.Between(500 * kMs, 2 * kSecond);
-      simulation.stores[1]->Isolate(back);
-      simulation.stores[0]->Crash(false);
-      simulation.stores[0]->Start();
-      while (simulation.now < back) {
+      const Micros back = run.simulation.now + run.simulation.Between(500 * kMs, 2 * kSecond);
+      RestartPrimaryAlone(&run, back);
+      const std::size_t before = run.accepted.size();
+      std::size_t tries = 0;
+      for (; run.simulation.now < back; ++tries) {
         run.Create();
-        simulation.RunUntil(simulation.now + simulation.Between(10 * kMs, 200 * kMs));
+        run.simulation.RunUntil(run.simulation.now + run.simulation.Between(10 * kMs, 200 * kMs));
       }
+      submitted += tries;
+      unanswered += before + tries - run.accepted.size();
       PromoteAlone(&run, seed);
     }
+    // The situation: lots came in between, and none of them could be acknowledged.
+    CPPUNIT_ASSERT(submitted > kFillingSeeds);
+    CPPUNIT_ASSERT_EQUAL(submitted, unanswered);
   }
 
   void RestartedPrimaryServesOnceTheJoinerIsBack() {
     for (std::uint64_t seed = FirstSeed(); seed < SeedsEnd(kFillingSeeds); ++seed) {
       Run run(seed, 3);
       Fill(&run);
-      Simulation& simulation = run.simulation;
-      simulation.stores[1]->Isolate(simulation.now + kSecond);
-      simulation.stores[0]->Crash(false);
-      simulation.stores[0]->Start();
-      simulation.RunUntil(simulation.now + 5 * kSecond);
+      RestartPrimaryAlone(&run, run.simulation.now + kSecond);
+      run.simulation.RunUntil(run.simulation.now + 5 * kSecond);
       const std::size_t before = run.accepted.size();
       run.Create();
-      simulation.RunUntil(simulation.now + kSecond);
+      run.simulation.RunUntil(run.simulation.now + kSecond);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(seed), before + 1, run.accepted.size());
       PromoteAlone(&run, seed);
     }
--- a/tests/tier/http_server/connection_life_test.cpp
+++ b/tests/tier/http_server/connection_life_test.cpp
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(ShutdownLetsHandlersAnswer);
   CPPUNIT_TEST(ShutdownAnswersPipelinedRequests);
   CPPUNIT_TEST(ShutdownRefusesPartialRequests);
+  CPPUNIT_TEST(ShutdownRefusesPartialRequestsBehindOthers);
   CPPUNIT_TEST(ShutdownCutsStreamsOff);
   CPPUNIT_TEST(ShutdownClosesIdleConnections);
   CPPUNIT_TEST(ShutdownSendsLargeAnswersWhole);
@@ -282,6 +283,21 @@
     CPPUNIT_ASSERT(Has(behind->got(), "HTTP/1.1 503 "));
   }
 
+  void ShutdownRefusesPartialRequestsBehindOthers() {
+    OpenKeeping();
+    const auto client = Client();
+    client->Send(Get("/1") + "POST /a HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
+    CPPUNIT_ASSERT(Handed(1));
+    const Micros began = Now();
+    server_->Shutdown();
+    CPPUNIT_ASSERT(client->SeesEnd());
+    CPPUNIT_ASSERT(Now() - began < SmallOptions().header_wait);
+    const std::size_t first = client->got().find("HTTP/1.1 504 ");
+    CPPUNIT_ASSERT(first != std::string::npos);
+    CPPUNIT_ASSERT(client->got().find("HTTP/1.1 503 ") > first);
+    CPPUNIT_ASSERT(Has(client->got(), "HTTP/1.1 503 "));
+  }
+
   void ShutdownCutsStreamsOff() {
     OpenKeeping();
     const auto client = Client();
--- a/tests/tier/server/shutdown_sequence_test.cpp
+++ b/tests/tier/server/shutdown_sequence_test.cpp
@@ -190,6 +190,7 @@
   // Whenever it is idle, however late its steps, whatever grace comes: it answers, then exits,
   // once.
   void SeededRunsKeepTheOrder() {
+    int late_steps = 0, other_graces = 0, second_signals = 0, early_leaves = 0, unsent_exits = 0;
     for (std::uint64_t seed = FirstSeed(); seed < SeedsEnd(300); ++seed) {
       std::mt19937_64 random(seed);
       const auto draw = [&](Micros low, Micros high) {
@@ -200,20 +201,32 @@
       sequence.Begin(draw(0, 10 * kSecond), kBegin);
       std::optional<Micros> delay = 0;
       while ((delay = sequence.Step(actions.now)).has_value()) {
-        actions.now += std::max<Micros>(*delay, 1) + (draw(0, 9) == 0 ? draw(0, kSecond) : 0);
+        const bool late = draw(0, 9) == 0;
+        late_steps += late ? 1 : 0;
+        actions.now += std::max<Micros>(*delay, 1) + (late ? draw(0, kSecond) : 0);
         actions.idle = draw(0, 200) == 0;
         actions.sent = draw(0, 2) > 0;
-        if (draw(0, 99) == 0) sequence.SetGrace(draw(0, 10 * kSecond), actions.now);
-        if (draw(0, 99) == 0) sequence.Begin(draw(0, 10 * kSecond), actions.now);
+        if (draw(0, 99) == 0) {
+          ++other_graces;
+          sequence.SetGrace(draw(0, 10 * kSecond), actions.now);
+        }
+        if (draw(0, 99) == 0) {
+          ++second_signals;
+          sequence.Begin(draw(0, 10 * kSecond), actions.now);
+        }
         CPPUNIT_ASSERT_MESSAGE(std::to_string(seed), actions.now < kBegin + 15 * kSecond);
       }
+      early_leaves += actions.TimeOf("answer") < actions.answer_by() ? 1 : 0;
+      unsent_exits += actions.sent ? 0 : 1;
       const std::string order = actions.Order();
-      const std::string end = "leave answer exit ";
       CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(seed), std::size_t{0}, order.find("drain "));
       CPPUNIT_ASSERT_MESSAGE(std::to_string(seed), order.find("refuse ") < order.find("leave "));
       CPPUNIT_ASSERT_MESSAGE(std::to_string(seed), order.find("answer ") < order.find("exit "));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(seed), order.find("exit "), order.rfind("exit "));
     }
+    // Each situation has come about.
+    CPPUNIT_ASSERT(late_steps > 0 && other_graces > 0 && second_signals > 0);
+    CPPUNIT_ASSERT(early_leaves > 0 && unsent_exits > 0);
   }
 };
 
