Keep a gone replica in the table until others hold everything

Cause: the placement dropped a replica as soon as it was gone, so that the one left acknowledged on one disk, and nothing named the store that still had the other copy.

Now a replica that is gone stays in the table until `tolerance` + 1 others hold everything; only a disk that is known to be lost leaves at once. A primary acknowledges nothing while the table names fewer replicas than that. Another store is filled at once and urgently, also by a primary that is not active yet; a live replica leads meanwhile, and reads are confirmed by the control state where a replica does not answer. A store that restarts while a replica is away has its disk checked by any other store that knew it.

--- a/src/tier/batch/batch_job_store.cpp
+++ b/src/tier/batch/batch_job_store.cpp
@@ -366,8 +366,20 @@
   filled_timer_ = After(kFilledPeriod, [this] { ReportFilled(); });
 }
 
+void StoreServer::LogWaitingPartitions() {
+  const auto waiting = std::count_if(replicas_.begin(), replicas_.end(), [](const auto& replica) {
+    return replica->WaitsForReplica();
+  });
+  if (std::exchange(waiting_partitions_, waiting) == waiting) return;
+  logging::Info("batch", "changes wait for replicas",
+                {logging::F("partitions", waiting), logging::F("required", replicas_wanted_)});
+}
+
 void StoreServer::Tick() {
   tick_timer_ = After(kTickPeriod, [this] { Tick(); });
+  LogWaitingPartitions();
+  // A replica that has gone away since is checked by what other stores know.
+  for (const auto& replica : replicas_) replica->OnDiskChecked();
   items_.DropNodes([this](const std::string& node) {
     const auto at = control_->members().find(node);
     return at != control_->members().end() && !IsThere(at->second);
--- a/src/tier/batch/batch_job_store.h
+++ b/src/tier/batch/batch_job_store.h
@@ -56,6 +56,7 @@
   // ReplicationEnvironment and StoreContext
   Micros Now() const override;
   std::uint64_t Random() override { return random_(); }
+  std::size_t RequiredReplicas() const override { return replicas_wanted_; }
   Timers::Id After(Micros delay, std::function<void()> callback) override;
   void Cancel(Timers::Id* id) override { timers_->Cancel(id); }
   void Send(const StoreId& to, rpc::MessageType type, std::string body, Micros timeout,
@@ -69,7 +70,8 @@
   void OnInactive(std::uint32_t partition) override;
   void OnFilled(std::uint32_t partition) override;
   bool IsDiskChecked(const std::vector<StoreId>& replicas) const override {
-    return disk_guard_.IsChecked(replicas);
+    return disk_guard_.IsChecked(replicas,
+                                 [this](const StoreId& store) { return AddressOf(store).empty(); });
   }
   void OnUnresponsive(const StoreId& peer) override {
     unresponsive_store_reporter_.Report(peer, Now());
@@ -102,6 +104,7 @@
   bool HasDiskCapacity(const Partition& table, std::uint64_t bytes) override;
   bool ReserveDiskCapacity(const Partition& table, std::uint64_t bytes) override;
   void UpdateDiskCapacity();
+  void LogWaitingPartitions();
   void Tick();
 
   Timers* const timers_;
@@ -118,6 +121,7 @@
   std::function<void()> disk_rolled_back_;
   DiskCapacity disk_capacity_;
   Micros insufficient_capacity_logged_at_ = 0;
+  std::ptrdiff_t waiting_partitions_ = 0;  // as last logged
   RepairThrottle repair_throttle_;
   UnresponsiveStoreReporter unresponsive_store_reporter_;
   PlacementTable placement_;
--- a/src/tier/batch/placement.cpp
+++ b/src/tier/batch/placement.cpp
@@ -56,7 +56,7 @@
   void IncreaseSpread();
   std::map<std::string, int> Shared(const Partition& partition) const;
   const StoreView* Choose(std::uint32_t index, const Partition& partition) const;
-  bool DropLost(Partition* partition);
+  bool DropLostDisks(Partition* partition);
   bool DropJoining(Partition* partition);
   bool Promote(std::uint32_t index, Partition* partition);
   bool DropSurplus(Partition* partition);
@@ -67,7 +67,9 @@
   void Rebalance();
   bool RebalancePrimary();
   bool RebalanceReplica();
-  std::size_t CountStayingReplicas(const Partition& partition) const;
+  bool IsAvailable(const StoreId& store) const;
+  std::size_t CountAvailableReplicas(const Partition& partition) const;
+  std::size_t SurplusReplica(const Partition& partition) const;
 
   PlacementTable table_;
   const PlacementInput& input_;
@@ -167,17 +169,12 @@
   changed_ = true;
 }
 
-// Removes replicas that are gone as long as a live one stays, and disks that are lost as long as
-// another replica stays.
-bool Planner::DropLost(Partition* partition) {
+// Removes disks that are lost, as long as another replica stays.
+bool Planner::DropLostDisks(Partition* partition) {
   auto& replicas = partition->replicas;
-  const bool has_live = std::any_of(replicas.begin(), replicas.end(), [&](const StoreId& store) {
-    return ConditionOf(store) == StoreCondition::kLive;
-  });
   const std::size_t before = replicas.size();
   for (auto at = replicas.begin(); at != replicas.end();) {
-    const bool gone = has_live && ConditionOf(*at) == StoreCondition::kGone;
-    const bool drop = replicas.size() > 1 && (gone || DiskIsLost(*at));
+    const bool drop = replicas.size() > 1 && DiskIsLost(*at);
     at = drop ? replicas.erase(at) : at + 1;
   }
   return replicas.size() != before;
@@ -206,36 +203,49 @@
   return promoted;
 }
 
-std::size_t Planner::CountStayingReplicas(const Partition& partition) const {
+// The replica is there, or briefly unheard, and stays.
+bool Planner::IsAvailable(const StoreId& store) const {
+  return !IsLeaving(store.name) && ConditionOf(store) != StoreCondition::kGone;
+}
+
+std::size_t Planner::CountAvailableReplicas(const Partition& partition) const {
   return static_cast<std::size_t>(
       std::count_if(partition.replicas.begin(), partition.replicas.end(),
-                    [&](const StoreId& store) { return !IsLeaving(store.name); }));
+                    [&](const StoreId& store) { return IsAvailable(store); }));
+}
+
+// The position of the replica that is given up first: an unheard one, then one of two in one zone
+// rather than the only one in its zone, then the one whose store has most.
+std::size_t Planner::SurplusReplica(const Partition& partition) const {
+  const auto rank = [&](const StoreId& store) {
+    const auto load = load_.find(store.name);
+    return std::tuple(ConditionOf(store) != StoreCondition::kLive,
+                      -Spread().ImportanceOf(store, partition),
+                      load == load_.end() ? 0 : load->second);
+  };
+  const auto surplus =
+      std::max_element(partition.replicas.begin(), partition.replicas.end(),
+                       [&](const StoreId& a, const StoreId& b) { return rank(a) < rank(b); });
+  return static_cast<std::size_t>(surplus - partition.replicas.begin());
 }
 
-// Removes retiring replicas once enough others are there, and one that is too many: of two in one
-// zone rather than the only one in its zone.
+// Removes gone and retiring replicas once enough others hold everything, and one that is too many.
 bool Planner::DropSurplus(Partition* partition) {
   auto& replicas = partition->replicas;
-  const std::size_t kept = CountStayingReplicas(*partition);
-  if (kept < input_.spread.replicas) return false;
+  if (CountAvailableReplicas(*partition) < input_.spread.replicas) return false;
   const std::size_t before = replicas.size();
-  std::erase_if(replicas, [&](const StoreId& store) { return IsLeaving(store.name); });
+  std::erase_if(replicas, [&](const StoreId& store) { return !IsAvailable(store); });
   if (replicas.size() > input_.spread.replicas) {
-    const auto max_count =
-        std::max_element(replicas.begin(), replicas.end(), [&](const StoreId& a, const StoreId& b) {
-          const int need_of_a = Spread().ImportanceOf(a, *partition),
-                    need_of_b = Spread().ImportanceOf(b, *partition);
-          return need_of_a != need_of_b ? need_of_a > need_of_b : load_[a.name] < load_[b.name];
-        });
-    --load_[max_count->name];
-    replicas.erase(max_count);
+    const auto surplus = replicas.begin() + static_cast<std::ptrdiff_t>(SurplusReplica(*partition));
+    --load_[surplus->name];
+    replicas.erase(surplus);
   }
   return replicas.size() != before;
 }
 
 bool Planner::AddJoining(std::uint32_t index, Partition* partition) {
-  if (!input_.allow_joining || !partition->joining.empty()) return false;
-  if (CountStayingReplicas(*partition) >= input_.spread.replicas) return false;
+  if (!partition->joining.empty()) return false;
+  if (CountAvailableReplicas(*partition) >= input_.spread.replicas) return false;
   const StoreView* store = Choose(index, *partition);
   if (store == nullptr) return false;
   partition->joining.push_back(store->id);
@@ -243,7 +253,7 @@
   return true;
 }
 
-// A live replica leads where the first one is gone for the time being but cannot be removed.
+// A live replica leads where the first one is gone.
 bool Planner::LeadByLive(Partition* partition) {
   auto& replicas = partition->replicas;
   if (replicas.empty() || ConditionOf(replicas.front()) != StoreCondition::kGone) return false;
@@ -355,7 +365,7 @@
 
 // All that needs no choice of a store: removals, and joining stores that have become replicas.
 bool Planner::Trim(std::uint32_t index, Partition* partition) {
-  bool changed = DropLost(partition);
+  bool changed = DropLostDisks(partition);
   changed |= DropJoining(partition);
   changed |= Promote(index, partition);
   changed |= DropSurplus(partition);
@@ -377,7 +387,7 @@
     changed_ = true;
   }
   FinishRetiring();
-  if (changed_ || !input_.allow_joining || !IsSettled(table_, input_.spread.replicas)) return;
+  if (changed_ || !input_.allow_moves || !IsSettled(table_, input_.spread.replicas)) return;
   CountLoad();
   IncreaseSpread();
   if (!changed_) Rebalance();
--- a/src/tier/batch/placement.h
+++ b/src/tier/batch/placement.h
@@ -46,12 +46,16 @@
   std::map<std::string, StoreView> stores;  // by name; what is missing here counts as kUncertain
   std::set<FilledReport> filled;
   PlacementSpread spread;
-  bool allow_first = true;    // the set of live stores has settled: a first table may be made
-  bool allow_joining = true;  // false: a store that went away is given time to return
+  bool allow_first = true;  // the set of live stores has settled: a first table may be made
+  bool allow_moves = true;  // false: a store that went away is given time to return
 };
 
-// The table that should follow; none: the one in force stays. A partition never loses its last
-// replica; what removes one for good, or makes a joining store count, raises its epoch.
+// The table that should follow; none: the one in force stays. Every replica holds all that was
+// acknowledged, also one that is gone: its disk may come back, and be the last one that does. So a
+// gone replica stays in the table until `spread.replicas` others hold everything; until then
+// changes wait for it or for the store that is filled in its place. Only a replica whose disk is
+// known to be lost leaves at once, unless it is the last one. Each change of a partition raises its
+// epoch.
 std::optional<PlacementTable> NextPlacement(const PlacementTable* current,
                                             const PlacementInput& input);
 
--- a/src/tier/batch/placement_controller.cpp
+++ b/src/tier/batch/placement_controller.cpp
@@ -14,7 +14,7 @@
 constexpr Micros kStandbyPeriod = 1 * kSecond;
 // The first table waits until no further store has shown up for this long.
 constexpr Micros kFirstTableDelay = 1 * kSecond;
-// A store that went away has this long to come back before another takes its place.
+// A store that went away has this long to come back before partitions are moved for balance.
 constexpr Micros kReturnTime = 3 * kSecond;
 // A store of the table that a new owner of the role has not heard of is gone after this.
 constexpr Micros kUnknownTime = 10 * kSecond;
@@ -151,7 +151,7 @@
     }
   }
   input.allow_first = now - liveness_.changed() >= kFirstTableDelay;
-  input.allow_joining = !liveness_.MayReturn(now, kReturnTime);
+  input.allow_moves = !liveness_.MayReturn(now, kReturnTime);
   return input;
 }
 
--- a/src/tier/batch/replication.cpp
+++ b/src/tier/batch/replication.cpp
@@ -39,7 +39,7 @@
 void PartitionReplica::SetTable(const Partition& table) {
   if (table.epoch <= table_.epoch) return;
   table_ = table;
-  sole_confirmed_ = false;
+  epoch_confirmed_ = false;
   const bool primary = !table_.replicas.empty() && table_.replicas.front() == self_;
   if (!primary) {
     if (primary_) StepDown();
@@ -55,7 +55,7 @@
   primary_ = true;
   active_ = false;
   barrier_done_ = false;
-  confirming_sole_ = false;
+  confirming_epoch_ = false;
   recording_filled_joiners_ = false;
   backup_stream_.Close();
   ++term_;
@@ -68,6 +68,7 @@
     }
     barrier_done_ = true;
     CheckActive();
+    RecordFilledJoiners();
   });
 }
 
@@ -111,31 +112,37 @@
     const bool may_take_over = link->is_replica || filled_joiners_.Names(peer, table_.epoch);
     if (may_take_over && !link->streaming()) return;
   }
-  if (IsSole() && !sole_confirmed_) {
-    ConfirmSole();
+  const bool is_sole = table_.replicas.size() == 1;
+  if (is_sole && !epoch_confirmed_) {
+    ConfirmEpoch();
     return;
   }
   Activate();
 }
 
-// A sole replica hears from no other whether its table still stands.
-void PartitionReplica::ConfirmSole() {
-  if (confirming_sole_) return;
-  confirming_sole_ = true;
+void PartitionReplica::OnDiskChecked() {
+  CheckActive();
+  RecordFilledJoiners();
+}
+
+// Where not all other replicas can say whether the table still stands, the control state can.
+void PartitionReplica::ConfirmEpoch() {
+  if (confirming_epoch_) return;
+  confirming_epoch_ = true;
   const std::uint64_t term = term_, epoch = table_.epoch;
   const Micros requested_at = environment_->Now();
   environment_->ConfirmEpoch(partition_, epoch, [this, term, epoch, requested_at](bool stands) {
     if (term != term_) return;
-    confirming_sole_ = false;
+    confirming_epoch_ = false;
     if (stands && epoch == table_.epoch) {
-      sole_confirmed_ = true;
-      sole_confirmed_at_ = requested_at;
+      epoch_confirmed_ = true;
+      epoch_confirmed_at_ = requested_at;
       CheckActive();
       CheckConfirmations();
       return;
     }
     environment_->After(kConfirmRetry, [this, term] {
-      if (term == term_ && (!active_ || !confirmations_.empty())) CheckActive();
+      if (term == term_) CheckActive();
     });
   });
 }
@@ -147,9 +154,13 @@
   RecordFilledJoiners();
 }
 
+// A primary need not be active: one that waits for a replica that is away is served by the joiner
+// in its place. What it has must be on its disk, and be all that its disk ever had.
 bool PartitionReplica::IsFilled(const ReplicaLink& link) const {
-  return active_ && !link.is_replica && link.required && link.streaming() &&
-         link.acknowledged() >= link.catch_up_sequence;
+  const bool is_joined = !link.is_replica && link.required && link.streaming() &&
+                         link.acknowledged() >= link.catch_up_sequence;
+  if (!is_joined || active_) return is_joined;
+  return primary_ && barrier_done_ && environment_->IsDiskChecked(table_.replicas);
 }
 
 std::vector<StoreId> PartitionReplica::FilledJoiners() const {
@@ -204,6 +215,12 @@
   link->required = required;
 }
 
+bool PartitionReplica::AnyReplicaUnreachable() const {
+  return std::any_of(links_.begin(), links_.end(), [](const auto& entry) {
+    return entry.second->is_replica && !entry.second->reachable();
+  });
+}
+
 void PartitionReplica::OnLinkAdvanced() {
   for (const auto& [peer, link] : links_) {
     if (!link->required) UpdateRequired(link.get());
@@ -248,8 +265,10 @@
   Advance();
 }
 
+// A change is acknowledged once it is on so many disks that it outlasts all losses that may come at
+// once. A joiner does not count, as the table does not name it as a holder yet.
 void PartitionReplica::Advance() {
-  if (!active_) return;
+  if (!active_ || !HasRequiredReplicas()) return;
   std::uint64_t acknowledged_by_all = last_sequence_;
   for (const auto& [peer, link] : links_) {
     if (link->required) acknowledged_by_all = std::min(acknowledged_by_all, link->acknowledged());
@@ -305,7 +324,10 @@
 
 bool PartitionReplica::ConfirmedSince(Micros since, bool all_required) const {
   if (!active_) return false;
-  if (IsSole() && !all_required) return sole_confirmed_at_ >= since && sole_confirmed_;
+  if (all_required && !HasRequiredReplicas()) return false;
+  if (!all_required && epoch_confirmed_ && epoch_confirmed_at_ >= since) return true;
+  const bool is_sole = table_.replicas.size() == 1;
+  if (!all_required && is_sole) return false;
   return std::all_of(links_.begin(), links_.end(), [&](const auto& entry) {
     return !MustConfirm(*entry.second, all_required) || entry.second->confirmed_at() >= since;
   });
@@ -332,10 +354,8 @@
   }
   confirmations_.Add(std::move(confirmation));
   ArmConfirmTimer();
-  if (IsSole() && !all_required) {
-    ConfirmSole();
-    return;
-  }
+  const bool is_sole = table_.replicas.size() == 1;
+  if (!all_required && (is_sole || AnyReplicaUnreachable())) ConfirmEpoch();
   for (const auto& [peer, link] : links_) {
     if (MustConfirm(*link, all_required) && link->confirmed_at() < since)
       link->RequestConfirmation();
--- a/src/tier/batch/replication.h
+++ b/src/tier/batch/replication.h
@@ -38,6 +38,8 @@
   virtual ~ReplicationEnvironment() = default;
   virtual Micros Now() const = 0;
   virtual std::uint64_t Random() = 0;
+  // How many replicas of the table must hold a change before it is acknowledged.
+  virtual std::size_t RequiredReplicas() const { return 1; }
   virtual Timers::Id After(Micros delay, std::function<void()> callback) = 0;
   virtual void Cancel(Timers::Id* id) = 0;
   virtual void Send(const StoreId& to, rpc::MessageType type, std::string body, Micros timeout,
@@ -71,7 +73,7 @@
   // A joiner has all of the partition, under its present epoch.
   virtual void OnFilled(std::uint32_t partition) = 0;
   // Whether this store's disk is known to hold all that it ever held, as far as these replicas
-  // know.
+  // know, or other stores in place of one that is away.
   virtual bool IsDiskChecked(const std::vector<StoreId>& /*replicas*/) const { return true; }
 };
 
@@ -91,6 +93,10 @@
   bool is_active() const { return active_; }
   std::uint64_t epoch() const { return table_.epoch; }
   const Partition& table() const { return table_; }
+  // As the primary: too few replicas are there for a change to be acknowledged.
+  bool WaitsForReplica() const {
+    return primary_ && (!HasRequiredReplicas() || AnyReplicaUnreachable());
+  }
 
   BatchJobTable& batch_jobs() { return batch_jobs_; }
   const BatchJobTable& batch_jobs() const { return batch_jobs_; }
@@ -100,11 +106,12 @@
   // loses the primary role before that.
   void Submit(Operation operation, ChangeDone done);
   // To be called when ReplicationEnvironment::IsDiskChecked may have become true.
-  void OnDiskChecked() { CheckActive(); }
+  void OnDiskChecked();
   // Calls back whether no other store can have taken over by now, to within kConfirmSpan.
   void Confirm(std::function<void(bool)> done);
-  // Calls back whether all replicas that a change would wait for have answered within `span`
-  // before now or do so within `timeout`. REQUIRES: is_active().
+  // Calls back whether a change would be acknowledged: there are enough replicas, and all that it
+  // would wait for have answered within `span` before now or do so within `timeout`. REQUIRES:
+  // is_active().
   void ConfirmAllRequired(Micros span, Micros timeout, std::function<void(bool)> done);
   // Joiners that hold all of the partition and may be reported: they stay required until the epoch
   // changes, also by a process that starts again on this disk.
@@ -128,6 +135,7 @@
   std::uint64_t last_sequence() const override { return last_sequence_; }
   const BatchJobTable& link_batch_jobs() const override { return batch_jobs_; }
   void OnLinkAdvanced() override;
+  bool RepairIsUrgent() const override { return WaitsForReplica(); }
   void UpdateRequired(ReplicaLink* link) const;
   bool IsFilled(const ReplicaLink& link) const;
   // Puts filled joiners on record, then tells the environment of them.
@@ -139,7 +147,7 @@
   void StepDown();
   void UpdateLinks();
   void CheckActive();
-  void ConfirmSole();
+  void ConfirmEpoch();
   void Activate();
   void Advance();
   void Complete(const Pending& pending);
@@ -154,7 +162,10 @@
     return all_required ? link.required : link.is_replica;
   }
   bool ConfirmedSince(Micros since, bool all_required) const;
-  bool IsSole() const { return table_.replicas.size() == 1; }
+  bool HasRequiredReplicas() const {
+    return table_.replicas.size() >= environment_->RequiredReplicas();
+  }
+  bool AnyReplicaUnreachable() const;
   ReplicaVerdict CheckScope(const ReplicaScope& scope, bool starts_attempt);
   ReplicaVerdict CheckReplicate(const Replicate& message);
 
@@ -168,8 +179,9 @@
   bool barrier_done_ = false;           // all that was taken as a backup is on disk
   FilledJoinersRecord filled_joiners_;  // as on disk
   bool recording_filled_joiners_ = false;
-  bool sole_confirmed_ = false, confirming_sole_ = false;
-  Micros sole_confirmed_at_ = 0;
+  // The control state has shown this epoch to be the newest, at the time of the request.
+  bool epoch_confirmed_ = false, confirming_epoch_ = false;
+  Micros epoch_confirmed_at_ = 0;
   std::uint64_t term_ = 0;  // counts the times that this store became or ceased to be primary
   std::uint64_t last_sequence_ = 0;
   std::deque<Pending> pending_;
--- a/src/tier/batch/replication_link.cpp
+++ b/src/tier/batch/replication_link.cpp
@@ -38,6 +38,7 @@
       [weak, generation, on_accepted = std::move(on_accepted)](absl::StatusOr<std::string> bytes) {
         const auto self = weak.lock();
         if (self == nullptr || self->generation_ != generation) return;
+        self->reachable_ = bytes.ok();
         if (!bytes.ok()) {
           self->Retry(kRetryDelay);
           return;
@@ -122,7 +123,8 @@
   }
   const std::weak_ptr<ReplicaLink> weak = weak_from_this();
   const std::uint64_t generation = generation_;
-  environment_->ThrottleRepair(is_replica, [weak, generation](const RepairThrottle::Slot& slot) {
+  const bool is_urgent = is_replica || owner_->RepairIsUrgent();
+  environment_->ThrottleRepair(is_urgent, [weak, generation](const RepairThrottle::Slot& slot) {
     const auto self = weak.lock();
     const bool wanted = self != nullptr && self->generation_ == generation;
     return wanted ? self->SendRepair(slot) : std::size_t{0};
--- a/src/tier/batch/replication_link.h
+++ b/src/tier/batch/replication_link.h
@@ -36,6 +36,8 @@
   virtual std::uint64_t last_sequence() const = 0;
   virtual const BatchJobTable& link_batch_jobs() const = 0;
   virtual void OnLinkAdvanced() = 0;
+  // The partition rests until a joiner is filled.
+  virtual bool RepairIsUrgent() const = 0;
 };
 
 // Shared so that a late response can tell whether the link is still there; the partition's primary
@@ -51,6 +53,7 @@
   void Enqueue(std::uint64_t sequence, std::shared_ptr<const Operation> operation);
   void RequestConfirmation();  // asks the peer whether the table still stands
   bool streaming() const { return state_ == State::kStreaming; }
+  bool reachable() const { return reachable_; }  // the last call was answered, or none has ended
   std::uint64_t acknowledged() const { return acknowledged_; }
   Micros confirmed_at() const { return confirmed_at_; }
 
@@ -96,7 +99,7 @@
   std::deque<std::string> batch_jobs_to_send_, batch_jobs_to_erase_;  // batch jobs
   std::uint64_t acknowledged_ = 0;
   Micros confirmed_at_ = 0;
-  bool in_flight_ = false, confirmation_wanted_ = false;
+  bool in_flight_ = false, confirmation_wanted_ = false, reachable_ = true;
   Timers::Id retry_timer_ = 0;
 };
 
--- a/src/tier/batch/store_disk_guard.cpp
+++ b/src/tier/batch/store_disk_guard.cpp
@@ -95,6 +95,7 @@
     if (on_rolled_back_) on_rolled_back_();
     return;
   }
+  if (known->starts > 0) known_by_other_ = true;
   if (checked_.insert(peer).second && on_checked_) on_checked_();
 }
 
@@ -107,10 +108,12 @@
   respond(codec::Encode(before.use));
 }
 
-bool StoreDiskGuard::IsChecked(const std::vector<StoreId>& replicas) const {
+bool StoreDiskGuard::IsChecked(const std::vector<StoreId>& replicas,
+                               const std::function<bool(const StoreId&)>& is_away) const {
   return !is_rolled_back_ &&
-         std::all_of(replicas.begin(), replicas.end(), [this](const StoreId& replica) {
-           return replica == self_ || checked_.count(replica) > 0;
+         std::all_of(replicas.begin(), replicas.end(), [&](const StoreId& replica) {
+           const bool has_responded = replica == self_ || checked_.count(replica) > 0;
+           return has_responded || (known_by_other_ && is_away(replica));
          });
 }
 
--- a/src/tier/batch/store_disk_guard.h
+++ b/src/tier/batch/store_disk_guard.h
@@ -46,8 +46,10 @@
   void Tick();
   void OnReport(const StoreDiskReport& report, const rpc::Respond& respond);
 
-  // All other ones of these replicas have responded to this process.
-  bool IsChecked(const std::vector<StoreId>& replicas) const;
+  // All other ones of these replicas have responded to this process. One that is away counts as
+  // soon as any other store has that knew of this disk before.
+  bool IsChecked(const std::vector<StoreId>& replicas,
+                 const std::function<bool(const StoreId&)>& is_away) const;
 
  private:
   void Report(const StoreId& peer);
@@ -63,6 +65,7 @@
   std::set<StoreId> peers_, checked_, in_flight_;
   std::map<StoreId, control::DiskUse> reported_;
   bool is_rolled_back_ = false;
+  bool known_by_other_ = false;  // a store that responded knew of this disk
   std::function<void()> on_checked_, on_rolled_back_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for late responses
 };
