--- a/src/tier/batch/replication.cpp
+++ b/src/tier/batch/replication.cpp
@@ -105,6 +105,8 @@
 
 void PartitionReplica::CheckActive() {
   if (!primary_ || active_ || !barrier_done_) return;
+  // What is shown must outlast the same losses as what is acknowledged.
+  if (!HasRequiredReplicas()) return;
   if (!environment_->IsDiskChecked(table_.replicas)) return;
   for (const auto& [peer, link] : links_) {
     // A joiner that was reported, be it by an earlier process on this disk, may become a replica at
