Soak: lose disks, also while another member is down with its own

The second fault of each run now kills a store, and another one, whose disk is removed; later ones draw any members. A run without it fails. Batch jobs are read at the end until 15 s are over, as service may rest for `recover_s`.

--- a/lab/soak/faults.cpp
+++ b/lab/soak/faults.cpp
@@ -31,9 +31,9 @@
   }
 }
 
-// The first fault, a SIGTERM, meets the last member.
+// The first two faults, a SIGTERM and a loss of a disk, meet the last member.
 Member* Faults::DrawMember() {
-  if (played_ == 0) return members_.back();
+  if (played_ < 2) return members_.back();
   return members_[static_cast<std::size_t>(Draw(0, static_cast<int>(members_.size()) - 1))];
 }
 
@@ -48,6 +48,11 @@
   }
   // Each of the first three comes up in any run that is long enough for three faults.
   const int drawn = Draw(0, 6);
+  if (member->keeps_data() && members_.size() > 1) {
+    if (played_ == 2 || (played_ > 3 && Draw(0, 2) == 0))
+      return LoseDiskWhileAnotherIsDown(member, DrawOther(member));
+    if (played_ > 3 && Draw(0, 5) == 0) return LoseDisk(member);
+  }
   switch (played_ <= 3 ? 2 * (played_ - 1) : drawn) {
     case 0:
     case 1:
@@ -118,6 +123,40 @@
   member->EndDisturbance();
 }
 
+void Faults::LoseDisk(Member* member) {
+  log_->Count("disk lost");
+  member->BeginDisturbance(/*abrupt=*/true);
+  member->Signal(SIGKILL);
+  member->AwaitEnd(kKilledEnd);
+  member->RemoveDisk();
+  SleepFor(Draw(0, 1500) * kMillisecond);
+  member->Start();
+  member->EndDisturbance();
+}
+
+void Faults::LoseDiskWhileAnotherIsDown(Member* member, Member* away) {
+  log_->Count("disk lost while another member is down");
+  if (member->kind() == Member::Kind::kStore && away->kind() == Member::Kind::kStore)
+    log_->Count("disk of a store lost while another store is down");
+  away->BeginDisturbance(/*abrupt=*/true);
+  away->Signal(SIGKILL);
+  away->AwaitEnd(kKilledEnd);
+  SleepFor(Draw(0, 3000) * kMillisecond);
+  LoseDisk(member);
+  SleepFor(Draw(0, 3000) * kMillisecond);
+  away->Start();
+  away->EndDisturbance();
+}
+
+// The one before it in the list, or any.
+Member* Faults::DrawOther(const Member* member) {
+  if (played_ == 2) return members_[members_.size() - 2];
+  Member* other = nullptr;
+  while (other == nullptr || other == member)
+    other = members_[static_cast<std::size_t>(Draw(0, static_cast<int>(members_.size()) - 1))];
+  return other;
+}
+
 void Faults::Freeze(Member* member) {
   log_->Count("SIGSTOP");
   member->BeginDisturbance(/*abrupt=*/true);
--- a/lab/soak/faults.h
+++ b/lab/soak/faults.h
@@ -1,5 +1,5 @@
-// Signals to the processes of a run, drawn from a seed and overlapping, with never more quorum
-// members and stores lost at once than `tolerance` allows.
+// Signals to the processes of a run and losses of disks, drawn from a seed and overlapping. Never
+// are more disks lost at once than `tolerance` allows; while one is, another member may be down.
 #ifndef PEARREACH_LAB_SOAK_FAULTS_H_
 #define PEARREACH_LAB_SOAK_FAULTS_H_
 
@@ -31,6 +31,10 @@
   void SignalWhileItStops(Member* member);
   void AwaitStop(Member* member, Microseconds from);  // SIGTERM came then
   void Kill(Member* member);
+  void LoseDisk(Member* member);
+  // `away` is down with its disk meanwhile.
+  void LoseDiskWhileAnotherIsDown(Member* member, Member* away);
+  Member* DrawOther(const Member* member);
   void Freeze(Member* member);
   void Reload(Member* member);
   int Draw(int low, int high);
--- a/lab/soak/fleet.cpp
+++ b/lab/soak/fleet.cpp
@@ -64,6 +64,11 @@
                                             options_.folder + "/" + name_ + ".log");
 }
 
+void Member::RemoveDisk() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::filesystem::remove_all(DataPath());
+}
+
 void Member::Signal(int number) {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (process_) process_->Signal(number);
@@ -105,7 +110,7 @@
 
 void Member::WriteSettings() const {
   const bool edge = kind_ == Kind::kEdge;
-  const std::string data = options_.folder + "/" + name_;
+  const std::string data = DataPath();
   if (keeps_data_) std::filesystem::create_directories(data);
   std::ofstream file(options_.folder + "/" + name_ + ".yaml");
   file << fmt::format("node_name: \"{}\"\nrole: \"{}\"\nmachine_class: \"{}\"\n", name_,
--- a/lab/soak/fleet.h
+++ b/lab/soak/fleet.h
@@ -39,6 +39,8 @@
   Member(const FleetOptions& options, Kind kind, int index);
 
   void Start();
+  // Of a process that has ended: all that it kept is gone, and it starts again with nothing.
+  void RemoveDisk();
   void Signal(int number);
   // Whether the process ended by itself, with code 0, within `longest`.
   std::optional<int> AwaitEnd(Microseconds longest);
@@ -65,6 +67,7 @@
     bool abrupt = false;
   };
 
+  std::string DataPath() const { return options_.folder + "/" + name_; }
   void WriteSettings() const;
   std::vector<std::string> NodeWords() const;
   std::vector<std::string> WorkerWords() const;
--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -47,12 +47,17 @@
 // `grace_s` of a run, by its seed.
 constexpr Microseconds kGraces[] = {4 * kSecond, 8 * kSecond, 2 * kSecond};
 constexpr Microseconds kReady = 30 * kSecond, kSettle = 8 * kSecond, kRetry = 200 * kMillisecond;
+// Beyond `tolerance` service may rest for `recover_s` after all are back.
+constexpr Microseconds kLongestRest = 15 * kSecond;
 constexpr const char* kMustCome[] = {
     "SIGTERM",
     "SIGTERM twice",
     "SIGTERM, then SIGHUP",
     "SIGKILL",
     "SIGSTOP",
+    "disk lost while another member is down",
+    "disk of a store lost while another store is down",
+    "checked: batch job at the end",
     "plain 200",
     "plain 401",
     "plain 429",
@@ -181,23 +186,23 @@
   // Each batch job that was taken can be read at the end, with another key of its tenant.
   void ReadBatchJobs() {
     const std::vector<Version> versions = history_.All();
+    const Microseconds until = Now() + kLongestRest;
     for (const SentRequest& request : log_.requests())
       if (request.kind == RequestKind::kBatch && request.status == 202)
-        ReadBatchJob(versions, request);
+        ReadBatchJob(versions, request, until);
   }
 
-  void ReadBatchJob(const std::vector<Version>& versions, const SentRequest& request) {
+  // Again after each failure until `until`, and once at least.
+  void ReadBatchJob(const std::vector<Version>& versions, const SentRequest& request,
+                    Microseconds until) {
     std::vector<std::string> keys;
     for (const Configuration* each : MayBeInForce(versions, Now(), Now(), 0))
       for (const auto& [name, tenant] : each->tenants)
         keys.insert(keys.end(), tenant.keys.begin(), tenant.keys.end());
-    const std::vector<Member*> edges = fleet_.Of(Member::Kind::kEdge);
-    int status = 0;
-    for (std::size_t attempt = 0; attempt < keys.size() && status != 200; ++attempt) {
-      HttpConnection connection(edges[attempt % edges.size()]->ip(), kEdgePort);
-      HttpRequest read{"GET", "/lots/" + request.attempt_id + "?start_after=0", {}, ""};
-      read.headers = {{"Authorization", "Token " + keys[attempt]}};
-      status = connection.Ask(read).status;
+    int status = ReadWithAnyKey(keys, request.attempt_id);
+    while (status != 200 && Now() < until) {
+      SleepFor(kRetry);
+      status = ReadWithAnyKey(keys, request.attempt_id);
     }
     log_.Count("checked: batch job at the end");
     if (status != 200)
@@ -205,6 +210,19 @@
                                     request.attempt_id, request.key, status));
   }
 
+  // The status of the first read whose key is known.
+  int ReadWithAnyKey(const std::vector<std::string>& keys, const std::string& batch_job_id) {
+    const std::vector<Member*> edges = fleet_.Of(Member::Kind::kEdge);
+    int status = 401;
+    for (std::size_t at = 0; at < keys.size() && status == 401; ++at) {
+      HttpConnection connection(edges[++reads_ % edges.size()]->ip(), kEdgePort);
+      HttpRequest read{"GET", "/lots/" + batch_job_id + "?start_after=0", {}, ""};
+      read.headers = {{"Authorization", "Token " + keys[at]}};
+      status = connection.Ask(read).status;
+    }
+    return status;
+  }
+
   void CheckSituations() {
     const std::map<std::string, int> counts = log_.counts();
     for (const char* situation : kMustCome)
@@ -243,6 +261,7 @@
   std::mt19937_64 random_;
   Operator operator_;
   std::atomic<bool> faults_end_ = false, ends_ = false;
+  std::size_t reads_ = 0;  // at the end, over the edge nodes in turn
 };
 
 std::string MakeFolder() {
