--- a/tests/fuzz/tier_state_fuzz.cpp
+++ b/tests/fuzz/tier_state_fuzz.cpp
@@ -120,7 +120,7 @@
   batch::PlacementInput surroundings;
   surroundings.spread.replicas = input->ConsumeIntegralInRange<std::size_t>(1, 4);
   surroundings.spread.zones = input->ConsumeIntegralInRange<std::size_t>(1, 3);
-  surroundings.allow_joining = input->ConsumeBool();
+  surroundings.allow_moves = input->ConsumeBool();
   for (int i = input->ConsumeIntegralInRange<int>(0, 4); i > 0; --i) {
     const std::string name = Name(input);
     surroundings.stores[name] = {
