--- a/src/tier/batch/disk_capacity.cpp
+++ b/src/tier/batch/disk_capacity.cpp
@@ -13,6 +13,7 @@
 // Text that a token comes to, with the framing of its events: about, and rather too much.
 constexpr double kBytesPerToken = 4;
 constexpr std::uint64_t kResultFramingBytes = 256;
+constexpr double kMaxResultBytes = 1e15;  // more than any disk has
 // Kept free for pages that a change writes anew and for reports of other stores that are in flight.
 constexpr std::uint64_t kReservedFraction = 16;
 
@@ -24,8 +25,8 @@
 }
 
 std::uint64_t ResultBytes(double tokens) {
-  return SizeOnDisk(kResultFramingBytes +
-                    static_cast<std::uint64_t>(std::max(0.0, tokens) * kBytesPerToken));
+  const double text_bytes = std::clamp(tokens * kBytesPerToken, 0.0, kMaxResultBytes);
+  return SizeOnDisk(kResultFramingBytes + static_cast<std::uint64_t>(text_bytes));
 }
 
 std::vector<StoreId> ReplicasAndJoiners(const Partition& table) {
