--- a/lab/soak/child_process.h
+++ b/lab/soak/child_process.h
@@ -24,6 +24,7 @@
   // The exit code, or 128 + the signal that ended it; nothing if it still runs.
   std::optional<int> Ended();
   std::optional<int> AwaitEnd(Microseconds longest);
+  pid_t id() const { return pid_; }
 
  private:
   pid_t pid_ = 0;
--- a/lab/soak/fleet.cpp
+++ b/lab/soak/fleet.cpp
@@ -16,6 +16,7 @@
 
 // Of the stores' links: so slow that filling a store takes a while.
 constexpr int kStoreLinkMbps = 1, kLinkMbps = 1000;
+constexpr int kEdgeDiskMb = 64;
 
 constexpr std::array<const char*, 3> kKindNames = {"edge", "store", "worker"};
 constexpr int kEdgeNet = 10, kStoreNet = 20, kWorkerNet = 30;
@@ -95,6 +96,11 @@
   return process_ && !process_->Ended();
 }
 
+pid_t Member::process_id() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return process_ ? process_->id() : 0;
+}
+
 void Member::BeginDisturbance(bool abrupt) {
   const std::lock_guard<std::mutex> lock(mutex_);
   disturbances_.push_back({Now(), std::numeric_limits<Microseconds>::max(), abrupt});
@@ -142,9 +148,12 @@
   for (int seed = 1; seed <= std::min(kMaxMembersOfEdges, options_.edges); ++seed)
     file << fmt::format("  - \"{}\"\n", ControlOf(options_, seed));
   file << fmt::format("bootstrap: {}\nquorum_member: {}\n", starts_ == 1, keeps_data_);
-  file << "limits:\n  cpu_fraction: 1\n  cores: 1\n  memory_mb: 512\n  file_limit: 1024\n"
-       << fmt::format("  link_mbps: {}\n  disk_mb: {}\n",
-                      kind_ == Kind::kStore ? kStoreLinkMbps : kLinkMbps, keeps_data_ ? 64 : 0);
+  const int memory_mb = edge ? options_.edge_memory_mb : options_.store_memory_mb;
+  const int disk_mb = edge ? kEdgeDiskMb : options_.store_disk_mb;
+  file << fmt::format("limits:\n  cpu_fraction: 1\n  cores: 1\n  memory_mb: {}\n  file_limit: {}\n",
+                      memory_mb, options_.file_limit)
+       << fmt::format("  link_mbps: {}\n  disk_mb: {}\n", edge ? kLinkMbps : kStoreLinkMbps,
+                      keeps_data_ ? disk_mb : 0);
   if (keeps_data_) file << fmt::format("data_path: \"{}\"\n", data);
   file << "beat_ms: 500\ntolerance:\n  machines: 1\n  zones: 0\n  regions: 0\n";
   file << fmt::format("bounds:\n  grace_s: {}\n  apply_ms: {}\n",
--- a/lab/soak/fleet.h
+++ b/lab/soak/fleet.h
@@ -3,6 +3,8 @@
 #ifndef PEARREACH_LAB_SOAK_FLEET_H_
 #define PEARREACH_LAB_SOAK_FLEET_H_
 
+#include <sys/types.h>
+
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -21,6 +23,8 @@
   int network = 1;       // addresses are 127.NETWORK.x.y
   int edges = 3, stores = 3, workers = 4;
   Microseconds grace = 8 * kSecond;  // from SIGTERM on, of the nodes
+  // `limits` of the settings.
+  int edge_memory_mb = 512, store_memory_mb = 512, file_limit = 1024, store_disk_mb = 64;
 };
 
 inline constexpr Microseconds kApply = 2500 * kMillisecond;
@@ -48,6 +52,7 @@
   // Whether the process ended by itself, with code 0, within `longest`.
   std::optional<int> AwaitEnd(Microseconds longest);
   bool Runs();
+  pid_t process_id() const;  // 0: none was started
   // From now on until `EndDisturbance`, and `kAfterwards` longer, it is not held to `kApply`.
   void BeginDisturbance(bool abrupt);
   void EndDisturbance();
