One budget for what is held for clients, and shedding that leaves ordinary callers a way

Change: a budget of a quarter of memory_mb counts what connections and complete requests hold, at the client, control and readiness addresses together, at the node's front, in calls that wait to be sent to other nodes, and in batch jobs that a store is creating. Beyond it the connections that hold most and stand still longest get 503 and are closed; complete large requests get 503 before they are handed out; a quarter is left for small requests; one request of any allowed size is admitted alone. Receive buffers fit another quarter. A body that drips gets 408, what is pipelined behind a running request stays unread beyond 64 KiB, stalled requests make way where all connections are in use. Log 'clients hold too much', count shed_for_memory.

--- a/src/node/cli/node_process.cpp
+++ b/src/node/cli/node_process.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "common/diagnostics/log.h"
+#include "common/memory/memory_budget.h"
 #include "node/cli/cli.h"
 #include "node/cli/recall.h"
 
@@ -34,6 +35,7 @@
 int NodeProcess::Run() {
   RaiseDescriptorLimit();
   std::signal(SIGPIPE, SIG_IGN);
+  memory::ReturnFreedMemory();
   SetLogName(config_.name);
   SetLogFormat(settings_.log_format);
   // Guards the start: until the loop runs, a SIGHUP waits instead of ending the program.
@@ -99,7 +101,7 @@
 }
 
 int NodeProcess::MakeListener() {
-  front_.emplace(&*keeper_, sockets_);
+  front_.emplace(&*keeper_, sockets_, config_.memory_mb);
   takeover_.emplace(settings_, config_, &*node_, &*front_, loop_);
   const std::string wrong = takeover_->Begin();
   if (wrong.empty()) return kGood;
--- a/src/node/config/config.cpp
+++ b/src/node/config/config.cpp
@@ -231,9 +231,12 @@
   }
   if (const std::string seed = String(d, "seed"); !seed.empty())
     c.seed = dispatch::ParseNumber<std::uint64_t>(seed, "seed", 16);
-  if (const Value* limits = Member(d, "limits"); limits != nullptr && limits->IsObject())
+  if (const Value* limits = Member(d, "limits"); limits != nullptr && limits->IsObject()) {
     if (const std::string sockets = String(*limits, "sockets"); !sockets.empty())
       c.sockets = static_cast<int>(dispatch::ParseNumber<double>(sockets, "limits.sockets"));
+    if (const std::string memory = String(*limits, "memory_mb"); !memory.empty())
+      c.memory_mb = static_cast<int>(dispatch::ParseNumber<double>(memory, "limits.memory_mb"));
+  }
   if (c.sockets < 64) throw Malformed("limits.sockets: a node needs 64 descriptors at least");
   const Value* settings = Member(d, "settings");
   if (settings == nullptr || !settings->IsObject()) throw Malformed("no settings");
@@ -290,6 +293,7 @@
   waits(next.name != config->name, "name");
   waits(next.listen != config->listen, "listen");
   waits(next.sockets != config->sockets, "limits.sockets");
+  waits(next.memory_mb != config->memory_mb, "limits.memory_mb");
   waits(next.peers != config->peers || next.peer_listen != config->peer_listen ||
             next.peers_all != config->peers_all,
         "peers");
--- a/src/node/config/config.h
+++ b/src/node/config/config.h
@@ -62,6 +62,7 @@
   dispatch::Conf::Values settings;  // as the file has them, to see whether they have changed
   std::uint64_t seed = 0;
   int sockets = 1024;
+  int memory_mb = 0;  // of the machine; 0: what the system has
   std::optional<Listing> known;
   dispatch::Site site;
 };
--- a/src/node/http_frontend/front.cpp
+++ b/src/node/http_frontend/front.cpp
@@ -38,6 +38,7 @@
 constexpr Micros kDrainLeast = 1000 * kMs;
 constexpr Micros kMaxPatience = 3600 * kSecond;
 constexpr std::size_t kMaxId = 128;
+constexpr std::size_t kCopiesOfBody = 2;   // the job's, and that on its way to a worker
 constexpr Micros kEndWritten = 250 * kMs;  // for an end to reach the disk and its waiting client
 
 // "480m" or "1500u".
@@ -80,15 +81,20 @@
 
 }  // namespace
 
-Front::Front(Core* core, int sockets)
+Front::Front(Core* core, int sockets, int memory_mb)
     : core_(core),
       budget_(static_cast<std::size_t>(
           std::max(sockets - sockets / kWorkerShare - kReserve - static_cast<int>(kSpare), 1))),
+      memory_(std::make_shared<memory::MemoryBudget>(memory::ClientMemoryBytes(memory_mb))),
       listener_([this](std::shared_ptr<Stream> stream) { OnAccepted(std::move(stream)); }),
       sweep_([this] { Sweep(); }),
-      drain_([this] { DrainStep(); }) {}
+      drain_([this] { DrainStep(); }) {
+  listener_.SetReceiveBuffer(memory::ReceiveBufferBytes(memory_mb, budget_));
+  memory_->Register(this);
+}
 
 Front::~Front() {
+  memory_->Unregister(this);
   *alive_ = false;
   for (auto& [c, owned] : connections_) c->stream->Close();
 }
@@ -143,19 +149,87 @@
   c->over_budget = connections_.size() >= budget_ && !EvictQuiet();
   if (c->over_budget) Count("over_budget");
   c->stream = std::move(stream);
+  c->charge = memory::MemoryCharge(memory_, memory::ChargeKind::kConnection);
+  c->progress_at = Now();
   connections_[c] = std::move(owned);
   MarkQuiet(c);
   // Guards the descriptors: with the spare ones gone too, what comes waits in the backlog.
   if (connections_.size() >= budget_ + kSpare) listener_.Pause();
-  c->stream->Listen({[] {},
-                     [this, c](std::string_view bytes) {
-                       c->parser.Feed(bytes);
-                       if (c->ticket == 0 && c->promise == 0) return Read(c);
-                       // One request at a time: more than one whole head ahead is no client.
-                       if (c->parser.Buffered() > http::Limits().head + http::Limits().body)
-                         Destroy(c);
-                     },
-                     [this, c] { Destroy(c); }});
+  c->stream->Listen(
+      {[] {}, [this, c](std::string_view bytes) { OnData(c, bytes); }, [this, c] { Destroy(c); }});
+}
+
+void Front::OnData(Connection* c, std::string_view bytes) {
+  if (c->closing) return;
+  c->progress_at = Now();
+  c->parser.Feed(bytes);
+  if (c->ticket == 0 && c->promise == 0) {
+    Read(c);
+  } else if (c->parser.Buffered() > http::Limits().head + http::Limits().body) {
+    // One request at a time: more than one whole head ahead is no client.
+    return Destroy(c);
+  }
+  if (connections_.contains(c)) AccountMemory(c);
+}
+
+// ---------------------------------------------------------------- memory
+
+std::size_t Front::PartialBytes(const Connection& c) {
+  const bool partial = c.ticket == 0 && c.promise == 0 && !c.closing && !c.parser.Between();
+  return partial ? c.charge.bytes() : 0;
+}
+
+std::size_t Front::ReclaimableBytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [c, owned] : connections_) bytes += PartialBytes(*c);
+  return bytes;
+}
+
+// From those first that hold much and have stood still for long: the product of the two.
+void Front::Reclaim(std::size_t bytes, const void* except) {
+  const Micros now = Now();
+  std::vector<std::pair<double, Connection*>> by_rank;
+  for (const auto& [c, owned] : connections_) {
+    const std::size_t held = PartialBytes(*c);
+    const Micros stalled = std::max(now - c->progress_at, kMs);
+    if (held > 0 && c != except)
+      by_rank.emplace_back(static_cast<double>(held) * static_cast<double>(stalled), c);
+  }
+  std::sort(by_rank.rbegin(), by_rank.rend());
+  std::size_t freed = 0;
+  for (const auto& [rank, c] : by_rank) {
+    if (freed >= bytes) return;
+    if (!connections_.contains(c)) continue;
+    freed += PartialBytes(*c);
+    RefusePartial(c);
+  }
+}
+
+void Front::RefusePartial(Connection* c) {
+  Count("shed_for_memory");
+  c->parser.Reset({});
+  c->charge.Set(0);
+  Refuse(c, false, core_->site().settings.max_retry_after);
+}
+
+void Front::AccountMemory(Connection* c) {
+  c->charge.Set(c->parser.HeldBytes() + c->stream->unsent());
+  if (PartialBytes(*c) > 0 && !memory_->Keep(c->charge.bytes(), c)) RefusePartial(c);
+}
+
+bool Front::Admit(Connection* c, const http::Message& message) {
+  c->charge.Set(c->parser.HeldBytes());
+  std::size_t bytes = message.target.size() + kCopiesOfBody * message.body.size();
+  for (const http::Header& header : message.headers)
+    bytes += sizeof header + header.name.size() + header.value.size();
+  auto charge = memory_->Admit(bytes);
+  if (charge.has_value()) {
+    c->request_charge = *std::move(charge);
+    return true;
+  }
+  Count("shed_for_memory");
+  Refuse(c, false, core_->site().settings.max_retry_after);
+  return false;
 }
 
 // Takes the requests that have come, until one of them has to wait.
@@ -171,7 +245,8 @@
       case http::Parser::State::kMessage:
         // Answers that come at once must not read on from here: a peer could nest them without end.
         handling_ = c;
-        Handle(c, c->parser.Take());
+        if (http::Message message = c->parser.Take(); Admit(c, message))
+          Handle(c, std::move(message));
         handling_ = nullptr;
         break;
     }
@@ -434,6 +509,7 @@
 void Front::Respond(Connection* c, int status, std::string_view body, bool keep_alive,
                     const std::vector<http::Header>& headers) {
   if (!c->is_worker && EndsWithAnswer(*c)) keep_alive = false;
+  c->request_charge.Set(0);
   c->answered = true;
   c->quiet_since =
       Now();  // an answer is a sign of life: call-backs come on one connection for long
--- a/src/node/http_frontend/front.h
+++ b/src/node/http_frontend/front.h
@@ -15,14 +15,16 @@
 
 #include "common/event_loop/io.h"
 #include "common/http/http.h"
+#include "common/memory/memory_budget.h"
 #include "node/engine/core.h"
 
 namespace pearreach {
 
-class Front : public Client {
+class Front : public Client, private memory::MemoryReclaimer {
  public:
-  // `sockets`: the descriptors this process may hold, of which a share is the front's.
-  Front(Core* core, int sockets);
+  // `sockets`: the descriptors this process may hold, of which a share is the front's. `memory_mb`:
+  // the machine's memory, likewise; 0: what the system has.
+  Front(Core* core, int sockets, int memory_mb = 0);
   ~Front() override;
 
   std::string Open(const std::string& address);  // empty, or what is wrong
@@ -54,19 +56,32 @@
   struct Connection {
     std::shared_ptr<Stream> stream;
     http::Parser parser{http::Parser::Kind::kRequest};
-    Ticket ticket = 0;          // of the request that waits for its answer
-    std::uint64_t promise = 0;  // of the store's or the node's word that it waits for
-    bool keep_alive = true;     // after that answer
-    bool is_worker = false;     // has brought news: not closed while draining
-    bool over_budget = false;   // its first request is refused
-    bool answered = false;      // has carried a request
-    bool closing = false;       // its last answer has been written
-    bool long_close = false;    // and what it still sends may be long
+    memory::MemoryCharge charge;          // of what is read of a request
+    memory::MemoryCharge request_charge;  // of the request that waits for its answer
+    Micros progress_at = 0;               // when the last bytes came
+    Ticket ticket = 0;                    // of the request that waits for its answer
+    std::uint64_t promise = 0;            // of the store's or the node's word that it waits for
+    bool keep_alive = true;               // after that answer
+    bool is_worker = false;               // has brought news: not closed while draining
+    bool over_budget = false;             // its first request is refused
+    bool answered = false;                // has carried a request
+    bool closing = false;                 // its last answer has been written
+    bool long_close = false;              // and what it still sends may be long
     Micros quiet_since = 0;
     std::list<Connection*>::iterator quiet;  // in quiet_, if it has no ticket
   };
 
+  std::size_t ReclaimableBytes() const override;
+  void Reclaim(std::size_t bytes, const void* except) override;
+  // What a partial request of this connection holds; 0 while it waits for an answer.
+  static std::size_t PartialBytes(const Connection& c);
+  void RefusePartial(Connection* c);
+  // Charges the connection for what it holds, and refuses its partial request if that is too much.
+  void AccountMemory(Connection* c);
+  // False: there is no memory for the request, which is refused.
+  bool Admit(Connection* c, const http::Message& message);
   void OnAccepted(std::shared_ptr<Stream> stream, bool answered = false);
+  void OnData(Connection* c, std::string_view bytes);
   void Read(Connection* c);
   void Handle(Connection* c, http::Message message);
   void HandleNews(Connection* c, const http::Message& message);
@@ -93,6 +108,7 @@
 
   Core* core_;
   std::size_t budget_;
+  const std::shared_ptr<memory::MemoryBudget> memory_;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   std::unordered_map<Ticket, Connection*> waiting_;
   std::unordered_map<std::uint64_t, Connection*> promised_;
--- a/src/tier/batch/batch_job_changes.cpp
+++ b/src/tier/batch/batch_job_changes.cpp
@@ -20,6 +20,16 @@
          batch_job_id.find('\0') == std::string::npos;
 }
 
+std::size_t ItemBytes(const BatchJobSpec& batch_job) {
+  std::size_t bytes = 0;
+  for (const ItemSpec& item : batch_job.items) {
+    bytes += sizeof item + item.item_id.size() + item.path.size() + item.body.size();
+    for (const auto& [name, value] : item.headers)
+      bytes += sizeof name + sizeof value + name.size() + value.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 void BatchJobChanges::OnOffer(const OfferBatchJob& offer, const rpc::Respond& respond) {
@@ -34,7 +44,7 @@
     respond(codec::Encode(OfferBatchJobResponse{OfferVerdict::kKnown}));
     return;
   }
-  if (!context_->HasDiskCapacity(replica->table(), offer.disk_bytes)) {
+  if (!context_->HasMemory() || !context_->HasDiskCapacity(replica->table(), offer.disk_bytes)) {
     respond(codec::Encode(OfferBatchJobResponse{OfferVerdict::kInsufficientCapacity}));
     return;
   }
@@ -80,7 +90,13 @@
     respond(codec::Encode(CreateBatchJobResponse{CreateStatus::kInsufficientCapacity, 0}));
     return;
   }
-  creating_[batch_job->batch_job_id] = {batch_job->fingerprint, {std::move(respond)}};
+  auto charge = context_->AdmitCreation(ItemBytes(*batch_job));
+  if (!charge.has_value()) {
+    respond(absl::FailedPreconditionError("too many batch jobs are being created"));
+    return;
+  }
+  creating_[batch_job->batch_job_id] = {
+      batch_job->fingerprint, {std::move(respond)}, *std::move(charge)};
   ReserveQuota(batch_job);
 }
 
--- a/src/tier/batch/batch_job_changes.h
+++ b/src/tier/batch/batch_job_changes.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "common/memory/memory_budget.h"
 #include "tier/batch/batch_job_items.h"
 #include "tier/batch/batch_job_reads.h"
 #include "tier/batch/messages.h"
@@ -34,6 +35,7 @@
   struct Creation {
     std::uint64_t fingerprint = 0;
     std::vector<rpc::Respond> waiting;  // calls for the same batch job
+    memory::MemoryCharge charge;
   };
 
   // Reserves the tokens of a batch job under its route's cap, if there is one, then submits it.
--- a/src/tier/batch/batch_job_store.cpp
+++ b/src/tier/batch/batch_job_store.cpp
@@ -32,11 +32,14 @@
 StoreServer::StoreServer(Timers* timers, rpc::Transport* transport, storage::TableStore* disk,
                          control::ControlClient* control, StoreId self,
                          const settings::Bounds& bounds, const settings::Tolerance& tolerance,
-                         double link_mbps)
+                         double link_mbps, const std::shared_ptr<memory::MemoryBudget>& memory)
     : timers_(timers),
       transport_(transport),
       disk_(disk),
       control_(control),
+      memory_(memory != nullptr
+                  ? memory
+                  : std::make_shared<memory::MemoryBudget>(memory::MemoryBudget::kUnlimited)),
       self_(std::move(self)),
       random_((static_cast<std::uint64_t>(std::random_device()()) << 32) ^ std::random_device()()),
       wall_at_start_ms_(g_get_real_time() / kMs),
@@ -434,6 +437,13 @@
   return !store_without_capacity.has_value();
 }
 
+// How often a batch job is held while it is created: as its message, as the change that follows
+// from it, for the disk, and in a call for another replica.
+std::optional<memory::MemoryCharge> StoreServer::AdmitCreation(std::size_t bytes) {
+  constexpr std::size_t kCopies = 4;
+  return memory_->Admit(kCopies * bytes);
+}
+
 bool StoreServer::ReserveDiskCapacity(const Partition& table, std::uint64_t bytes) {
   if (!HasDiskCapacity(table, bytes)) return false;
   disk_capacity_.Reserve(table, self_, bytes);
--- a/src/tier/batch/batch_job_store.h
+++ b/src/tier/batch/batch_job_store.h
@@ -7,11 +7,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "common/event_loop/timers.h"
+#include "common/memory/memory_budget.h"
 #include "tier/batch/batch_job_changes.h"
 #include "tier/batch/batch_job_items.h"
 #include "tier/batch/batch_job_reads.h"
@@ -37,10 +39,12 @@
 class StoreServer final : private StoreContext {
  public:
   // Registers its handlers with the mesh and reads its batch jobs from disk. All that is given must
-  // live as long; the disk's pending writes must be done with, or dropped, before this goes.
+  // live as long; the disk's pending writes must be done with, or dropped, before this goes. Batch
+  // jobs that are being created are charged to `memory`; null: without limit.
   StoreServer(Timers* timers, rpc::Transport* transport, storage::TableStore* disk,
               control::ControlClient* control, StoreId self, const settings::Bounds& bounds,
-              const settings::Tolerance& tolerance, double link_mbps = 0);
+              const settings::Tolerance& tolerance, double link_mbps = 0,
+              const std::shared_ptr<memory::MemoryBudget>& memory = nullptr);
   ~StoreServer() override;
   StoreServer(const StoreServer&) = delete;
   StoreServer& operator=(const StoreServer&) = delete;
@@ -109,6 +113,8 @@
   }
   bool HasDiskCapacity(const Partition& table, std::uint64_t bytes) override;
   bool ReserveDiskCapacity(const Partition& table, std::uint64_t bytes) override;
+  bool HasMemory() const override { return memory_->HasRoom(); }
+  std::optional<memory::MemoryCharge> AdmitCreation(std::size_t bytes) override;
   void UpdateDiskCapacity();
   void OnEnvironmentChanged();
   void Tick();
@@ -117,6 +123,7 @@
   rpc::Transport* const transport_;
   storage::TableStore* const disk_;
   control::ControlClient* const control_;
+  const std::shared_ptr<memory::MemoryBudget> memory_;
   const StoreId self_;
   std::mt19937_64 random_;
   std::int64_t wall_at_start_ms_ = 0;
--- a/src/tier/batch/store_context.h
+++ b/src/tier/batch/store_context.h
@@ -7,10 +7,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "common/memory/memory_budget.h"
 #include "tier/batch/messages.h"
 #include "tier/batch/replication.h"
 #include "tier/codec/archive.h"
@@ -31,6 +33,12 @@
   virtual bool ReserveDiskCapacity(const Partition& /*table*/, std::uint64_t /*bytes*/) {
     return true;
   }
+  // Whether there is memory for another large batch job; and a charge for one whose items come to
+  // so many bytes, until it is created or rejected. Nullopt: there is none.
+  virtual bool HasMemory() const { return true; }
+  virtual std::optional<memory::MemoryCharge> AdmitCreation(std::size_t /*bytes*/) {
+    return memory::MemoryCharge();
+  }
   // Milliseconds since 1970; does not jump while this process lives.
   virtual std::int64_t WallMs() const = 0;
 
--- a/src/tier/http_server/client_exchange.cpp
+++ b/src/tier/http_server/client_exchange.cpp
@@ -7,8 +7,11 @@
 namespace pearreach::http_server {
 
 ClientExchange::ClientExchange(std::shared_ptr<Connection> connection, http::Message request,
-                               Micros arrived)
-    : connection_(std::move(connection)), request_(std::move(request)), arrived_(arrived) {}
+                               Micros arrived, memory::MemoryCharge charge)
+    : connection_(std::move(connection)),
+      request_(std::move(request)),
+      arrived_(arrived),
+      charge_(std::move(charge)) {}
 
 ClientExchange::~ClientExchange() { connection_->AbortAnswer(this); }
 
--- a/src/tier/http_server/client_exchange.h
+++ b/src/tier/http_server/client_exchange.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "common/memory/memory_budget.h"
 #include "tier/http_server/exchange.h"
 
 namespace pearreach::http_server {
@@ -17,7 +18,9 @@
 
 class ClientExchange final : public Exchange {
  public:
-  ClientExchange(std::shared_ptr<Connection> connection, http::Message request, Micros arrived);
+  // `charge`: of the request's memory, until the exchange is dropped.
+  ClientExchange(std::shared_ptr<Connection> connection, http::Message request, Micros arrived,
+                 memory::MemoryCharge charge);
   ~ClientExchange() override;
 
   const http::Message& request() const override { return request_; }
@@ -48,6 +51,7 @@
   std::shared_ptr<Connection> connection_;
   http::Message request_;
   Micros arrived_;
+  memory::MemoryCharge charge_;
   // Moves the handler's callbacks out, to be dropped last: they may own much.
   struct Callbacks {
     std::function<void()> closed, shutdown;
--- a/src/tier/http_server/connection.cpp
+++ b/src/tier/http_server/connection.cpp
@@ -1,6 +1,7 @@
 #include "tier/http_server/connection.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "tier/http_server/client_exchange.h"
@@ -9,7 +10,12 @@
 namespace {
 
 constexpr std::size_t kLargeBody = 32 << 10;  // a parser that held more gives its memory back
-constexpr std::size_t kReadAhead = 64 << 10;  // of pipelined requests, beyond one of full size
+constexpr std::size_t kReadAhead = 64 << 10;  // of pipelined requests; then reading pauses
+// What a request takes beside its body; and how often a large body is held at most on its way to a
+// worker or a store: as text, decoded, and as the bytes of a call.
+constexpr std::size_t kRequestOverhead = 2 << 10;
+constexpr std::size_t kCopiesOfLargeBody = 3;
+constexpr char kMemoryRetryAfter[] = "1";  // seconds
 
 constexpr int kServiceUnavailable = 503;  // promises that the request has not run
 constexpr int kGatewayTimeout = 504;      // promises nothing
@@ -21,13 +27,22 @@
   return limits;
 }
 
+std::size_t RequestBytes(const http::Message& message) {
+  std::size_t bytes = kRequestOverhead + message.target.size();
+  for (const http::Header& header : message.headers)
+    bytes += sizeof header + header.name.size() + header.value.size();
+  const bool large = message.body.size() > memory::MemoryBudget::kSmallBytes;
+  return bytes + message.body.size() * (large ? kCopiesOfLargeBody : 1);
+}
+
 }  // namespace
 
 Connection::Connection(std::shared_ptr<ServerState> server, std::shared_ptr<Stream> stream)
     : server_(std::move(server)),
       stream_(std::move(stream)),
       parser_(http::Parser::Kind::kRequest, LimitsOf(server_->options)),
-      options_version_(server_->options_version) {}
+      options_version_(server_->options_version),
+      charge_(server_->memory, memory::ChargeKind::kConnection) {}
 
 Connection::~Connection() {
   LeaveWaiting();
@@ -43,8 +58,7 @@
     if (const auto self = weak.lock()) self->OnData(bytes);
   };
   handlers.drained = [weak] {
-    const auto self = weak.lock();
-    if (self != nullptr && self->current_ != nullptr) self->current_->Drained();
+    if (const auto self = weak.lock()) self->OnDrained();
   };
   handlers.closed = [weak] {
     if (const auto self = weak.lock()) self->Ended();
@@ -53,6 +67,12 @@
   stream_->Listen(std::move(handlers));
 }
 
+void Connection::OnDrained() {
+  progress_at_ = Now();
+  charge_.Set(parser_.HeldBytes() + unsent());
+  if (current_ != nullptr) current_->Drained();
+}
+
 // ---------------------------------------------------------------- reading
 
 void Connection::OnData(std::string_view bytes) {
@@ -61,18 +81,19 @@
   last_data_ = Now();
   request_bytes_ += bytes.size();
   parser_.Feed(bytes);
-  if (phase_ != Phase::kBusy)
-    Pump();
-  else if (parser_.Buffered() > MaxBuffered())
-    Drop();
+  if (phase_ != Phase::kBusy) Pump();
+  if (phase_ == Phase::kBusy && parser_.Buffered() > kReadAhead) stream_->PauseReading();
+  AccountMemory();
 }
 
-std::size_t Connection::MaxBuffered() const {
-  return server_->options.max_header_bytes + server_->options.max_body_bytes + kReadAhead;
+void Connection::AccountMemory() {
+  if (phase_ == Phase::kClosed) return charge_.Set(0);
+  charge_.Set(parser_.HeldBytes() + unsent());
+  if (phase_ == Phase::kReading && !server_->memory->Keep(charge_.bytes(), this)) ReclaimMemory();
 }
 
 void Connection::RenewParser() {
-  parser_ = http::Parser(http::Parser::Kind::kRequest, LimitsOf(server_->options));
+  parser_.Reset(LimitsOf(server_->options));
   options_version_ = server_->options_version;
 }
 
@@ -102,11 +123,20 @@
   }
   if (phase_ != Phase::kReading)
     EnterReading();
-  else if (request_bytes_ > server_->options.max_header_bytes)  // a body, and it goes on
-    SetDeadline(Now() + server_->options.header_wait);
+  else if (BodyGoesOn())
+    SetDeadline(progress_at_ + server_->options.header_wait);
   if (parser_.TakeContinue()) Send(kContinue);
 }
 
+// Whether the body has come on by enough since it last did: a few bytes now and then are none.
+bool Connection::BodyGoesOn() {
+  if (request_bytes_ <= server_->options.max_header_bytes) return false;
+  if (request_bytes_ - progress_bytes_ < server_->options.min_body_progress) return false;
+  progress_bytes_ = request_bytes_;
+  progress_at_ = Now();
+  return true;
+}
+
 void Connection::HandOut() {
   http::Message message = parser_.Take();
   LeaveWaiting();
@@ -117,8 +147,11 @@
   head_only_ = message.method == "HEAD";
   old_version_ = message.old_version;
   if (message.body.size() > kLargeBody && parser_.Between()) RenewParser();
-  auto exchange =
-      std::make_shared<ClientExchange>(shared_from_this(), std::move(message), last_data_);
+  charge_.Set(parser_.HeldBytes() + unsent());
+  std::optional<memory::MemoryCharge> charge = server_->memory->Admit(RequestBytes(message));
+  if (!charge.has_value()) return RefuseForMemory();
+  auto exchange = std::make_shared<ClientExchange>(shared_from_this(), std::move(message),
+                                                   last_data_, *std::move(charge));
   const ClientExchange* const handed_out = exchange.get();
   current_ = exchange.get();
   ++server_->unanswered;
@@ -131,6 +164,14 @@
 // The rest would come too late.
 void Connection::RefusePartial() { RespondAndClose(kServiceUnavailable); }
 
+void Connection::RefuseForMemory() {
+  ++server_->overload.counts.refused_for_memory;
+  server_->overload.Report(server_->memory->used(), server_->connections.size());
+  ++server_->unanswered;  // until SendComplete has answered it
+  keep_alive_ = false;
+  SendComplete(kServiceUnavailable, {{"Retry-After", kMemoryRetryAfter}}, "");
+}
+
 // ---------------------------------------------------------------- writing
 
 bool Connection::Awaits(const ClientExchange* exchange) const {
@@ -138,7 +179,11 @@
 }
 
 bool Connection::Send(std::string_view bytes) {
-  if (stream_->Write(bytes)) return true;
+  if (unsent() == 0) progress_at_ = Now();
+  if (stream_->Write(bytes)) {
+    charge_.Set(parser_.HeldBytes() + unsent());
+    return true;
+  }
   phase_ = Phase::kClosed;
   Defer(&Connection::Ended);
   return false;
@@ -217,6 +262,7 @@
   current_ = nullptr;
   --server_->unanswered;
   if (phase_ == Phase::kClosed) return;
+  stream_->ResumeReading();
   if (!keep_alive_) {
     CloseGently();
   } else if (parser_.Between()) {
@@ -230,7 +276,11 @@
 void Connection::RespondAndClose(int status) {
   ConnectionNotice notice;
   notice.close = true;
-  if (Send(WriteHead(status, {}, Framing::kLength, 0, notice))) CloseGently();
+  std::vector<http::Header> headers;
+  if (status == kServiceUnavailable) headers.push_back({"Retry-After", kMemoryRetryAfter});
+  if (Send(WriteHead(status, headers, Framing::kLength, 0, notice))) CloseGently();
+  RenewParser();  // it holds what has come of the request
+  charge_.Set(unsent());
 }
 
 void Connection::EndExchange() {
--- a/src/tier/http_server/connection.h
+++ b/src/tier/http_server/connection.h
@@ -12,6 +12,7 @@
 #include "common/event_loop/io.h"
 #include "common/event_loop/timers.h"
 #include "common/http/http.h"
+#include "common/memory/memory_budget.h"
 #include "tier/http_server/answer_writer.h"
 #include "tier/http_server/server_state.h"
 
@@ -34,6 +35,16 @@
   // Between requests for at least `idle`, and nothing has come: it may be closed to make room.
   bool IdleFor(Micros idle) const;
   void Drop();  // closes at once; an exchange under way hears of it
+  // What ReclaimMemory would free, in bytes: parts of a request, or an answer that is not taken.
+  std::size_t ReclaimableBytes() const;
+  // How long the connection has stood still: no part of a request came, and none of an answer went.
+  Micros StalledFor() const;
+  // Frees ReclaimableBytes: refuses the request that has not come whole, with 503 as it has not
+  // run, or closes the connection of an answer that is not taken.
+  void ReclaimMemory();
+  // Whether it may be closed to make room for another connection: a request that stands still for
+  // `stalled` or longer, or a last answer that was sent `answered` ago. Closes it then.
+  bool CloseIfStalled(Micros stalled, Micros answered);
 
   // For the exchange that was handed out.
   bool Awaits(const ClientExchange* exchange) const;
@@ -57,11 +68,14 @@
   void OnData(std::string_view bytes);
   void Pump();
   void AwaitMore();
+  bool BodyGoesOn();
   void HandOut();
   void RefuseMalformed();
   void RefusePartial();
+  void RefuseForMemory();  // the request that was just read
+  void AccountMemory();
+  void OnDrained();
   void RenewParser();
-  std::size_t MaxBuffered() const;
 
   // Writing.
   bool Send(std::string_view bytes);  // false: the connection is broken
@@ -92,8 +106,11 @@
   bool pumping_ = false;
 
   Micros last_data_ = 0;
-  std::size_t request_bytes_ = 0;  // read of the request that is coming
-  bool last_look_ = false;         // the deadline has passed; what had come by then counts
+  std::size_t request_bytes_ = 0;   // read of the request that is coming
+  std::size_t progress_bytes_ = 0;  // of these, when the request last went on
+  Micros progress_at_ = 0;          // when that was, or an answer last went on
+  memory::MemoryCharge charge_;
+  bool last_look_ = false;  // the deadline has passed; what had come by then counts
 
   ClientExchange* current_ = nullptr;                                 // handed out and awaited
   bool keep_alive_ = true, head_only_ = false, old_version_ = false;  // of its request
@@ -107,6 +124,7 @@
   Micros timer_at_ = 0;
   Micros deadline_ = 0;  // 0: none
   std::size_t unsent_before_ = 0;
+  Micros closing_since_ = 0;
 };
 
 }  // namespace pearreach::http_server
--- a/src/tier/http_server/connection_phases.cpp
+++ b/src/tier/http_server/connection_phases.cpp
@@ -32,7 +32,9 @@
   LeaveWaiting();
   phase_ = Phase::kReading;
   last_look_ = false;
-  request_bytes_ = parser_.Buffered();
+  request_bytes_ = parser_.MessageBytes();
+  progress_bytes_ = request_bytes_;
+  progress_at_ = Now();
   SetDeadline(Now() + server_->options.header_wait);
 }
 
@@ -73,9 +75,52 @@
          stream_->Quiet();
 }
 
+std::size_t Connection::ReclaimableBytes() const {
+  switch (phase_) {
+    case Phase::kReading:
+      return charge_.bytes();
+    case Phase::kWaiting:
+    case Phase::kClosing:
+      return unsent();
+    case Phase::kBusy:
+    case Phase::kClosed:
+      return 0;
+  }
+  return 0;
+}
+
+Micros Connection::StalledFor() const { return Now() - progress_at_; }
+
+void Connection::ReclaimMemory() {
+  const auto self = shared_from_this();
+  const bool in_request = phase_ == Phase::kReading;
+  OverloadCounts& counts = server_->overload.counts;
+  ++(in_request ? counts.closed_for_memory : counts.closed_slow_readers);
+  server_->overload.Report(server_->memory->used(), server_->connections.size());
+  if (in_request)
+    RefusePartial();
+  else
+    Drop();
+}
+
+bool Connection::CloseIfStalled(Micros stalled, Micros answered) {
+  const auto self = shared_from_this();
+  const bool is_sent = unsent() == 0;
+  if (phase_ == Phase::kClosing && is_sent && Now() - closing_since_ >= answered) {
+    Drop();
+    return true;
+  }
+  if (phase_ != Phase::kReading || StalledFor() < stalled || !stream_->Quiet()) return false;
+  ++server_->overload.counts.closed_for_connections;
+  server_->overload.Report(server_->memory->used(), server_->connections.size());
+  RefusePartial();
+  return true;
+}
+
 void Connection::CloseGently() {
   LeaveWaiting();
   phase_ = Phase::kClosing;
+  closing_since_ = Now();
   unsent_before_ = stream_->unsent();
   SetDeadline(Now() + kCloseWait);
   stream_->CloseAfterWrite();
@@ -100,6 +145,7 @@
   phase_ = Phase::kClosed;
   deadline_ = 0;
   head_.clear();
+  charge_.Set(0);
   LeaveWaiting();
   server_->timers->Cancel(&timer_);
   server_->timers->Cancel(&deferred_);
@@ -177,6 +223,7 @@
   const std::size_t unsent = stream_->unsent();
   if (unsent == 0 || unsent >= unsent_before_) return false;
   unsent_before_ = unsent;
+  progress_at_ = Now();
   SetDeadline(Now() + by);
   return true;
 }
--- a/src/tier/http_server/http_server.h
+++ b/src/tier/http_server/http_server.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "common/event_loop/timers.h"
+#include "common/memory/memory_budget.h"
 #include "tier/http_server/exchange.h"
 
 namespace pearreach::http_server {
@@ -18,11 +19,19 @@
   Micros header_wait = 3 * kSecond;  // from a request's first byte, or of a new connection
   Micros idle = 15 * kSecond;        // between requests of a connection
   std::size_t max_connections = 1000;
+  // A body that comes for longer than `header_wait` goes on at least so fast, in bytes each
+  // `header_wait`; else it is answered with 408.
+  std::size_t min_body_progress = 1024;
+  int receive_buffer_bytes = 0;  // of each connection, as set by the listener; 0: the system's
 };
 
 class HttpServer {
  public:
-  HttpServer(Timers* timers, ServerOptions options, ExchangeHandler handler);
+  // `memory`: what connections and requests hold is charged to it, and where it is exceeded the
+  // connections that hold most and stand still are closed, and requests refused with 503 before
+  // they are handed out. Null: without limit.
+  HttpServer(Timers* timers, ServerOptions options, ExchangeHandler handler,
+             std::shared_ptr<memory::MemoryBudget> memory = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/src/tier/http_server/server_state.h
+++ b/src/tier/http_server/server_state.h
@@ -10,7 +10,9 @@
 #include <unordered_map>
 
 #include "common/event_loop/timers.h"
+#include "common/memory/memory_budget.h"
 #include "tier/http_server/http_server.h"
+#include "tier/http_server/overload_log.h"
 
 namespace pearreach::http_server {
 
@@ -28,6 +30,8 @@
   std::unordered_map<Connection*, std::shared_ptr<Connection>> connections;
   std::list<Connection*> waiting;    // connections between requests, the longest idle first
   std::function<void()> on_removed;  // a connection has left `connections`
+  std::shared_ptr<memory::MemoryBudget> memory;
+  OverloadLog overload;
 };
 
 }  // namespace pearreach::http_server
--- a/src/tier/rpc/transport.cpp
+++ b/src/tier/rpc/transport.cpp
@@ -37,7 +37,10 @@
 // The client side of the connection to one address, opened again when a call needs it.
 class Channel {
  public:
-  Channel(std::string address, Timers* timers) : address_(std::move(address)), timers_(timers) {}
+  Channel(std::string address, Timers* timers, std::shared_ptr<memory::MemoryBudget> memory)
+      : address_(std::move(address)),
+        timers_(timers),
+        unsent_charge_(std::move(memory), memory::ChargeKind::kRequest) {}
   ~Channel() { Close(); }
 
   void Call(MessageType type, std::string_view body, Micros timeout, Done done) {
@@ -56,6 +59,7 @@
     std::string frame;
     AppendFrame({FrameKind::kRequest, static_cast<std::uint8_t>(type), id, body}, &frame);
     if (!stream_->Write(frame)) ScheduleClose();
+    unsent_charge_.Set(stream_->unsent());
   }
 
  private:
@@ -70,7 +74,7 @@
     const std::uint64_t generation = ++generation_;
     stream_ = Stream::Connect(
         address_, {[this] { OnConnected(); }, [this](std::string_view bytes) { OnData(bytes); },
-                   [this] { CloseAndFailPending(); }});
+                   [this] { CloseAndFailPending(); }, [this] { unsent_charge_.Set(0); }});
     if (stream_ == nullptr) return false;
     connected_ = false;
     SetUserTimeout(stream_->descriptor());
@@ -89,6 +93,7 @@
 
   void OnData(std::string_view bytes) {
     last_received_ = Now();
+    unsent_charge_.Set(stream_->unsent());
     reader_.Feed(bytes);
     const std::uint64_t generation = generation_;
     Frame frame;
@@ -148,6 +153,7 @@
     timers_->Cancel(&connect_timer_);
     if (stream_ != nullptr) stream_->Close();
     stream_ = nullptr;
+    unsent_charge_.Set(0);
   }
 
   const std::string address_;
@@ -159,6 +165,7 @@
   Timers::Id connect_timer_ = 0;
   Micros last_received_ = 0;
   bool connected_ = false;
+  memory::MemoryCharge unsent_charge_;
 };
 
 // The server side of one connection.
@@ -184,8 +191,9 @@
 
 class SocketTransport : public Transport {
  public:
-  explicit SocketTransport(Timers* timers)
+  SocketTransport(Timers* timers, std::shared_ptr<memory::MemoryBudget> memory)
       : timers_(timers),
+        memory_(std::move(memory)),
         listener_([this](const std::shared_ptr<Stream>& stream) { Accept(stream); }) {}
 
   ~SocketTransport() override {
@@ -204,7 +212,7 @@
   void Call(const std::string& address, MessageType type, std::string body, Micros timeout,
             Done done) override {
     std::unique_ptr<Channel>& channel = channels_[address];
-    if (channel == nullptr) channel = std::make_unique<Channel>(address, timers_);
+    if (channel == nullptr) channel = std::make_unique<Channel>(address, timers_, memory_);
     channel->Call(type, body, timeout, std::move(done));
   }
 
@@ -261,6 +269,7 @@
   }
 
   Timers* const timers_;
+  const std::shared_ptr<memory::MemoryBudget> memory_;
   Listener listener_;
   DatagramSocket datagrams_;
   std::unordered_map<std::uint8_t, Handler> handlers_;
@@ -270,9 +279,9 @@
 
 }  // namespace
 
-absl::StatusOr<std::unique_ptr<Transport>> OpenTransport(const std::string& ip, int port,
-                                                         Timers* timers) {
-  auto transport = std::make_unique<SocketTransport>(timers);
+absl::StatusOr<std::unique_ptr<Transport>> OpenTransport(
+    const std::string& ip, int port, Timers* timers, std::shared_ptr<memory::MemoryBudget> memory) {
+  auto transport = std::make_unique<SocketTransport>(timers, std::move(memory));
   const absl::Status opened = transport->Open(ip, port);
   if (!opened.ok()) {
     return absl::UnavailableError(ip + ":" + std::to_string(port) + ": " +
--- a/src/tier/rpc/transport.h
+++ b/src/tier/rpc/transport.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "common/event_loop/timers.h"
+#include "common/memory/memory_budget.h"
 
 namespace pearreach::rpc {
 
@@ -77,9 +78,11 @@
 };
 
 // Listens on ip:port for both. UNAVAILABLE, with the address and the cause, if that fails. `timers`
-// must outlive the transport.
-absl::StatusOr<std::unique_ptr<Transport>> OpenTransport(const std::string& ip, int port,
-                                                         Timers* timers);
+// must outlive the transport. Calls that wait to be sent are charged to `memory`; null: without
+// limit.
+absl::StatusOr<std::unique_ptr<Transport>> OpenTransport(
+    const std::string& ip, int port, Timers* timers,
+    std::shared_ptr<memory::MemoryBudget> memory = nullptr);
 
 }  // namespace pearreach::rpc
 
--- a/src/tier/server/main/main.cpp
+++ b/src/tier/server/main/main.cpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "common/memory/memory_budget.h"
 #include "tier/logging/log.h"
 #include "tier/server/node.h"
 #include "tier/settings/node_settings.h"
@@ -89,6 +90,7 @@
 
 int Serve() {
   std::signal(SIGPIPE, SIG_IGN);
+  pearreach::memory::ReturnFreedMemory();
   Running running;
   running.loop = g_main_loop_new(nullptr, FALSE);
   // Before the settings are read, so that a signal that comes meanwhile is handled by the loop.
--- a/src/tier/server/node.cpp
+++ b/src/tier/server/node.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "common/event_loop/timers.h"
+#include "common/memory/memory_budget.h"
 #include "tier/batch/batch_job_api.h"
 #include "tier/batch/batch_job_store.h"
 #include "tier/batch/item_worker.h"
@@ -55,15 +56,22 @@
 
 Micros Seconds(double seconds) { return static_cast<Micros>(seconds * kSecond); }
 
-http_server::ServerOptions ClientOptions(const routing::HttpLimits& limits, int file_limit) {
+// Beside the clients' connections control calls and readiness have a fixed number each.
+int ReceiveBuffer(const settings::MachineLimits& limits, std::size_t client_connections) {
+  return memory::ReceiveBufferBytes(limits.memory_mb, client_connections + 2 * kControlConnections);
+}
+
+http_server::ServerOptions ClientOptions(const routing::HttpLimits& limits,
+                                         const settings::MachineLimits& machine) {
   http_server::ServerOptions options;
   options.max_header_bytes = limits.max_header_bytes;
   options.max_body_bytes = limits.max_body_bytes;
   options.header_wait = static_cast<Micros>(limits.header_wait_ms * kMs);
   options.idle = static_cast<Micros>(limits.idle_ms * kMs);
-  const int spare = file_limit / 2 - kReservedDescriptors;
+  const int spare = machine.file_limit / 2 - kReservedDescriptors;
   options.max_connections =
       std::max<std::size_t>(kMinConnections, spare > 0 ? static_cast<std::size_t>(spare) : 0);
+  options.receive_buffer_bytes = ReceiveBuffer(machine, options.max_connections);
   return options;
 }
 
@@ -73,10 +81,11 @@
   return sender.tenant == nullptr ? std::string() : sender.tenant->name;
 }
 
-http_server::ServerOptions ControlOptions() {
+http_server::ServerOptions ControlOptions(const settings::MachineLimits& machine) {
   http_server::ServerOptions options;
   options.max_body_bytes = 8 * kMegabyte;
   options.max_connections = kControlConnections;
+  options.receive_buffer_bytes = ReceiveBuffer(machine, ClientOptions({}, machine).max_connections);
   return options;
 }
 
@@ -87,6 +96,8 @@
   Impl(settings::NodeSettings settings, std::function<void()> finished)
       : settings_(std::move(settings)),
         finished_(std::move(finished)),
+        client_memory_(std::make_shared<memory::MemoryBudget>(
+            memory::ClientMemoryBytes(settings_.limits.memory_mb))),
         shutdown_(settings_.Serves("edge"), this) {}
 
   absl::Status Start();
@@ -121,6 +132,8 @@
   settings::NodeSettings settings_;
   const std::function<void()> finished_;
   const std::uint64_t incarnation_ = WallMilliseconds();
+  // Of all servers together; a store charges the batch jobs that it is writing.
+  const std::shared_ptr<memory::MemoryBudget> client_memory_;
   Timers timers_;
   std::unique_ptr<rpc::Transport> transport_;
   std::unique_ptr<storage::TableStore> disk_;
@@ -163,7 +176,8 @@
 absl::Status Node::Impl::Start() {
   logging::SetNode(settings_.node_name);
   if (absl::Status status = OpenDisk(); !status.ok()) return status;
-  auto transport = rpc::OpenTransport(settings_.ip, settings_.peer_port(), &timers_);
+  auto transport =
+      rpc::OpenTransport(settings_.ip, settings_.peer_port(), &timers_, client_memory_);
   if (!transport.ok()) return transport.status();
   transport_ = std::move(*transport);
   control_ = std::make_unique<control::ControlNode>(&timers_, transport_.get(), disk_.get(),
@@ -186,7 +200,7 @@
   store_server_ = std::make_unique<batch::StoreServer>(
       &timers_, transport_.get(), disk_.get(), control_.get(),
       batch::StoreId{settings_.node_name, disk_ == nullptr ? "" : disk_->disk_id()},
-      settings_.bounds, settings_.tolerance, settings_.limits.link_mbps);
+      settings_.bounds, settings_.tolerance, settings_.limits.link_mbps, client_memory_);
   store_server_->OnDiskRolledBack([this] { EndOnOldDisk(); });
   if (disk_ != nullptr)
     witness_voter_ = std::make_unique<control::WitnessVoter>(transport_.get(), disk_.get());
@@ -237,10 +251,11 @@
         batch_job_api_->Handle(exchange);
       });
   edge_server_ = std::make_unique<http_server::HttpServer>(
-      &timers_, ClientOptions({}, settings_.limits.file_limit),
+      &timers_, ClientOptions({}, settings_.limits),
       [this](std::shared_ptr<http_server::Exchange> exchange) {
         gateway_->Handle(std::move(exchange));
-      });
+      },
+      client_memory_);
   const std::string error = edge_server_->Open(settings_.bind.edge);
   if (!error.empty()) return absl::UnavailableError(settings_.bind.edge + ": " + error);
   return StartReadiness();
@@ -249,9 +264,11 @@
 absl::Status Node::Impl::StartReadiness() {
   if (settings_.bind.readiness.empty()) return absl::OkStatus();
   readiness_server_ = std::make_unique<http_server::HttpServer>(
-      &timers_, ControlOptions(), [this](const std::shared_ptr<http_server::Exchange>& exchange) {
+      &timers_, ControlOptions(settings_.limits),
+      [this](const std::shared_ptr<http_server::Exchange>& exchange) {
         exchange->Respond(Ready() ? 200 : 503, {}, "");
-      });
+      },
+      client_memory_);
   const std::string error = readiness_server_->Open(settings_.bind.readiness);
   return error.empty() ? absl::OkStatus()
                        : absl::UnavailableError(settings_.bind.readiness + ": " + error);
@@ -282,9 +299,11 @@
   retire_api_ = std::make_unique<batch::RetireApi>(&timers_, control_.get(), replicas);
   retire_api_->AddTo(&router_);
   control_server_ = std::make_unique<http_server::HttpServer>(
-      &timers_, ControlOptions(), [this](std::shared_ptr<http_server::Exchange> exchange) {
+      &timers_, ControlOptions(settings_.limits),
+      [this](std::shared_ptr<http_server::Exchange> exchange) {
         router_.Dispatch(std::move(exchange));
-      });
+      },
+      client_memory_);
   const std::string error = control_server_->Open(settings_.bind.control);
   return error.empty() ? absl::OkStatus()
                        : absl::UnavailableError(settings_.bind.control + ": " + error);
@@ -317,8 +336,7 @@
   if (request_report_ != nullptr) request_report_->OnControlChange();
   const auto snapshot = control_->Current();
   if (edge_server_ != nullptr && snapshot->routes != nullptr)
-    edge_server_->SetOptions(
-        ClientOptions(snapshot->routes->limits(), settings_.limits.file_limit));
+    edge_server_->SetOptions(ClientOptions(snapshot->routes->limits(), settings_.limits));
 }
 
 bool Node::Impl::Ready() const {
