--- a/lab/soak/crowd.cpp
+++ b/lab/soak/crowd.cpp
@@ -78,8 +78,12 @@
   void Close() {
     if (descriptor_ >= 0) close(descriptor_);
     descriptor_ = -1;
+    closed_at_ = Now();
   }
   bool open() const { return descriptor_ >= 0; }
+  bool MayReopen() const {
+    return !open() && Now() - closed_at_ >= crowd_->options_.reconnect_pause;
+  }
   bool done() const { return !open() || sent_ >= Total(); }
   pollfd Wanted() const {
     const short wanted = done() ? POLLIN : POLLIN | POLLOUT;
@@ -134,6 +138,7 @@
   std::string head_;
   std::uint64_t sent_ = 0;
   bool answered_ = false;
+  Microseconds closed_at_ = 0;
 };
 
 Crowd::Crowd(CrowdOptions options) : options_(std::move(options)), head_(HeadOf(options_)) {
@@ -195,7 +200,7 @@
     poll(wanted.data(), wanted.size(), kPollMs);
     for (std::size_t at = 0; at < members.size(); ++at) {
       if (members[at]->open() && wanted[at].revents != 0) members[at]->OnReady(wanted[at].revents);
-      if (!members[at]->open() && options_.reconnects) members[at]->Open();
+      if (options_.reconnects && members[at]->MayReopen()) members[at]->Open();
     }
     all_sent_ = std::all_of(members.begin(), members.end(),
                             [](const auto& member) { return member->done(); });
--- a/lab/soak/crowd.h
+++ b/lab/soak/crowd.h
@@ -36,7 +36,8 @@
   BodyForm form = BodyForm::kShortOfLength;
   std::size_t body_bytes = 0;  // of the whole body, without the framing of chunks
   std::string whole_body;      // kWholeLength: what is sent in place of `body_bytes` bytes
-  bool reconnects = false;     // a connection that was closed is opened again
+  bool reconnects = false;     // a connection that was closed is opened again, after a pause
+  Microseconds reconnect_pause = 0;
 };
 
 class Crowd {
--- a/lab/soak/fleet.cpp
+++ b/lab/soak/fleet.cpp
@@ -101,6 +101,11 @@
   return process_ ? process_->id() : 0;
 }
 
+int Member::memory_mb() const {
+  if (kind_ == Kind::kWorker) return 0;
+  return kind_ == Kind::kEdge ? options_.edge_memory_mb : options_.store_memory_mb;
+}
+
 void Member::BeginDisturbance(bool abrupt) {
   const std::lock_guard<std::mutex> lock(mutex_);
   disturbances_.push_back({Now(), std::numeric_limits<Microseconds>::max(), abrupt});
@@ -148,10 +153,9 @@
   for (int seed = 1; seed <= std::min(kMaxMembersOfEdges, options_.edges); ++seed)
     file << fmt::format("  - \"{}\"\n", ControlOf(options_, seed));
   file << fmt::format("bootstrap: {}\nquorum_member: {}\n", starts_ == 1, keeps_data_);
-  const int memory_mb = edge ? options_.edge_memory_mb : options_.store_memory_mb;
   const int disk_mb = edge ? kEdgeDiskMb : options_.store_disk_mb;
   file << fmt::format("limits:\n  cpu_fraction: 1\n  cores: 1\n  memory_mb: {}\n  file_limit: {}\n",
-                      memory_mb, options_.file_limit)
+                      memory_mb(), options_.file_limit)
        << fmt::format("  link_mbps: {}\n  disk_mb: {}\n", edge ? kLinkMbps : kStoreLinkMbps,
                       keeps_data_ ? disk_mb : 0);
   if (keeps_data_) file << fmt::format("data_path: \"{}\"\n", data);
--- a/lab/soak/fleet.h
+++ b/lab/soak/fleet.h
@@ -62,6 +62,8 @@
   // Whether a disturbance (an abrupt one only) falls into the span.
   bool Disturbed(Microseconds from, Microseconds to, bool abrupt_only = false) const;
 
+  // Of its machine, in MB; 0: not limited.
+  int memory_mb() const;
   const std::string& name() const { return name_; }
   const std::string& ip() const { return ip_; }
   Kind kind() const { return kind_; }
--- a/lab/soak/main.cpp
+++ b/lab/soak/main.cpp
@@ -20,12 +20,14 @@
 #include "lab/soak/checks.h"
 #include "lab/soak/client.h"
 #include "lab/soak/configuration_history.h"
+#include "lab/soak/crowd.h"
 #include "lab/soak/faults.h"
 #include "lab/soak/fleet.h"
 #include "lab/soak/http_connection.h"
 #include "lab/soak/long_caller.h"
 #include "lab/soak/operator.h"
 #include "lab/soak/process_group.h"
+#include "lab/soak/process_usage.h"
 
 ABSL_FLAG(std::string, program, "build-dev", "Folder of pearreach-tier and stand-in-worker");
 ABSL_FLAG(std::uint64_t, seed, 1, "Seed of the run");
@@ -33,6 +35,7 @@
 ABSL_FLAG(int, edges, 4, "Edge nodes; the first three are quorum members");
 ABSL_FLAG(int, stores, 3, "Stores");
 ABSL_FLAG(int, workers, 4, "Stand-in workers");
+ABSL_FLAG(int, hostile, 24, "Connections outside the limits at each edge node");
 ABSL_FLAG(std::string, logs, "", "Folder that keeps the logs of a run with findings; empty: /tmp");
 ABSL_FLAG(bool, keep, false, "Keep the logs of a run without findings, too");
 
@@ -41,6 +44,13 @@
 
 constexpr int kNetworks = 200;  // 127.1 to 127.200, the first free one from the seed on
 constexpr int kClientsPerEdge = 4;
+// Of clients outside the limits. None of their requests comes whole, so that none runs.
+constexpr BodyForm kHostileForms[] = {BodyForm::kShortOfLength, BodyForm::kPiecesOfLength,
+                                      BodyForm::kLargeChunks,   BodyForm::kChunksOfOneByte,
+                                      BodyForm::kEndlessChunks, BodyForm::kAnnouncedOnly};
+constexpr std::size_t kHostileBody = 4 << 20, kMegabyte = 1 << 20;
+constexpr Microseconds kHostilePause = 500 * kMillisecond, kUsageLook = 100 * kMillisecond;
+constexpr int kEdgeMemoryMb = 160, kStoreMemoryMb = 270;
 constexpr RequestForm kLongForms[] = {RequestForm::kAfterStream, RequestForm::kInPieces,
                                       RequestForm::kPipelined, RequestForm::kHeldRead,
                                       RequestForm::kKeptControl};
@@ -56,6 +66,8 @@
 constexpr char kOnFewerReplicas[] = "changes are acknowledged on fewer replicas";
 constexpr char kOnNoPartition[] = "\"partitions\":\"0\"";
 constexpr const char* kMustCome[] = {
+    "answer to a client outside the limits",
+    "checked: memory of a process",
     "SIGTERM",
     "SIGTERM twice",
     "SIGTERM, then SIGHUP",
@@ -98,6 +110,8 @@
   options.edges = absl::GetFlag(FLAGS_edges);
   options.stores = absl::GetFlag(FLAGS_stores);
   options.workers = absl::GetFlag(FLAGS_workers);
+  options.edge_memory_mb = kEdgeMemoryMb;
+  options.store_memory_mb = kStoreMemoryMb;
   options.grace = kGraces[absl::GetFlag(FLAGS_seed) % std::size(kGraces)];
   return options;
 }
@@ -173,6 +187,8 @@
     std::vector<std::thread> threads, late_threads;
     std::vector<std::unique_ptr<Client>> clients;
     std::vector<std::unique_ptr<LongCaller>> long_callers;
+    OpenHostile();
+    std::thread usage([this] { WatchMemory(); });
     const auto add_client = [&](const Member* edge, const std::string& key) {
       const std::string name = fmt::format("c{}", clients.size());
       const ClientOptions options{name, random_(), edge, key};
@@ -205,6 +221,51 @@
     for (std::thread& thread : threads) thread.join();
     ends_ = true;
     for (std::thread& thread : late_threads) thread.join();
+    usage.join();
+    CloseHostile();
+  }
+
+  // Clients outside the limits, at each edge node. They come back when they are closed, and use
+  // their connections until the process behind them is gone.
+  void OpenHostile() {
+    const int connections = absl::GetFlag(FLAGS_hostile);
+    for (const Member* edge : fleet_.Of(Member::Kind::kEdge)) {
+      CrowdOptions options;
+      options.ip = edge->ip();
+      options.port = random_() % 4 == 0 ? kControlPort : kEdgePort;
+      options.headers = {{"Authorization", std::string("Token ") + kKeptKey}};
+      options.connections = connections;
+      options.form = kHostileForms[random_() % std::size(kHostileForms)];
+      options.body_bytes = kHostileBody;
+      options.reconnects = true;
+      options.reconnect_pause = kHostilePause;
+      hostile_.push_back(std::make_unique<Crowd>(std::move(options)));
+    }
+  }
+
+  void CloseHostile() {
+    for (const auto& crowd : hostile_) {
+      crowd->Stop();
+      for (int count = crowd->answers(); count > 0; --count)
+        log_.Count("answer to a client outside the limits");
+    }
+    hostile_.clear();
+  }
+
+  // Each process stays within the memory of its machine, whatever befalls it.
+  void WatchMemory() {
+    while (!ends_) {
+      for (const auto& member : fleet_.members()) {
+        const pid_t process = member->process_id();
+        if (member->memory_mb() == 0 || process == 0) continue;
+        const std::size_t bytes = UnevictableBytes(process) + UnreadBytes(member->ip());
+        log_.Count("checked: memory of a process");
+        if (bytes > static_cast<std::size_t>(member->memory_mb()) * kMegabyte)
+          log_.Find("MEMORY", fmt::format("{} holds {} MB of {}", member->name(), bytes / kMegabyte,
+                                          member->memory_mb()));
+      }
+      SleepFor(kUsageLook);
+    }
   }
 
   void CheckEnds() {
@@ -310,6 +371,7 @@
   RequestLog log_;
   std::mt19937_64 random_;
   Operator operator_;
+  std::vector<std::unique_ptr<Crowd>> hostile_;
   std::atomic<bool> faults_end_ = false, ends_ = false;
   std::size_t reads_ = 0;  // at the end, over the edge nodes in turn
 };
