--- a/src/tier/batch/batch_job_changes.cpp
+++ b/src/tier/batch/batch_job_changes.cpp
@@ -24,8 +24,8 @@
   std::size_t bytes = 0;
   for (const ItemSpec& item : batch_job.items) {
     bytes += sizeof item + item.item_id.size() + item.path.size() + item.body.size();
-    for (const auto& [name, value] : item.headers)
-      bytes += sizeof name + sizeof value + name.size() + value.size();
+    for (const auto& header : item.headers)
+      bytes += sizeof header + header.first.size() + header.second.size();
   }
   return bytes;
 }
--- a/tests/tier/batch/store_server_test.cpp
+++ b/tests/tier/batch/store_server_test.cpp
@@ -105,7 +105,8 @@
     store.server.reset();
     store.server = std::make_unique<StoreServer>(&timers_, store.transport.get(), store.disk.get(),
                                                  &control_, StoreId{name, "d" + name},
-                                                 settings::Bounds{}, settings::Tolerance{});
+                                                 settings::Bounds{}, settings::Tolerance{},
+                                                 /*link_mbps=*/0, memory_);
     store.server->OnDiskRolledBack([this] { ++rolled_back_; });
   }
   // Of disks in memory.
@@ -133,6 +134,7 @@
     CPPUNIT_ASSERT(active);
   }
   std::uint64_t epoch() const { return epoch_; }  // of the table and of all its partitions
+  const std::shared_ptr<memory::MemoryBudget>& memory() const { return memory_; }
   storage::TableStore* Disk(const std::string& name) { return stores_[name].disk.get(); }
   template <class Answer, class Message>
   absl::StatusOr<Answer> Ask(rpc::MessageType type, const Message& message) {
@@ -157,6 +159,8 @@
 
  private:
   Timers timers_;
+  const std::shared_ptr<memory::MemoryBudget> memory_ =
+      std::make_shared<memory::MemoryBudget>(std::size_t{16} << 20);  // of all stores
   std::map<std::string, LocalMesh*> peers_;
   LocalMesh caller_;
   const std::size_t capacity_;
@@ -205,12 +209,37 @@
   CPPUNIT_TEST(RestartKeepsEverything);
   CPPUNIT_TEST(ServesNothingFromRolledBackDisk);
   CPPUNIT_TEST(FullDiskRejectsBatchJobsUntilItHasCapacity);
+  CPPUNIT_TEST(RejectsBatchJobsWithoutMemoryForThem);
   CPPUNIT_TEST_SUITE_END();
 
  public:
   void BatchJobLifecycleWithOneReplica() { RunBatchJobLifecycle({"s0"}); }
   void BatchJobLifecycleWithTwoReplicas() { RunBatchJobLifecycle({"s0", "s1"}); }
 
+  // The rejection says that nothing was executed; what was charged goes once a batch job is
+  // created.
+  void RejectsBatchJobsWithoutMemoryForThem() {
+    Fleet fleet(2);
+    fleet.PublishReplicas({"s0", "s1"});
+    memory::MemoryCharge others(fleet.memory(), memory::ChargeKind::kRequest);
+    others.Set(fleet.memory()->limit());
+    OfferBatchJob offer;
+    offer.batch_job_id = "lot";
+    const auto offered =
+        fleet.Ask<OfferBatchJobResponse>(rpc::MessageType::kBatchJobAdmission, offer);
+    CPPUNIT_ASSERT(offered.ok() && offered->verdict == OfferVerdict::kInsufficientCapacity);
+    CreateBatchJob create;
+    create.partition_epoch = fleet.epoch();
+    create.batch_job = Spec("lot", 4);
+    const auto rejected =
+        fleet.Ask<CreateBatchJobResponse>(rpc::MessageType::kBatchJobCreate, create);
+    CPPUNIT_ASSERT(absl::IsFailedPrecondition(rejected.status()));
+    others.Set(0);
+    Create(&fleet, Spec("lot", 4));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, Read(&fleet, "lot", 0).total);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.memory()->used());
+  }
+
   void FailuresAreCountedOnceForALease() {
     Fleet fleet(2);
     fleet.PublishReplicas({"s0", "s1"});
