--- a/src/tier/http_server/http_server.cpp
+++ b/src/tier/http_server/http_server.cpp
@@ -102,9 +102,11 @@
     return bytes;
   }
 
-  // From those first that hold much and have stood still for long: the product of the two.
+  // From those first that hold much and have stood still for long: the product of the two. Holders
+  // of no more than a small request come last, however slow.
   void Reclaim(std::size_t bytes, const void* except) override {
     struct Candidate {
+      bool large;
       double rank;
       std::shared_ptr<Connection> connection;
     };
@@ -113,10 +115,13 @@
       const std::size_t held = connection->ReclaimableBytes();
       if (held == 0 || key == except) continue;
       const Micros stalled = std::max(connection->StalledFor(), kMinStall);
-      candidates.push_back({static_cast<double>(held) * static_cast<double>(stalled), connection});
+      const bool large = held > memory::MemoryBudget::kSmallBytes;
+      candidates.push_back(
+          {large, static_cast<double>(held) * static_cast<double>(stalled), connection});
     }
-    std::sort(candidates.begin(), candidates.end(),
-              [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+      return std::pair(a.large, a.rank) > std::pair(b.large, b.rank);
+    });
     std::size_t freed = 0;
     for (const Candidate& candidate : candidates) {
       if (freed >= bytes) return;
--- a/src/tier/http_server/http_server.h
+++ b/src/tier/http_server/http_server.h
@@ -21,7 +21,7 @@
   std::size_t max_connections = 1000;
   // A body that comes for longer than `header_wait` goes on at least so fast, in bytes each
   // `header_wait`; else it is answered with 408.
-  std::size_t min_body_progress = 1024;
+  std::size_t min_body_progress = 16;
   int receive_buffer_bytes = 0;  // of each connection, as set by the listener; 0: the system's
 };
 
