--- a/review/tools-2/worker.cpp
+++ b/review/tools-2/worker.cpp
@@ -43,6 +43,7 @@
   stopping_ = true;
   if (acceptor_.joinable()) acceptor_.join();
   if (listener_ >= 0) close(listener_);
+  for (const int fd : fillers_) close(fd);
   while (open_ > 0) SleepMs(5);
 }
 
@@ -54,9 +55,9 @@
 }
 
 void Worker::Accept() {
-  while (!stopping_) {
+  while (!stopping_ && !dark_) {
     pollfd wait{listener_, POLLIN, 0};
-    if (poll(&wait, 1, 50) != 1) continue;
+    if (poll(&wait, 1, 50) != 1 || dark_) continue;
     const int fd = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
     if (fd < 0) continue;
     ++open_;
@@ -71,13 +72,25 @@
 void Worker::ServeConnection(int fd) {
   std::string buffer;
   while (!stopping_) {
+    if (dark_) {
+      SleepMs(20);
+      continue;
+    }
     if (buffer.empty()) {
       const int read = ReadSome(fd, &buffer, 50);
       if (read == -2) continue;
       if (read <= 0) return;
     }
     Message request;
-    if (!ReadMessage(fd, &buffer, &request, 5000)) return;
+    const bool complete = ReadMessage(fd, &buffer, &request, 5000);
+    if (dark_) continue;
+    if (!complete) return;
+    if (request.first_line.rfind("GET /health ", 0) == 0) {
+      record_->Add("health asked at " + id_);
+      if (!SendAll(fd, "HTTP/1.1 200 OK\r\nX-Worker-Id: " + id_ + "\r\nContent-Length: 0\r\n\r\n"))
+        return;
+      continue;
+    }
     const std::string id = ValueOf(request, "x-attempt-id");
     const std::string wanted = ValueOf(request, "x-target-worker");
     if (id.empty() || (!wanted.empty() && wanted != id_)) {
@@ -137,6 +150,20 @@
   if (beater_.joinable()) beater_.join();
 }
 
+void Worker::GoDark() {
+  dark_ = true;
+  StopBeats();
+  if (acceptor_.joinable()) acceptor_.join();
+  // A listener whose queue is full answers no attempt to connect.
+  listen(listener_, 0);
+  for (int i = 0; i < 8; ++i) {
+    const int fd = Connect(ip_, port_, 100);
+    if (fd < 0) break;
+    fillers_.push_back(fd);
+  }
+  record_->Add(id_ + " is dark" + (fillers_.size() < 8 ? "" : ", but takes connections"));
+}
+
 std::vector<Run> Worker::Runs() {
   const std::lock_guard<std::mutex> lock(mutex_);
   return runs_;
--- a/review/tools-2/worker.h
+++ b/review/tools-2/worker.h
@@ -42,6 +42,10 @@
   // Beats every `beat_ms` to one of these addresses, and to the next one where one fails.
   void StartBeats(std::vector<std::string> control_ips, int beat_ms);
   void StopBeats();
+  // As if its machine had lost power: it reads and says nothing more on its connections, new ones
+  // to it hang, and requests that it has not read are not run. It stays so.
+  void GoDark();
+  bool is_dark() const { return dark_; }
 
   std::vector<Run> Runs();
   const std::string& id() const { return id_; }
@@ -56,11 +60,12 @@
   const int port_;
   Behaviour behaviour_;
   int listener_ = -1;
-  std::atomic<bool> stopping_{false}, beats_{false};
+  std::atomic<bool> stopping_{false}, beats_{false}, dark_{false};
   std::atomic<int> seq_{0}, seals_{0}, open_{0};
   std::thread acceptor_, beater_;
   std::mutex mutex_;
   std::vector<Run> runs_;
+  std::vector<int> fillers_;  // connections that fill the listener's queue
 };
 
 // Answers with a short body and a seal.
