--- a/review/5/cut_event.cpp
+++ b/review/5/cut_event.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -132,6 +133,11 @@
   for (std::thread& client : clients) client.join();
   const bool sound = fleet.AllRun();
   end_workers();
+  for (int number = 1; number <= kWorkers; ++number) {  // what they ran
+    std::ifstream ran(worker_folder + "/i-" + std::to_string(number) + ".txt");
+    for (std::string line; std::getline(ran, line);)
+      record.Add("i-" + std::to_string(number) + ": " + line);
+  }
 
   // A stream that ends between two events can't be told from a whole one, so it isn't judged.
   int whole = 0, cut = 0, other = 0, between = 0, wrong[2] = {0, 0};
