--- a/review/6/ended_job.cpp
+++ b/review/6/ended_job.cpp
@@ -77,7 +77,7 @@
 bool Retire(Fleet* fleet, Record* record, const std::string& control, std::size_t store) {
   const std::string name = fleet->nodes()[store].name;
   for (int tries = 0; tries < 30; ++tries) {
-    if (Call(control, kControlPort, "POST", "/Retire.Begin/" + name, {}, "{\"within_s\":10}", 3000)
+    if (Call(control, kControlPort, "POST", "/Retire.Begin/" + name, {}, "{\"within_s\":9}", 3000)
             .status == 200)
       break;
     SleepMs(200);
