Streams without a length that end inside an event are not complete

Cause: the operating system closes the connections of a killed process in order, which ends a body without a length. ActiveRequest did not know any more how the body had been framed and forwarded what followed the last event.

Items: an id without data is no end of an event.

Evidence: before the change StreamTest:: StreamWithoutALengthThatEndsInsideAnEventIsNotComplete failed with "id: 3 / da" passed on as complete ("inside an event").

--- a/src/tier/batch/event_text.cpp
+++ b/src/tier/batch/event_text.cpp
@@ -28,8 +28,11 @@
       has_event_ = true;
     }
     data_.clear();
-    has_data_ = false;
-  } else if (const auto value = DataOf(line_); value.has_value()) {
+    has_data_ = has_field_ = false;
+    return;
+  }
+  has_field_ = has_field_ || line_.front() != ':';
+  if (const auto value = DataOf(line_); value.has_value()) {
     if (has_data_) data_.push_back('\n');
     data_ += *value;
     has_data_ = true;
--- a/src/tier/batch/event_text.h
+++ b/src/tier/batch/event_text.h
@@ -13,7 +13,7 @@
  public:
   void Feed(std::string_view bytes);
   // Whether all that was fed has made complete events.
-  bool AtEventEnd() const { return line_.empty() && !has_data_; }
+  bool AtEventEnd() const { return line_.empty() && !has_field_; }
   // May be called once.
   std::string Take() { return std::move(text_); }
 
@@ -22,6 +22,7 @@
 
   std::string text_, line_, data_;
   bool has_data_ = false;   // of the current event
+  bool has_field_ = false;  // of the current event, whatever its name
   bool has_event_ = false;  // the text holds an event
   bool after_cr_ = false;   // a line feed that follows belongs to the same line end
 };
--- a/src/tier/proxy/active_request.cpp
+++ b/src/tier/proxy/active_request.cpp
@@ -243,7 +243,7 @@
 void ActiveRequest::OnResponse(AttemptResult result) {
   ResponseHead& head = result.head;
   worker_status_ = head.status;
-  if (result.forwarded) return OnStreamComplete();
+  if (result.forwarded) return OnStreamEnd(result.ended_by_close);
   load_ = ReadWorkerLoad(head);
   if (GuaranteesNotRun(head)) {
     EndPlacement(NotRunOutcome(head));
--- a/src/tier/proxy/active_request.h
+++ b/src/tier/proxy/active_request.h
@@ -76,7 +76,7 @@
   void AbandonAttempt(dispatch::Outcome outcome);
   void EndPlacement(dispatch::Outcome outcome);
   void OnResponse(AttemptResult result);
-  void OnStreamComplete();
+  void OnStreamEnd(bool ended_by_close);
   dispatch::Outcome NotRunOutcome(const ResponseHead& head);
   Micros TimeLeft() const { return spec_.deadline - Now(); }
   void RetryAfterNotRun();
--- a/src/tier/proxy/active_request_response.cpp
+++ b/src/tier/proxy/active_request_response.cpp
@@ -118,12 +118,18 @@
   RetryAfterRun();
 }
 
-void ActiveRequest::OnStreamComplete() {
+// A stream that ends with its connection, inside an event, has been cut off by the worker's end: as
+// after a reset, the rest is dropped. Between two events it can't be told from a whole one.
+void ActiveRequest::OnStreamEnd(bool ended_by_close) {
   retries_.OnMayHaveRun();
+  if (ended_by_close && events_.InsideEvent()) {
+    EndPlacement(Outcome::kReset);
+    return RetryAfterRun();
+  }
   EndPlacement(Outcome::kGood);
   const std::shared_ptr<RequestSink> sink = sink_;
   ForwardHead();
-  // The body is complete, so an unterminated last event is forwarded as well.
+  // What follows the last complete event is a part of the body as well.
   if (!ended_) ForwardBytes(events_.Rest());
   RequestResult result;
   result.end = RequestEnd::kComplete;
--- a/src/tier/proxy/attempt.cpp
+++ b/src/tier/proxy/attempt.cpp
@@ -153,9 +153,11 @@
 
 void Attempt::OnConnectionClosed(bool orderly) {
   const auto self = shared_from_this();
-  if (written_ && !skipping_surplus_ && reader_.End(orderly) == ResponseReader::Status::kDone)
-    return FinishResponse({});
-  Fail();
+  const bool is_answered =
+      written_ && !skipping_surplus_ && reader_.End(orderly) == ResponseReader::Status::kDone;
+  if (!is_answered) return Fail();
+  result_.ended_by_close = true;
+  FinishResponse({});
 }
 
 bool Attempt::OnResponseHead(ResponseHead head) {
--- a/src/tier/proxy/attempt.h
+++ b/src/tier/proxy/attempt.h
@@ -27,6 +27,9 @@
   ResponseHead head;                 // kAnswered
   std::string body;  // kAnswered: the part of the body that was not forwarded while it arrived
   bool forwarded = false;  // the body was forwarded through OnStreamBytes
+  // kAnswered: the body had no length and ended with the connection, so only its content can say
+  // whether it is whole. The connections of a process that is killed end in order, too.
+  bool ended_by_close = false;
 };
 
 // Owner of an attempt. It may cancel or destroy the attempt from inside any callback.
--- a/tests/tier/batch/edge_item_worker_test.cpp
+++ b/tests/tier/batch/edge_item_worker_test.cpp
@@ -96,6 +96,9 @@
         {"data: a\r\n\r\ndata: b\r\r", "a\nb", true},
         {"data: a\n\ndata: b", "a", false},
         {"data: a\n\ndata: b\n", "a", false},
+        {"data: a\n\nid: 2\n", "a", false},
+        {"data: a\n\nid: 2", "a", false},
+        {"data: a\n\n: comment\n", "a", true},
         {"database: a\n\n", "", true},
     };
     for (const Case& c : cases) {
--- a/tests/tier/proxy/proxy_rig.h
+++ b/tests/tier/proxy/proxy_rig.h
@@ -189,6 +189,19 @@
     if (after == After::kCut) call.stream->CloseAfterWrite();
   };
 }
+// The head of an event stream whose body ends with the connection.
+inline std::string UnframedStreamHeadText(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
+         "\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+}
+// Sends an event stream without a length and closes the connection in order, as the operating
+// system does for a worker that is killed.
+inline ScriptedWorker::Step UnframedStream(const std::string& body) {
+  return [=](ScriptedWorker::Call& call) {
+    call.stream->Write(UnframedStreamHeadText(IdOf(call)) + body);
+    call.stream->CloseAfterWrite();
+  };
+}
 inline std::string EventRun(int first, int last) {
   std::string text;
   for (int i = first; i <= last; ++i) text += EventText(i);
--- a/tests/tier/proxy/stream_test.cpp
+++ b/tests/tier/proxy/stream_test.cpp
@@ -37,6 +37,8 @@
 class StreamTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StreamTest);
   CPPUNIT_TEST(PassesAndResumes);
+  CPPUNIT_TEST(StreamWithoutALengthThatEndsInsideAnEventIsNotComplete);
+  CPPUNIT_TEST(StreamThatIsFramedIsWholeWithoutTheLastEmptyLine);
   CPPUNIT_TEST(PassesEventsAtOnce);
   CPPUNIT_TEST(ResumesAfterSilence);
   CPPUNIT_TEST(EverySendOfAStreamIsForTheSameTenant);
@@ -147,6 +149,117 @@
     for (const StreamCase& c : cases) Check(c);
   }
 
+  // ORDER (review/5): the end of a connection inside an event was taken for the end of the stream.
+  void StreamWithoutALengthThatEndsInsideAnEventIsNotComplete() {
+    const auto events = [](int first, int last, const std::string& rest = "") {
+      return UnframedStream(EventRun(first, last) + rest);
+    };
+    const RequestEnd complete = RequestEnd::kComplete, broken = RequestEnd::kBroken;
+    const std::string windows = "id: 1\r\ndata: a\r\n\r\n", old_mac = "id: 1\rdata: a\r\r";
+    const std::vector<StreamCase> cases = {
+        {"whole", {events(1, 4)}, true, 0, complete, EventRun(1, 4), {""}},
+        {"no event", {events(1, 0, ": ready\n")}, false, 0, complete, ": ready\n", {""}},
+        {"inside an event",
+         {events(1, 2, "id: 3\nda"), events(3, 5)},
+         true,
+         0,
+         complete,
+         EventRun(1, 5),
+         {"", "2"}},
+        {"before the empty line",
+         {events(1, 2, "id: 3\ndata: e3\n"), events(3, 5)},
+         true,
+         0,
+         complete,
+         EventRun(1, 5),
+         {"", "2"}},
+        {"after the id only",
+         {events(1, 2, "id: 3\n"), events(3, 3)},
+         true,
+         0,
+         complete,
+         EventRun(1, 3),
+         {"", "2"}},
+        {"inside the first event",
+         {events(1, 0, "id: 1"), events(1, 1)},
+         true,
+         0,
+         complete,
+         EventRun(1, 1),
+         {"", ""}},
+        {"twice, tries used up",
+         {events(1, 2, "id"), events(3, 3, "id: 4\n")},
+         true,
+         0,
+         broken,
+         EventRun(1, 3),
+         {"", "2"}},
+        {"not resumable", {events(1, 2, "id: 3\n")}, false, 0, broken, EventRun(1, 2), {""}},
+        {"not resumable, inside the first event",
+         {events(1, 0, "id: 1\nda")},
+         false,
+         0,
+         RequestEnd::kFailed,
+         "",
+         {""}},
+        {"after a comment",
+         {events(1, 2, ": still here\n")},
+         false,
+         0,
+         complete,
+         EventRun(1, 2) + ": still here\n",
+         {""}},
+        {"inside a comment",
+         {events(1, 2, ": stil")},
+         false,
+         0,
+         complete,
+         EventRun(1, 2) + ": stil",
+         {""}},
+        {"CR LF", {UnframedStream(windows)}, false, 0, complete, windows, {""}},
+        {"CR LF, inside", {UnframedStream(windows + "id: 2\r\n")}, false, 0, broken, windows, {""}},
+        {"CR", {UnframedStream(old_mac)}, false, 0, complete, old_mac, {""}},
+        {"CR, inside", {UnframedStream(old_mac + "id: 2\r")}, false, 0, broken, old_mac, {""}},
+    };
+    for (const StreamCase& c : cases) Check(c);
+  }
+
+  // A length or a last chunk says that the body is whole, whatever its last bytes are; and an
+  // answer that is no event stream has no events.
+  void StreamThatIsFramedIsWholeWithoutTheLastEmptyLine() {
+    const std::string body = EventRun(1, 2) + "id: 3\ndata: e3\n";
+    const std::string type = "Content-Type: text/event-stream\r\n";
+    const ScriptedWorker::Step plain = [](ScriptedWorker::Call& call) {
+      call.stream->Write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + IdOf(call) +
+                         "\r\nX-Seal: s\r\nContent-Type: text/plain\r\n\r\nid: 1\nda");
+      call.stream->CloseAfterWrite();
+    };
+    const ScriptedWorker::Step failure = [](ScriptedWorker::Call& call) {
+      call.stream->Write("HTTP/1.1 404 X\r\nX-Attempt-Id: " + IdOf(call) +
+                         "\r\nContent-Type: text/event-stream\r\n\r\nid: 1\nda");
+      call.stream->CloseAfterWrite();
+    };
+    const std::vector<StreamCase> cases = {
+        {"chunked",
+         {Events(1, 2, After::kEnd, "id: 3\ndata: e3\n")},
+         true,
+         0,
+         RequestEnd::kComplete,
+         body,
+         {""}},
+        {"length",
+         {Respond(200, "X-Seal: s\r\n" + type, body)},
+         false,
+         0,
+         RequestEnd::kComplete,
+         body,
+         {""}},
+        {"no event stream", {plain}, false, 0, RequestEnd::kComplete, "id: 1\nda", {""}},
+        {"no success", {failure}, false, 0, RequestEnd::kComplete, "id: 1\nda", {""}},
+    };
+    for (const StreamCase& c : cases) Check(c);
+  }
+
   void PassesEventsAtOnce() {
     Rig rig;
     std::shared_ptr<Stream> stream;
