Departures are on the disks of quorum members before they are acknowledged

Cause: that a worker drains or has departed was in the memory of the edge nodes only; a process that starts takes a heartbeat of an unknown worker as it comes.

Change: DepartureReplicator syncs the record to the disks of tolerance + 1 quorum members (new message kWorkerDeparture) while the other nodes are told as before; DepartureLog keeps it for 120 s and gives it to the next process, which tells the others. A receiver that knows a later phase than a forwarded heartbeat says so. Heartbeats of ready workers reach no disk.

The golden files have two rows more, none changed.

--- a/lab/hollow/registry.cpp
+++ b/lab/hollow/registry.cpp
@@ -108,7 +108,8 @@
     settings.beat_ms = static_cast<double>(kBeat) / kMs;
     settings.bind.control = node.ip + kControlPort;
     node.registry = std::make_unique<registry::WorkerRegistry>(
-        std::make_unique<VirtualTimeSource>(&time), node.transport.get(), &members, settings);
+        std::make_unique<VirtualTimeSource>(&time), node.transport.get(), &members, settings,
+        /*disk=*/nullptr, [this] { return time.now() / kMs; });
   }
   for (int i = 0; i < size.workers; ++i) {
     auto worker = std::make_unique<Worker>();
--- a/src/tier/registry/worker_registry.cpp
+++ b/src/tier/registry/worker_registry.cpp
@@ -1,6 +1,7 @@
 #include "tier/registry/worker_registry.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "tier/codec/archive.h"
@@ -18,6 +19,9 @@
 // other edge nodes, and for the read that confirms the contact to the quorum.
 constexpr Micros kMaxAckTimeout = 700 * kMs;
 constexpr Micros kQuorumReadTimeout = 200 * kMs;
+// After the start of a node: when it tells the others of the departures that its disk has kept, as
+// it gets to know the other nodes.
+constexpr std::array<Micros, 2> kRestoredDisseminationDelays = {kSecond, 3 * kSecond};
 // disseminated_departures_ may have so many more entries than there are workers known before it is
 // cleaned.
 constexpr std::size_t kMaxUnknownDepartures = 1000;
@@ -36,14 +40,10 @@
 
 }  // namespace
 
-WorkerRegistry::WorkerRegistry(Timers* timers, rpc::Transport* transport,
-                               control::ControlClient* control,
-                               const settings::NodeSettings& settings)
-    : WorkerRegistry(control::TimeSourceOf(timers), transport, control, settings) {}
-
 WorkerRegistry::WorkerRegistry(std::unique_ptr<control::TimeSource> time, rpc::Transport* transport,
                                control::ControlClient* control,
-                               const settings::NodeSettings& settings)
+                               const settings::NodeSettings& settings, storage::TableStore* disk,
+                               std::function<std::int64_t()> wall_ms)
     : time_(std::move(time)),
       transport_(transport),
       control_(control),
@@ -62,13 +62,32 @@
                  disseminator_.Disseminate(update, dissemination_budget_, 0, nullptr);
                }),
       anti_entropy_(time_.get(), transport, &nodes_, &state_, period_,
-                    [this](const WorkerUpdate& update) { Import(update); }) {
+                    [this](const WorkerUpdate& update) { Import(update); }),
+      departure_log_(disk == nullptr
+                         ? nullptr
+                         : std::make_unique<DepartureLog>(time_.get(), disk, std::move(wall_ms))),
+      departure_replicator_(time_.get(), transport, control, settings, departure_log_.get(),
+                            [this](const WorkerUpdate& update) { Import(update); }) {
   transport_->Handle(rpc::MessageType::kWorkerHeartbeat,
                      callbacks_.Bind([this](const std::string&, std::string_view body,
                                             const rpc::Respond& respond) {
                        OnForwardedHeartbeat(body, respond);
                      }));
   time_->After(period_, callbacks_.Bind([this] { Tick(); }));
+  RestoreDepartures();
+}
+
+void WorkerRegistry::RestoreDepartures() {
+  if (departure_log_ == nullptr) return;
+  const std::vector<WorkerRecord> restored = departure_log_->TakeRestored();
+  if (restored.empty()) return;
+  for (const WorkerRecord& record : restored) state_.Restore(time_->Now(), record);
+  logging::Info(kModule, "departures restored", {logging::F("workers", restored.size())});
+  for (const Micros delay : kRestoredDisseminationDelays) {
+    time_->After(delay, callbacks_.Bind([this, restored] {
+      for (const WorkerRecord& record : restored) batcher_.Queue(record.worker_id);
+    }));
+  }
 }
 
 void WorkerRegistry::RegisterCalls(control::ApiRouter* router) {
@@ -185,6 +204,7 @@
     WorkerRecord record = item.record;
     record.warm_at = now + item.warm_left_ms * kMs;
     record.receiver = nodes_.self();
+    if (IsOutdated(record)) batcher_.Queue(record.worker_id);  // its sender has listed it
     if (!state_.Merge(now, record, item.heartbeat_age_ms * kMs)) continue;
     batcher_.Queue(record.worker_id);
     changed = true;
@@ -193,20 +213,32 @@
   respond(std::string());
 }
 
+bool WorkerRegistry::IsOutdated(const WorkerRecord& record) const {
+  const WorkerRecord* const known = state_.Find(record.worker_id);
+  return known != nullptr && known->phase > record.phase;
+}
+
 // ---------------------------------------------------------------- dissemination
 
 void WorkerRegistry::DisseminateDeparture(const std::string& worker_id, DisseminationDone done) {
   WorkerUpdate update;
   update.items.push_back(state_.ExportOne(time_->Now(), worker_id));
+  // Called once by each of the two parts; the first one that fails answers.
+  const auto finish = [done = std::move(done), parts = std::make_shared<int>(2)](bool succeeded) {
+    if (*parts == 0) return;
+    *parts = succeeded ? *parts - 1 : 0;
+    if (*parts == 0) done(succeeded);
+  };
+  departure_replicator_.Replicate(update.items.front(), ack_timeout_ + kQuorumReadTimeout, finish);
   const bool alone = nodes_.Current(time_->Now()).size() < 2;
-  disseminator_.Disseminate(
-      update, dissemination_budget_, ack_timeout_,
-      [this, alone, done = std::move(done)](const Disseminator::Coverage& coverage) {
-        // If other nodes are live and none has it, this node is the isolated one.
-        const bool reached = alone || coverage.all || !coverage.nodes.empty();
-        if (!reached) return done(false);
-        ConfirmQuorumContact(done);
-      });
+  disseminator_.Disseminate(update, dissemination_budget_, ack_timeout_,
+                            [this, alone, finish](const Disseminator::Coverage& coverage) {
+                              // If other nodes are live and none has it, this node is the isolated
+                              // one.
+                              const bool reached = alone || coverage.all || !coverage.nodes.empty();
+                              if (!reached) return finish(false);
+                              ConfirmQuorumContact(finish);
+                            });
 }
 
 // Nodes on the minority side of a network partition take all others for dead, and would conclude
@@ -224,12 +256,15 @@
     if (!state_.Adopt(now, item)) continue;
     changed = true;
     urgent = urgent || item.record.phase != WorkerPhase::kReady;
+    if (departure_log_ != nullptr && item.record.phase != WorkerPhase::kReady)
+      departure_log_->Record(*state_.Find(item.record.worker_id), nullptr);
   }
   if (changed) publisher_.Publish(urgent);
 }
 
 void WorkerRegistry::Tick() {
   if (state_.Expire(time_->Now())) publisher_.Publish(false);
+  if (departure_log_ != nullptr) departure_log_->RemoveExpired();
   for (const std::string& id : state_.TakeLost()) {
     logging::Info(kModule, "worker lost", {logging::F("worker", id)});
     batcher_.Queue(id);
--- a/src/tier/registry/worker_registry.h
+++ b/src/tier/registry/worker_registry.h
@@ -2,10 +2,11 @@
 // disseminates changes to all edge nodes. One edge node, the worker's heartbeat receiver, keeps its
 // heartbeats; the others learn only of changes, many workers in one message. That a worker drains
 // or departs is acknowledged only once every live edge node knows it, or a bound within `drain_ms`
-// has passed.
+// has passed, and enough quorum members have it on their disks.
 #ifndef PEARREACH_SRC_TIER_REGISTRY_WORKER_REGISTRY_H_
 #define PEARREACH_SRC_TIER_REGISTRY_WORKER_REGISTRY_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,6 +20,8 @@
 #include "tier/control/control_client.h"
 #include "tier/control/time_source.h"
 #include "tier/registry/anti_entropy.h"
+#include "tier/registry/departure_log.h"
+#include "tier/registry/departure_replicator.h"
 #include "tier/registry/disseminator.h"
 #include "tier/registry/edge_nodes.h"
 #include "tier/registry/heartbeat.h"
@@ -34,11 +37,11 @@
 // Owned by the node; used on the event loop's thread only. The tables it hands out are immutable.
 class WorkerRegistry : public WorkerSource {
  public:
-  // All pointers outlive this.
-  WorkerRegistry(Timers* timers, rpc::Transport* transport, control::ControlClient* control,
-                 const settings::NodeSettings& settings);
+  // `disk`: of a quorum member, else null. `wall_ms`: milliseconds since 1970. All pointers outlive
+  // this.
   WorkerRegistry(std::unique_ptr<control::TimeSource> time, rpc::Transport* transport,
-                 control::ControlClient* control, const settings::NodeSettings& settings);
+                 control::ControlClient* control, const settings::NodeSettings& settings,
+                 storage::TableStore* disk, std::function<std::int64_t()> wall_ms);
 
   // Adds POST /Workers.Heartbeat/ID and POST /Workers.Departure/ID to the router.
   void RegisterCalls(control::ApiRouter* router);
@@ -64,7 +67,12 @@
   void ForwardHeartbeat(const WorkerRecord& record);
   std::string ReceiverOf(const WorkerRecord& record);
   void Import(const WorkerUpdate& update);
-  // Sends the record of a worker that drains or has departed to all live edge nodes.
+  // Takes over what an earlier process has kept, and tells the other nodes once there are some.
+  void RestoreDepartures();
+  // A worker that drains or has departed is known here in a later phase than its caller says.
+  bool IsOutdated(const WorkerRecord& record) const;
+  // Sends the record of a worker that drains or has departed to all live edge nodes, and to the
+  // disks of the quorum members.
   void DisseminateDeparture(const std::string& worker_id, DisseminationDone done);
   // Whether this node reaches a majority of the control state's members now.
   void ConfirmQuorumContact(DisseminationDone done);
@@ -90,6 +98,8 @@
   Disseminator disseminator_;
   UpdateBatcher batcher_;
   AntiEntropy anti_entropy_;
+  const std::unique_ptr<DepartureLog> departure_log_;  // null without a disk
+  DepartureReplicator departure_replicator_;
 };
 
 }  // namespace pearreach::registry
--- a/src/tier/registry/worker_state.cpp
+++ b/src/tier/registry/worker_state.cpp
@@ -76,6 +76,8 @@
   return Merge(now, record, 0);
 }
 
+void WorkerState::Restore(Micros now, const WorkerRecord& record) { Add(record, now, false); }
+
 void WorkerState::TakeOver(Micros now, const std::string& worker_id) {
   Entry* entry = FindEntry(worker_id);
   if (entry == nullptr || entry->record.phase == WorkerPhase::kGone) return;
@@ -116,7 +118,8 @@
     if (record.address != entry->record.address) SetListed(entry, false);
     entry->record = record;
     entry->orphaned_since = item.orphaned ? since : 0;
-    listed = !item.orphaned || heartbeat_age < options_.expiry;
+    const bool is_restored = record.address.empty();  // the worker has not called since
+    listed = !is_restored && (!item.orphaned || heartbeat_age < options_.expiry);
   }
   entry->record.phase = phase;
   SetListed(entry, listed && !HasEnded(entry->record));
--- a/src/tier/registry/worker_state.h
+++ b/src/tier/registry/worker_state.h
@@ -26,8 +26,7 @@
 struct WorkerStateOptions {
   // A worker without a heartbeat for so long leaves the table.
   Micros expiry = 6 * kSecond;
-  // For so long a departed worker is remembered, so that a late heartbeat does not list it again.
-  Micros departed_retention = 120 * kSecond;
+  Micros departed_retention = kDepartedRetention;
   // The name of this node as a heartbeat receiver.
   std::string self = {};
   // Whether the node of that name is a live member; null: none is.
@@ -44,6 +43,9 @@
   // another address or heartbeat receiver). Phases never go back within an incarnation.
   bool Merge(Micros now, const WorkerRecord& record, Micros heartbeat_age);
   bool Depart(Micros now, const std::string& worker_id);
+  // Takes over a record that an earlier process has kept (DepartureLog). The worker is not listed
+  // until it calls.
+  void Restore(Micros now, const WorkerRecord& record);
   // Makes this node the worker's heartbeat receiver.
   void TakeOver(Micros now, const std::string& worker_id);
   // Merges a record of another node; whether it changed anything here.
--- a/src/tier/registry/worker_table.h
+++ b/src/tier/registry/worker_table.h
@@ -11,8 +11,13 @@
 #include <unordered_map>
 #include <utility>
 
+#include "common/event_loop/io.h"
+
 namespace pearreach::registry {
 
+// For so long a departed worker is remembered, so that a late heartbeat does not list it again.
+inline constexpr Micros kDepartedRetention = 120 * kSecond;
+
 enum class WorkerPhase : std::uint8_t { kReady, kDraining, kGone };
 
 struct WorkerRecord {
--- a/src/tier/rpc/transport.h
+++ b/src/tier/rpc/transport.h
@@ -28,7 +28,9 @@
   kWorkerHeartbeat = 8,  // heartbeats, forwarded to the node that should process them
   kWorkerDigest = 9,     // digests of the workers known to both
   kWorkerRepair = 10,    // worker records that differ
-  kWitnessVote = 11,     // quorum member -> store: may this member go on without lost ones?
+  kWorkerDeparture =
+      12,             // a worker that drains or has departed, to be kept on a quorum member's disk
+  kWitnessVote = 11,  // quorum member -> store: may this member go on without lost ones?
   kBatchJobCreate = 20,  // edge -> primary store
   kBatchJobRead = 21,    // edge -> primary store
   kItemBody = 22,        // edge -> primary store
--- a/src/tier/server/node.cpp
+++ b/src/tier/server/node.cpp
@@ -214,8 +214,10 @@
 }
 
 absl::Status Node::Impl::StartEdge() {
-  registry_ = std::make_unique<registry::WorkerRegistry>(&timers_, transport_.get(), control_.get(),
-                                                         settings_);
+  registry_ = std::make_unique<registry::WorkerRegistry>(
+      control::TimeSourceOf(&timers_), transport_.get(), control_.get(), settings_,
+      control_->has_replica() ? disk_.get() : nullptr,
+      [] { return static_cast<std::int64_t>(WallMilliseconds()); });
   proxy::RunnerOptions options;
   options.node_name = settings_.node_name;
   options.zone = settings_.zone;
--- a/tests/tier/golden/golden_test.cpp
+++ b/tests/tier/golden/golden_test.cpp
@@ -19,7 +19,7 @@
 using coordination::ReplicaId;
 
 constexpr char kMessages[] = "messages.hex", kValues[] = "values.hex", kRecords[] = "records.hex";
-constexpr int kSerializers = 100;
+constexpr int kSerializers = 101;
 
 Samples Messages() {
   Samples samples = ChainSamples();
--- a/tests/tier/golden/samples_records.cpp
+++ b/tests/tier/golden/samples_records.cpp
@@ -9,6 +9,7 @@
 #include "tier/control/snapshot_store.h"
 #include "tier/coordination/change_history.h"
 #include "tier/coordination/view_agreement.h"
+#include "tier/registry/departure_log.h"
 #include "tier/registry/worker_state.h"
 
 namespace pearreach::golden {
@@ -158,6 +159,8 @@
   }
   const batch::FilledJoinersRecord filled{9, {{"s1", "d1"}, {"s2", "d2"}}};
   Join(WriteRows("store.filled_joiners", {batch::WriteFilledJoiners(5, filled)}), &samples);
+  samples.push_back(Coded("registry.departure",
+                          registry::DepartureRecord{registry::WorkerPhase::kDraining, 12, 13, 14}));
   samples.push_back(
       Coded("store.lost_disks", batch::LostDisksRecord{{{{"s1", "d1"}, "boot", 10, 11}}}));
   return samples;
--- a/tests/tier/golden/samples_values.cpp
+++ b/tests/tier/golden/samples_values.cpp
@@ -47,6 +47,8 @@
       return "worker_digest";
     case MessageType::kWorkerRepair:
       return "worker_repair";
+    case MessageType::kWorkerDeparture:
+      return "worker_departure";
     case MessageType::kWitnessVote:
       return "witness_vote";
     case MessageType::kBatchJobCreate:
--- a/tests/tier/registry/registry_cluster.cpp
+++ b/tests/tier/registry/registry_cluster.cpp
@@ -31,6 +31,13 @@
   std::function<void(int, const std::string&)> on_response_;
 };
 
+std::string HeartbeatBody(const RegistryCluster::Worker& worker, const std::string& phase,
+                          std::uint64_t seq) {
+  return fmt::format(
+      R"({{"target":"svc","address":"{}","zone":"{}","capacity":4,"phase":"{}","call_seq":{}}})",
+      worker.address, worker.zone, phase, seq);
+}
+
 std::string ParseBeatTarget(const std::string& body) {
   const std::string name = "\"beat_target\":\"";
   const std::size_t begin = body.find(name);
@@ -79,9 +86,13 @@
   settings.bounds.drain_ms = static_cast<double>(kDrain) / kMs;
   settings.bounds.contact_ms = 3000;
   settings.bind.control = "10.0.0.0" + std::string(kControlPort);
-  node.registry =
-      std::make_unique<WorkerRegistry>(std::make_unique<control::VirtualTimeSource>(&time),
-                                       node.transport.get(), &node.members, settings);
+  settings.tolerance.machines = options_.tolerance;
+  const bool is_quorum_member = index < static_cast<std::size_t>(options_.quorum);
+  if (node.disk == nullptr && is_quorum_member && options_.has_disks)
+    node.disk = std::make_unique<control::VirtualDisk>(&time, node.name + "-disk");
+  node.registry = std::make_unique<WorkerRegistry>(
+      std::make_unique<control::VirtualTimeSource>(&time), node.transport.get(), &node.members,
+      settings, node.disk.get(), [this] { return time.now() / kMs; });
 }
 
 void RegistryCluster::SetStatus(std::size_t of, MemberStatus status) {
@@ -124,6 +135,18 @@
   });
 }
 
+void RegistryCluster::RestartAll(Micros pause) {
+  for (std::size_t i = 0; i < nodes.size(); ++i) {
+    nodes[i]->registry.reset();
+    nodes[i]->transport.reset();
+    if (nodes[i]->disk != nullptr) nodes[i]->disk->LosePower();
+  }
+  Run(pause);
+  for (std::size_t i = 0; i < nodes.size(); ++i) Restart(i);
+}
+
+void RegistryCluster::WipeDisk(std::size_t index) { nodes[index]->disk->Restore({}); }
+
 void RegistryCluster::Restart(std::size_t index) {
   StartNode(index);
   SetStatus(index, MemberStatus::kAlive);
@@ -145,6 +168,24 @@
   Call(worker, ChooseNode(*worker));
 }
 
+void RegistryCluster::Depart(std::size_t index, std::size_t node) {
+  Worker* worker = workers[index].get();
+  worker->running = false;
+  const auto on_response = [this, worker](int status, const std::string&) {
+    if (status == 200) worker->departed = time.now();
+  };
+  nodes[node]->registry->OnDeparture(std::make_shared<WorkerCall>(worker->id, "", on_response),
+                                     worker->id);
+}
+
+void RegistryCluster::DeliverLateHeartbeat(std::size_t index, std::size_t node, std::uint64_t seq) {
+  const Worker& worker = *workers[index];
+  const auto ignore = [](int, const std::string&) {};
+  nodes[node]->registry->OnHeartbeat(
+      std::make_shared<WorkerCall>(worker.id, HeartbeatBody(worker, "ready", seq), ignore),
+      worker.id);
+}
+
 void RegistryCluster::SendHeartbeat(Worker* worker) {
   if (!worker->running) return;
   if (!worker->draining || worker->drain_acknowledged != 0) Call(worker, ChooseNode(*worker));
@@ -162,9 +203,8 @@
 void RegistryCluster::Call(Worker* worker, std::size_t index) {
   if (!worker->running) return;
   const std::uint64_t call = ++worker->call;
-  const std::string body = fmt::format(
-      R"({{"target":"svc","address":"{}","zone":"{}","capacity":4,"phase":"{}","call_seq":{}}})",
-      worker->address, worker->zone, worker->draining ? "draining" : "ready", ++worker->seq);
+  const std::string body =
+      HeartbeatBody(*worker, worker->draining ? "draining" : "ready", ++worker->seq);
   const bool draining = worker->draining;
   const auto on_response = [this, worker, call, draining](int status, const std::string& response) {
     time.After(kOneWayDelay, [=, this] {
--- a/tests/tier/registry/registry_cluster.h
+++ b/tests/tier/registry/registry_cluster.h
@@ -38,6 +38,8 @@
 
 struct ClusterOptions {
   int nodes = 11, zones = 3, quorum = 3, workers = 40;
+  int tolerance = 1;      // of lost machines
+  bool has_disks = true;  // the quorum members keep departures
   double loss = 0;
   std::uint64_t seed = 1;
 };
@@ -53,6 +55,7 @@
   struct Node {
     std::string name, address;
     std::unique_ptr<control::VirtualTransport> transport;
+    std::unique_ptr<control::VirtualDisk> disk;  // of a quorum member; it outlasts the process
     FakeMembers members;
     std::unique_ptr<WorkerRegistry> registry;
     int heartbeats = 0;  // heartbeats that came here
@@ -63,6 +66,7 @@
     std::uint64_t seq = 0, call = 0;
     bool running = true, draining = false;
     Micros drain_started = 0, drain_acknowledged = 0;  // 0: not
+    Micros departed = 0;                               // acknowledged; 0: not
   };
 
   explicit RegistryCluster(ClusterOptions options);
@@ -70,9 +74,16 @@
   void Run(Micros span) { time.RunFor(span); }
   void StartWorkers();
   void Drain(std::size_t worker);  // goes on calling until it is acknowledged
+  // One call at that node; the worker sends no more heartbeats.
+  void Depart(std::size_t worker, std::size_t node);
+  // A heartbeat that the worker sent as its call `seq` when it was ready, and that arrives now.
+  void DeliverLateHeartbeat(std::size_t worker, std::size_t node, std::uint64_t seq);
   void Crash(std::size_t worker) { workers[worker]->running = false; }
   void Kill(std::size_t node);     // the others see it after kDetectionTime
-  void Restart(std::size_t node);  // an empty process of the same name
+  void Restart(std::size_t node);  // a process of the same name and disk
+  // Ends all processes and starts them `pause` later; what the disks had not synced is lost.
+  void RestartAll(Micros pause);
+  void WipeDisk(std::size_t node);
   void Isolate(std::size_t node) { network.Isolate(nodes[node]->address); }
   // Cuts these off from all others, and lets each side take the other for dead.
   void Partition(const std::set<std::size_t>& island);
