--- a/lab/soak/client.h
+++ b/lab/soak/client.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -19,8 +20,9 @@
   std::string name;
   std::uint64_t seed = 0;
   const Member* node = nullptr;
-  std::string
-      only_key;  // of this tenant, plain requests as fast as they are answered; empty: mixed
+  // Of this tenant, plain requests as fast as they are answered; empty: mixed.
+  std::string only_key;
+  std::optional<RequestKind> only_kind;  // with keys of all tenants; nothing: mixed
 };
 
 class Client {
--- a/lab/soak/request_log.h
+++ b/lab/soak/request_log.h
@@ -10,6 +10,7 @@
 
 #include "lab/soak/clock.h"
 #include "lab/soak/fleet.h"
+#include "lab/soak/http_connection.h"
 
 namespace pearreach::soak {
 
@@ -36,7 +37,13 @@
   int status = 0;
   int error = 0;  // errno of the read that failed; 0: the other end closed
   bool complete = false, timed_out = false, promises_not_run = false;
+  bool ends_inside_event = false;  // of a streamed answer
   std::vector<std::string> items;  // attempt ids of a batch job's items
+  // When the end of the batch job was acknowledged; 0: it was not.
+  Microseconds end_acknowledged_at = 0;
+
+  // What came back, and that it came now.
+  void SetAnswer(const HttpAnswer& answer);
 };
 
 // Thread-safe.
--- a/lab/stand_in_worker/main.cpp
+++ b/lab/stand_in_worker/main.cpp
@@ -22,6 +22,12 @@
 ABSL_FLAG(int, beat_ms, 1000, "Between heartbeats");
 ABSL_FLAG(int, drain_ms, 2000, "How long it serves on once it has said that it leaves");
 ABSL_FLAG(std::string, record, "", "File that gets a line for each request that runs");
+ABSL_FLAG(bool, streams_without_length, false,
+          "Streams end with their connection, and are within an event at any time");
+ABSL_FLAG(int, late_beat_ms, 0,
+          "From its departure, sent at once on SIGTERM, to a late heartbeat; 0: none");
+ABSL_FLAG(int, serve_on_ms, 8000, "After the late heartbeat");
+ABSL_FLAG(std::string, departure_record, "", "File that gets the times of these two");
 
 namespace {
 
@@ -41,6 +47,7 @@
   options.worker_id = absl::GetFlag(FLAGS_worker_id);
   options.capacity = absl::GetFlag(FLAGS_capacity);
   options.record_path = absl::GetFlag(FLAGS_record);
+  options.splits_events = absl::GetFlag(FLAGS_streams_without_length);
   return options;
 }
 
@@ -52,6 +59,9 @@
   options.zone = absl::GetFlag(FLAGS_zone);
   options.beat = absl::GetFlag(FLAGS_beat_ms) * kMs;
   options.drain = absl::GetFlag(FLAGS_drain_ms) * kMs;
+  options.late_beat = absl::GetFlag(FLAGS_late_beat_ms) * kMs;
+  options.serve_on = absl::GetFlag(FLAGS_serve_on_ms) * kMs;
+  options.departure_path = absl::GetFlag(FLAGS_departure_record);
   return options;
 }
 
@@ -62,8 +72,11 @@
   pearreach::Timers timers;
   stand_in::Worker worker(&timers, ReadWorkerOptions());
   stand_in::Life life(&timers, &worker, ReadLifeOptions(), [loop] { g_main_loop_quit(loop); });
+  pearreach::http_server::ServerOptions server_options;
+  server_options.chunked_streams = !absl::GetFlag(FLAGS_streams_without_length);
   pearreach::http_server::HttpServer server(
-      &timers, {}, [&worker](std::shared_ptr<pearreach::http_server::Exchange> exchange) {
+      &timers, server_options,
+      [&worker](std::shared_ptr<pearreach::http_server::Exchange> exchange) {
         worker.Handle(std::move(exchange));
       });
   const std::string wrong = server.Open(absl::GetFlag(FLAGS_address));
--- a/lab/stand_in_worker/worker.cpp
+++ b/lab/stand_in_worker/worker.cpp
@@ -33,6 +33,8 @@
   return absl::SimpleAtoi(HeaderOf(request, "X-Work-Ms"), &work_ms) ? work_ms * kMs : otherwise;
 }
 
+std::string EventText(std::uint64_t id) { return fmt::format("id: {0}\ndata: token {0}\n\n", id); }
+
 std::uint64_t LastEventOf(const http::Message& request) {
   std::uint64_t last = 0;
   return absl::SimpleAtoi(HeaderOf(request, "Last-Event-Id"), &last) ? last : 0;
@@ -45,6 +47,7 @@
   std::vector<http::Header> headers;
   std::uint64_t last_event = 0;  // sent, or had by the client before
   std::uint64_t events = 0;      // up to which id; 0: a plain answer
+  std::string piece;             // of the last event begun, what is still to be sent
   Timers::Id wait = 0;
   bool ended = false;
 };
@@ -102,6 +105,7 @@
   run->events = EventsOf(request, options_.default_events);
   run->headers.push_back({"Content-Type", "text/event-stream"});
   run->exchange->BeginStream(200, run->headers);
+  if (options_.splits_events) return SendPieces(run);
   After(run, options_.event_pause, &Worker::SendEvent);
 }
 
@@ -128,14 +132,27 @@
 void Worker::SendEvent(const std::shared_ptr<Run>& run) {
   if (run->last_event < run->events) {
     ++run->last_event;
-    run->exchange->Write(
-        fmt::format("id: {}\ndata: token {}\n\n", run->last_event, run->last_event));
+    run->exchange->Write(EventText(run->last_event));
   }
   if (run->last_event < run->events) return After(run, options_.event_pause, &Worker::SendEvent);
   run->exchange->Finish();
   End(run);
 }
 
+void Worker::SendPieces(const std::shared_ptr<Run>& run) {
+  std::string bytes = std::exchange(run->piece, "");
+  const bool is_last = run->last_event >= run->events;
+  if (!is_last) {
+    const std::string event = EventText(++run->last_event);
+    bytes += event.substr(0, event.size() / 2);
+    run->piece = event.substr(event.size() / 2);
+  }
+  run->exchange->Write(bytes);
+  if (!is_last) return After(run, options_.event_pause, &Worker::SendPieces);
+  run->exchange->Finish();
+  End(run);
+}
+
 void Worker::After(const std::shared_ptr<Run>& run, Micros delay,
                    void (Worker::*step)(const std::shared_ptr<Run>&)) {
   run->wait = timers_->After(delay, [this, run, step] { (this->*step)(run); });
--- a/lab/stand_in_worker/worker.h
+++ b/lab/stand_in_worker/worker.h
@@ -21,6 +21,9 @@
   Micros event_pause = 20 * kMs;      // between events, and before a plain answer without X-Work-Ms
   std::uint64_t default_events = 10;  // of a stream whose request names no tokens
   std::string record_path;            // a line for each request that runs; empty: none
+  // Each event comes in two pieces: the second with the first one of the next event, so that a
+  // stream is within an event at any time.
+  bool splits_events = false;
 };
 
 class Worker {
@@ -42,6 +45,7 @@
   void Record(const http::Message& request);
   void AnswerPlain(const std::shared_ptr<Run>& run);
   void SendEvent(const std::shared_ptr<Run>& run);
+  void SendPieces(const std::shared_ptr<Run>& run);
   void After(const std::shared_ptr<Run>& run, Micros delay,
              void (Worker::*step)(const std::shared_ptr<Run>&));
   void End(const std::shared_ptr<Run>& run);
--- a/src/tier/http_server/connection.cpp
+++ b/src/tier/http_server/connection.cpp
@@ -215,7 +215,8 @@
 
 void Connection::BeginChunks(int status, const std::vector<http::Header>& headers) {
   ConnectionNotice notice = Notice();
-  framing_ = old_version_ ? Framing::kToClose : Framing::kChunked;
+  const bool chunked = !old_version_ && server_->options.chunked_streams;
+  framing_ = chunked ? Framing::kChunked : Framing::kToClose;
   if (framing_ == Framing::kToClose) notice.close = true;
   keep_alive_ = !notice.close;
   head_ = WriteHead(status, headers, framing_, 0, notice);
@@ -254,7 +255,7 @@
   --server_->unanswered;
   if (phase_ == Phase::kClosed) return;  // Ended is on its way
   // A client that reads to the connection's end must not take this one for the answer's.
-  if (old_version_) stream_->ResetOnClose();
+  if (MayEndWithConnection()) stream_->ResetOnClose();
   Remove();
 }
 
@@ -288,7 +289,7 @@
   exchange->OnServerShutdown();
   if (!Awaits(exchange)) return;
   if (exchange->streaming()) {
-    if (old_version_) stream_->ResetOnClose();
+    if (MayEndWithConnection()) stream_->ResetOnClose();
     return Drop();
   }
   SendComplete(kGatewayTimeout, {}, "");
--- a/src/tier/http_server/connection.h
+++ b/src/tier/http_server/connection.h
@@ -56,6 +56,8 @@
   std::size_t unsent() const { return stream_->unsent() + head_.size(); }
 
  private:
+  // Whether a client may take the connection's end for the answer's.
+  bool MayEndWithConnection() const { return old_version_ || framing_ == Framing::kToClose; }
   enum class Phase {
     kWaiting,  // between requests
     kReading,  // a request has begun to come
--- a/src/tier/http_server/http_server.h
+++ b/src/tier/http_server/http_server.h
@@ -23,6 +23,8 @@
   // `header_wait`; else it is answered with 408.
   std::size_t min_body_progress = 16;
   int receive_buffer_bytes = 0;  // of each connection, as set by the listener; 0: the system's
+  // Else answers of unknown length end with their connection, as for HTTP/1.0.
+  bool chunked_streams = true;
 };
 
 class HttpServer {
--- a/tests/lab/soak_checks_test.cpp
+++ b/tests/lab/soak_checks_test.cpp
@@ -199,6 +199,42 @@
   EXPECT_EQ(Findings(), "");
 }
 
+TEST_F(SoakChecksTest, FindsAStreamThatEndsInAnEvent) {
+  SentRequest request = Sent("a", "key-one", kLate, 200);
+  request.kind = RequestKind::kStreamed;
+  for (const bool inside : {false, true}) {
+    request.ends_inside_event = inside;
+    log_.Add(request);
+  }
+  request.complete = false;  // the client can tell
+  log_.Add(request);
+  EXPECT_EQ(Findings(), "ORDER ");
+}
+
+TEST_F(SoakChecksTest, FindsAnItemOfABatchJobEndedLongBefore) {
+  SentRequest job = Sent("job", "key-one", kLate, 202);
+  job.kind = RequestKind::kBatch;
+  job.items = {"in-time", "late"};
+  job.end_acknowledged_at = kLate + kSecond;
+  log_.Add(job);
+  Ran("in-time", "one", kLate + 3 * kSecond);
+  Ran("late", "one", kLate + 5 * kSecond);
+  EXPECT_EQ(Findings(), "UNASKED ");
+}
+
+TEST_F(SoakChecksTest, HoldsNobodyToTheEndOfABatchJobJustAfterTroubleOfANode) {
+  SentRequest job = Sent("job", "key-one", Now() - 10 * kSecond, 202);
+  job.kind = RequestKind::kBatch;
+  job.items = {"late"};
+  job.end_acknowledged_at = Now() - 5 * kSecond;
+  log_.Add(job);
+  versions_[0].sent_at = versions_[1].sent_at = 0;
+  versions_[0].acknowledged_at = versions_[1].acknowledged_at = 0;
+  fleet_.Of(Member::Kind::kStore).front()->BeginDisturbance(/*abrupt=*/true);
+  Ran("late", "one", Now());
+  EXPECT_EQ(Findings(), "");
+}
+
 TEST_F(SoakChecksTest, FindsAnUnlimitedTenantRefusedForItsLimit) {
   log_.Add(Sent("a", "key-limited", kLate, 429));
   EXPECT_EQ(Findings(), "");
