--- a/lab/soak/checks.cpp
+++ b/lab/soak/checks.cpp
@@ -110,6 +110,10 @@
     if (found == by_id_.end() || found->second->end_acknowledged_at == 0) return;
     const Microseconds after_end = run.at - found->second->end_acknowledged_at;
     if (after_end <= kCancel || !AllInTouchAt(run.at, kContact)) return;
+    // A worker that was frozen reads what came to it meanwhile once it goes on.
+    const Microseconds end = found->second->end_acknowledged_at;
+    if (run.worker != nullptr && run.worker->Disturbed(end, run.at))
+      return log_->Count("excused: the worker of an ended batch job's item had a fault");
     Find("UNASKED", *found->second,
          fmt::format("item {} reached a worker {} ms after the end was acknowledged",
                      run.attempt_id, after_end / kMillisecond));
--- a/tests/lab/soak_checks_test.cpp
+++ b/tests/lab/soak_checks_test.cpp
@@ -235,6 +235,23 @@
   EXPECT_EQ(Findings(), "");
 }
 
+TEST_F(SoakChecksTest, ExcusesItemsThatAFrozenWorkerReadsOnceItGoesOn) {
+  SentRequest job = Sent("job", "key-one", Now() - 10 * kSecond, 202);
+  job.kind = RequestKind::kBatch;
+  job.items = {"at-frozen", "at-sound"};
+  job.end_acknowledged_at = Now() - 5 * kSecond;
+  log_.Add(job);
+  versions_[0].sent_at = versions_[1].sent_at = 0;
+  versions_[0].acknowledged_at = versions_[1].acknowledged_at = 0;
+  const std::vector<Member*> workers = fleet_.Of(Member::Kind::kWorker);
+  workers[0]->BeginDisturbance(/*abrupt=*/true);
+  Ran("at-frozen", "one", Now());
+  runs_.back().worker = workers[0];
+  Ran("at-sound", "one", Now());
+  runs_.back().worker = workers[1];
+  EXPECT_EQ(Findings(), "UNASKED ");
+}
+
 TEST_F(SoakChecksTest, FindsAnUnlimitedTenantRefusedForItsLimit) {
   log_.Add(Sent("a", "key-limited", kLate, 429));
   EXPECT_EQ(Findings(), "");
