OverloadTest: the dripping client goes by the clock and takes the first answer

The trace: its client sent a byte each turn of the loop, about 10 us, so the whole body of 4,000 bytes was there after 15 ms (31 ms beside load), within `header_wait` of 40 ms, and got its 200. What the test took for the 408 was the answer to the next request, begun by further bytes. So it never saw what its name says, and failed where that next request was answered otherwise.

Change: a byte each 5 ms, eight in `header_wait` where 100 are wanted, whatever the machine's speed; the first answer must be the 408.

--- a/tests/tier/http_server/overload_test.cpp
+++ b/tests/tier/http_server/overload_test.cpp
@@ -163,10 +163,17 @@
     OpenBudgeted(Echo, options);
     const auto client = Client();
     client->Send(Post(4000) + std::string(1000, 'x'));
+    // By the clock, so that fewer than `min_body_progress` come in `header_wait` on any machine.
+    constexpr Micros kDripPause = kShort / 8;
+    Micros next = Now();
     CPPUNIT_ASSERT(RunUntil([&] {
-      client->Send("x");
-      return Has(client->got(), "HTTP/1.1 408 ");
+      if (Now() >= next) {
+        client->Send("x");
+        next = Now() + kDripPause;
+      }
+      return client->got().find("\r\n\r\n") != std::string::npos;
     }));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 408 "), client->got().substr(0, 13));
   }
 
   void StalledRequestsMakeRoomForNewConnections() {
